--- /dev/null
+++ b/components/connection/backend_server/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP client for engines and plain services.
--- /dev/null
+++ b/components/connection/front/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP servers for callers and operators.
--- /dev/null
+++ b/components/connection/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between instances over tonic.
--- /dev/null
+++ b/components/connection/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/components/process/burn/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level windows, error budgets, burn rates and alerts.
--- /dev/null
+++ b/components/process/instance/src/lib.rs
@@ -0,0 +1,1 @@
+//! The loop of one entry instance.
--- /dev/null
+++ b/components/process/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats, failure detection, leaving and data centre summaries.
--- /dev/null
+++ b/components/process/ownership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases and ownership of groups with fencing numbers.
--- /dev/null
+++ b/components/process/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of one instance.
--- /dev/null
+++ b/components/process/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log set-up and the metrics registry.
--- /dev/null
+++ b/components/process/types/src/contract.rs
@@ -0,0 +1,204 @@
+//! Contracts, the catalogue and the configuration that they form.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::*;
+
+/// A share in basis points: 10,000 is the whole.
+pub type BasisPoints = u32;
+
+/// The whole, in basis points.
+pub const WHOLE_BASIS_POINTS: BasisPoints = 10_000;
+
+/// One customer's contract.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Contract {
+    /// Name of the customer; unique within a configuration.
+    pub customer: CustomerId,
+    /// SHA-256 hashes of the bearer keys, lower-case hex. No two customers share one.
+    pub key_hashes: BTreeSet<Box<str>>,
+    /// Models that the customer may use. Each is declared in the catalogue.
+    pub models: BTreeSet<ModelId>,
+    /// Adapters that the customer may use, by model. Each model is also in `models`.
+    pub adapters: BTreeMap<ModelId, BTreeSet<AdapterId>>,
+    /// Urgency classes. Never empty.
+    pub classes: BTreeMap<ClassId, UrgencyClass>,
+    /// Class of requests that name none; a key of `classes`.
+    pub default_class: ClassId,
+    /// Share of capacity. The shares of all customers add up to the whole.
+    pub capacity_share: BasisPoints,
+    /// Share of cost. The shares of all customers add up to the whole.
+    pub cost_share: BasisPoints,
+    /// Limits over all data centres.
+    pub limits: Limits,
+    /// Plain services that the customer may call.
+    pub services: BTreeSet<ServiceId>,
+}
+
+/// How urgently a class of requests is served.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UrgencyClass {
+    /// Target for the first token, counted from arrival.
+    pub first_token: Duration,
+    /// Target for the whole answer, counted from arrival. At least `first_token`.
+    pub completion: Duration,
+    /// Part of requests that must meet the targets; less than the whole.
+    pub objective: BasisPoints,
+    /// Priority passed to engines; a higher one is served first.
+    pub priority: u8,
+    /// Worth of one request served within its target, in thousandths of the joint unit of account.
+    pub worth_milli: u32,
+}
+
+/// Limits of one customer over all data centres.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Requests a second.
+    pub requests_per_second: u32,
+    /// Requests in progress at one time.
+    pub concurrent_requests: u32,
+    /// Requests waiting at one time.
+    pub queued_requests: u32,
+}
+
+/// What exists: models, plain services and the operator's settings for the deployment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Catalogue {
+    /// Models by name.
+    pub models: BTreeMap<ModelId, Model>,
+    /// Plain services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Settings for the whole deployment.
+    pub deployment: Deployment,
+}
+
+/// A model that engines can load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Version of the weights.
+    pub version: Box<str>,
+    /// Accelerator memory of one replica, its adapter pool included.
+    pub memory_bytes: u64,
+    /// Accelerators of one replica.
+    pub accelerators: u32,
+    /// Replicas that may be loaded at one time over all data centres.
+    pub max_replicas: u32,
+    /// Adapters that fit in the pool of one replica.
+    pub adapter_slots: u32,
+    /// Requests that one replica runs at one time.
+    pub max_batch: u32,
+    /// Expected time to load from each source, without queueing.
+    pub load_time: LoadTime,
+    /// Adapters by name.
+    pub adapters: BTreeSet<AdapterId>,
+}
+
+/// Expected time to load a model from each source, without queueing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadTime {
+    /// From the backend server's host memory.
+    pub memory: Duration,
+    /// From the backend server's disk.
+    pub disk: Duration,
+    /// From the weight store at full speed.
+    pub remote: Duration,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Calls that may be repeated, as a method and a path prefix; all others may not.
+    pub idempotent_calls: Vec<CallPattern>,
+    /// Default time limit of one call.
+    pub timeout: Duration,
+}
+
+/// Matches calls of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallPattern {
+    /// HTTP method in upper case.
+    pub method: Box<str>,
+    /// Path prefix, beginning with a slash, without `/services/NAME`.
+    pub path_prefix: Box<str>,
+}
+
+/// Settings for the whole deployment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Deployment {
+    /// Weight of avoided cold starts against idle accelerator time, 0 to 100.
+    pub cold_start_weight: u8,
+    /// Loads that the weight store starts a second.
+    pub store_loads_per_second: u32,
+    /// Loads that the weight store serves at one time at full speed.
+    pub store_concurrent_loads: u32,
+    /// Adapter loads in flight from the store that it serves at full speed.
+    pub store_concurrent_adapters: u32,
+    /// Cost of one idle accelerator second, in thousandths of the joint unit of account.
+    pub idle_second_cost_milli: u32,
+}
+
+impl Default for Deployment {
+    fn default() -> Self {
+        Self {
+            cold_start_weight: 50,
+            store_loads_per_second: 4,
+            store_concurrent_loads: 4,
+            store_concurrent_adapters: 32,
+            idle_second_cost_milli: 10,
+        }
+    }
+}
+
+/// One accepted version of the configuration. Immutable.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// Version; zero before the first accepted configuration.
+    pub version: ConfigurationVersion,
+    /// Contracts by customer.
+    pub contracts: BTreeMap<CustomerId, Arc<Contract>>,
+    /// Models, services and deployment settings.
+    pub catalogue: Arc<Catalogue>,
+}
+
+/// A model with or without an adapter; what a request names.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// The model.
+    pub model: ModelId,
+    /// The adapter, if one is named.
+    pub adapter: Option<AdapterId>,
+}
+
+impl Target {
+    /// Parses `MODEL` or `MODEL:ADAPTER`.
+    pub fn parse(text: &str) -> Self {
+        match text.split_once(':') {
+            Some((model, adapter)) => Self { model: model.into(), adapter: Some(adapter.into()) },
+            None => Self { model: text.into(), adapter: None },
+        }
+    }
+}
+
+impl std::fmt::Display for Target {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}:{adapter}", self.model),
+            None => f.write_str(&self.model),
+        }
+    }
+}
--- /dev/null
+++ b/components/process/types/src/lib.rs
@@ -0,0 +1,8 @@
+//! Ids, verdicts, domain types and the prelude.
+
+pub mod backend;
+pub mod contract;
+pub mod group_state;
+pub mod ids;
+pub mod prelude;
+pub mod verdict;
--- /dev/null
+++ b/components/request/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deadlines, fair queueing, limits and their shares.
--- /dev/null
+++ b/components/request/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Life cycle of one dispatched request and its retries.
--- /dev/null
+++ b/components/request/idempotency/src/lib.rs
@@ -0,0 +1,1 @@
+//! Records of idempotency keys by key range.
--- /dev/null
+++ b/components/request/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a replica for a request.
--- /dev/null
+++ b/components/version/accounting/src/lib.rs
@@ -0,0 +1,1 @@
+//! Usage and the split of accelerator time between customers.
--- /dev/null
+++ b/components/version/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration versions: acceptance, spread and monotonic adoption.
--- /dev/null
+++ b/components/version/contracts/src/lib.rs
@@ -0,0 +1,1 @@
+//! Contract and catalogue files: parsing, validation and differences.
