Add the exchange of messages between instances

Cause: instances need one transport for heartbeats, pushes and demand. Conclusion: messages themselves can be defined where they are decided.

--- /dev/null
+++ b/components/connection/peer/src/server.rs
@@ -0,0 +1,59 @@
+//! Server side of the exchange.
+
+use std::future::Future;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, async_trait};
+
+use crate::generated::peer_server::{Peer, PeerServer};
+use crate::{Frame, MAX_FRAME_BYTES, PeerError, generated};
+
+/// A received frame and where to send its answer.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The frame.
+    pub frame: Frame,
+    /// Takes the answer; dropping it makes the exchange fail at the sender.
+    pub reply: oneshot::Sender<Frame>,
+}
+
+struct Handler {
+    tx: mpsc::Sender<Incoming>,
+}
+
+#[async_trait]
+impl Peer for Handler {
+    async fn exchange(
+        &self,
+        req: Request<generated::Frame>,
+    ) -> Result<Response<generated::Frame>, Status> {
+        let frame = Frame::from_wire(req.into_inner())
+            .map_err(|e| Status::failed_precondition(e.to_string()))?;
+        let (reply, answer) = oneshot::channel();
+        // A full queue means that the loop is overloaded; the sender backs off.
+        self.tx
+            .try_send(Incoming { frame, reply })
+            .map_err(|_| Status::resource_exhausted("instance is overloaded or stopping"))?;
+        let answer = answer.await.map_err(|_| Status::unavailable("message was not answered"))?;
+        Ok(Response::new(answer.into_wire()))
+    }
+}
+
+/// Serves exchanges on `listener` until `stop` completes; each one is passed to `tx`.
+pub async fn serve(
+    listener: TcpListener,
+    tx: mpsc::Sender<Incoming>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), PeerError> {
+    let service = PeerServer::new(Handler { tx })
+        .max_decoding_message_size(MAX_FRAME_BYTES)
+        .max_encoding_message_size(MAX_FRAME_BYTES);
+    Server::builder()
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpIncoming::from(listener), stop)
+        .await
+        .map_err(PeerError::Transport)
+}
