Add the HTTP client for engines and plain services

Cause: a refusal may say not_run only if no byte of the request was sent. Conclusion: dispatch can rely on the verdict of each failure.

--- /dev/null
+++ b/components/connection/backend_server/src/engine.rs
@@ -0,0 +1,150 @@
+//! Calls that only engines offer: state, orders, cancel, resume and cache events.
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use types::prelude::*;
+
+use crate::{BackendClient, SendError, TokenStream};
+
+/// Answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// The backend server carries the order out.
+    Accepted,
+    /// The order's fencing number is out of date; the order is not carried out.
+    Stale,
+    /// The backend server refused the order; it is not carried out.
+    Refused(Box<str>),
+}
+
+/// Changes of prefix caches since a sequence number. Late, and gaps are possible.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// Sequence number to ask from next time.
+    pub next: u64,
+    /// The changes.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One change of a prefix cache.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Position in the stream of events.
+    pub sequence: u64,
+    /// The replica whose cache changed.
+    pub replica: ReplicaId,
+    /// Hash of the prompt prefix.
+    pub prefix: u64,
+    /// Whether the prefix was dropped rather than stored.
+    #[serde(default)]
+    pub evicted: bool,
+}
+
+impl BackendClient {
+    /// Fetches the state of an engine.
+    pub async fn state(&self, address: &str, deadline: Instant) -> Result<ServerReport, SendError> {
+        self.get_json(address, "/v1/state", deadline).await
+    }
+
+    /// Fetches cache events from sequence number `since` on.
+    pub async fn cache_events(
+        &self,
+        address: &str,
+        since: u64,
+        deadline: Instant,
+    ) -> Result<CacheEvents, SendError> {
+        self.get_json(address, &format!("/v1/cache-events?since={since}"), deadline).await
+    }
+
+    /// Sends an order once. After an error other than `NotSent` the outcome is unknown.
+    pub async fn order(
+        &self,
+        address: &str,
+        order: &Order,
+        deadline: Instant,
+    ) -> Result<OrderReply, SendError> {
+        let body =
+            serde_json::to_vec(order).map_err(|e| SendError::Invalid(e.to_string().into()))?;
+        let req = request(Method::POST, address, "/v1/orders", body.into())?;
+        let answer = self.send_and_collect(req, false, deadline).await?;
+        let text = || String::from_utf8_lossy(answer.body()).into();
+        match answer.status() {
+            StatusCode::ACCEPTED | StatusCode::OK => Ok(OrderReply::Accepted),
+            StatusCode::CONFLICT => Ok(OrderReply::Stale),
+            StatusCode::UNPROCESSABLE_ENTITY => Ok(OrderReply::Refused(text())),
+            status => Err(SendError::Malformed(format!("status {status}").into())),
+        }
+    }
+
+    /// Seals an engine that checks fencing numbers and returns its state afterwards.
+    pub async fn seal(
+        &self,
+        address: &str,
+        order: &Order,
+        deadline: Instant,
+    ) -> Result<Option<ServerReport>, SendError> {
+        match self.order(address, order, deadline).await? {
+            OrderReply::Accepted => self.state(address, deadline).await.map(Some),
+            OrderReply::Stale | OrderReply::Refused(_) => Ok(None),
+        }
+    }
+
+    /// Asks an engine to stop working on an attempt.
+    pub async fn cancel(
+        &self,
+        address: &str,
+        attempt: &str,
+        deadline: Instant,
+    ) -> Result<(), SendError> {
+        let path = format!("/v1/requests/{attempt}");
+        let req = request(Method::DELETE, address, &path, Bytes::new())?;
+        self.send_and_collect(req, true, deadline).await.map(|_| ())
+    }
+
+    /// Resumes the stream of an attempt at sequence number `from`; `None` if the engine no longer
+    /// has it.
+    pub async fn resume(
+        &self,
+        address: &str,
+        attempt: &str,
+        from: u64,
+        deadline: Instant,
+    ) -> Result<Option<TokenStream>, SendError> {
+        let path = format!("/v1/requests/{attempt}/stream?from={from}");
+        let req = request(Method::GET, address, &path, Bytes::new())?;
+        let answer = self.send(req, true, deadline).await?;
+        Ok(answer.status().is_success().then(|| TokenStream::new(answer.into_body())))
+    }
+
+    async fn get_json<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        deadline: Instant,
+    ) -> Result<T, SendError> {
+        let req = request(Method::GET, address, path, Bytes::new())?;
+        let answer = self.send_and_collect(req, true, deadline).await?;
+        if !answer.status().is_success() {
+            return Err(SendError::Malformed(format!("status {}", answer.status()).into()));
+        }
+        serde_json::from_slice(answer.body())
+            .map_err(|e| SendError::Malformed(e.to_string().into()))
+    }
+}
+
+fn request(
+    method: Method,
+    address: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, SendError> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|e| SendError::Invalid(e.to_string().into()))
+}
