Add log set-up and the metrics registry

Cause: every part logs and counts, and label counts must stay bounded. Change: crate telemetry with text and JSON logs and one metrics struct; customers and classes are labels, models and adapters never are. Result: 1 test reads the encoded text back; before, nothing was counted. Conclusion: the loop can count without knowing the registry.

--- a/components/process/telemetry/src/lib.rs
+++ b/components/process/telemetry/src/lib.rs
@@ -1,1 +1,10 @@
 //! Log set-up and the metrics registry.
+
+mod log;
+mod metrics;
+
+#[cfg(test)]
+mod metrics_tests;
+
+pub use log::{LogFormat, init_log};
+pub use metrics::{LoadSourceLabel, Metrics, OutcomeLabels};
--- /dev/null
+++ b/components/process/telemetry/src/log.rs
@@ -0,0 +1,31 @@
+//! Log set-up.
+
+use std::io;
+
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::filter::ParseError;
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Writes logs of `level` and above to standard error. Does nothing if a log is already set up.
+pub fn init_log(level: &str, format: LogFormat) -> Result<(), ParseError> {
+    let filter = EnvFilter::try_new(level)?;
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_target(false)
+        .with_writer(io::stderr);
+    // A second set-up happens in tests and in the demo; the first one stays in force.
+    let _ = match format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+    Ok(())
+}
--- /dev/null
+++ b/components/process/telemetry/src/metrics.rs
@@ -0,0 +1,153 @@
+//! The metrics of one instance.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use types::prelude::*;
+
+/// Upper bounds of the histogram buckets for waiting times, in seconds.
+const WAIT_BUCKETS_SECONDS: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0];
+
+/// Labels of finished requests. Customers and classes are bounded by the contracts; models and
+/// adapters are never labels, because there are tens of thousands of them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// The customer.
+    pub customer: String,
+    /// The urgency class.
+    pub class: String,
+    /// `answered`, or the reason of the refusal.
+    pub outcome: String,
+}
+
+/// Where a model was loaded from.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LoadSourceLabel {
+    /// The source.
+    pub source: SourceValue,
+}
+
+/// Label value of a load source.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum SourceValue {
+    /// Host memory.
+    Memory,
+    /// Disk.
+    Disk,
+    /// Weight store.
+    Remote,
+}
+
+impl From<LoadSource> for LoadSourceLabel {
+    fn from(source: LoadSource) -> Self {
+        let source = match source {
+            LoadSource::Memory => SourceValue::Memory,
+            LoadSource::Disk => SourceValue::Disk,
+            LoadSource::Remote => SourceValue::Remote,
+        };
+        Self { source }
+    }
+}
+
+/// The metrics of one instance.
+pub struct Metrics {
+    registry: Registry,
+    /// Finished requests by customer, class and outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Time from arrival to the first token.
+    pub first_token: Histogram,
+    /// Time that requests waited for a model that was not ready.
+    pub cold_start: Histogram,
+    /// Load orders by source.
+    pub loads: Family<LoadSourceLabel, Counter>,
+    /// Requests waiting.
+    pub queued: Gauge,
+    /// Requests running on backend servers.
+    pub running: Gauge,
+    /// Retries of idempotent requests.
+    pub retries: Counter,
+    /// Configuration version in force.
+    pub configuration_version: Gauge,
+    /// Groups that this instance owns.
+    pub owned_groups: Gauge,
+    /// Calls to the platform.
+    pub platform_calls: Counter,
+    /// Calls to the platform that failed or timed out.
+    pub platform_failures: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("sequoiawell");
+        let buckets = || Histogram::new(WAIT_BUCKETS_SECONDS);
+        let metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            first_token: buckets(),
+            cold_start: buckets(),
+            loads: Family::default(),
+            queued: Gauge::default(),
+            running: Gauge::default(),
+            retries: Counter::default(),
+            configuration_version: Gauge::default(),
+            owned_groups: Gauge::default(),
+            platform_calls: Counter::default(),
+            platform_failures: Counter::default(),
+        };
+        let m = &metrics;
+        registry.register("requests", "Finished requests", m.requests.clone());
+        registry.register_with_unit(
+            "first_token",
+            "Time from arrival to the first token",
+            Unit::Seconds,
+            m.first_token.clone(),
+        );
+        registry.register_with_unit(
+            "cold_start",
+            "Time that requests waited for a model that was not ready",
+            Unit::Seconds,
+            m.cold_start.clone(),
+        );
+        registry.register("loads", "Load orders by source", m.loads.clone());
+        registry.register("queued_requests", "Requests waiting", m.queued.clone());
+        registry.register("running_requests", "Requests running", m.running.clone());
+        registry.register("retries", "Retries of idempotent requests", m.retries.clone());
+        registry.register(
+            "configuration_version",
+            "Configuration version in force",
+            m.configuration_version.clone(),
+        );
+        registry.register("owned_groups", "Groups owned", m.owned_groups.clone());
+        registry.register("platform_calls", "Calls to the platform", m.platform_calls.clone());
+        registry.register(
+            "platform_failures",
+            "Calls to the platform that failed or timed out",
+            m.platform_failures.clone(),
+        );
+        Self { registry, ..metrics }
+    }
+
+    /// Adds further metrics under the same prefix.
+    pub fn registry_mut(&mut self) -> &mut Registry {
+        &mut self.registry
+    }
+
+    /// The metrics in the text format of the metrics library.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/components/process/telemetry/src/metrics_tests.rs
@@ -0,0 +1,26 @@
+//! The text that operators' monitoring reads.
+
+use types::prelude::*;
+
+use crate::{LoadSourceLabel, Metrics, OutcomeLabels};
+
+// Guards against metrics that are counted but missing from the page.
+#[test]
+fn counted_events_appear_in_the_text() {
+    let metrics = Metrics::new();
+    let labels = OutcomeLabels {
+        customer: "alykes".into(),
+        class: "interactive".into(),
+        outcome: "answered".into(),
+    };
+    metrics.requests.get_or_create(&labels).inc();
+    metrics.loads.get_or_create(&LoadSourceLabel::from(LoadSource::Disk)).inc_by(2);
+    metrics.first_token.observe(0.3);
+    let text = metrics.encode().unwrap();
+    assert!(text.contains(
+        "sequoiawell_requests_total{customer=\"alykes\",class=\"interactive\",outcome=\"answered\"} 1"
+    ));
+    assert!(text.contains("sequoiawell_loads_total{source=\"Disk\"} 2"));
+    assert!(text.contains("sequoiawell_first_token_seconds_count 1"));
+    assert!(text.ends_with("# EOF\n"));
+}
