Bound writes to callers and keep the beginning of the prompt

Cause: a caller that does not read held its connection for ever; routing hashes prompt prefixes block by block and needs the text, not one hash. Change: write time-out on callers' and operators' connections; completion calls carry up to 4 KiB of prompt text. Conclusion: idle and blocked connections are both bounded.

--- a/components/connection/front/src/arrival.rs
+++ b/components/connection/front/src/arrival.rs
@@ -50,8 +50,8 @@
         target: Target,
         /// Whether the answer is streamed.
         stream: bool,
-        /// Hash of the beginning of the prompt, for prefix affinity.
-        prefix: u64,
+        /// Beginning of the prompt text, for prefix affinity.
+        prompt: Box<[u8]>,
         /// The body as received.
         body: Bytes,
     },
--- a/components/connection/front/src/callers.rs
+++ b/components/connection/front/src/callers.rs
@@ -32,6 +32,8 @@
     pub header_timeout: Duration,
     /// Time to read a request's body.
     pub body_timeout: Duration,
+    /// Time that one write to the caller may wait.
+    pub write_timeout: Duration,
 }
 
 /// What the handler of each request needs.
@@ -58,6 +60,7 @@
         headers: limits.headers,
         header_bytes: limits.header_bytes,
         header_timeout: limits.header_timeout,
+        write_timeout: limits.write_timeout,
     };
     let handle = move |req| handler.clone().answer(req);
     serve(listener, connections, handle, stop).await;
--- a/components/connection/front/src/callers_tests.rs
+++ b/components/connection/front/src/callers_tests.rs
@@ -26,6 +26,7 @@
     body_bytes: 1024,
     header_timeout: Duration::from_millis(200),
     body_timeout: Duration::from_millis(200),
+    write_timeout: Duration::from_millis(200),
 };
 
 /// Starts a server whose arrivals are answered by `answer`.
--- a/components/connection/front/src/listener.rs
+++ b/components/connection/front/src/listener.rs
@@ -10,8 +10,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_io_timeout::TimeoutStream;
 use types::prelude::*;
 
 use crate::body::AnswerBody;
@@ -30,8 +31,10 @@
     pub(crate) headers: usize,
     /// Bytes of one request's head.
     pub(crate) header_bytes: usize,
-    /// Time to read a request's head; also bounds idle connections.
+    /// Time to read a request's head; also ends connections without a request.
     pub(crate) header_timeout: Duration,
+    /// Time that one write may wait for the peer.
+    pub(crate) write_timeout: Duration,
 }
 
 /// Serves connections until `stop` completes, then lets running requests finish.
@@ -66,7 +69,7 @@
             .header_read_timeout(limits.header_timeout)
             .max_headers(limits.headers)
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(socket), service);
+            .serve_connection(TokioIo::new(Box::pin(timed(socket, limits.write_timeout))), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             if let Err(e) = connection.await {
@@ -79,10 +82,17 @@
     graceful.shutdown().await;
 }
 
+/// A peer that does not read its answer must not hold memory for ever.
+fn timed(socket: TcpStream, write_timeout: Duration) -> TimeoutStream<TcpStream> {
+    let mut socket = TimeoutStream::new(socket);
+    socket.set_write_timeout(Some(write_timeout));
+    socket
+}
+
 async fn accept(
     listener: &TcpListener,
     slots: &Arc<Semaphore>,
-) -> Option<(tokio::net::TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
     let slot = Arc::clone(slots).acquire_owned().await.ok()?;
     match listener.accept().await {
         Ok((socket, _)) => {
--- a/components/connection/front/src/operators.rs
+++ b/components/connection/front/src/operators.rs
@@ -20,6 +20,7 @@
     headers: 64,
     header_bytes: 16 * 1024,
     header_timeout: Duration::from_secs(10),
+    write_timeout: Duration::from_secs(10),
 };
 
 /// Serves operators on `listener` until `stop` completes.
--- a/components/connection/front/src/parse.rs
+++ b/components/connection/front/src/parse.rs
@@ -8,8 +8,8 @@
 
 use crate::{Call, Problem};
 
-/// Longest prompt prefix that counts for affinity, in bytes of the body's prompt text.
-const PREFIX_BYTES: usize = 1024;
+/// Beginning of the prompt text that is kept for prefix affinity.
+const PROMPT_BYTES: usize = 4096;
 /// Longest model name, adapter included.
 const MAX_MODEL_NAME_BYTES: usize = 256;
 /// Longest idempotency key.
@@ -103,27 +103,27 @@
         return Err(bad_request("the body has neither `messages` nor `prompt`"));
     }
     let target = Target::parse(&parsed.model);
-    let (stream, prefix) = (parsed.stream, prefix_hash(&parsed));
+    let (stream, prompt) = (parsed.stream, prompt_beginning(&parsed));
     drop(parsed);
-    Ok(Call::Completion { path, target, stream, prefix, body })
+    Ok(Call::Completion { path, target, stream, prompt, body })
 }
 
-fn prefix_hash(body: &CompletionBody<'_>) -> u64 {
-    let mut text = String::with_capacity(PREFIX_BYTES);
+fn prompt_beginning(body: &CompletionBody<'_>) -> Box<[u8]> {
+    let mut text = Vec::new();
     for message in body.messages.iter().flatten() {
-        text.push_str(&message.role);
+        text.extend_from_slice(message.role.as_bytes());
         if let Content::Text(content) = &message.content {
-            text.push_str(content);
+            text.extend_from_slice(content.as_bytes());
         }
-        if text.len() >= PREFIX_BYTES {
+        if text.len() >= PROMPT_BYTES {
             break;
         }
     }
     if let Some(Content::Text(prompt)) = &body.prompt {
-        text.push_str(prompt);
+        text.extend_from_slice(prompt.as_bytes());
     }
-    let end = text.len().min(PREFIX_BYTES);
-    xxhash_rust::xxh3::xxh3_64(&text.as_bytes()[..end])
+    text.truncate(PROMPT_BYTES);
+    text.into()
 }
 
 /// The bearer key, if one is present.
