Give each non-idempotent request a connection of its own

Cause: with a pooled client, a request that could not be connected and one that broke while being written were told apart only by the error kind. Change: Connection::open makes the connection first; nothing is sent before Connection::send. Orders use it too. Conclusion: dispatch can keep a request queued until bytes are written.

--- a/components/connection/backend_server/src/client.rs
+++ b/components/connection/backend_server/src/client.rs
@@ -1,4 +1,4 @@
-//! Connections to backend servers.
+//! Pooled connections to backend servers.
 
 use std::error::Error as _;
 use std::future::Future;
@@ -15,20 +15,16 @@
 use crate::SendError;
 
 /// How long a connection attempt may take before it counts as failed.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long an idle connection is kept for reuse.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Largest answer that is collected in memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// HTTP client for backend servers.
+/// HTTP client for idempotent requests to backend servers; reuses connections.
 #[derive(Clone)]
 pub struct BackendClient {
-    /// Reuses connections.
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    /// Opens a connection for each request. A reused connection may be closed by the server at
-    /// the moment of sending, which leaves the outcome of a non-idempotent request unknown.
-    fresh: Client<HttpConnector, Full<Bytes>>,
+    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl Default for BackendClient {
@@ -40,50 +36,38 @@
 impl BackendClient {
     /// A client without connections.
     pub fn new() -> Self {
-        Self { pooled: build(usize::MAX), fresh: build(0) }
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .build(connector);
+        Self { client }
     }
 
-    /// Sends a request once and waits until `deadline` for the head of the answer.
+    /// Sends an idempotent request and waits until `deadline` for the head of the answer.
     pub async fn send(
         &self,
         req: Request<Full<Bytes>>,
-        idempotent: bool,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendError> {
-        let client = if idempotent { &self.pooled } else { &self.fresh };
-        before(deadline, client.request(req)).await?.map_err(|e| {
+        before(deadline, self.client.request(req)).await?.map_err(|e| {
             let text = error_chain(&e);
             if e.is_connect() { SendError::NotSent(text) } else { SendError::Broken(text) }
         })
     }
 
-    /// Sends a request once and collects the whole answer until `deadline`.
+    /// Sends an idempotent request and collects the whole answer until `deadline`.
     pub async fn send_and_collect(
         &self,
         req: Request<Full<Bytes>>,
-        idempotent: bool,
         deadline: Instant,
     ) -> Result<Response<Bytes>, SendError> {
-        let (head, body) = self.send(req, idempotent, deadline).await?.into_parts();
-        let body = before(deadline, Limited::new(body, MAX_ANSWER_BYTES).collect())
-            .await?
-            .map_err(|e| SendError::Broken(e.to_string().into()))?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        collect(self.send(req, deadline).await?, deadline).await
     }
 }
 
-fn build(idle_connections: usize) -> Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_nodelay(true);
-    Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-        .pool_max_idle_per_host(idle_connections)
-        .retry_canceled_requests(false)
-        .build(connector)
-}
-
 /// Awaits `call` until `deadline`.
 pub(crate) async fn before<T>(
     deadline: Instant,
@@ -92,6 +76,18 @@
     tokio::time::timeout_at(deadline.into(), call).await.map_err(|_| SendError::DeadlinePassed)
 }
 
+/// Collects the body of an answer until `deadline`.
+pub(crate) async fn collect(
+    res: Response<Incoming>,
+    deadline: Instant,
+) -> Result<Response<Bytes>, SendError> {
+    let (head, body) = res.into_parts();
+    let body = before(deadline, Limited::new(body, MAX_ANSWER_BYTES).collect())
+        .await?
+        .map_err(|e| SendError::Broken(e.to_string().into()))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
+
 fn error_chain(e: &hyper_util::client::legacy::Error) -> Box<str> {
     let mut text = e.to_string();
     let mut cause = e.source();
--- a/components/connection/backend_server/src/client_tests.rs
+++ b/components/connection/backend_server/src/client_tests.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use types::prelude::*;
 
-use crate::{BackendClient, SendError, TokenEvent, TokenStream};
+use crate::{BackendClient, Connection, SendError, TokenEvent, TokenStream};
 
 fn soon() -> Instant {
     Instant::now() + Duration::from_secs(2)
@@ -38,8 +38,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     drop(listener);
-    let outcome = BackendClient::new().send(request(&address), false, soon()).await;
-    assert_eq!(outcome.unwrap_err().verdict(), Verdict::NotRun);
+    let pooled = BackendClient::new().send(request(&address), soon()).await;
+    assert_eq!(pooled.unwrap_err().verdict(), Verdict::NotRun);
+    let fresh = Connection::open(&address, soon()).await;
+    assert_eq!(fresh.err().unwrap().verdict(), Verdict::NotRun);
 }
 
 // Guards against a request that is called "not run" although the server has read it.
@@ -47,7 +49,8 @@
 #[tokio::test]
 async fn a_connection_closed_after_sending_may_have_run() {
     let address = serve_once("").await;
-    let outcome = BackendClient::new().send(request(&address), false, soon()).await;
+    let connection = Connection::open(&address, soon()).await.unwrap();
+    let outcome = connection.send(request(&address), soon()).await;
     assert_eq!(outcome.unwrap_err().verdict(), Verdict::MayHaveRun);
 }
 
@@ -56,7 +59,7 @@
 #[tokio::test]
 async fn a_truncated_body_is_broken() {
     let address = serve_once("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf").await;
-    let outcome = BackendClient::new().send_and_collect(request(&address), true, soon()).await;
+    let outcome = BackendClient::new().send_and_collect(request(&address), soon()).await;
     assert!(matches!(outcome, Err(SendError::Broken(_))));
 }
 
@@ -66,7 +69,7 @@
 async fn a_stream_without_end_marker_is_broken() {
     let address =
         serve_once("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nid: 0\ndata: {}\n\n").await;
-    let answer = BackendClient::new().send(request(&address), true, soon()).await.unwrap();
+    let answer = BackendClient::new().send(request(&address), soon()).await.unwrap();
     let mut stream = TokenStream::new(answer.into_body());
     let first = stream.next(soon()).await.unwrap();
     assert_eq!(first, TokenEvent::Chunk { sequence: 0, data: "{}".into() });
--- a/components/connection/backend_server/src/engine.rs
+++ b/components/connection/backend_server/src/engine.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
-use crate::{BackendClient, SendError, TokenStream};
+use crate::{BackendClient, Connection, SendError, TokenStream};
 
 /// Answer to an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,7 +69,8 @@
         let body =
             serde_json::to_vec(order).map_err(|e| SendError::Invalid(e.to_string().into()))?;
         let req = request(Method::POST, address, "/v1/orders", body.into())?;
-        let answer = self.send_and_collect(req, false, deadline).await?;
+        let answer =
+            Connection::open(address, deadline).await?.send_and_collect(req, deadline).await?;
         let text = || String::from_utf8_lossy(answer.body()).into();
         match answer.status() {
             StatusCode::ACCEPTED | StatusCode::OK => Ok(OrderReply::Accepted),
@@ -101,7 +102,7 @@
     ) -> Result<(), SendError> {
         let path = format!("/v1/requests/{attempt}");
         let req = request(Method::DELETE, address, &path, Bytes::new())?;
-        self.send_and_collect(req, true, deadline).await.map(|_| ())
+        self.send_and_collect(req, deadline).await.map(|_| ())
     }
 
     /// Resumes the stream of an attempt at sequence number `from`; `None` if the engine no longer
@@ -115,7 +116,7 @@
     ) -> Result<Option<TokenStream>, SendError> {
         let path = format!("/v1/requests/{attempt}/stream?from={from}");
         let req = request(Method::GET, address, &path, Bytes::new())?;
-        let answer = self.send(req, true, deadline).await?;
+        let answer = self.send(req, deadline).await?;
         Ok(answer.status().is_success().then(|| TokenStream::new(answer.into_body())))
     }
 
@@ -126,7 +127,7 @@
         deadline: Instant,
     ) -> Result<T, SendError> {
         let req = request(Method::GET, address, path, Bytes::new())?;
-        let answer = self.send_and_collect(req, true, deadline).await?;
+        let answer = self.send_and_collect(req, deadline).await?;
         if !answer.status().is_success() {
             return Err(SendError::Malformed(format!("status {}", answer.status()).into()));
         }
--- a/components/connection/backend_server/src/lib.rs
+++ b/components/connection/backend_server/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every outcome says whether the request may have reached the backend server.
 
 mod client;
+mod connection;
 mod engine;
 mod error;
 mod stream;
@@ -11,6 +12,7 @@
 mod client_tests;
 
 pub use client::BackendClient;
+pub use connection::Connection;
 pub use engine::{CacheEvent, CacheEvents, OrderReply};
 pub use error::SendError;
 pub use stream::{TokenEvent, TokenStream};
