Read INI files with positions, and the settings of one instance

Cause: serve, check and apply need every mistake of a file at once, each with file, section, key and line. Change: ini_file parses on ini_core and collects diagnostics, with the nearest valid name for unknown keys; settings reads seven sections with documented defaults. humantime parses durations.

--- /dev/null
+++ b/components/process/ini_file/src/reader_tests.rs
@@ -0,0 +1,58 @@
+//! Tests of typed access to a section.
+
+use crate::{Diagnostics, Ini, Reader, value};
+
+fn read<T>(text: &str, f: impl FnOnce(&mut Reader<'_>) -> T) -> (T, Vec<String>) {
+    let mut diagnostics = Diagnostics::new();
+    let ini = Ini::parse("f.ini", text, &mut diagnostics);
+    let mut reader = Reader::new(&ini, "a", &mut diagnostics);
+    let result = f(&mut reader);
+    reader.finish();
+    (result, diagnostics.sorted().iter().map(|d| d.to_string()).collect())
+}
+
+/// Guards against a wrong value that hides later mistakes or an unknown key that passes unnoticed.
+#[test]
+fn each_mistake_is_reported_and_reading_continues() {
+    let text = "[a]\ncount = x\ncount = 2\nlimitt = 3\n";
+    let (read, messages) = read(text, |r| {
+        (
+            r.or("count", 9u32, value::number(1..=5)),
+            r.optional("limit", value::size),
+            r.required("name", value::name),
+        )
+    });
+    assert_eq!(read, (9, None, None));
+    assert_eq!(
+        messages,
+        [
+            "f.ini:1: [a] name: the key is missing",
+            "f.ini:2: [a] count: \"x\" is no whole number from 1 to 5",
+            "f.ini:3: [a] count: the key is given twice; it is first given on line 2",
+            "f.ini:4: [a] limitt: unknown key; did you mean \"limit\"?",
+        ]
+    );
+}
+
+/// Guards against a long list that is cut at its first line or at a wrong element.
+#[test]
+fn lists_join_repeated_keys_and_skip_wrong_elements() {
+    let (list, messages) = read("[a]\nx = p, q\nx =\nx = r, ,s!\n", |r| r.list("x", value::name));
+    assert_eq!(list, ["p".into(), "q".into(), Box::<str>::from("r")]);
+    assert_eq!(messages.len(), 2);
+    assert_eq!(
+        messages[0],
+        "f.ini:4: [a] x: \"s!\" is no name; use letters, digits, dots, hyphens and underscores"
+    );
+    assert_eq!(messages[1], "f.ini:4: [a] x: the value is empty");
+}
+
+/// Guards against a missing section that is taken for a section with mistakes.
+#[test]
+fn a_missing_section_reads_as_empty() {
+    let (read, messages) = read("[b]\n", |r| {
+        (r.exists(), r.optional("x", value::boolean), r.lists(value::name).len())
+    });
+    assert_eq!(read, (false, None, 0));
+    assert_eq!(messages, Vec::<String>::new());
+}
--- a/components/process/settings/src/lib.rs
+++ b/components/process/settings/src/lib.rs
@@ -1,1 +1,238 @@
-//! Settings of one instance.
+//! Settings of one entry instance, read from the INI file of `serve --settings FILE`.
+//!
+//! [`Settings::load`] reports all mistakes at once, each with file, section, key and line. Only
+//! `instance.name`, `instance.data_centre` and `platform.addresses` are required; everything else
+//! has the default that its field documents.
+//!
+//! Settings hold durations because a file cannot hold a deadline. They become deadlines on first
+//! use.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use ini_file::{Diagnostics, Ini};
+use types::prelude::*;
+
+mod read;
+#[cfg(test)]
+mod read_tests;
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// `[instance]`: who the instance is.
+    pub instance: InstanceSettings,
+    /// `[callers]`: the listener for callers and its limits.
+    pub callers: CallerSettings,
+    /// `[operators]`: the listener for operators.
+    pub operators: OperatorSettings,
+    /// `[peers]`: the listener for other instances.
+    pub peers: PeerSettings,
+    /// `[platform]`: the object API.
+    pub platform: PlatformSettings,
+    /// `[log]`: log output.
+    pub log: LogSettings,
+    /// `[lease]`: times of the instance's lease.
+    pub lease: LeaseSettings,
+}
+
+impl Settings {
+    /// Reads a settings file.
+    pub fn load(path: &Path) -> Result<Self, Diagnostics> {
+        let mut diagnostics = Diagnostics::new();
+        let settings = Ini::read(path, &mut diagnostics)
+            .and_then(|ini| read::settings(&ini, &mut diagnostics));
+        diagnostics.into_result(settings)
+    }
+
+    /// Parses the text of a settings file; `file` names it in diagnostics.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Diagnostics> {
+        let mut diagnostics = Diagnostics::new();
+        let ini = Ini::parse(file, text, &mut diagnostics);
+        let settings = read::settings(&ini, &mut diagnostics);
+        diagnostics.into_result(settings)
+    }
+}
+
+/// `[instance]`: who the instance is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceSettings {
+    /// Name, unique over all data centres. Required.
+    pub name: InstanceId,
+    /// Data centre in which the instance runs. Required.
+    pub data_centre: DataCentreId,
+}
+
+/// `[callers]`: the listener for callers and its limits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerSettings {
+    /// Listening address. Default `0.0.0.0:8080`.
+    pub address: SocketAddr,
+    /// Largest request head in bytes. Default `16KiB`.
+    pub max_header_bytes: u64,
+    /// Largest request body in bytes. Default `4MiB`.
+    pub max_body_bytes: u64,
+    /// Connections open at one time. Default 1024.
+    pub max_connections: u32,
+    /// Time for a complete request head. Default `5s`.
+    pub header_timeout: Duration,
+    /// Time for a complete request body. Default `30s`.
+    pub body_timeout: Duration,
+    /// Time that one write to a caller may wait before the connection is closed. Default `30s`.
+    pub write_timeout: Duration,
+    /// Time that a connection may stay open without a request. Default `60s`.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([0, 0, 0, 0], 8080)),
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 4 << 20,
+            max_connections: 1024,
+            header_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(30),
+            write_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// `[operators]`: the listener for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// Listening address. Default `127.0.0.1:9090`, which only the machine itself reaches.
+    pub address: SocketAddr,
+}
+
+impl Default for OperatorSettings {
+    fn default() -> Self {
+        Self { address: SocketAddr::from(([127, 0, 0, 1], 9090)) }
+    }
+}
+
+/// `[peers]`: the listener for other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Listening address, which other instances also connect to. Default `127.0.0.1:7070`.
+    pub address: SocketAddr,
+    /// Peer addresses of other instances to ask first. Default none: the platform's list and the
+    /// lease objects name them.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self { address: SocketAddr::from(([127, 0, 0, 1], 7070)), seeds: Vec::new() }
+    }
+}
+
+/// `[platform]`: the object API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Addresses of the object API, tried in order. Required; never empty.
+    pub addresses: Vec<SocketAddr>,
+    /// Reads a second that the instance may make on average. Default 5: 360 instances then stay
+    /// within the platform's two thousand reads a second.
+    pub reads_per_second: u32,
+    /// Writes a second that the instance may make on average. Default 1: lease renewals take a
+    /// third of it, and 360 instances stay within several hundred writes a second.
+    pub writes_per_second: u32,
+    /// Reads that may follow each other without a pause. Default 50.
+    pub read_burst: u32,
+    /// Writes that may follow each other without a pause. Default 20.
+    pub write_burst: u32,
+    /// Time for the answer to one call. Default `2s`.
+    pub timeout: Duration,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            addresses: Vec::new(),
+            reads_per_second: 5,
+            writes_per_second: 1,
+            read_burst: 50,
+            write_burst: 20,
+            timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// `[log]`: log output.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Lowest level that is written. Default `info`.
+    pub level: LogLevel,
+    /// Form of a log line. Default `text`.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { level: LogLevel::Info, format: LogFormat::Text }
+    }
+}
+
+/// Lowest level that is written to the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Failures only.
+    Error,
+    /// Failures and warnings.
+    Warn,
+    /// Also changes of state.
+    Info,
+    /// Also single decisions.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl LogLevel {
+    /// The name of the level in settings and log filters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Text for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// `[lease]`: times of the instance's lease.
+///
+/// `renewal` is at most a third of `length`, so that two renewals may fail before the lease ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// Time between renewals. Default `3s`.
+    pub renewal: Duration,
+    /// Time for which the lease is valid after a renewal was sent. Default `9s`.
+    pub length: Duration,
+    /// Time that observers wait beyond `length`, for clocks that run at different speeds.
+    /// Default `1s`.
+    pub margin: Duration,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            renewal: Duration::from_secs(3),
+            length: Duration::from_secs(9),
+            margin: Duration::from_secs(1),
+        }
+    }
+}
