Parse, validate and compare contracts and the catalogue

Cause: check, diff and apply need configurations from files under version control, and refuse wrong ones before anything is sent. Files with faults are still checked against each other with harmless values in place of the missing ones. Conclusion: configuration can build on contracts::{read_directory, diff, content_hash}.

--- a/components/process/ini_file/src/reader.rs
+++ b/components/process/ini_file/src/reader.rs
@@ -100,6 +100,11 @@
         self.ini.report(&self.name, key, line, &message.to_string(), self.diagnostics);
     }
 
+    /// Records a mistake at an entry.
+    pub fn error_at(&mut self, entry: &Entry, message: impl fmt::Display) {
+        self.ini.report(&self.name, &entry.key, entry.line, &message.to_string(), self.diagnostics);
+    }
+
     /// Reports the keys that no getter asked for, each with the nearest known key.
     pub fn finish(self) {
         for entry in self.section.into_iter().flat_map(|s| &s.entries) {
--- /dev/null
+++ b/components/version/contracts/src/canonical_tests.rs
@@ -0,0 +1,24 @@
+//! Tests of canonical JSON and content hashes.
+
+use std::collections::BTreeMap;
+
+use crate::canonical::{canonical_json, content_hash, hash_text};
+
+/// Guards against a JSON map that keeps insertion order, for instance by a feature of `serde_json`
+/// that another crate switches on: equal contracts would then get different hashes.
+#[test]
+fn keys_are_sorted() {
+    let value = serde_json::json!({ "b": 1, "a": { "d": 1, "c": [2, 1] } });
+    assert_eq!(canonical_json(&value), r#"{"a":{"c":[2,1],"d":1},"b":1}"#);
+}
+
+/// Guards against a change of the hash, which would make every stored contract look amended.
+#[test]
+fn hashes_are_stable() {
+    assert_eq!(
+        &*hash_text("abc"),
+        "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"
+    );
+    let empty = BTreeMap::<&str, &str>::new();
+    assert_eq!(content_hash(&empty), hash_text("{}"));
+}
--- /dev/null
+++ b/components/version/contracts/src/directory.rs
@@ -0,0 +1,129 @@
+//! A directory of contract files and the catalogue.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+
+use ini_file::{Diagnostics, Ini};
+use types::prelude::*;
+
+use crate::validate::{Problem, problems, problems_in_catalogue, problems_within};
+use crate::{catalogue_file, contract_file};
+
+/// Name of the catalogue within the directory.
+pub const CATALOGUE_FILE: &str = "catalogue.ini";
+
+/// Reads and validates `catalogue.ini` and every other `*.ini` file of a directory.
+///
+/// Rules between files are checked over the files that can be read, so that one broken file hides
+/// no mistake in another. Sums of shares are checked only once every contract's shares can be read.
+pub fn read_directory(dir: &Path) -> Result<Configuration, Diagnostics> {
+    let mut diagnostics = Diagnostics::new();
+    let files = match list(dir) {
+        Ok(files) => files,
+        Err(e) => {
+            diagnostics.push_file(&dir.display().to_string(), format_args!("cannot be read: {e}"));
+            return Err(diagnostics);
+        }
+    };
+    let mut inis = BTreeMap::new();
+    for name in files {
+        if let Some(ini) = Ini::read(&dir.join(&*name), &mut diagnostics) {
+            inis.insert(name, ini);
+        }
+    }
+    let directory = dir.display().to_string();
+    let has_catalogue = inis.contains_key(CATALOGUE_FILE);
+    if !has_catalogue {
+        diagnostics.push_file(&directory, format_args!("there is no {CATALOGUE_FILE}"));
+    }
+    let (configuration, has_shares) = parse_files(&inis, &mut diagnostics);
+    for problem in problems(&configuration) {
+        match problem {
+            Problem::Shares(_) if !has_shares => {}
+            Problem::Undeclared(..) if !has_catalogue => {}
+            Problem::Shares(message) | Problem::Overall(message) => {
+                diagnostics.push_file(&directory, message)
+            }
+            Problem::Undeclared(customer, section, key, message)
+            | Problem::Contract(customer, section, key, message) => {
+                locate(
+                    &inis[&*format!("{customer}.ini")],
+                    &section,
+                    &key,
+                    &message,
+                    &mut diagnostics,
+                );
+            }
+            Problem::Catalogue(section, key, message) => {
+                locate(&inis[CATALOGUE_FILE], &section, &key, &message, &mut diagnostics);
+            }
+        }
+    }
+    diagnostics.into_result(Some(configuration))
+}
+
+/// Reads one contract file by itself; the catalogue and other contracts are not looked at.
+pub fn read_contract(path: &Path) -> Result<Contract, Diagnostics> {
+    let mut diagnostics = Diagnostics::new();
+    let customer = path.file_stem().unwrap_or_default().to_string_lossy();
+    let Some(ini) = Ini::read(path, &mut diagnostics) else { return Err(diagnostics) };
+    let contract = contract_file::contract(&customer, &ini, &mut diagnostics).contract;
+    for problem in problems_within(&contract) {
+        if let Problem::Contract(_, section, key, message) = problem {
+            locate(&ini, &section, &key, &message, &mut diagnostics);
+        }
+    }
+    diagnostics.into_result(Some(contract))
+}
+
+/// Reads a catalogue file by itself.
+pub fn read_catalogue(path: &Path) -> Result<Catalogue, Diagnostics> {
+    let mut diagnostics = Diagnostics::new();
+    let Some(ini) = Ini::read(path, &mut diagnostics) else { return Err(diagnostics) };
+    let catalogue = catalogue_file::catalogue(&ini, &mut diagnostics);
+    for problem in problems_in_catalogue(&catalogue) {
+        if let Problem::Catalogue(section, key, message) = problem {
+            locate(&ini, &section, &key, &message, &mut diagnostics);
+        }
+    }
+    diagnostics.into_result(Some(catalogue))
+}
+
+/// Parses all files, and says whether the shares of every contract could be read.
+fn parse_files(
+    inis: &BTreeMap<Box<str>, Ini>,
+    diagnostics: &mut Diagnostics,
+) -> (Configuration, bool) {
+    let mut has_shares = true;
+    let mut contracts = BTreeMap::new();
+    let mut catalogue = Catalogue::default();
+    for (name, ini) in inis {
+        if &**name == CATALOGUE_FILE {
+            catalogue = catalogue_file::catalogue(ini, diagnostics);
+            continue;
+        }
+        let customer = name.strip_suffix(".ini").unwrap_or(name);
+        let draft = contract_file::contract(customer, ini, diagnostics);
+        has_shares &= draft.has_shares;
+        contracts.insert(draft.contract.customer.clone(), Arc::new(draft.contract));
+    }
+    (Configuration { version: 0, contracts, catalogue: Arc::new(catalogue) }, has_shares)
+}
+
+fn locate(ini: &Ini, section: &str, key: &str, message: &str, diagnostics: &mut Diagnostics) {
+    ini.report(section, key, ini.line_of(section, key), message, diagnostics);
+}
+
+/// Names of the INI files in a directory, without hidden files.
+fn list(dir: &Path) -> std::io::Result<Vec<Box<str>>> {
+    let mut names = Vec::new();
+    for entry in std::fs::read_dir(dir)? {
+        let name = entry?.file_name().to_string_lossy().into_owned();
+        if name.ends_with(".ini") && !name.starts_with('.') {
+            names.push(name.into());
+        }
+    }
+    names.sort();
+    Ok(names)
+}
--- /dev/null
+++ b/components/version/contracts/src/validate.rs
@@ -0,0 +1,235 @@
+//! Rules that hold between contracts and the catalogue.
+
+use std::collections::BTreeMap;
+
+use ini_file::diagnostics::suggestion;
+use quick_error::quick_error;
+use types::prelude::*;
+
+/// First token within this time could not be reported: targets are counted in milliseconds.
+const LEAST_TARGET: Duration = Duration::from_millis(1);
+
+quick_error! {
+    /// A broken rule, and the section and key that break it.
+    #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+    pub enum Problem {
+        /// In a customer's contract.
+        Contract(customer: CustomerId, section: Box<str>, key: Box<str>, message: Box<str>) {
+            display("customer {customer}: [{section}] {key}: {message}")
+        }
+        /// In a customer's contract: the catalogue does not declare what it names.
+        Undeclared(customer: CustomerId, section: Box<str>, key: Box<str>, message: Box<str>) {
+            display("customer {customer}: [{section}] {key}: {message}")
+        }
+        /// In the catalogue.
+        Catalogue(section: Box<str>, key: Box<str>, message: Box<str>) {
+            display("catalogue: [{section}] {key}: {message}")
+        }
+        /// The shares of all contracts do not add up.
+        Shares(message: Box<str>) {
+            display("{message}")
+        }
+        /// Over all contracts.
+        Overall(message: Box<str>) {
+            display("{message}")
+        }
+    }
+}
+
+/// All broken rules of a configuration; empty if it can be accepted.
+pub fn problems(configuration: &Configuration) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for contract in configuration.contracts.values() {
+        contract_problems(contract, &configuration.catalogue, &mut problems);
+    }
+    catalogue_problems(&configuration.catalogue, &mut problems);
+    overall_problems(configuration, &mut problems);
+    problems
+}
+
+/// Broken rules within one contract, without looking at other contracts or the catalogue.
+pub fn problems_within(contract: &Contract) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    class_problems(contract, &mut |section, key, message| {
+        problems.push(at(contract, section, key, message))
+    });
+    own_problems(contract, &mut |section, key, message| {
+        problems.push(at(contract, section, key, message))
+    });
+    problems
+}
+
+/// Broken rules within the catalogue.
+pub fn problems_in_catalogue(catalogue: &Catalogue) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    catalogue_problems(catalogue, &mut problems);
+    problems
+}
+
+fn at(contract: &Contract, section: &str, key: &str, message: String) -> Problem {
+    Problem::Contract(contract.customer.clone(), section.into(), key.into(), message.into())
+}
+
+fn contract_problems(contract: &Contract, catalogue: &Catalogue, problems: &mut Vec<Problem>) {
+    problems.extend(problems_within(contract));
+    let mut report = |section: &str, key: &str, message: String| {
+        problems.push(Problem::Undeclared(
+            contract.customer.clone(),
+            section.into(),
+            key.into(),
+            message.into(),
+        ));
+    };
+    for model in contract.models.iter().filter(|m| !catalogue.models.contains_key(*m)) {
+        let near = suggestion(model, catalogue.models.keys().map(|m| &**m));
+        report("customer", "models", format!("the catalogue declares no model \"{model}\"{near}"));
+    }
+    for service in contract.services.iter().filter(|s| !catalogue.services.contains_key(*s)) {
+        let near = suggestion(service, catalogue.services.keys().map(|s| &**s));
+        report(
+            "customer",
+            "services",
+            format!("the catalogue declares no service \"{service}\"{near}"),
+        );
+    }
+    for (model, adapters) in &contract.adapters {
+        let Some(declared) = catalogue.models.get(model) else { continue };
+        for adapter in adapters.iter().filter(|a| !declared.adapters.contains(*a)) {
+            let near = suggestion(adapter, declared.adapters.iter().map(|a| &**a));
+            report(
+                "adapters",
+                model,
+                format!("the catalogue declares no adapter \"{adapter}\" of this model{near}"),
+            );
+        }
+    }
+}
+
+fn own_problems(contract: &Contract, report: &mut impl FnMut(&str, &str, String)) {
+    if contract.key_hashes.is_empty() {
+        report("customer", "keys", "the customer needs at least one key".into());
+    }
+    if contract.models.is_empty() && contract.services.is_empty() {
+        report("customer", "models", "the contract permits neither a model nor a service".into());
+    }
+    if contract.capacity_share == 0 {
+        report(
+            "customer",
+            "capacity_share",
+            "the share must be more than 0%, or no request is ever served".into(),
+        );
+    }
+    for model in contract.adapters.keys().filter(|m| !contract.models.contains(*m)) {
+        let near = suggestion(model, contract.models.iter().map(|m| &**m));
+        report("adapters", model, format!("the contract does not permit this model{near}"));
+    }
+}
+
+fn class_problems(contract: &Contract, report: &mut impl FnMut(&str, &str, String)) {
+    if contract.classes.is_empty() {
+        report(
+            "customer",
+            "default_class",
+            "the contract needs at least one section [class NAME]".into(),
+        );
+    } else if !contract.classes.contains_key(&contract.default_class) {
+        let near = suggestion(&contract.default_class, contract.classes.keys().map(|c| &**c));
+        report(
+            "customer",
+            "default_class",
+            format!("there is no class \"{}\"{near}", contract.default_class),
+        );
+    }
+    for (name, class) in &contract.classes {
+        let section = format!("class {name}");
+        if class.first_token < LEAST_TARGET {
+            report(&section, "first_token", "the target must be at least 1ms".into());
+        }
+        if class.completion < class.first_token {
+            report(
+                &section,
+                "completion",
+                "the answer cannot be complete before its first token".into(),
+            );
+        }
+        if class.objective == 0 || class.objective >= WHOLE_BASIS_POINTS {
+            let message = "the objective must be more than 0% and less than 100%, so that there is an error budget";
+            report(&section, "objective", message.into());
+        }
+    }
+}
+
+fn catalogue_problems(catalogue: &Catalogue, problems: &mut Vec<Problem>) {
+    for (name, model) in &catalogue.models {
+        let mut report = |key: &str, message: &str| {
+            problems.push(Problem::Catalogue(
+                format!("model {name}").into(),
+                key.into(),
+                message.into(),
+            ));
+        };
+        if model.memory_bytes == 0 {
+            report("memory", "a replica needs memory");
+        }
+        if !model.adapters.is_empty() && model.adapter_slots == 0 {
+            report("adapter_slots", "the model has adapters but no slot to load one");
+        }
+        if model.load_time.disk < model.load_time.memory {
+            report("load_from_disk", "loading from disk cannot be faster than from memory");
+        }
+        if model.load_time.remote < model.load_time.disk {
+            report(
+                "load_from_remote",
+                "loading from the weight store cannot be faster than from disk",
+            );
+        }
+    }
+}
+
+fn overall_problems(configuration: &Configuration, problems: &mut Vec<Problem>) {
+    let contracts = &configuration.contracts;
+    if contracts.is_empty() {
+        problems.push(Problem::Overall("there is no contract".into()));
+        return;
+    }
+    let mut share_problem = |kind: &str, share: fn(&Contract) -> BasisPoints| {
+        let sum: u64 = contracts.values().map(|c| u64::from(share(c))).sum();
+        if sum != u64::from(WHOLE_BASIS_POINTS) {
+            let parts: Vec<_> = contracts
+                .values()
+                .map(|c| format!("{} {}", c.customer, percent(share(c).into())))
+                .collect();
+            let message = format!(
+                "the {kind} shares of all customers add up to {}, not 100% ({})",
+                percent(sum),
+                parts.join(", ")
+            );
+            problems.push(Problem::Shares(message.into()));
+        }
+    };
+    share_problem("capacity", |c| c.capacity_share);
+    share_problem("cost", |c| c.cost_share);
+    let mut holders = BTreeMap::<&str, &Contract>::new();
+    for contract in contracts.values() {
+        for hash in &contract.key_hashes {
+            if let Some(other) = holders.insert(hash, contract) {
+                let message = format!(
+                    "customer {} has the same key {}…",
+                    other.customer,
+                    &hash[..hash.len().min(8)]
+                );
+                problems.push(at(contract, "customer", "keys", message));
+            }
+        }
+    }
+}
+
+/// Basis points as a percentage without superfluous decimals.
+pub(crate) fn percent(basis_points: u64) -> String {
+    let (whole, rest) = (basis_points / 100, basis_points % 100);
+    match (rest, rest % 10) {
+        (0, _) => format!("{whole}%"),
+        (_, 0) => format!("{whole}.{}%", rest / 10),
+        _ => format!("{whole}.{rest:02}%"),
+    }
+}
