Split accelerator time between customers; add sample contracts

Cause: report cost needs exact, order-independent sums per customer, model and contract version. Change: accounting merges intervals, counted work, versions and deaths idempotently, splits each minute with largest remainders, and flags minutes with possibly lost work.

--- /dev/null
+++ b/components/version/accounting/src/output.rs
@@ -0,0 +1,136 @@
+//! Cost reports as table, CSV and JSON.
+
+use std::fmt;
+
+use types::prelude::*;
+
+use crate::report::{CostLine, CostReport};
+
+/// Stands for the customer of unattributed time.
+const UNATTRIBUTED: &str = "(unattributed)";
+
+/// Hex digits of a contract version that the table shows.
+const SHORT_HASH: usize = 8;
+
+impl CostReport {
+    /// The lines as CSV with a header. Amounts are whole accelerator-milliseconds; the customer and
+    /// contract version of unattributed time are empty.
+    pub fn to_csv(&self) -> Result<String, csv::Error> {
+        let mut writer = csv::Writer::from_writer(Vec::new());
+        writer.write_record([
+            "customer",
+            "model",
+            "contract_version",
+            "tokens",
+            "busy_ms",
+            "idle_ms",
+            "total_ms",
+            "flagged_ms",
+        ])?;
+        for line in &self.lines {
+            writer.write_record([
+                line.customer.as_deref().unwrap_or_default(),
+                &line.model,
+                line.contract_version.as_deref().unwrap_or_default(),
+                &line.tokens.to_string(),
+                &line.busy_ms.to_string(),
+                &line.idle_ms.to_string(),
+                &line.total_ms().to_string(),
+                &line.flagged_ms.to_string(),
+            ])?;
+        }
+        let bytes = writer.into_inner().map_err(|e| e.into_error())?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+
+    /// The whole report as JSON.
+    pub fn to_json(&self) -> serde_json::Result<String> {
+        serde_json::to_string_pretty(self)
+    }
+
+    /// Accelerator-milliseconds by customer; unattributed time is under `None`.
+    pub fn by_customer(&self) -> BTreeMap<Option<CustomerId>, u64> {
+        let mut sums = BTreeMap::new();
+        for line in &self.lines {
+            *sums.entry(line.customer.clone()).or_default() += line.total_ms();
+        }
+        sums
+    }
+}
+
+impl fmt::Display for CostReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write_table(f, &self.rows())?;
+        writeln!(f, "\ntotal: {} accelerator-seconds", seconds(self.total_ms))?;
+        for (customer, ms) in self.by_customer() {
+            let name = customer.as_deref().unwrap_or(UNATTRIBUTED);
+            let part = (u128::from(ms) * 10_000 + u128::from(self.total_ms) / 2)
+                / u128::from(self.total_ms.max(1));
+            writeln!(f, "  {name}: {} ({}.{:02}%)", seconds(ms), part / 100, part % 100)?;
+        }
+        if self.unmatched_tokens > 0 {
+            writeln!(
+                f,
+                "note: {} tokens were counted while their model held no accelerator",
+                self.unmatched_tokens
+            )?;
+        }
+        for gap in &self.gaps {
+            let length = seconds(gap.to_ms - gap.from_ms);
+            let (instance, incarnation) = (&gap.instance, gap.incarnation);
+            writeln!(
+                f,
+                "flagged: instance {instance}, incarnation {incarnation}, may have lost {length} s of counted work at {} ms",
+                gap.from_ms
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl CostReport {
+    fn rows(&self) -> Vec<[String; 8]> {
+        let head =
+            ["customer", "model", "contract", "tokens", "busy s", "idle s", "total s", "flagged s"];
+        let mut rows = vec![head.map(String::from)];
+        rows.extend(self.lines.iter().map(row));
+        rows
+    }
+}
+
+fn row(line: &CostLine) -> [String; 8] {
+    let version = line.contract_version.as_deref().unwrap_or("-");
+    [
+        line.customer.as_deref().unwrap_or(UNATTRIBUTED).into(),
+        line.model.to_string(),
+        version.get(..SHORT_HASH).unwrap_or(version).into(),
+        line.tokens.to_string(),
+        seconds(line.busy_ms),
+        seconds(line.idle_ms),
+        seconds(line.total_ms()),
+        seconds(line.flagged_ms),
+    ]
+}
+
+/// Writes columns of equal width; text is aligned to the left, numbers to the right.
+fn write_table(f: &mut fmt::Formatter<'_>, rows: &[[String; 8]]) -> fmt::Result {
+    let width =
+        |column: usize| rows.iter().map(|r| r[column].chars().count()).max().unwrap_or_default();
+    let widths: [usize; 8] = std::array::from_fn(width);
+    for row in rows {
+        let mut text = String::new();
+        for (column, (cell, width)) in row.iter().zip(widths).enumerate() {
+            match column {
+                0..3 => text.push_str(&format!("{cell:<width$}  ")),
+                _ => text.push_str(&format!("{cell:>width$}  ")),
+            }
+        }
+        writeln!(f, "{}", text.trim_end())?;
+    }
+    Ok(())
+}
+
+/// Milliseconds as seconds with three decimals.
+fn seconds(ms: u64) -> String {
+    format!("{}.{:03}", ms / 1000, ms % 1000)
+}
--- /dev/null
+++ b/components/version/accounting/src/report.rs
@@ -0,0 +1,261 @@
+//! Splits the accelerator time of a period.
+
+use std::ops::Range;
+
+use serde::Serialize;
+use types::prelude::*;
+
+use crate::ledger::{Ledger, RunState, VersionState};
+use crate::records::{ContractVersion, FLUSH_INTERVAL, MINUTE_MS, Minute, millis};
+use crate::split::largest_remainder;
+
+/// Cost of one customer for one model under one contract version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CostLine {
+    /// The customer; `None` for time that no rule gives to a customer.
+    pub customer: Option<CustomerId>,
+    /// The model.
+    pub model: ModelId,
+    /// The contract version; `None` for unattributed time.
+    pub contract_version: Option<ContractVersion>,
+    /// Tokens counted in minutes with accelerator time.
+    pub tokens: u64,
+    /// Accelerator-milliseconds of minutes with counted work.
+    pub busy_ms: u64,
+    /// Accelerator-milliseconds of idle minutes.
+    pub idle_ms: u64,
+    /// Part of `busy_ms + idle_ms` from minutes in which counted work may be missing.
+    pub flagged_ms: u64,
+}
+
+impl CostLine {
+    /// All accelerator-milliseconds of the line.
+    pub fn total_ms(&self) -> u64 {
+        self.busy_ms + self.idle_ms
+    }
+}
+
+/// A period in which a run may have counted work that was never flushed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Gap {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Milliseconds since the Unix epoch.
+    pub from_ms: u64,
+    /// Milliseconds since the Unix epoch, exclusive.
+    pub to_ms: u64,
+}
+
+/// The split of a period. Lines are sorted by customer, model and contract version, and their
+/// totals add up to `total_ms` exactly.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CostReport {
+    /// Begin of the period in milliseconds since the Unix epoch.
+    pub from_ms: u64,
+    /// End of the period, exclusive.
+    pub to_ms: u64,
+    /// Cost lines.
+    pub lines: Vec<CostLine>,
+    /// Accelerator-milliseconds of all replicas in the period.
+    pub total_ms: u64,
+    /// Tokens counted in minutes in which their model held no accelerator. They cost nothing; more
+    /// than a few mean that clocks disagree or that intervals are missing.
+    pub unmatched_tokens: u64,
+    /// Periods in which counted work may be missing.
+    pub gaps: Vec<Gap>,
+}
+
+type LineKey = (Option<CustomerId>, ModelId, Option<ContractVersion>);
+
+/// Accelerator-milliseconds by minute and model.
+type Pools = BTreeMap<(Minute, ModelId), u64>;
+
+impl Ledger {
+    /// Splits the accelerator time between two times. `as_of` is the time of the report: work that
+    /// a run counted between its last flush and `as_of` may be missing.
+    pub fn report(&self, from: SystemTime, to: SystemTime, as_of: SystemTime) -> CostReport {
+        let period = millis(from)..millis(to);
+        let gaps = self.gaps(&period, millis(as_of));
+        let flagged = flagged_minutes(&gaps);
+        let pools = self.pools(&period);
+        let mut lines = BTreeMap::<LineKey, CostLine>::new();
+        for ((minute, model), pool) in &pools {
+            for share in self.split(*minute, model, *pool) {
+                let key = (share.customer.clone(), model.clone(), share.contract_version.clone());
+                let line = lines.entry(key).or_insert_with(|| empty_line(&share, model));
+                line.tokens += share.tokens;
+                *(if share.idle { &mut line.idle_ms } else { &mut line.busy_ms }) += share.ms;
+                if flagged.contains(minute) {
+                    line.flagged_ms += share.ms;
+                }
+            }
+        }
+        // A share of less than one millisecond may leave a line with nothing in it.
+        lines.retain(|_, line| line.total_ms() > 0 || line.tokens > 0);
+        CostReport {
+            lines: lines.into_values().collect(),
+            total_ms: pools.values().sum(),
+            unmatched_tokens: self.unmatched_tokens(&period, &pools),
+            gaps,
+            from_ms: period.start,
+            to_ms: period.end,
+        }
+    }
+
+    /// Begin of the first and end of the last interval; `None` without intervals.
+    pub fn span(&self) -> Option<(SystemTime, SystemTime)> {
+        let pieces = || self.replicas.values().flat_map(|r| &r.pieces);
+        let from = pieces().map(|(from, _)| *from).min()?;
+        let to = pieces().map(|(_, to)| *to).max()?;
+        let time = |ms| std::time::UNIX_EPOCH + Duration::from_millis(ms);
+        Some((time(from), time(to)))
+    }
+
+    fn pools(&self, period: &Range<u64>) -> Pools {
+        let mut pools = Pools::new();
+        for replica in self.replicas.values() {
+            for (from, to) in &replica.pieces {
+                let (mut at, to) = ((*from).max(period.start), (*to).min(period.end));
+                while at < to {
+                    let minute = at / MINUTE_MS;
+                    let end = to.min((minute + 1) * MINUTE_MS);
+                    let pool = pools.entry((minute, replica.model.clone())).or_default();
+                    *pool += (end - at) * u64::from(replica.accelerators);
+                    at = end;
+                }
+            }
+        }
+        pools
+    }
+
+    fn split(&self, minute: Minute, model: &ModelId, pool: u64) -> Vec<Share> {
+        let by_work = self.split_by_work(minute, model, pool);
+        by_work.or_else(|| self.split_idle(minute, model, pool)).unwrap_or_else(|| {
+            vec![Share { customer: None, contract_version: None, tokens: 0, ms: pool, idle: true }]
+        })
+    }
+
+    fn split_by_work(&self, minute: Minute, model: &ModelId, pool: u64) -> Option<Vec<Share>> {
+        let counters = self.work.get(&(minute, model.clone()))?;
+        let mut tokens = BTreeMap::<(&CustomerId, &ContractVersion), u64>::new();
+        for (key, count) in counters {
+            *tokens.entry((&key.customer, &key.contract_version)).or_default() += count;
+        }
+        let weights: Vec<_> = tokens.values().copied().collect();
+        let parts = largest_remainder(pool, &weights)?;
+        let shares = tokens.into_iter().zip(parts);
+        Some(shares.map(|((who, tokens), ms)| Share::of(who, tokens, ms, false)).collect())
+    }
+
+    /// `None` if it is not known who is entitled, or nobody is.
+    fn split_idle(&self, minute: Minute, model: &ModelId, pool: u64) -> Option<Vec<Share>> {
+        let version = self.version_at(minute * MINUTE_MS)?;
+        let mut entitled = Vec::new();
+        for (customer, hash) in &version.contracts {
+            // A contract that cannot be read may hold a share. To split without it would be a guess.
+            let terms = self.contracts.get(&(customer.clone(), hash.clone()))?;
+            if terms.models.contains(model) {
+                entitled.push(((customer, hash), u64::from(terms.cost_share)));
+            }
+        }
+        let weights: Vec<_> = entitled.iter().map(|(_, share)| *share).collect();
+        let parts = largest_remainder(pool, &weights)?;
+        Some(
+            entitled
+                .into_iter()
+                .zip(parts)
+                .map(|((who, _), ms)| Share::of(who, 0, ms, true))
+                .collect(),
+        )
+    }
+
+    /// The version in effect at a time: the highest one that was adopted by then, where a version
+    /// is never adopted before a lower one.
+    fn version_at(&self, at: u64) -> Option<&VersionState> {
+        self.versions.values().take_while(|version| version.adopted_at <= at).last()
+    }
+
+    fn unmatched_tokens(&self, period: &Range<u64>, pools: &Pools) -> u64 {
+        let minutes = period.start / MINUTE_MS..period.end.div_ceil(MINUTE_MS);
+        let unmatched = self
+            .work
+            .iter()
+            .filter(|(key, _)| minutes.contains(&key.0) && !pools.contains_key(key));
+        unmatched.flat_map(|(_, counters)| counters.values()).sum()
+    }
+
+    fn gaps(&self, period: &Range<u64>, as_of: u64) -> Vec<Gap> {
+        let mut gaps = Vec::new();
+        for ((instance, incarnation), run) in &self.runs {
+            let Some(gap) = gap(run, as_of) else { continue };
+            if gap.start < period.end && gap.end > period.start {
+                gaps.push(Gap {
+                    instance: instance.clone(),
+                    incarnation: *incarnation,
+                    from_ms: gap.start,
+                    to_ms: gap.end,
+                });
+            }
+        }
+        gaps
+    }
+}
+
+/// When a run may have counted work that was never flushed.
+fn gap(run: &RunState, as_of: u64) -> Option<Range<u64>> {
+    let interval = u64::try_from(FLUSH_INTERVAL.as_millis()).unwrap_or(u64::MAX);
+    if run.closed {
+        return None;
+    }
+    let gap = match (run.flushed_until, run.died_at) {
+        // A run that dies while the platform is away loses more than one interval. The observed
+        // death bounds the loss.
+        (Some(flushed), Some(died)) => Some(flushed..died.max(flushed.saturating_add(interval))),
+        // The run died before its first flush.
+        (None, Some(died)) => Some(died.saturating_sub(interval)..died),
+        // The run may be alive, but what it counted since its last flush is not in the report.
+        (Some(flushed), None) => Some(flushed..as_of.min(flushed.saturating_add(interval))),
+        (None, None) => None,
+    };
+    gap.filter(|gap| gap.start < gap.end)
+}
+
+fn flagged_minutes(gaps: &[Gap]) -> BTreeSet<Minute> {
+    gaps.iter().flat_map(|gap| gap.from_ms / MINUTE_MS..gap.to_ms.div_ceil(MINUTE_MS)).collect()
+}
+
+/// Part of one pool.
+struct Share {
+    customer: Option<CustomerId>,
+    contract_version: Option<ContractVersion>,
+    tokens: u64,
+    ms: u64,
+    idle: bool,
+}
+
+impl Share {
+    fn of(who: (&CustomerId, &ContractVersion), tokens: u64, ms: u64, idle: bool) -> Self {
+        let (customer, version) = who;
+        Self {
+            customer: Some(customer.clone()),
+            contract_version: Some(version.clone()),
+            tokens,
+            ms,
+            idle,
+        }
+    }
+}
+
+fn empty_line(share: &Share, model: &ModelId) -> CostLine {
+    CostLine {
+        customer: share.customer.clone(),
+        model: model.clone(),
+        contract_version: share.contract_version.clone(),
+        tokens: 0,
+        busy_ms: 0,
+        idle_ms: 0,
+        flagged_ms: 0,
+    }
+}
--- a/components/version/contracts/src/lib.rs
+++ b/components/version/contracts/src/lib.rs
@@ -18,6 +18,8 @@
 #[cfg(test)]
 mod directory_tests;
 #[cfg(test)]
+mod samples_tests;
+#[cfg(test)]
 mod test_data;
 #[cfg(test)]
 mod validate_tests;
