Add the engine, weight store and ledger stand-ins

Cause: orders, streams and withdrawals need servers that show each duplicate, loss and overcommit. Change: engine with memory accounting, fencing, shared rate-limited weight store, adapters, batching with priorities, resumable streams, lagging reports, late cache events and faults; ledger that counts each booking. A break after N tokens now delivers all N: hyper dropped the unflushed frame. Conclusion: usable in process.

--- /dev/null
+++ b/components/stand_ins/src/engine/mod.rs
@@ -0,0 +1,169 @@
+//! Stand-in for a model engine: orders, memory accounting, batching, streams and faults.
+//!
+//! Besides the published interface it answers `GET` and `POST /stand-in/faults`,
+//! `GET /stand-in/counters`, `POST /stand-in/leaving` (`{"leaving": true}`),
+//! `POST /stand-in/store` (`{"slowdown": 2.0}`) and `POST /stand-in/restart`.
+//!
+//! Requests that are refused before they start carry the header `x-verdict: not_run` and one of
+//! the statuses 400, 404 (no such ready replica or adapter), 422 (attempt id seen before) and 503.
+//! The answer to a `seal` order is the report.
+
+mod answers;
+mod attempt;
+mod config;
+mod control;
+mod generate;
+mod orders;
+mod prefix_cache;
+mod report;
+mod requests;
+mod state;
+mod text;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+use types::prelude::*;
+
+pub use config::{EngineConfig, EngineCounters, EngineFaults};
+pub use prefix_cache::{CacheEvent, CacheEventKind, CacheEvents};
+pub use text::{PREFIX_BLOCK_BYTES, chat_prompt, expected_text, prefix_hashes, prompt_hash, token};
+
+use crate::http_server;
+use crate::weight_store::WeightStore;
+use state::Inner;
+
+/// Time between attempts to bind the address of a killed engine again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Attempts to bind the address of a killed engine again.
+const REBIND_ATTEMPTS: u32 = 200;
+
+/// An engine on loopback.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    inner: Arc<Inner>,
+    server: Arc<Mutex<AbortHandle>>,
+}
+
+impl Engine {
+    /// Starts an engine on the current runtime. Engines that get clones of one `store` share it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(cfg: EngineConfig, store: WeightStore) -> io::Result<Self> {
+        let listener = http_server::bind(cfg.address).await?;
+        let address = listener.local_addr()?;
+        let lag = cfg.report_lag;
+        let inner = Arc::new(Inner::new(cfg, store, rand::random()));
+        if !lag.is_zero() {
+            tokio::spawn(report::sample(Arc::downgrade(&inner), lag));
+        }
+        let server = Arc::new(Mutex::new(serve(listener, &inner)));
+        let engine = Self { address, inner, server };
+        tokio::spawn(restart_when_wanted(engine.clone()));
+        Ok(engine)
+    }
+
+    /// Address that the engine listens on, also after a restart.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Name of the backend server.
+    pub fn name(&self) -> &str {
+        &self.inner.cfg.name
+    }
+
+    /// Entry of the platform's instance list for this engine.
+    pub fn listed(&self, data_centre: &str, group: &str) -> ListedInstance {
+        let leaving = self.inner.state().leaving_since.is_some();
+        ListedInstance {
+            name: self.inner.cfg.name.clone(),
+            role: ListedRole::Engine,
+            data_centre: data_centre.into(),
+            group: group.into(),
+            address: self.address.to_string().into(),
+            state: if leaving { ListedState::Leaving } else { ListedState::Live },
+            checks_fencing: self.inner.cfg.checks_fencing,
+        }
+    }
+
+    /// The report that `GET /v1/state` returns.
+    pub fn report(&self) -> ServerReport {
+        report::report(&self.inner, &self.inner.state())
+    }
+
+    /// Counters so far, over all incarnations.
+    pub fn counters(&self) -> EngineCounters {
+        self.inner.counters()
+    }
+
+    /// Changes the faults.
+    pub fn change_faults(&self, change: impl FnOnce(&mut EngineFaults)) {
+        change(&mut self.inner.state().faults);
+    }
+
+    /// Sets or clears the leaving flag of the report.
+    pub fn set_leaving(&self, leaving: bool) {
+        control::set_leaving(&self.inner, leaving);
+    }
+
+    /// Takes an order as if it came over HTTP and returns the status.
+    pub fn take_order(&self, order: Order) -> u16 {
+        match orders::take_order(&self.inner, order) {
+            Ok(()) => 202,
+            Err(refused) => refused.status.as_u16(),
+        }
+    }
+
+    /// Closes the listener and all connections and loses everything loaded.
+    pub fn kill(&self) {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner).abort();
+        self.inner.lose_incarnation(rand::random());
+    }
+
+    /// Starts a new incarnation on the same address, after a kill or instead of one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound again.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.kill();
+        let mut attempts = 0;
+        let listener = loop {
+            match http_server::bind(Some(self.address)).await {
+                Ok(listener) => break listener,
+                // The aborted server task releases its socket on its next turn only.
+                Err(e) if attempts >= REBIND_ATTEMPTS => return Err(e),
+                Err(_) => attempts += 1,
+            }
+            sleep(REBIND_INTERVAL).await;
+        };
+        *self.server.lock().unwrap_or_else(PoisonError::into_inner) = serve(listener, &self.inner);
+        Ok(())
+    }
+}
+
+fn serve(listener: TcpListener, inner: &Arc<Inner>) -> AbortHandle {
+    let inner = inner.clone();
+    http_server::spawn(listener, move |req| requests::handle(inner.clone(), req))
+}
+
+/// Restarts the engine whenever a call asks for it.
+async fn restart_when_wanted(engine: Engine) {
+    loop {
+        engine.inner.restart_wanted.notified().await;
+        if let Err(e) = engine.restart().await {
+            tracing::error!("stand_ins: engine {} failed to restart: {e}", engine.name());
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/stand_ins/src/engine/report.rs
@@ -0,0 +1,69 @@
+//! Reports of an engine, with lagging load figures.
+
+use std::sync::Weak;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+use types::prelude::*;
+
+use super::state::{Inner, LoadFigures, State};
+
+/// Samples per lag; the age of the figures lies between one sample less than the lag and the lag.
+const SAMPLES_PER_LAG: u32 = 4;
+
+/// Takes samples of the load figures as long as the engine exists.
+pub(super) async fn sample(inner: Weak<Inner>, lag: Duration) {
+    loop {
+        {
+            let Some(inner) = inner.upgrade() else { return };
+            let mut state = inner.state();
+            let figures = state.load_figures();
+            state.samples.push_back((Instant::now(), figures));
+            while state.samples.len() > SAMPLES_PER_LAG as usize {
+                state.samples.pop_front();
+            }
+        }
+        sleep(lag / SAMPLES_PER_LAG).await;
+    }
+}
+
+/// The present report.
+pub(super) fn report(inner: &Inner, state: &State) -> ServerReport {
+    let sample = state.samples.front();
+    let (load_age_ms, figures) = match sample {
+        Some((at, figures)) => (at.elapsed().as_millis() as u64, figures.clone()),
+        None => (0, state.load_figures()),
+    };
+    ServerReport {
+        server: inner.cfg.name.clone(),
+        incarnation: state.incarnation,
+        checks_fencing: inner.cfg.checks_fencing,
+        highest_fencing: state.highest_fencing,
+        memory_total: inner.cfg.memory_total,
+        memory_used: state.memory_used(),
+        role: state.role,
+        leaving: state.leaving_since.is_some(),
+        replicas: replica_reports(state, &figures),
+        outcomes: state.outcomes.iter().cloned().collect(),
+        cached_in_memory: state.memory_cache.list(),
+        cached_on_disk: state.disk_cache.list(),
+        load_age_ms,
+    }
+}
+
+fn replica_reports(state: &State, figures: &LoadFigures) -> Vec<ReplicaReport> {
+    let reported = |(id, replica): (&ReplicaId, &super::state::Replica)| {
+        let (running, queued) = figures.get(id).copied().unwrap_or_default();
+        ReplicaReport {
+            replica: *id,
+            model: replica.model.clone(),
+            version: replica.version.clone(),
+            phase: replica.phase,
+            memory_bytes: replica.memory_bytes,
+            adapters: replica.adapters.clone(),
+            running,
+            queued,
+        }
+    };
+    state.replicas.iter().map(reported).collect()
+}
--- /dev/null
+++ b/components/stand_ins/src/engine/state.rs
@@ -0,0 +1,231 @@
+//! State of an engine stand-in.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::{Notify, oneshot};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::Instant;
+use types::prelude::*;
+
+use super::attempt::Attempt;
+use super::config::{EngineConfig, EngineCounters, EngineFaults};
+use super::generate::Slot;
+use super::prefix_cache::PrefixCache;
+use crate::weight_store::WeightStore;
+
+/// Order outcomes in a report; older ones drop out.
+const KEPT_OUTCOMES: usize = 64;
+
+/// Attempts whose tokens are kept for resumption.
+const KEPT_ATTEMPTS: usize = 4_096;
+
+/// What the server tasks of one engine share.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) cfg: EngineConfig,
+    pub(super) store: WeightStore,
+    /// Asks for a restart.
+    pub(super) restart_wanted: Notify,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) incarnation: Incarnation,
+    pub(super) highest_fencing: FencingNumber,
+    pub(super) role: ServerRole,
+    pub(super) leaving_since: Option<Instant>,
+    pub(super) replicas: BTreeMap<ReplicaId, Replica>,
+    pub(super) outcomes: VecDeque<OrderOutcome>,
+    pub(super) orders_seen: HashSet<OrderId>,
+    pub(super) unresolved_orders: u32,
+    pub(super) memory_cache: ModelCache,
+    pub(super) disk_cache: ModelCache,
+    pub(super) attempts: HashMap<AttemptId, Arc<Attempt>>,
+    pub(super) attempt_order: VecDeque<AttemptId>,
+    pub(super) prefixes: PrefixCache,
+    /// Load figures by replica as they were at the times given, oldest first.
+    pub(super) samples: VecDeque<(Instant, LoadFigures)>,
+    pub(super) faults: EngineFaults,
+    pub(super) counters: EngineCounters,
+    /// Orders and requests in progress; they end with the incarnation.
+    pub(super) tasks: JoinSet<()>,
+    arrivals: u64,
+}
+
+/// Running and queued requests by replica.
+pub(super) type LoadFigures = BTreeMap<ReplicaId, (u32, u32)>;
+
+/// One replica in any phase. Its memory is in use from the order on.
+#[derive(Debug)]
+pub(super) struct Replica {
+    pub(super) model: ModelId,
+    pub(super) version: Box<str>,
+    pub(super) phase: ReplicaPhase,
+    pub(super) memory_bytes: u64,
+    pub(super) adapter_slots: u32,
+    pub(super) adapters: Vec<AdapterId>,
+    /// Adapters on their way; each holds a slot.
+    pub(super) adapters_loading: Vec<AdapterId>,
+    pub(super) running: u32,
+    /// Waiting requests, the next one first.
+    pub(super) queue: BTreeMap<(Reverse<u8>, u64), oneshot::Sender<Slot>>,
+    /// The load while it is in progress, with its order.
+    pub(super) load: Option<(OrderId, AbortHandle)>,
+}
+
+impl Replica {
+    /// Waiting requests that have not been cancelled.
+    pub(super) fn queued(&self) -> u32 {
+        self.queue.values().filter(|waiting| !waiting.is_closed()).count() as u32
+    }
+}
+
+/// Cached checkpoints, least recently used first.
+#[derive(Clone, Debug)]
+pub(super) struct ModelCache {
+    capacity: usize,
+    models: VecDeque<ModelId>,
+}
+
+impl ModelCache {
+    pub(super) fn new(capacity: usize, models: &[ModelId]) -> Self {
+        Self { capacity, models: models.iter().cloned().collect() }
+    }
+
+    pub(super) fn contains(&self, model: &ModelId) -> bool {
+        self.models.contains(model)
+    }
+
+    pub(super) fn insert(&mut self, model: &ModelId) {
+        self.models.retain(|cached| cached != model);
+        self.models.push_back(model.clone());
+        while self.models.len() > self.capacity {
+            self.models.pop_front();
+        }
+    }
+
+    pub(super) fn list(&self) -> Vec<ModelId> {
+        self.models.iter().cloned().collect()
+    }
+}
+
+impl Inner {
+    pub(super) fn new(cfg: EngineConfig, store: WeightStore, incarnation: Incarnation) -> Self {
+        let state = State {
+            incarnation,
+            highest_fencing: 0,
+            role: ServerRole::default(),
+            leaving_since: None,
+            replicas: BTreeMap::new(),
+            outcomes: VecDeque::new(),
+            orders_seen: HashSet::new(),
+            unresolved_orders: 0,
+            memory_cache: ModelCache::new(cfg.memory_cache_models, &[]),
+            disk_cache: ModelCache::new(cfg.disk_cache_models, &cfg.cached_on_disk),
+            attempts: HashMap::new(),
+            attempt_order: VecDeque::new(),
+            prefixes: PrefixCache::new(cfg.cache_blocks),
+            samples: VecDeque::new(),
+            faults: EngineFaults::default(),
+            counters: EngineCounters::default(),
+            tasks: JoinSet::new(),
+            arrivals: 0,
+        };
+        Self { cfg, store, restart_wanted: Notify::new(), state: Mutex::new(state) }
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets everything that a restart loses and takes a new incarnation.
+    pub(super) fn lose_incarnation(&self, next: Incarnation) {
+        let mut state = self.state();
+        state.tasks.abort_all();
+        state.tasks.detach_all();
+        for replica in std::mem::take(&mut state.replicas).into_values() {
+            self.store.replica_removed(&replica.model);
+        }
+        state.incarnation = next;
+        if !self.cfg.keeps_fencing {
+            state.highest_fencing = 0;
+        }
+        state.role = ServerRole::default();
+        state.leaving_since = None;
+        state.outcomes.clear();
+        state.unresolved_orders = 0;
+        state.memory_cache = ModelCache::new(self.cfg.memory_cache_models, &[]);
+        state.attempts.clear();
+        state.attempt_order.clear();
+        state.prefixes = PrefixCache::new(self.cfg.cache_blocks);
+        state.samples.clear();
+    }
+
+    /// Counters, the highest replica numbers of the store included.
+    pub(super) fn counters(&self) -> EngineCounters {
+        let max_replicas = self.store.max_replicas();
+        EngineCounters { max_replicas, ..self.state().counters.clone() }
+    }
+
+    /// Removes a replica and gives its memory back.
+    pub(super) fn remove_replica(&self, state: &mut State, replica: ReplicaId) {
+        if let Some(removed) = state.replicas.remove(&replica) {
+            state.prefixes.drop_replica(replica, Instant::now());
+            self.store.replica_removed(&removed.model);
+        }
+    }
+}
+
+impl State {
+    pub(super) fn memory_used(&self) -> u64 {
+        self.replicas.values().map(|replica| replica.memory_bytes).sum()
+    }
+
+    pub(super) fn load_figures(&self) -> LoadFigures {
+        let figures = |replica: &Replica| (replica.running, replica.queued());
+        self.replicas.iter().map(|(id, replica)| (*id, figures(replica))).collect()
+    }
+
+    pub(super) fn resolve(&mut self, order: OrderId, succeeded: bool) {
+        self.unresolved_orders = self.unresolved_orders.saturating_sub(1);
+        self.record_outcome(order, succeeded);
+    }
+
+    pub(super) fn record_outcome(&mut self, order: OrderId, succeeded: bool) {
+        self.outcomes.push_back(OrderOutcome { order, succeeded });
+        if self.outcomes.len() > KEPT_OUTCOMES {
+            self.outcomes.pop_front();
+        }
+    }
+
+    /// Spawns a task that ends with the incarnation.
+    pub(super) fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
+        while self.tasks.try_join_next().is_some() {}
+        self.tasks.spawn(task)
+    }
+
+    pub(super) fn next_arrival(&mut self) -> u64 {
+        self.arrivals += 1;
+        self.arrivals
+    }
+
+    pub(super) fn keep_attempt(&mut self, attempt: Arc<Attempt>) {
+        self.attempt_order.push_back(attempt.id.clone());
+        self.attempts.insert(attempt.id.clone(), attempt);
+        if self.attempt_order.len() > KEPT_ATTEMPTS
+            && let Some(oldest) = self.attempt_order.pop_front()
+        {
+            self.attempts.remove(&oldest);
+        }
+    }
+}
+
+/// Uses up one of the counted faults in `left`, if there is one.
+pub(super) fn take(left: &mut u32) -> bool {
+    let hit = *left > 0;
+    *left -= u32::from(hit);
+    hit
+}
--- a/components/stand_ins/src/lib.rs
+++ b/components/stand_ins/src/lib.rs
@@ -4,5 +4,8 @@
 //! server, which runs as a task on the current `tokio` runtime until `stop` or the end of the
 //! runtime. All servers listen on loopback only.
 
+pub mod engine;
 mod http_server;
 pub mod platform;
+pub mod service;
+pub mod weight_store;
