Declare the public API of ownership, group, membership and configuration

Cause: the event loop and measurements need the interfaces before the code. Change: types, actions and method signatures with doc comments; methods do nothing yet. types::object holds the platform calls that all four share (outside the prelude). New declared dependencies: rand in group, sha2 in configuration, both already in the workspace.

--- a/components/process/group/src/lib.rs
+++ b/components/process/group/src/lib.rs
@@ -1,1 +1,23 @@
 //! The decision object of one group: write-ahead orders, memory and replica accounting, recovery.
+//!
+//! [`Group`] is a pure state machine. The owner records every load, unload and role change in
+//! `decision/GROUP` before it sends the order, and counts the memory and the replica of an order
+//! until their release is proved. Placement decides on a plain [`GroupView`] and passes a
+//! [`Decision`], which is refused if it would break an invariant.
+
+mod action;
+mod decision;
+mod group;
+mod objects;
+mod settings;
+mod view;
+
+pub use action::{Action, OrderResult};
+pub use decision::{Decision, Refused};
+pub use group::Group;
+pub use objects::{
+    DecisionObject, Interval, OrderRecord, Permit, PoolObject, Receipt, ReplicaRecord,
+    ReplicaStage, ServerRecord, Transfer, TransferEnd,
+};
+pub use settings::Settings;
+pub use view::{GroupView, ReplicaView, ServerView};
--- /dev/null
+++ b/components/process/ownership/src/settings.rs
@@ -0,0 +1,60 @@
+//! Settings of one instance's ownership.
+
+use types::prelude::*;
+
+/// Settings of one instance's ownership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Address for peer messages as `IP:PORT`.
+    pub address: Box<str>,
+    /// Data centre of the instance.
+    pub data_centre: DataCentreId,
+    /// Time between renewals.
+    pub renew_every: Duration,
+    /// How long a lease is valid for its holder.
+    pub lease_time: Duration,
+    /// How much longer observers wait; covers differences in clock rates.
+    pub margin: Duration,
+    /// Bound of the random delay before a group is looked at.
+    pub claim_jitter: Duration,
+    /// Time between two looks at groups that this instance may have to claim. With 40 instances in
+    /// a data centre, 500 ms keeps the claims of a joint restart below 80 writes a second.
+    pub claim_every: Duration,
+    /// An announcement older than this no longer keeps an instance from looking at a group.
+    pub announcement_time: Duration,
+    /// Added per rank before an instance that is not the first choice looks at a group.
+    pub rank_delay: Duration,
+}
+
+impl Settings {
+    /// The default timing for an instance.
+    pub fn new(
+        instance: impl Into<InstanceId>,
+        incarnation: Incarnation,
+        address: impl Into<Box<str>>,
+        data_centre: impl Into<DataCentreId>,
+    ) -> Self {
+        Self {
+            instance: instance.into(),
+            incarnation,
+            address: address.into(),
+            data_centre: data_centre.into(),
+            renew_every: Duration::from_secs(3),
+            lease_time: Duration::from_secs(9),
+            margin: Duration::from_secs(1),
+            claim_jitter: Duration::from_secs(2),
+            claim_every: Duration::from_millis(500),
+            announcement_time: Duration::from_secs(8),
+            rank_delay: Duration::from_secs(3),
+        }
+    }
+
+    /// After this time without a new renewal counter an observer treats a lease as expired.
+    pub fn observed_lease_time(&self) -> Duration {
+        self.lease_time + self.margin
+    }
+}
--- a/components/process/types/src/lib.rs
+++ b/components/process/types/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod contract;
 pub mod group_state;
 pub mod ids;
+pub mod object;
 pub mod prelude;
 pub mod verdict;
--- /dev/null
+++ b/components/version/configuration/src/head.rs
@@ -0,0 +1,46 @@
+//! The head object and content hashes.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use types::object::encode;
+use types::prelude::*;
+
+/// SHA-256 of an object's JSON text, lower-case hex.
+pub type ContentHash = Box<str>;
+/// SHA-256 of everything in a head but its nonce, lower-case hex.
+pub type Digest = Box<str>;
+
+/// Value of `configuration/head`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Head {
+    /// Version of the configuration; grows by one with each accepted change.
+    pub version: ConfigurationVersion,
+    /// Hash of the contract of each customer; the object is `contract/CUSTOMER@HASH`.
+    pub contracts: BTreeMap<CustomerId, ContentHash>,
+    /// Hash of the catalogue; the object is `catalogue/HASH`.
+    pub catalogue: ContentHash,
+    /// Nonce of the write.
+    pub nonce: Nonce,
+}
+
+impl Head {
+    /// Digest that an instance compares after it applied a difference.
+    pub fn digest(&self) -> Digest {
+        sha256(&encode(&(self.version, &self.contracts, &self.catalogue)))
+    }
+}
+
+/// Hash of a contract.
+pub fn contract_hash(contract: &Contract) -> ContentHash {
+    sha256(&encode(contract))
+}
+
+/// Hash of a catalogue.
+pub fn catalogue_hash(catalogue: &Catalogue) -> ContentHash {
+    sha256(&encode(catalogue))
+}
+
+fn sha256(text: &[u8]) -> Box<str> {
+    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
+}
--- a/components/version/configuration/src/lib.rs
+++ b/components/version/configuration/src/lib.rs
@@ -1,1 +1,15 @@
 //! Configuration versions: acceptance, spread and monotonic adoption.
+//!
+//! [`Apply`] writes a new version: content-addressed objects first, then the conditional update of
+//! `configuration/head`. [`Follower`] keeps the version in effect at one instance and spreads it
+//! in a tree; it only ever moves to a higher version. Both are pure state machines.
+
+mod apply;
+mod follower;
+mod head;
+mod message;
+
+pub use apply::{Applied, Apply, ApplyAction, Change, Conflict, Proposal};
+pub use follower::{Follower, Settings};
+pub use head::{ContentHash, Digest, Head, catalogue_hash, contract_hash};
+pub use message::{Action, ConfigurationMessage, Update};
--- /dev/null
+++ b/components/version/configuration/src/message.rs
@@ -0,0 +1,81 @@
+//! Messages between instances, and actions for the event loop.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use types::object::{CallId, ObjectCall};
+use types::prelude::*;
+
+use crate::Digest;
+
+/// An action for the event loop.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Call the platform and pass the answer to [`Follower::on_answer`](crate::Follower::on_answer).
+    Call {
+        /// Number to pass back.
+        call: CallId,
+        /// The call.
+        request: ObjectCall,
+    },
+    /// Watch `configuration/head` and call [`Follower::on_head_changed`](crate::Follower::on_head_changed)
+    /// for each event and whenever the watch has to be started again.
+    StartWatch,
+    /// End the watch.
+    StopWatch,
+    /// Send a message to an instance; losses are tolerated.
+    Send {
+        /// The receiver.
+        to: InstanceId,
+        /// The message.
+        message: ConfigurationMessage,
+    },
+    /// A higher version is in effect here from now on.
+    Adopted(Arc<Configuration>),
+}
+
+/// A message between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigurationMessage {
+    /// A new version, to be passed on to `forward`.
+    Push {
+        /// The new version.
+        update: Arc<Update>,
+        /// Instances below the receiver in the tree.
+        forward: Vec<InstanceId>,
+    },
+    /// Asks for what changed since a version; answered by `Update` or `UpToDate`.
+    Fetch {
+        /// The sender's version.
+        have: ConfigurationVersion,
+    },
+    /// Answer to `Fetch`.
+    Update {
+        /// The difference, or everything.
+        update: Arc<Update>,
+    },
+    /// Answer to `Fetch`: the answering instance has no higher version.
+    UpToDate {
+        /// Its version.
+        version: ConfigurationVersion,
+    },
+}
+
+/// A version of the configuration as a difference to a lower one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Update {
+    /// The version that the difference applies to; zero if everything is contained.
+    pub from: ConfigurationVersion,
+    /// The version that results.
+    pub to: ConfigurationVersion,
+    /// Contracts that are new or changed.
+    pub changed: Vec<Arc<Contract>>,
+    /// Customers that were removed.
+    pub removed: Vec<CustomerId>,
+    /// The catalogue, if it changed.
+    pub catalogue: Option<Arc<Catalogue>>,
+    /// Digest of the resulting head; a mismatch discards the update.
+    pub digest: Digest,
+}
