Publish the API of the request crates

Cause: the event loop is to be built in parallel with the four request crates. Conclusion: callers can compile against the API while the bodies are written.

--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -1,1 +1,9 @@
 //! Deadlines, fair queueing, limits and their shares.
+//!
+//! [`Admission`] decides whether a request may wait, in which order waiting requests are served,
+//! and when one has waited too long. [`shares`] divides limits that hold over all data centres.
+
+mod admission;
+pub mod shares;
+
+pub use admission::{Admission, Admitted, LocalLimits, Offer, QueueKey, Ticket, Waiting};
--- /dev/null
+++ b/components/request/admission/src/shares.rs
@@ -0,0 +1,16 @@
+//! Shares of limits that hold over all data centres.
+//!
+//! A limit is thought of as the span from 0 to [`WHOLE`]. Data centres, and instances within one,
+//! hold disjoint parts of the span; unit `k` of a limit of `n` belongs to whoever holds the point
+//! `k * WHOLE / n`. The units of all holders therefore never exceed the limit, whatever its value,
+//! and a changed limit needs no change of shares.
+
+mod grantee;
+mod holder;
+mod parts;
+mod standing;
+
+pub use grantee::Grantee;
+pub use holder::{GRANT_MARGIN, GRANT_TERM, Holder, RENEW_INTERVAL, ShareGrant, ShareRequest};
+pub use parts::{Parts, WHOLE};
+pub use standing::{Holding, StandingShare, Transfer};
--- /dev/null
+++ b/components/request/admission/src/shares/standing.rs
@@ -0,0 +1,163 @@
+//! Standing shares of data centres, stored in `share/DATA_CENTRE`.
+
+use serde::{Deserialize, Serialize};
+use types::prelude::*;
+
+use super::parts::Parts;
+
+/// Parts of every customer's limits.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    /// Parts for customers without an entry of their own.
+    pub default: Parts,
+    /// Parts by customer.
+    pub by_customer: BTreeMap<CustomerId, Parts>,
+}
+
+/// Parts on their way to another data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Transfer {
+    /// Identifies the transfer.
+    pub nonce: Nonce,
+    /// Data centre that gives.
+    pub from: DataCentreId,
+    /// Data centre that receives.
+    pub to: DataCentreId,
+    /// What is given.
+    pub holding: Holding,
+}
+
+/// Value of `share/DATA_CENTRE`. Each method returns the next value, to be written by conditional
+/// update before anything is done under it.
+///
+/// A transfer is written at the donor by `give`, then at the receiver by `receive`, then at the
+/// donor by `clear` and at the receiver by `forget`. A crash in between loses no part and creates
+/// none: each step can be done again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StandingShare {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// What it holds.
+    pub holding: Holding,
+    /// Transfers that it gave and has not cleared.
+    pub given: Vec<Transfer>,
+    /// Nonces of transfers received that the donor has not cleared, with the donor.
+    pub received: BTreeMap<Nonce, DataCentreId>,
+    /// Drawn for each write, for the read-back after a lost answer.
+    pub nonce: Nonce,
+}
+
+impl Holding {
+    /// Part `index` of `count` equal parts of every limit.
+    pub fn even(index: u64, count: u64) -> Self {
+        Self { default: Parts::even(index, count), by_customer: BTreeMap::new() }
+    }
+
+    /// Parts of one customer's limits only.
+    pub fn of_customer(customer: &str, parts: Parts) -> Self {
+        Self { default: Parts::none(), by_customer: BTreeMap::from([(customer.into(), parts)]) }
+    }
+
+    /// Parts of one customer's limits.
+    pub fn parts(&self, customer: &str) -> &Parts {
+        self.by_customer.get(customer).unwrap_or(&self.default)
+    }
+
+    /// Parts in either holding.
+    #[must_use]
+    pub fn union(&self, other: &Self) -> Self {
+        self.combine(other, Parts::union)
+    }
+
+    /// Parts in this holding but not in the other.
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        self.combine(other, Parts::minus)
+    }
+
+    /// Parts in both holdings.
+    #[must_use]
+    pub fn intersection(&self, other: &Self) -> Self {
+        self.combine(other, Parts::intersection)
+    }
+
+    fn combine(&self, other: &Self, f: impl Fn(&Parts, &Parts) -> Parts) -> Self {
+        let default = f(&self.default, &other.default);
+        let customers = self.by_customer.keys().chain(other.by_customer.keys());
+        let by_customer = customers
+            .map(|customer| (customer.clone(), f(self.parts(customer), other.parts(customer))))
+            .filter(|(_, parts)| *parts != default)
+            .collect();
+        Self { default, by_customer }
+    }
+}
+
+impl StandingShare {
+    /// The first value of a data centre's object.
+    pub fn new(data_centre: &str, holding: Holding, nonce: Nonce) -> Self {
+        Self {
+            data_centre: data_centre.into(),
+            holding,
+            given: Vec::new(),
+            received: BTreeMap::new(),
+            nonce,
+        }
+    }
+
+    /// Deducts what this data centre has of `wanted` and records the transfer. `None` if it has
+    /// nothing of it. The local holder's grants must have ended on these parts before the write
+    /// (see `Holder::withhold`).
+    pub fn give(&self, to: &str, wanted: &Holding, nonce: Nonce) -> Option<Self> {
+        let holding = self.holding.intersection(wanted);
+        if holding == Holding::default() || *to == *self.data_centre {
+            return None;
+        }
+        let mut next = Self { nonce, ..self.clone() };
+        next.holding = self.holding.minus(&holding);
+        let from = self.data_centre.clone();
+        next.given.push(Transfer { nonce, from, to: to.into(), holding });
+        Some(next)
+    }
+
+    /// Adds a transfer read from the donor's object. `None` if it was added before or goes
+    /// elsewhere.
+    pub fn receive(&self, transfer: &Transfer, nonce: Nonce) -> Option<Self> {
+        if transfer.to != self.data_centre || self.received.contains_key(&transfer.nonce) {
+            return None;
+        }
+        let mut next = Self { nonce, ..self.clone() };
+        next.holding = self.holding.union(&transfer.holding);
+        next.received.insert(transfer.nonce, transfer.from.clone());
+        Some(next)
+    }
+
+    /// Drops transfers that the receiver's stored object lists as received. `None` if there is
+    /// none.
+    pub fn clear(&self, receiver: &Self, nonce: Nonce) -> Option<Self> {
+        let done = |transfer: &Transfer| {
+            transfer.to == receiver.data_centre && receiver.received.contains_key(&transfer.nonce)
+        };
+        if !self.given.iter().any(done) {
+            return None;
+        }
+        let mut next = Self { nonce, ..self.clone() };
+        next.given.retain(|transfer| !done(transfer));
+        Some(next)
+    }
+
+    /// Drops nonces that the donor's stored object no longer lists. The donor's object must have
+    /// been read after this one. `None` if there is none.
+    pub fn forget(&self, donor: &Self, nonce: Nonce) -> Option<Self> {
+        let listed = |n: &Nonce| donor.given.iter().any(|transfer| transfer.nonce == *n);
+        let done = |n: &Nonce, from: &DataCentreId| *from == donor.data_centre && !listed(n);
+        if !self.received.iter().any(|(n, from)| done(n, from)) {
+            return None;
+        }
+        let mut next = Self { nonce, ..self.clone() };
+        next.received.retain(|n, from| !done(n, from));
+        Some(next)
+    }
+}
