--- a/components/request/admission/src/admission.rs
+++ b/components/request/admission/src/admission.rs
@@ -4,158 +4,345 @@
 
 use types::prelude::*;
 
-/// Number that the event loop gives to one request; never reused within a process.
-pub type Ticket = u64;
-
-/// What requests queue for: a model or a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum QueueKey {
-    /// A model with any adapter.
-    Model(ModelId),
-    /// A plain service.
-    Service(ServiceId),
-}
-
-/// A request that asks for admission.
-#[derive(Clone, Debug)]
-pub struct Offer {
-    /// The request's number.
-    pub ticket: Ticket,
-    /// Customer that the bearer key belongs to.
-    pub customer: CustomerId,
-    /// Class from the header; `None` selects the contract's default class.
-    pub class: Option<ClassId>,
-    /// What the request queues for.
-    pub queue: QueueKey,
-    /// Adapter, if one is named.
-    pub adapter: Option<AdapterId>,
-    /// Deadline from the caller's header for the whole answer, if one is given.
-    pub complete_by: Option<Instant>,
-    /// Earliest possible first token, as estimated from the load and the load queue.
-    pub earliest_first_token: Instant,
-    /// Expected work, for example prompt tokens plus maximum answer tokens. At least 1.
-    pub work: u32,
-}
+use crate::bucket::Bucket;
+use crate::fair_queue::{CustomerIndex, FairQueue};
+use crate::request::{Admitted, Expired, LocalLimits, Offer, QueueKey, Ticket, Waiting};
 
-/// An admitted request with the terms under which it was admitted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Admitted {
-    /// The request's number.
-    pub ticket: Ticket,
-    /// Customer of the request.
-    pub customer: CustomerId,
-    /// Class of the request.
-    pub class: ClassId,
-    /// What the request queues for.
-    pub queue: QueueKey,
-    /// Adapter, if one is named.
-    pub adapter: Option<AdapterId>,
-    /// Configuration version under which the request was admitted and is booked.
-    pub version: ConfigurationVersion,
-    /// Priority to pass to the engine.
-    pub priority: u8,
-    /// Worth of the request if it is served within its target.
-    pub worth_milli: u32,
-    /// Deadline for the first token. Not after `complete_by`.
-    pub first_token_by: Instant,
-    /// Deadline for the whole answer.
-    pub complete_by: Instant,
-    /// Expected work.
-    pub work: u32,
-    /// `MayHaveRun` once an attempt may have run; a refusal then cannot say `not_run`.
-    pub verdict: Verdict,
+/// Queues, limits and deadlines of one instance.
+///
+/// Every admitted request is in `requests`, has one entry in `deadlines`, and leaves both at once.
+#[derive(Debug)]
+pub struct Admission {
+    cfg: Arc<Configuration>,
+    customers: Vec<Customer>,
+    index: HashMap<CustomerId, CustomerIndex>,
+    requests: HashMap<Ticket, Tracked>,
+    queues: HashMap<QueueKey, FairQueue>,
+    deadlines: BTreeSet<(Instant, Ticket)>,
+    /// Requests that were put back and may not be taken before the given time.
+    delayed: BTreeSet<(Instant, Ticket)>,
+    /// Found by `next`, to be returned by the next `expire`.
+    expired: Vec<Expired>,
 }
 
-/// Requests that wait for one queue key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Waiting {
-    /// Number of requests.
-    pub count: usize,
-    /// Earliest deadline for a first token among them.
-    pub earliest_deadline: Instant,
-    /// Sum of the requests' worth.
-    pub worth_milli: u64,
+#[derive(Debug)]
+struct Customer {
+    limits: LocalLimits,
+    bucket: Bucket,
+    /// Capacity share in the latest configuration that names the customer.
+    weight: BasisPoints,
+    waiting: u64,
+    running: u64,
 }
 
-/// Part of one customer's limits that this instance may use.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LocalLimits {
-    /// Thousandths of requests a second.
-    pub rate_milli: u64,
-    /// Requests in progress at one time.
-    pub concurrent: u64,
-    /// Requests waiting at one time.
-    pub queued: u64,
+#[derive(Debug)]
+struct Tracked {
+    customer: CustomerIndex,
+    request: Admitted,
+    place: Place,
+    /// The customer was charged for the work, so a second turn is free.
+    charged: bool,
 }
 
-/// Queues, limits and deadlines of one instance.
-#[derive(Debug)]
-pub struct Admission {
-    cfg: Arc<Configuration>,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Queue,
+    Delayed(Instant),
+    Running,
 }
 
 impl Admission {
-    /// An empty queue under `cfg`. No customer may queue anything before `set_limits`.
+    /// An empty queue under `cfg`. A customer can queue nothing before `set_limits`.
     pub fn new(cfg: Arc<Configuration>) -> Self {
-        Self { cfg }
+        Self {
+            cfg,
+            customers: Vec::new(),
+            index: HashMap::new(),
+            requests: HashMap::new(),
+            queues: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            expired: Vec::new(),
+        }
     }
 
     /// Adopts a higher configuration version; waiting requests keep the terms of their own.
     pub fn configure(&mut self, cfg: Arc<Configuration>) {
-        if cfg.version > self.cfg.version {
-            self.cfg = cfg;
+        if cfg.version <= self.cfg.version {
+            return;
+        }
+        self.cfg = cfg;
+        for (name, contract) in &self.cfg.contracts {
+            if let Some(index) = self.index.get(name) {
+                self.customers[*index as usize].weight = contract.capacity_share;
+            }
         }
     }
 
     /// Sets the part of a customer's limits that this instance may use from now on.
-    pub fn set_limits(&mut self, _customer: &str, _limits: LocalLimits, _now: Instant) {}
+    pub fn set_limits(&mut self, customer: &str, limits: LocalLimits, now: Instant) {
+        if let Some(index) = self.index.get(customer) {
+            let customer = &mut self.customers[*index as usize];
+            customer.limits = limits;
+            customer.bucket.set_rate(limits.rate_milli, now);
+            return;
+        }
+        let weight = self.cfg.contracts.get(customer).map_or(0, |c| c.capacity_share);
+        let bucket = Bucket::new(&limits, now);
+        self.index.insert(customer.into(), self.customers.len() as CustomerIndex);
+        self.customers.push(Customer { limits, bucket, weight, waiting: 0, running: 0 });
+    }
 
     /// Queues a request or refuses it at once with a true `not_run`.
-    pub fn offer(&mut self, _offer: Offer, _now: Instant) -> Result<Admitted, Refusal> {
-        Err(Refusal::not_run(Reason::QueueFull))
+    pub fn offer(&mut self, offer: Offer, now: Instant) -> Result<Admitted, Refusal> {
+        let request = self.terms(&offer, now).map_err(Refusal::not_run)?;
+        if request.complete_by <= now {
+            return Err(Refusal::not_run(Reason::DeadlinePassed));
+        }
+        if offer.earliest_first_token > request.first_token_by {
+            let refusal = Refusal::not_run(Reason::DeadlineUnreachable);
+            return Err(refusal.with_retry_at(offer.earliest_first_token));
+        }
+        let Some(&index) = self.index.get(&offer.customer) else {
+            return Err(Refusal::not_run(Reason::LimitReached));
+        };
+        let customer = &mut self.customers[index as usize];
+        if customer.waiting >= customer.limits.queued {
+            return Err(Refusal::not_run(Reason::QueueFull));
+        }
+        customer
+            .bucket
+            .take(now)
+            .map_err(|at| Refusal { retry_at: at, ..Refusal::not_run(Reason::LimitReached) })?;
+        let tracked = Tracked {
+            customer: index,
+            request: request.clone(),
+            place: Place::Queue,
+            charged: false,
+        };
+        self.insert(tracked);
+        Ok(request)
     }
 
     /// Takes the request to serve next from a queue and counts it as in progress.
-    pub fn next(&mut self, _queue: &QueueKey, _now: Instant) -> Option<Admitted> {
-        None
+    pub fn next(&mut self, queue: &QueueKey, now: Instant) -> Option<Admitted> {
+        self.advance(now);
+        let waiting = self.queues.get_mut(queue)?;
+        let customers = &self.customers;
+        let has_room = |index: CustomerIndex| {
+            let customer = &customers[index as usize];
+            customer.running < customer.limits.concurrent
+        };
+        let (index, ticket) = waiting.first(has_room)?;
+        let mut tracked = self.detach(ticket)?;
+        if !tracked.charged {
+            let weight = self.customers[index as usize].weight;
+            if let Some(waiting) = self.queues.get_mut(queue) {
+                waiting.charge(index, tracked.request.work, weight);
+            }
+        }
+        self.drop_if_empty(queue);
+        tracked.charged = true;
+        tracked.place = Place::Running;
+        let request = tracked.request.clone();
+        self.insert(tracked);
+        Some(request)
     }
 
-    /// Puts a request taken by `next` back into its queue, where it keeps its place by deadline.
-    /// Fails with the refusal if its deadline has passed.
+    /// Puts a request taken by `next` back, with the verdict as it is now. It keeps its rank by
+    /// deadline and is not taken before `not_before`. Fails with its refusal if its deadline for
+    /// the first token does not lie after both `now` and `not_before`, or if it has ended.
     pub fn requeue(
         &mut self,
-        _admitted: Admitted,
-        _not_before: Instant,
-        _now: Instant,
+        ticket: Ticket,
+        verdict: Verdict,
+        not_before: Instant,
+        now: Instant,
     ) -> Result<(), Refusal> {
+        let refusal = Refusal { verdict, reason: Reason::DeadlinePassed, retry_at: None };
+        if self.requests.get(&ticket).is_none_or(|t| t.place != Place::Running) {
+            return Err(refusal);
+        }
+        let Some(mut tracked) = self.detach(ticket) else { return Err(refusal) };
+        if tracked.request.first_token_by <= now.max(not_before) {
+            return Err(refusal);
+        }
+        tracked.request.verdict = verdict;
+        tracked.place = if not_before > now { Place::Delayed(not_before) } else { Place::Queue };
+        self.insert(tracked);
         Ok(())
     }
 
-    /// Ends a request taken by `next`.
-    pub fn finish(&mut self, _ticket: Ticket) {}
+    /// Ends a request taken by `next`. Returns false if it has ended before.
+    pub fn finish(&mut self, ticket: Ticket) -> bool {
+        let running = self.requests.get(&ticket).is_some_and(|t| t.place == Place::Running);
+        running && self.detach(ticket).is_some()
+    }
 
     /// Removes a waiting request whose caller has gone away.
-    pub fn cancel(&mut self, _ticket: Ticket) -> Option<Admitted> {
-        None
+    pub fn cancel(&mut self, ticket: Ticket) -> Option<Admitted> {
+        if self.requests.get(&ticket)?.place == Place::Running {
+            return None;
+        }
+        let tracked = self.detach(ticket)?;
+        self.drop_if_empty(&tracked.request.queue);
+        Some(tracked.request)
     }
 
-    /// Removes every waiting request whose deadline has passed, with its refusal.
-    pub fn expire(&mut self, _now: Instant) -> Vec<(Admitted, Refusal)> {
-        Vec::new()
+    /// Removes every request whose deadline has passed: the deadline for the first token while it
+    /// waits, the deadline for the whole answer while it is in progress.
+    pub fn expire(&mut self, now: Instant) -> Vec<Expired> {
+        self.advance(now);
+        std::mem::take(&mut self.expired)
     }
 
-    /// When `expire` or a retry's start is due next.
+    /// When `expire` is due next, or `next` after a retry's delay.
     pub fn next_deadline(&self) -> Option<Instant> {
-        None
+        let expired = self.expired.iter().map(|expired| match expired {
+            Expired::Waiting(request, _) => request.first_token_by,
+            Expired::Running(request) => request.complete_by,
+        });
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let delayed = self.delayed.first().map(|(at, _)| *at);
+        expired.chain(deadline).chain(delayed).min()
     }
 
     /// Requests that wait for a queue key; `None` if there are none.
-    pub fn waiting(&self, _queue: &QueueKey) -> Option<Waiting> {
-        None
+    pub fn waiting(&self, queue: &QueueKey) -> Option<Waiting> {
+        let waiting = self.queues.get(queue)?;
+        Some(Waiting {
+            count: waiting.len(),
+            earliest_deadline: waiting.earliest_deadline()?,
+            worth_milli: waiting.worth_milli(),
+        })
     }
 
     /// Queue keys with waiting requests.
     pub fn queues(&self) -> impl Iterator<Item = &QueueKey> {
-        [].iter()
+        self.queues.keys()
+    }
+
+    /// Requests that wait and requests in progress of one customer.
+    pub fn load(&self, customer: &str) -> (u64, u64) {
+        let customer = self.index.get(customer).map(|index| &self.customers[*index as usize]);
+        customer.map_or((0, 0), |c| (c.waiting, c.running))
+    }
+
+    /// The terms under which a request is admitted in the present configuration.
+    fn terms(&self, offer: &Offer, now: Instant) -> Result<Admitted, Reason> {
+        let contract = self.cfg.contracts.get(&offer.customer).ok_or(Reason::UnknownKey)?;
+        let allowed = match (&offer.queue, &offer.adapter) {
+            (QueueKey::Service(service), _) => contract.services.contains(service),
+            (QueueKey::Model(model), None) => contract.models.contains(model),
+            (QueueKey::Model(model), Some(adapter)) => {
+                contract.adapters.get(model).is_some_and(|known| known.contains(adapter))
+            }
+        };
+        if !allowed {
+            return Err(Reason::UnknownModel);
+        }
+        let class_id = offer.class.as_ref().unwrap_or(&contract.default_class);
+        let class = contract.classes.get(class_id).ok_or(Reason::BadRequest)?;
+        let target = now + class.completion;
+        let complete_by = offer.complete_by.map_or(target, |at| at.min(target));
+        Ok(Admitted {
+            ticket: offer.ticket,
+            customer: offer.customer.clone(),
+            class: class_id.clone(),
+            queue: offer.queue.clone(),
+            adapter: offer.adapter.clone(),
+            version: self.cfg.version,
+            priority: class.priority,
+            worth_milli: class.worth_milli,
+            first_token_by: (now + class.first_token).min(complete_by),
+            complete_by,
+            work: offer.work,
+            verdict: Verdict::NotRun,
+        })
+    }
+
+    /// Moves what has expired to `expired` and queues requests whose delay has ended.
+    fn advance(&mut self, now: Instant) {
+        while let Some(&(at, ticket)) = self.deadlines.first() {
+            if at > now {
+                break;
+            }
+            let Some(Tracked { request, place, .. }) = self.detach(ticket) else { break };
+            self.drop_if_empty(&request.queue);
+            self.expired.push(match place {
+                Place::Running => Expired::Running(request),
+                Place::Queue | Place::Delayed(_) => {
+                    let refusal = Refusal {
+                        verdict: request.verdict,
+                        reason: Reason::DeadlinePassed,
+                        retry_at: None,
+                    };
+                    Expired::Waiting(request, refusal)
+                }
+            });
+        }
+        while let Some(&(at, ticket)) = self.delayed.first() {
+            if at > now {
+                break;
+            }
+            let Some(mut tracked) = self.detach(ticket) else { break };
+            tracked.place = Place::Queue;
+            self.insert(tracked);
+        }
+    }
+
+    fn insert(&mut self, tracked: Tracked) {
+        let Tracked { customer, request, place, .. } = &tracked;
+        let ticket = request.ticket;
+        let owner = &mut self.customers[*customer as usize];
+        match place {
+            Place::Running => owner.running += 1,
+            Place::Queue => {
+                owner.waiting += 1;
+                self.queues.entry(request.queue.clone()).or_default().push(*customer, request);
+            }
+            Place::Delayed(until) => {
+                owner.waiting += 1;
+                self.delayed.insert((*until, ticket));
+            }
+        }
+        self.deadlines.insert((tracked.deadline(), ticket));
+        self.requests.insert(ticket, tracked);
+    }
+
+    fn detach(&mut self, ticket: Ticket) -> Option<Tracked> {
+        let tracked = self.requests.remove(&ticket)?;
+        self.deadlines.remove(&(tracked.deadline(), ticket));
+        let owner = &mut self.customers[tracked.customer as usize];
+        match tracked.place {
+            Place::Running => owner.running -= 1,
+            Place::Queue => {
+                owner.waiting -= 1;
+                if let Some(waiting) = self.queues.get_mut(&tracked.request.queue) {
+                    waiting.remove(tracked.customer, &tracked.request);
+                }
+            }
+            Place::Delayed(until) => {
+                owner.waiting -= 1;
+                self.delayed.remove(&(until, ticket));
+            }
+        }
+        Some(tracked)
+    }
+
+    /// Forgets an empty queue, so that memory follows the models in use.
+    fn drop_if_empty(&mut self, queue: &QueueKey) {
+        if self.queues.get(queue).is_some_and(FairQueue::is_empty) {
+            self.queues.remove(queue);
+        }
+    }
+}
+
+impl Tracked {
+    fn deadline(&self) -> Instant {
+        match self.place {
+            Place::Running => self.request.complete_by,
+            Place::Queue | Place::Delayed(_) => self.request.first_token_by,
+        }
     }
 }
--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -4,6 +4,10 @@
 //! and when one has waited too long. [`shares`] divides limits that hold over all data centres.
 
 mod admission;
+mod bucket;
+mod fair_queue;
+mod request;
 pub mod shares;
 
-pub use admission::{Admission, Admitted, LocalLimits, Offer, QueueKey, Ticket, Waiting};
+pub use admission::Admission;
+pub use request::{Admitted, Expired, LocalLimits, Offer, QueueKey, Ticket, Waiting};
--- a/components/request/admission/src/shares/grantee.rs
+++ b/components/request/admission/src/shares/grantee.rs
@@ -2,7 +2,8 @@
 
 use types::prelude::*;
 
-use super::holder::{ShareGrant, ShareRequest};
+use super::holder::{RENEW_INTERVAL, ShareGrant, ShareRequest};
+use super::parts::{Parts, WHOLE};
 use crate::LocalLimits;
 
 /// What one instance may use of the limits.
@@ -10,46 +11,103 @@
 pub struct Grantee {
     instance: InstanceId,
     incarnation: Incarnation,
+    parts: BTreeMap<CustomerId, Parts>,
+    wanted: BTreeMap<CustomerId, u64>,
+    fencing: FencingNumber,
+    applied: u64,
+    ends_at: Option<Instant>,
+    requests: u64,
+    /// The latest request's time of sending; only its grant is applied.
+    sent_at: Option<Instant>,
 }
 
 impl Grantee {
     /// An instance that holds nothing.
     pub fn new(instance: &str, incarnation: Incarnation) -> Self {
-        Self { instance: instance.into(), incarnation }
+        Self {
+            instance: instance.into(),
+            incarnation,
+            parts: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            fencing: 0,
+            applied: 0,
+            ends_at: None,
+            requests: 0,
+            sent_at: None,
+        }
     }
 
-    /// Sets the units of use that the instance expects to need, as counted over the last interval.
-    pub fn want(&mut self, _customer: &str, _need: LocalLimits, _limits: &Limits) {}
+    /// Sets the units of use that the instance expects to need. Every customer of the
+    /// configuration is to be given, with zero if need be, to get a part of what nobody wants.
+    pub fn want(&mut self, customer: &str, need: LocalLimits, limits: &Limits) {
+        let length = |units: u64, limit: u64| match limit {
+            0 => 0,
+            limit => (units.min(limit) * WHOLE).div_ceil(limit),
+        };
+        let wanted = length(need.rate_milli, u64::from(limits.requests_per_second) * 1_000)
+            .max(length(need.concurrent, limits.concurrent_requests.into()))
+            .max(length(need.queued, limits.queued_requests.into()));
+        self.wanted.insert(customer.into(), wanted);
+    }
+
+    /// Stops asking for a customer that the configuration no longer names.
+    pub fn forget(&mut self, customer: &str) {
+        self.wanted.remove(customer);
+    }
 
     /// The request to send to the holder now.
-    pub fn request(&mut self, _now: Instant) -> ShareRequest {
+    pub fn request(&mut self, now: Instant) -> ShareRequest {
+        self.requests += 1;
+        self.sent_at = Some(now);
         ShareRequest {
             instance: self.instance.clone(),
             incarnation: self.incarnation,
-            applied: 0,
-            fencing: 0,
-            held: BTreeMap::new(),
-            wanted: BTreeMap::new(),
+            request: self.requests,
+            applied: self.applied,
+            fencing: self.fencing,
+            held: if self.is_valid(now) { self.parts.clone() } else { BTreeMap::new() },
+            wanted: self.wanted.clone(),
         }
     }
 
     /// Applies a grant. Returns false if it is late or crossed and was ignored.
-    pub fn apply(&mut self, _grant: ShareGrant, _now: Instant) -> bool {
-        false
+    pub fn apply(&mut self, grant: ShareGrant) -> bool {
+        let newer = (grant.fencing, grant.serial) > (self.fencing, self.applied);
+        let own = grant.instance == self.instance && grant.incarnation == self.incarnation;
+        let Some(sent_at) = self.sent_at else { return false };
+        if !newer || !own || grant.request != self.requests {
+            return false;
+        }
+        self.fencing = grant.fencing;
+        self.applied = grant.serial;
+        self.parts = grant.parts;
+        self.ends_at = Some(sent_at + Duration::from_millis(grant.term_ms));
+        true
     }
 
     /// Limits of a customer that this instance may use now.
-    pub fn limits(&self, _customer: &str, _limits: &Limits, _now: Instant) -> LocalLimits {
-        LocalLimits::default()
+    pub fn limits(&self, customer: &str, limits: &Limits, now: Instant) -> LocalLimits {
+        let Some(parts) = self.parts.get(customer).filter(|_| self.is_valid(now)) else {
+            return LocalLimits::default();
+        };
+        LocalLimits {
+            rate_milli: parts.units(u64::from(limits.requests_per_second) * 1_000),
+            concurrent: parts.units(limits.concurrent_requests.into()),
+            queued: parts.units(limits.queued_requests.into()),
+        }
     }
 
-    /// When the next request is due.
+    /// When the next request is due; `None` before the first one.
     pub fn renew_at(&self) -> Option<Instant> {
-        None
+        self.sent_at.map(|at| at + RENEW_INTERVAL)
     }
 
     /// When the present grant ends and `limits` falls to zero.
     pub fn ends_at(&self) -> Option<Instant> {
-        None
+        self.ends_at
+    }
+
+    fn is_valid(&self, now: Instant) -> bool {
+        self.ends_at.is_some_and(|ends_at| now < ends_at)
     }
 }
--- /dev/null
+++ b/components/request/admission/tests/queue.rs
@@ -0,0 +1,132 @@
+//! Faults of the queue, each by itself.
+
+mod support;
+
+use admission::*;
+use support::*;
+use types::prelude::*;
+
+/// Guards against queueing a request that is certain to be late.
+#[test]
+fn unreachable_deadline_is_refused_at_once_as_not_run() {
+    let now = Instant::now();
+    let mut admission = admission(&[10_000], ROOMY, now);
+    let late = Offer { earliest_first_token: now + ms(1_001), ..offer(1, 0, now) };
+    let refusal = admission.offer(late, now).unwrap_err();
+    assert_eq!(refusal.reason, Reason::DeadlineUnreachable);
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert_eq!(admission.next_deadline(), None);
+}
+
+/// Guards against a request that waits past its deadline or is served after it.
+#[test]
+fn waiting_request_expires_with_a_refusal_at_its_deadline() {
+    let now = Instant::now();
+    let mut admission = admission(&[10_000], ROOMY, now);
+    admission.offer(offer(1, 0, now), now).unwrap();
+    assert_eq!(admission.next_deadline(), Some(now + ms(1_000)));
+    assert!(admission.expire(now + ms(999)).is_empty());
+    assert_eq!(admission.next(&queue(0), now + ms(1_000)), None);
+    assert!(matches!(
+        &admission.expire(now + ms(1_000))[..],
+        [Expired::Waiting(request, refusal)]
+            if request.ticket == 1 && refusal.verdict == Verdict::NotRun
+    ));
+}
+
+/// Guards against a running request that outlives its deadline unnoticed.
+#[test]
+fn running_request_expires_at_its_completion_deadline() {
+    let now = Instant::now();
+    let mut admission = admission(&[10_000], ROOMY, now);
+    let mut request = offer(1, 0, now);
+    request.complete_by = Some(now + ms(500));
+    admission.offer(request, now).unwrap();
+    admission.next(&queue(0), now).unwrap();
+    assert!(matches!(&admission.expire(now + ms(500))[..], [Expired::Running(_)]));
+    assert_eq!(admission.load("c0"), (0, 0));
+}
+
+/// Guards against `not_run` for a request whose earlier attempt may have run.
+#[test]
+fn requeued_request_keeps_its_verdict_and_waits_for_its_delay() {
+    let now = Instant::now();
+    let mut admission = admission(&[10_000], ROOMY, now);
+    admission.offer(offer(1, 0, now), now).unwrap();
+    admission.next(&queue(0), now).unwrap();
+    admission.requeue(1, Verdict::MayHaveRun, now + ms(50), now).unwrap();
+    assert_eq!(admission.next(&queue(0), now + ms(49)), None);
+    assert_eq!(admission.next_deadline(), Some(now + ms(50)));
+    assert_eq!(admission.next(&queue(0), now + ms(50)).unwrap().verdict, Verdict::MayHaveRun);
+    admission.requeue(1, Verdict::MayHaveRun, now, now + ms(60)).unwrap();
+    assert!(matches!(
+        &admission.expire(now + ms(1_000))[..],
+        [Expired::Waiting(_, refusal)] if refusal.verdict == Verdict::MayHaveRun
+    ));
+}
+
+/// Guards against serving a customer's batch work before its more urgent requests.
+#[test]
+fn earliest_deadline_goes_first_within_a_customer() {
+    let now = Instant::now();
+    let mut admission = admission(&[10_000], ROOMY, now);
+    admission.offer(Offer { class: Some("batch".into()), ..offer(1, 0, now) }, now).unwrap();
+    admission.offer(offer(2, 0, now + ms(5)), now + ms(5)).unwrap();
+    admission.offer(offer(3, 0, now + ms(9)), now + ms(9)).unwrap();
+    let order: Vec<_> =
+        std::iter::from_fn(|| admission.next(&queue(0), now + ms(9))).map(|r| r.ticket).collect();
+    assert_eq!(order, [2, 3, 1]);
+}
+
+/// Guards against a customer that exceeds one of its limits, and against a wrong reason.
+#[test]
+fn each_limit_is_enforced_by_itself() {
+    let now = Instant::now();
+    let limits = LocalLimits { rate_milli: 3_000, concurrent: 1, queued: 2 };
+    let mut admission = admission(&[10_000], limits, now);
+    admission.offer(offer(1, 0, now), now).unwrap();
+    admission.offer(offer(2, 0, now), now).unwrap();
+    assert_eq!(admission.offer(offer(3, 0, now), now).unwrap_err().reason, Reason::QueueFull);
+    assert_eq!(admission.next(&queue(0), now).unwrap().ticket, 1);
+    assert_eq!(admission.next(&queue(0), now), None, "one request in progress at a time");
+    admission.offer(offer(4, 0, now), now).unwrap();
+    assert!(admission.finish(1));
+    assert_eq!(admission.next(&queue(0), now).unwrap().ticket, 2);
+    let refusal = admission.offer(offer(5, 0, now), now).unwrap_err();
+    assert_eq!(refusal.reason, Reason::LimitReached);
+    let at = refusal.retry_at.unwrap();
+    assert!(admission.offer(offer(6, 0, now), at).is_ok());
+}
+
+/// Guards against a customer at its own limit that later makes up for the time and starves others.
+#[test]
+fn customer_held_back_by_its_limit_saves_no_credit() {
+    let now = Instant::now();
+    let mut admission = admission(&[5_000, 5_000], ROOMY, now);
+    admission.set_limits("c0", LocalLimits { concurrent: 0, ..ROOMY }, now);
+    for ticket in 0..400 {
+        admission.offer(offer(ticket, (ticket % 2) as usize, now), now).unwrap();
+    }
+    for _ in 0..100 {
+        assert_eq!(&*admission.next(&queue(0), now).unwrap().customer, "c1");
+    }
+    admission.set_limits("c0", ROOMY, now);
+    let next: Vec<_> = (0..20).filter_map(|_| admission.next(&queue(0), now)).collect();
+    let own = next.iter().filter(|request| &*request.customer == "c0").count();
+    assert!((9..=11).contains(&own), "served {own} of 20");
+}
+
+/// Guards against a new version that changes the terms of a request admitted before it, and
+/// against a version that reverts.
+#[test]
+fn request_keeps_the_version_it_was_admitted_under() {
+    let now = Instant::now();
+    let mut admission = admission(&[10_000], ROOMY, now);
+    admission.offer(offer(1, 0, now), now).unwrap();
+    admission.configure(configuration(7, &[10_000]));
+    admission.configure(configuration(3, &[10_000]));
+    assert_eq!(admission.offer(offer(2, 0, now), now).unwrap().version, 7);
+    assert_eq!(admission.next(&queue(0), now).unwrap().version, 1);
+    let adapter = Offer { adapter: Some("unknown".into()), ..offer(3, 0, now) };
+    assert_eq!(admission.offer(adapter, now).unwrap_err().reason, Reason::UnknownModel);
+}
--- /dev/null
+++ b/components/request/admission/tests/queue_properties.rs
@@ -0,0 +1,191 @@
+//! Properties of the queue over generated sequences.
+
+mod support;
+
+use admission::*;
+use proptest::prelude::*;
+use support::*;
+use types::prelude::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { customer: usize, model: usize, batch: bool, header_ms: u64 },
+    Next { model: usize },
+    Finish { pick: usize },
+    Requeue { pick: usize, delay_ms: u64 },
+    Cancel { pick: usize },
+    Pass { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3usize, 0..2usize, any::<bool>(), 1..5_000u64).prop_map(
+            |(customer, model, batch, header_ms)| Step::Offer { customer, model, batch, header_ms }
+        ),
+        3 => (0..2usize).prop_map(|model| Step::Next { model }),
+        1 => any::<usize>().prop_map(|pick| Step::Finish { pick }),
+        1 => (any::<usize>(), 0..2_000u64)
+            .prop_map(|(pick, delay_ms)| Step::Requeue { pick, delay_ms }),
+        1 => any::<usize>().prop_map(|pick| Step::Cancel { pick }),
+        2 => (1..400u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+/// What the test knows of an admitted request.
+struct Known {
+    request: Admitted,
+    running: bool,
+    may_have_run: bool,
+}
+
+fn expire(admission: &mut Admission, known: &mut BTreeMap<Ticket, Known>, now: Instant) {
+    for expired in admission.expire(now) {
+        let (request, refusal) = match &expired {
+            Expired::Waiting(request, refusal) => (request, Some(refusal)),
+            Expired::Running(request) => (request, None),
+        };
+        let entry = known.remove(&request.ticket).expect("ended twice");
+        assert_eq!(entry.running, refusal.is_none());
+        if let Some(refusal) = refusal {
+            assert_eq!(refusal.verdict == Verdict::MayHaveRun, entry.may_have_run);
+        }
+        let due = if entry.running { request.complete_by } else { request.first_token_by };
+        assert_eq!(due, now, "ended at its deadline, neither before nor after");
+    }
+}
+
+proptest! {
+    /// Guards against requests that are dropped, answered twice, served late, refused with a
+    /// false `not_run`, or let past a limit.
+    #[test]
+    fn every_admitted_request_ends_once_by_its_deadline(
+        steps in prop::collection::vec(step(), 1..200)
+    ) {
+        let mut now = Instant::now();
+        let limits = LocalLimits { rate_milli: 3_500, concurrent: 2, queued: 5 };
+        let mut admission = admission(&[2_000, 3_000, 5_000], limits, now);
+        let mut known: BTreeMap<Ticket, Known> = BTreeMap::new();
+        let mut admitted_at: Vec<(usize, Instant)> = Vec::new();
+        // A last long step lets everything that is left expire.
+        let steps = steps.into_iter().chain([Step::Pass { ms: 200_000 }]);
+        for (ticket, step) in (0..).zip(steps) {
+            let pick = |running: bool, pick: usize| {
+                let of: Vec<_> = known.iter().filter(|(_, k)| k.running == running).collect();
+                (!of.is_empty()).then(|| *of[pick % of.len()].0)
+            };
+            match step {
+                Step::Offer { customer, model, batch, header_ms } => {
+                    let offer = Offer {
+                        class: batch.then(|| "batch".into()),
+                        queue: queue(model),
+                        complete_by: Some(now + ms(header_ms)),
+                        ..offer(ticket, customer, now)
+                    };
+                    match admission.offer(offer, now) {
+                        Ok(request) => {
+                            admitted_at.push((customer, now));
+                            known.insert(
+                                ticket,
+                                Known { request, running: false, may_have_run: false },
+                            );
+                        }
+                        Err(refusal) => prop_assert_eq!(refusal.verdict, Verdict::NotRun),
+                    }
+                }
+                Step::Next { model } => {
+                    if let Some(request) = admission.next(&queue(model), now) {
+                        prop_assert!(request.first_token_by > now);
+                        let entry = known.get_mut(&request.ticket).expect("unknown request");
+                        prop_assert!(!entry.running);
+                        prop_assert_eq!(&entry.request.customer, &request.customer);
+                        entry.running = true;
+                    }
+                }
+                Step::Finish { pick: index } => {
+                    if let Some(ticket) = pick(true, index) {
+                        prop_assert!(admission.finish(ticket));
+                        prop_assert!(!admission.finish(ticket));
+                        known.remove(&ticket);
+                    }
+                }
+                Step::Requeue { pick: index, delay_ms } => {
+                    if let Some(ticket) = pick(true, index) {
+                        let at = now + ms(delay_ms);
+                        let entry = known.get_mut(&ticket).unwrap();
+                        entry.running = false;
+                        entry.may_have_run = true;
+                        if admission.requeue(ticket, Verdict::MayHaveRun, at, now).is_err() {
+                            known.remove(&ticket);
+                        }
+                    }
+                }
+                Step::Cancel { pick: index } => {
+                    if let Some(ticket) = pick(false, index) {
+                        prop_assert!(admission.cancel(ticket).is_some());
+                        known.remove(&ticket);
+                    }
+                }
+                Step::Pass { ms: n } => {
+                    let end = now + ms(n);
+                    while let Some(at) = admission.next_deadline().filter(|at| *at <= end) {
+                        now = now.max(at);
+                        expire(&mut admission, &mut known, now);
+                    }
+                    now = end;
+                }
+            }
+            for customer in 0..3 {
+                let of = |running: bool| {
+                    let own = |k: &&Known| *k.request.customer == *format!("c{customer}");
+                    known.values().filter(own).filter(|k| k.running == running).count() as u64
+                };
+                let load = admission.load(&format!("c{customer}"));
+                prop_assert_eq!(load, (of(false), of(true)));
+                prop_assert!(load.1 <= limits.concurrent);
+            }
+        }
+        prop_assert!(known.is_empty(), "requests were dropped");
+        for (index, (customer, from)) in admitted_at.iter().enumerate() {
+            let own = admitted_at[index..].iter().filter(|(c, _)| c == customer);
+            for (count, (_, to)) in (1u64..).zip(own) {
+                let seconds = (*to - *from).as_secs_f64();
+                prop_assert!(count as f64 <= 3.5 * (1.0 + seconds) + 1e-6);
+            }
+        }
+    }
+
+    /// Guards against unfair division: customers that always wait receive work in proportion to
+    /// their shares, up to one request of each.
+    #[test]
+    fn service_is_proportional_to_shares_within_one_request(
+        shares in prop::collection::vec(1..10_000u32, 2..5),
+        works in prop::collection::vec(1..5_000u32, 300),
+    ) {
+        let now = Instant::now();
+        let mut admission = admission(&shares, ROOMY, now);
+        let largest = f64::from(*works.iter().max().unwrap());
+        let mut tickets = 0..;
+        let mut add = |admission: &mut Admission, customer: usize| {
+            let ticket: Ticket = tickets.next().unwrap();
+            let work = works[ticket as usize % works.len()];
+            admission.offer(Offer { work, ..offer(ticket, customer, now) }, now).unwrap();
+        };
+        for customer in 0..shares.len() {
+            add(&mut admission, customer);
+            add(&mut admission, customer);
+        }
+        let mut served = vec![0.0; shares.len()];
+        for _ in 0..300 {
+            let request = admission.next(&queue(0), now).unwrap();
+            let customer: usize = request.customer[1..].parse().unwrap();
+            served[customer] += f64::from(request.work);
+            add(&mut admission, customer);
+            for (a, b) in (0..shares.len()).flat_map(|a| (0..a).map(move |b| (a, b))) {
+                let (a_share, b_share) = (f64::from(shares[a]), f64::from(shares[b]));
+                let gap = (served[a] / a_share - served[b] / b_share).abs();
+                let bound = largest / a_share + largest / b_share;
+                prop_assert!(gap <= bound * (1.0 + 1e-3), "gap {gap} over bound {bound}");
+            }
+        }
+    }
+}
