--- /dev/null
+++ b/components/process/placement/src/settings.rs
@@ -0,0 +1,30 @@
+//! Settings of placement, derived from the catalogue.
+
+use types::prelude::*;
+
+/// Settings of one group's placement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Weight of avoided cold starts against idle accelerator time, 0 to 100.
+    pub cold_start_weight: u8,
+    /// Cost of one idle accelerator second.
+    pub idle_second_cost_milli: u32,
+    /// Model loads that this group may start from the store a second.
+    pub store_loads_per_second: u32,
+    /// Model loads from the store at one time, over all that the view shows.
+    pub store_concurrent_loads: u32,
+    /// Adapter loads in flight, over all that the view shows.
+    pub store_concurrent_adapters: u32,
+}
+
+impl From<&Deployment> for Settings {
+    fn from(d: &Deployment) -> Self {
+        Self {
+            cold_start_weight: d.cold_start_weight.min(100),
+            idle_second_cost_milli: d.idle_second_cost_milli,
+            store_loads_per_second: d.store_loads_per_second.max(1),
+            store_concurrent_loads: d.store_concurrent_loads.max(1),
+            store_concurrent_adapters: d.store_concurrent_adapters.max(1),
+        }
+    }
+}
--- /dev/null
+++ b/components/process/placement/src/view.rs
@@ -0,0 +1,117 @@
+//! What placement sees of a group: plain data, filled in by the group's owner.
+
+use types::prelude::*;
+
+/// State of one group at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Backend servers of the group, in a stable order.
+    pub servers: Vec<ServerView>,
+    /// Replicas of each model that may still be loaded. A model that is absent has none left.
+    pub allowance_left: HashMap<ModelId, u32>,
+    /// The weight store, as far as the owner knows.
+    pub store: StoreView,
+}
+
+/// The weight store's present work, over all groups that the owner knows of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreView {
+    /// Model loads and prefetches from the store in progress.
+    pub loads_in_progress: u32,
+    /// Adapter loads in flight.
+    pub adapters_in_flight: u32,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerView {
+    /// Its name.
+    pub server: BackendServerId,
+    /// Accelerator memory in all.
+    pub memory_total: u64,
+    /// Accelerator memory neither used nor reserved; at most `memory_total`.
+    pub memory_free: u64,
+    /// Replicas in any phase, those of orders not yet resolved included.
+    pub replicas: Vec<ReplicaView>,
+    /// Models whose checkpoints are in host memory.
+    pub cached_in_memory: Vec<ModelId>,
+    /// Models whose checkpoints are on disk.
+    pub cached_on_disk: Vec<ModelId>,
+    /// Set once any source reports the server as leaving; it gets no decision.
+    pub leaving: bool,
+    /// Set while the server may take no order (an unresolved order, unreachable, not sealed).
+    pub blocked: bool,
+}
+
+/// One replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaView {
+    /// Its number.
+    pub replica: ReplicaId,
+    /// The model.
+    pub model: ModelId,
+    /// Present phase.
+    pub phase: ReplicaPhase,
+    /// Accelerator memory, the adapter pool included.
+    pub memory_bytes: u64,
+    /// When the last request ended or the replica became ready, whichever is later. While
+    /// loading, when the load started.
+    pub last_used: Instant,
+    /// Requests running.
+    pub running: u32,
+    /// Requests queued.
+    pub queued: u32,
+    /// Adapters in the pool, least recently used first.
+    pub adapters: Vec<PooledAdapter>,
+}
+
+/// An adapter in a replica's pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PooledAdapter {
+    /// The adapter.
+    pub adapter: AdapterId,
+    /// Requests that use it at present; it is evicted only at zero.
+    pub running: u32,
+}
+
+impl View {
+    /// Replicas of a model with their servers, in any phase.
+    pub fn replicas_of<'a>(
+        &'a self,
+        model: &'a str,
+    ) -> impl Iterator<Item = (&'a ServerView, &'a ReplicaView)> {
+        self.servers.iter().flat_map(move |s| {
+            s.replicas.iter().filter(move |r| &*r.model == model).map(move |r| (s, r))
+        })
+    }
+
+    /// The server with this name.
+    pub fn server(&self, name: &str) -> Option<&ServerView> {
+        self.servers.iter().find(|s| &*s.server == name)
+    }
+}
+
+impl ServerView {
+    /// Whether the server may get decisions at present.
+    pub fn usable(&self) -> bool {
+        !self.leaving && !self.blocked
+    }
+
+    /// The nearest copy of a checkpoint.
+    pub fn nearest_copy(&self, model: &str) -> LoadSource {
+        if self.cached_in_memory.iter().any(|m| &**m == model) {
+            LoadSource::Memory
+        } else if self.cached_on_disk.iter().any(|m| &**m == model) {
+            LoadSource::Disk
+        } else {
+            LoadSource::Remote
+        }
+    }
+}
+
+impl ReplicaView {
+    /// Whether the replica is ready and has no work.
+    pub fn idle(&self) -> bool {
+        self.phase == ReplicaPhase::Ready && self.running == 0 && self.queued == 0
+    }
+}
