--- a/components/process/placement/src/event.rs
+++ b/components/process/placement/src/event.rs
@@ -11,7 +11,7 @@
     Demand(Demand),
     /// A model load ended.
     LoadEnded(LoadEnded),
-    /// A prefetch to host memory ended.
+    /// A prefetch to host memory ended; the view shows the result.
     PrefetchEnded(LoadEnded),
     /// An adapter load ended.
     AdapterEnded(AdapterEnded),
--- a/components/process/placement/src/lib.rs
+++ b/components/process/placement/src/lib.rs
@@ -4,9 +4,19 @@
 //! decisions. It never exceeds the free memory and the allowances of the view, also while the
 //! view does not yet show what was decided before.
 
+mod adapters;
+mod ahead;
+mod clock;
+mod estimate;
 mod event;
+mod history;
+mod idle;
+mod outstanding;
+mod pending;
 mod placement;
 mod settings;
+mod start;
+mod store;
 mod view;
 
 pub use event::*;
--- /dev/null
+++ b/components/process/placement/src/start.rs
@@ -0,0 +1,245 @@
+//! Starts loads for waiting demand: chooses the order, the server, the copy and what to unload.
+
+use types::prelude::*;
+
+use crate::estimate::UNLOAD;
+use crate::event::Decision;
+use crate::outstanding::What;
+use crate::pending::Claim;
+use crate::placement::Placement;
+use crate::view::{ReplicaView, ServerView, View};
+
+/// Memory that is being freed stays claimed for one load at most this long, so that an unload
+/// that hangs does not hold up the demand.
+const CLAIM_LIMIT: Duration = Duration::from_secs(30);
+/// Demand with more slack does not displace a replica that is worth more than the demand.
+const PATIENT_SLACK: Duration = Duration::from_secs(300);
+
+/// A way to serve one model's demand.
+struct Choice {
+    model: ModelId,
+    server: usize,
+    source: LoadSource,
+    /// Replicas to unload first.
+    victims: Vec<ReplicaId>,
+    /// Worth served for each second of loading.
+    rate: f32,
+}
+
+/// What a server can offer a load at present.
+pub(crate) struct Room<'a> {
+    pub(crate) index: usize,
+    pub(crate) server: &'a ServerView,
+    /// Memory that can be used at once.
+    pub(crate) free: u64,
+    /// Idle replicas with the loss that unloading them is expected to cause, least loss first.
+    pub(crate) idle: Vec<(f32, &'a ReplicaView)>,
+}
+
+impl Room<'_> {
+    /// Idle replicas to unload so that `memory` fits, and the loss; `None` if it cannot fit.
+    pub(crate) fn victims(&self, memory: u64) -> Option<(Vec<ReplicaId>, f32)> {
+        let (mut free, mut loss, mut victims) = (self.free, 0.0, Vec::new());
+        for (l, r) in &self.idle {
+            if free >= memory {
+                break;
+            }
+            free += r.memory_bytes;
+            loss += l;
+            victims.push(r.replica);
+        }
+        (free >= memory).then_some((victims, loss))
+    }
+}
+
+impl Placement {
+    /// Starts what can be started now and frees memory for the rest, most urgent first.
+    pub(crate) fn start_loads(&mut self, view: &View, now: Instant, out: &mut Vec<Decision>) {
+        self.drop_settled(view, now);
+        if self.pending.is_empty() {
+            return;
+        }
+        self.start_claimed(view, now, out);
+        let mut rooms = self.rooms(view, now);
+        while let Some(choice) = self.best_choice(view, &rooms, now) {
+            self.carry_out(choice, view, now, out);
+            rooms = self.rooms(view, now);
+        }
+    }
+
+    /// Drops demand that has lapsed or that a replica covers, and claims that came to nothing.
+    fn drop_settled(&mut self, view: &View, now: Instant) {
+        let Self { pending, outstanding, catalogue, .. } = self;
+        pending.retain(|name, p| {
+            let batch = catalogue.models.get(name).map_or(1, |m| m.max_batch.max(1));
+            let covered = view.replicas_of(name).any(|(s, r)| match r.phase {
+                ReplicaPhase::Loading => !s.leaving,
+                ReplicaPhase::Ready => !s.leaving && r.running + r.queued < batch,
+                ReplicaPhase::Unloading => false,
+            });
+            if covered || p.last_deadline <= now || outstanding.loads_of(name).next().is_some() {
+                return false;
+            }
+            p.claim.take_if(|c| {
+                let server = view.server(&c.server);
+                c.until <= now || server.is_none_or(|s| s.leaving)
+            });
+            true
+        });
+    }
+
+    /// Starts loads whose memory has become free.
+    fn start_claimed(&mut self, view: &View, now: Instant, out: &mut Vec<Decision>) {
+        let claimed: Vec<ModelId> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| p.claim.is_some())
+            .map(|(m, _)| m.clone())
+            .collect();
+        for name in claimed {
+            let Some(claim) = self.pending[&name].claim.clone() else { continue };
+            let Some(index) = view.servers.iter().position(|s| s.server == claim.server) else {
+                continue;
+            };
+            let server = &view.servers[index];
+            let source = server.nearest_copy(&name);
+            let free =
+                server.memory_free.saturating_sub(self.outstanding.unseen_memory(&server.server));
+            let fits = free >= claim.memory && server.usable();
+            if fits && self.allowance(view, &name) > 0 && self.source_open(view, source, now) {
+                self.load(&name, server, source, now, out);
+                self.pending.remove(&name);
+            }
+        }
+    }
+
+    /// What each usable server can offer.
+    pub(crate) fn rooms<'a>(&self, view: &'a View, now: Instant) -> Vec<Room<'a>> {
+        let usable = view.servers.iter().enumerate().filter(|(_, s)| s.usable());
+        let rooms = usable.map(|(index, server)| self.room(index, server, now));
+        rooms.filter(|r| r.free > 0 || !r.idle.is_empty()).collect()
+    }
+
+    fn room<'a>(&self, index: usize, server: &'a ServerView, now: Instant) -> Room<'a> {
+        let claimed: u64 = self
+            .pending
+            .values()
+            .filter_map(|p| p.claim.as_ref().filter(|c| c.server == server.server))
+            .map(|c| c.memory)
+            .sum();
+        let leaving = |r: &&ReplicaView| {
+            r.phase == ReplicaPhase::Unloading
+                || self.outstanding.unloads(&server.server, r.replica)
+        };
+        let coming: u64 = server.replicas.iter().filter(leaving).map(|r| r.memory_bytes).sum();
+        let unseen = self.outstanding.unseen_memory(&server.server);
+        let now_free = server.memory_free.saturating_sub(unseen);
+        let later_free = (server.memory_free + coming).saturating_sub(unseen + claimed);
+        let mut idle: Vec<_> = server
+            .replicas
+            .iter()
+            .filter(|r| r.idle() && !leaving(r) && !self.is_fresh(r, now))
+            .map(|r| (self.loss_of_unload(r, server, now), r))
+            .collect();
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Room { index, server, free: now_free.min(later_free), idle }
+    }
+
+    /// The choice that serves the most worth for each second of loading.
+    fn best_choice(&self, view: &View, rooms: &[Room<'_>], now: Instant) -> Option<Choice> {
+        if rooms.is_empty() {
+            return None;
+        }
+        let store_open = self.source_open(view, LoadSource::Remote, now);
+        let mut best: Option<Choice> = None;
+        for (name, p) in self.pending.iter().filter(|(_, p)| p.claim.is_none()) {
+            let Some(model) = self.catalogue.models.get(name) else { continue };
+            if self.allowance(view, name) == 0 {
+                continue;
+            }
+            let urgency = p.urgency(now);
+            let patient = p.deadline.saturating_duration_since(now) > PATIENT_SLACK;
+            for room in rooms {
+                let source = room.server.nearest_copy(name);
+                if source == LoadSource::Remote && !store_open {
+                    continue;
+                }
+                let mut time = self.estimates.load(model, source);
+                let bound = urgency / time.as_secs_f32().max(0.01);
+                if best.as_ref().is_some_and(|b| bound <= b.rate) {
+                    continue;
+                }
+                let Some((victims, loss)) = room.victims(model.memory_bytes) else { continue };
+                if patient && loss > p.worth() {
+                    continue;
+                }
+                if !victims.is_empty() {
+                    time += UNLOAD;
+                }
+                // The loss of what is unloaded breaks ties between servers that are equally near.
+                let rate = urgency / (time.as_secs_f32().max(0.01) * (1.0 + loss / (loss + 1e4)));
+                if best.as_ref().is_none_or(|b| rate > b.rate) {
+                    let model = name.clone();
+                    best = Some(Choice { model, server: room.index, source, victims, rate });
+                }
+            }
+        }
+        best
+    }
+
+    fn carry_out(&mut self, c: Choice, view: &View, now: Instant, out: &mut Vec<Decision>) {
+        let server = &view.servers[c.server];
+        if c.victims.is_empty() {
+            self.load(&c.model, server, c.source, now, out);
+            self.pending.remove(&c.model);
+            return;
+        }
+        for replica in c.victims {
+            self.unload(server, replica, now, out);
+        }
+        let memory = self.catalogue.models[&c.model].memory_bytes;
+        let until = now + CLAIM_LIMIT;
+        let pending = self.pending.get_mut(&c.model).expect("the choice is for pending demand");
+        pending.claim = Some(Claim { server: server.server.clone(), memory, until });
+    }
+
+    /// Whether a load from this source may start now.
+    pub(crate) fn source_open(&self, view: &View, source: LoadSource, now: Instant) -> bool {
+        source != LoadSource::Remote
+            || (self.store_in_progress(view) < self.settings.store_concurrent_loads
+                && self.store.next_start(self.settings.store_loads_per_second, now) <= now)
+    }
+
+    /// Decides a load; the caller has checked memory, allowance and store.
+    pub(crate) fn load(
+        &mut self,
+        name: &ModelId,
+        server: &ServerView,
+        source: LoadSource,
+        now: Instant,
+        out: &mut Vec<Decision>,
+    ) {
+        let model = &self.catalogue.models[name];
+        let before =
+            server.replicas.iter().filter(|r| r.model == *name).map(|r| r.replica).collect();
+        let ready_at = now + self.estimates.load(model, source);
+        let what = What::Load { model: name.clone(), memory: model.memory_bytes, source, before };
+        self.outstanding.add(server, what, now, ready_at);
+        if source == LoadSource::Remote {
+            self.store.started(now);
+        }
+        out.push(Decision::Load { server: server.server.clone(), model: name.clone(), source });
+    }
+
+    /// Decides an unload.
+    pub(crate) fn unload(
+        &mut self,
+        server: &ServerView,
+        replica: ReplicaId,
+        now: Instant,
+        out: &mut Vec<Decision>,
+    ) {
+        self.outstanding.add(server, What::Unload { replica }, now, now + UNLOAD);
+        out.push(Decision::Unload { server: server.server.clone(), replica });
+    }
+}
--- a/components/process/placement/src/view.rs
+++ b/components/process/placement/src/view.rs
@@ -34,9 +34,9 @@
     /// Replicas in any phase, those of orders not yet resolved included.
     pub replicas: Vec<ReplicaView>,
     /// Models whose checkpoints are in host memory.
-    pub cached_in_memory: Vec<ModelId>,
+    pub cached_in_memory: HashSet<ModelId>,
     /// Models whose checkpoints are on disk.
-    pub cached_on_disk: Vec<ModelId>,
+    pub cached_on_disk: HashSet<ModelId>,
     /// Set once any source reports the server as leaving; it gets no decision.
     pub leaving: bool,
     /// Set while the server may take no order (an unresolved order, unreachable, not sealed).
@@ -99,9 +99,9 @@
 
     /// The nearest copy of a checkpoint.
     pub fn nearest_copy(&self, model: &str) -> LoadSource {
-        if self.cached_in_memory.iter().any(|m| &**m == model) {
+        if self.cached_in_memory.contains(model) {
             LoadSource::Memory
-        } else if self.cached_on_disk.iter().any(|m| &**m == model) {
+        } else if self.cached_on_disk.contains(model) {
             LoadSource::Disk
         } else {
             LoadSource::Remote
@@ -114,4 +114,9 @@
     pub fn idle(&self) -> bool {
         self.phase == ReplicaPhase::Ready && self.running == 0 && self.queued == 0
     }
+
+    /// Whether an adapter is in the pool.
+    pub fn has_adapter(&self, adapter: &str) -> bool {
+        self.adapters.iter().any(|a| &*a.adapter == adapter)
+    }
 }
