--- a/components/connection/backend_server/src/client.rs
+++ b/components/connection/backend_server/src/client.rs
@@ -77,7 +77,7 @@
 }
 
 /// Collects the body of an answer until `deadline`.
-pub(crate) async fn collect(
+pub async fn collect(
     res: Response<Incoming>,
     deadline: Instant,
 ) -> Result<Response<Bytes>, SendError> {
--- a/components/connection/backend_server/src/engine.rs
+++ b/components/connection/backend_server/src/engine.rs
@@ -32,15 +32,24 @@
 /// One change of a prefix cache.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
-    /// Position in the stream of events.
+    /// Position in the stream of events; a missing number is a lost event.
     pub sequence: u64,
+    /// What happened.
+    pub kind: CacheEventKind,
     /// The replica whose cache changed.
     pub replica: ReplicaId,
     /// Hash of the prompt prefix.
     pub prefix: u64,
-    /// Whether the prefix was dropped rather than stored.
-    #[serde(default)]
-    pub evicted: bool,
+}
+
+/// What happened to a prompt prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheEventKind {
+    /// It was stored.
+    Stored,
+    /// It was evicted.
+    Evicted,
 }
 
 impl BackendClient {
@@ -80,19 +89,6 @@
         }
     }
 
-    /// Seals an engine that checks fencing numbers and returns its state afterwards.
-    pub async fn seal(
-        &self,
-        address: &str,
-        order: &Order,
-        deadline: Instant,
-    ) -> Result<Option<ServerReport>, SendError> {
-        match self.order(address, order, deadline).await? {
-            OrderReply::Accepted => self.state(address, deadline).await.map(Some),
-            OrderReply::Stale | OrderReply::Refused(_) => Ok(None),
-        }
-    }
-
     /// Asks an engine to stop working on an attempt.
     pub async fn cancel(
         &self,
--- a/components/connection/backend_server/src/lib.rs
+++ b/components/connection/backend_server/src/lib.rs
@@ -11,9 +11,9 @@
 #[cfg(test)]
 mod client_tests;
 
-pub use client::BackendClient;
+pub use client::{BackendClient, collect};
 pub use connection::Connection;
-pub use engine::{CacheEvent, CacheEvents, OrderReply};
+pub use engine::{CacheEvent, CacheEventKind, CacheEvents, OrderReply};
 pub use error::SendError;
 pub use stream::{TokenEvent, TokenStream};
 
@@ -23,3 +23,5 @@
 pub const PRIORITY_HEADER: &str = "x-priority";
 /// Header with the number of the replica that is to run the request.
 pub const REPLICA_HEADER: &str = "x-replica";
+/// Header by which a backend server states that it did not start a request: `not_run`.
+pub const VERDICT_HEADER: &str = "x-verdict";
--- /dev/null
+++ b/components/process/instance/src/attempt.rs
@@ -0,0 +1,452 @@
+//! One attempt to run a request on a backend server.
+//!
+//! An attempt runs as a task of its own on the loop's thread. It holds the request's typestate and
+//! the caller's reply, and returns both with its result.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use admission::Ticket;
+use backend_server::{
+    ATTEMPT_HEADER, BackendClient, Connection, PRIORITY_HEADER, REPLICA_HEADER, SendError,
+    TokenEvent, TokenStream, VERDICT_HEADER,
+};
+use bytes::Bytes;
+use dispatch::{
+    Answered, CallResult, Progress, Queued, Request, RetryBudget, Sent, StreamEvent,
+};
+use front::{Reply, StreamItem};
+use http::{Method, Response, StatusCode};
+use http_body_util::Full;
+use tokio::sync::mpsc;
+use types::prelude::*;
+
+use crate::pending::{CompletionJob, ReplySlot, ServiceJob};
+
+/// Stream chunks that wait for a slow caller before the engine is read no further.
+const STREAM_BUFFER: usize = 32;
+/// Time for an engine to take a cancellation; nothing waits for it.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What an attempt needs besides the request.
+pub(crate) struct Attempt {
+    pub(crate) ticket: Ticket,
+    pub(crate) client: BackendClient,
+    pub(crate) budget: Rc<RefCell<RetryBudget>>,
+    pub(crate) server: BackendServerId,
+    pub(crate) address: Box<str>,
+    pub(crate) attempt: AttemptId,
+    /// The replica of a completion.
+    pub(crate) replica: Option<ReplicaRef>,
+    pub(crate) priority: u8,
+}
+
+/// How an attempt ended.
+pub(crate) struct AttemptEnd {
+    pub(crate) ticket: Ticket,
+    pub(crate) server: BackendServerId,
+    pub(crate) replica: Option<ReplicaRef>,
+    pub(crate) sent_at: Instant,
+    pub(crate) result: AttemptResult,
+    /// The caller's reply, unless the whole answer was streamed.
+    pub(crate) reply: Option<ReplySlot>,
+    /// When the first part of the answer arrived.
+    pub(crate) first_token_at: Option<Instant>,
+    /// Tokens generated.
+    pub(crate) tokens: u64,
+    /// What the attempt says about the backend server's health.
+    pub(crate) health: CallResult,
+}
+
+/// Result of an attempt.
+pub(crate) enum AttemptResult {
+    /// The whole answer arrived; `Some` if it still has to be passed on.
+    Answered(Request<Answered>, Option<Response<Bytes>>),
+    /// No connection was made; nothing was sent.
+    NotConnected(Request<Queued>),
+    /// The backend server stated that it did not start the request.
+    NotStarted(Request<Sent>),
+    /// The answer is missing or not whole.
+    Failed(Request<Sent>, Reason),
+    /// The caller went away.
+    Abandoned(Request<Sent>),
+}
+
+/// Facts gathered while an attempt runs.
+struct Record {
+    sent_at: Instant,
+    first_token_at: Option<Instant>,
+    tokens: u64,
+}
+
+impl Attempt {
+    /// Runs a completion.
+    pub(crate) async fn complete(
+        self,
+        request: Request<Queued>,
+        job: CompletionJob,
+        mut reply: ReplySlot,
+    ) -> AttemptEnd {
+        let mut record = Record::new();
+        let deadline = request.terms().complete_by;
+        let req = match self.completion_request(&job) {
+            Ok(req) => req,
+            Err(e) => {
+                tracing::error!("dispatch: request cannot be built: {e}");
+                let result = AttemptResult::NotConnected(request);
+                return self.end(record, result, Some(reply), CallResult::Void);
+            }
+        };
+        let request = self.mark_sent(request);
+        let res = tokio::select! {
+            res = self.client.send(req, deadline) => res,
+            () = reply.closed() => {
+                self.cancel();
+                return self.end(record, AttemptResult::Abandoned(request), None, CallResult::Void);
+            }
+        };
+        let res = match res {
+            Ok(res) => res,
+            Err(e) => return self.fail(record, request, Some(reply), &e),
+        };
+        if is_not_started(&res) {
+            let result = AttemptResult::NotStarted(request);
+            return self.end(record, result, Some(reply), CallResult::Bad);
+        }
+        let echoed: AttemptId = echoed_attempt(&res).into();
+        if job.stream && res.status().is_success() {
+            let stream = TokenStream::new(res.into_body());
+            return self.stream(record, request, stream, echoed, reply).await;
+        }
+        let collected = tokio::select! {
+            whole = backend_server::collect(res, deadline) => whole,
+            () = reply.closed() => {
+                self.cancel();
+                return self.end(record, AttemptResult::Abandoned(request), None, CallResult::Void);
+            }
+        };
+        match collected {
+            Ok(res) => {
+                record.first_token();
+                record.tokens = completion_tokens(res.body());
+                self.whole(record, request, &echoed, res, reply)
+            }
+            Err(e) => self.fail(record, request, Some(reply), &e),
+        }
+    }
+
+    /// Runs a call of a plain service. The call goes on if the caller goes away, so that its
+    /// outcome is known to a repeat with the same idempotency key.
+    pub(crate) async fn call(
+        self,
+        request: Request<Queued>,
+        job: ServiceJob,
+        reply: ReplySlot,
+    ) -> AttemptEnd {
+        let mut record = Record::new();
+        let deadline = request.terms().complete_by;
+        let req = match self.service_request(&job) {
+            Ok(req) => req,
+            Err(e) => {
+                tracing::error!("dispatch: request cannot be built: {e}");
+                let result = AttemptResult::NotConnected(request);
+                return self.end(record, result, Some(reply), CallResult::Void);
+            }
+        };
+        let connection = match Connection::open(&self.address, deadline).await {
+            Ok(connection) => connection,
+            Err(e) => {
+                tracing::info!("dispatch: {} not connected: {e}", self.server);
+                let result = AttemptResult::NotConnected(request);
+                return self.end(record, result, Some(reply), CallResult::Bad);
+            }
+        };
+        let request = self.mark_sent(request);
+        match connection.send_and_collect(req, deadline).await {
+            Ok(res) if is_not_started(&res) => {
+                let result = AttemptResult::NotStarted(request);
+                self.end(record, result, Some(reply), CallResult::Bad)
+            }
+            Ok(res) => {
+                record.first_token();
+                // Plain services do not echo attempts; the connection carries this answer only.
+                let own = self.attempt.clone();
+                self.whole(record, request, &own, res, reply)
+            }
+            Err(e) => self.fail(record, request, Some(reply), &e),
+        }
+    }
+
+    fn mark_sent(&self, request: Request<Queued>) -> Request<Sent> {
+        let mut budget = self.budget.borrow_mut();
+        request.send(self.server.clone(), self.attempt.clone(), &mut budget, Instant::now())
+    }
+
+    fn completion_request(&self, job: &CompletionJob) -> Result<http::Request<Full<Bytes>>, http::Error> {
+        let replica = self.replica.as_ref().map_or(0, |r| r.replica);
+        http::Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{}", self.address, job.path))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(ATTEMPT_HEADER, &*self.attempt)
+            .header(PRIORITY_HEADER, self.priority)
+            .header(REPLICA_HEADER, replica)
+            .body(Full::new(job.body.clone()))
+    }
+
+    fn service_request(&self, job: &ServiceJob) -> Result<http::Request<Full<Bytes>>, http::Error> {
+        let mut req = http::Request::builder()
+            .method(job.method.clone())
+            .uri(format!("http://{}{}", self.address, job.path))
+            .header(ATTEMPT_HEADER, &*self.attempt);
+        if let Some(content_type) = &job.content_type {
+            req = req.header(http::header::CONTENT_TYPE, &**content_type);
+        }
+        req.body(Full::new(job.body.clone()))
+    }
+
+    /// Passes a stream on, resuming it where it breaks.
+    async fn stream(
+        self,
+        mut record: Record,
+        mut request: Request<Sent>,
+        mut stream: TokenStream,
+        mut echoed: AttemptId,
+        mut reply: ReplySlot,
+    ) -> AttemptEnd {
+        let deadline = request.terms().complete_by;
+        loop {
+            let event = tokio::select! {
+                event = stream.next(deadline) => event,
+                () = reply.closed() => {
+                    self.cancel();
+                    let result = AttemptResult::Abandoned(request);
+                    return self.end(record, result, None, CallResult::Void);
+                }
+            };
+            let (event, data) = match event {
+                Ok(TokenEvent::Chunk { sequence, data }) => {
+                    (StreamEvent::Part(sequence), Some(data))
+                }
+                Ok(TokenEvent::End) => (StreamEvent::End, None),
+                Err(SendError::DeadlinePassed) => {
+                    self.cancel();
+                    let result = AttemptResult::Failed(request, Reason::DeadlinePassed);
+                    return self.end(record, result, Some(reply), CallResult::Void);
+                }
+                Err(e) => {
+                    tracing::info!("dispatch: stream from {} broke: {e}", self.server);
+                    (StreamEvent::Broken, None)
+                }
+            };
+            match request.accept(&echoed, event) {
+                Progress::Discard => {}
+                Progress::Forward => {
+                    record.first_token();
+                    record.tokens += 1;
+                    let Some(item) = data.map(StreamItem::Chunk) else { continue };
+                    reply = match forward(reply, item, deadline).await {
+                        Ok(reply) => reply,
+                        Err(Undelivered::CallerGone) => {
+                            self.cancel();
+                            let result = AttemptResult::Abandoned(request);
+                            return self.end(record, result, None, CallResult::Void);
+                        }
+                        Err(Undelivered::DeadlinePassed(reply)) => {
+                            self.cancel();
+                            let result = AttemptResult::Failed(request, Reason::DeadlinePassed);
+                            return self.end(record, result, Some(reply), CallResult::Void);
+                        }
+                    };
+                }
+                Progress::Complete => {
+                    return self.finish_stream(record, request, reply, deadline).await;
+                }
+                Progress::Broken => match self.resume(&mut request, deadline).await {
+                    Some((resumed, attempt)) => {
+                        stream = resumed;
+                        echoed = attempt;
+                    }
+                    None => {
+                        let result = AttemptResult::Failed(request, Reason::BackendFailed);
+                        return self.end(record, result, Some(reply), CallResult::Bad);
+                    }
+                },
+            }
+        }
+    }
+
+    async fn finish_stream(
+        self,
+        record: Record,
+        request: Request<Sent>,
+        reply: ReplySlot,
+        deadline: Instant,
+    ) -> AttemptEnd {
+        match request.finish() {
+            Ok(request) => {
+                // A caller that has gone away at the very end has got everything but the marker.
+                let _ = forward(reply, StreamItem::End, deadline).await;
+                self.end(record, AttemptResult::Answered(request, None), None, CallResult::Good)
+            }
+            Err(request) => {
+                let result = AttemptResult::Failed(request, Reason::BackendFailed);
+                self.end(record, result, Some(reply), CallResult::Bad)
+            }
+        }
+    }
+
+    async fn resume(
+        &self,
+        request: &mut Request<Sent>,
+        deadline: Instant,
+    ) -> Option<(TokenStream, AttemptId)> {
+        let resume = request.resume(Instant::now())?;
+        let stream =
+            self.client.resume(&self.address, &resume.attempt, resume.from, deadline).await;
+        match stream {
+            Ok(Some(stream)) => Some((stream, resume.attempt)),
+            Ok(None) => None,
+            Err(e) => {
+                tracing::info!("dispatch: stream from {} not resumed: {e}", self.server);
+                None
+            }
+        }
+    }
+
+    /// Ends the attempt with a whole answer, if it is the answer to this attempt.
+    fn whole(
+        self,
+        record: Record,
+        mut request: Request<Sent>,
+        echoed: &str,
+        res: Response<Bytes>,
+        reply: ReplySlot,
+    ) -> AttemptEnd {
+        let progress = request.accept(echoed, StreamEvent::Whole);
+        let finished = if progress == Progress::Complete { request.finish() } else { Err(request) };
+        match finished {
+            Ok(request) => {
+                let result = AttemptResult::Answered(request, Some(res));
+                self.end(record, result, Some(reply), CallResult::Good)
+            }
+            Err(request) => {
+                tracing::warn!("dispatch: {} answered another attempt: {echoed}", self.server);
+                let result = AttemptResult::Failed(request, Reason::BackendFailed);
+                self.end(record, result, Some(reply), CallResult::Bad)
+            }
+        }
+    }
+
+    fn fail(
+        self,
+        record: Record,
+        request: Request<Sent>,
+        reply: Option<ReplySlot>,
+        e: &SendError,
+    ) -> AttemptEnd {
+        tracing::info!("dispatch: attempt {} at {} failed: {e}", self.attempt, self.server);
+        let reason = match e {
+            SendError::DeadlinePassed => Reason::DeadlinePassed,
+            _ => Reason::BackendFailed,
+        };
+        // Without a connection the engine cannot have started the attempt.
+        let result = match e.verdict() {
+            Verdict::NotRun => AttemptResult::NotStarted(request),
+            Verdict::MayHaveRun => AttemptResult::Failed(request, reason),
+        };
+        self.end(record, result, reply, CallResult::Bad)
+    }
+
+    /// Asks the engine to stop; the answer does not matter.
+    fn cancel(&self) {
+        let (client, address) = (self.client.clone(), self.address.clone());
+        let attempt = self.attempt.clone();
+        tokio::task::spawn_local(async move {
+            let deadline = Instant::now() + CANCEL_TIMEOUT;
+            if let Err(e) = client.cancel(&address, &attempt, deadline).await {
+                tracing::debug!("dispatch: attempt {attempt} not cancelled: {e}");
+            }
+        });
+    }
+
+    fn end(
+        self,
+        record: Record,
+        result: AttemptResult,
+        reply: Option<ReplySlot>,
+        health: CallResult,
+    ) -> AttemptEnd {
+        AttemptEnd {
+            ticket: self.ticket,
+            server: self.server,
+            replica: self.replica,
+            sent_at: record.sent_at,
+            result,
+            reply,
+            first_token_at: record.first_token_at,
+            tokens: record.tokens,
+            health,
+        }
+    }
+}
+
+impl Record {
+    fn new() -> Self {
+        Self { sent_at: Instant::now(), first_token_at: None, tokens: 0 }
+    }
+
+    fn first_token(&mut self) {
+        self.first_token_at.get_or_insert_with(Instant::now);
+    }
+}
+
+/// Why a part was not passed on.
+enum Undelivered {
+    CallerGone,
+    /// The caller reads too slowly.
+    DeadlinePassed(ReplySlot),
+}
+
+/// Passes one item on; the first one begins the stream.
+async fn forward(
+    reply: ReplySlot,
+    item: StreamItem,
+    deadline: Instant,
+) -> Result<ReplySlot, Undelivered> {
+    let tx = match reply {
+        ReplySlot::Streaming(tx) => tx,
+        ReplySlot::Unused(reply) => {
+            let (tx, rx) = mpsc::channel(STREAM_BUFFER);
+            reply.send(Reply::Stream(rx)).map_err(|_| Undelivered::CallerGone)?;
+            tx
+        }
+    };
+    match tokio::time::timeout_at(deadline.into(), tx.send(item)).await {
+        Ok(Ok(())) => Ok(ReplySlot::Streaming(tx)),
+        Ok(Err(_)) => Err(Undelivered::CallerGone),
+        Err(_) => Err(Undelivered::DeadlinePassed(ReplySlot::Streaming(tx))),
+    }
+}
+
+/// Whether the backend server states that it did not start the request.
+fn is_not_started<B>(res: &Response<B>) -> bool {
+    !res.status().is_success()
+        && res.headers().get(VERDICT_HEADER).is_some_and(|v| v.as_bytes() == b"not_run")
+}
+
+fn echoed_attempt<B>(res: &Response<B>) -> &str {
+    res.headers().get(ATTEMPT_HEADER).and_then(|v| v.to_str().ok()).unwrap_or_default()
+}
+
+fn completion_tokens(body: &[u8]) -> u64 {
+    #[derive(serde::Deserialize)]
+    struct Usage {
+        total_tokens: u64,
+    }
+    #[derive(serde::Deserialize)]
+    struct Body {
+        usage: Option<Usage>,
+    }
+    serde_json::from_slice::<Body>(body).ok().and_then(|b| b.usage).map_or(0, |u| u.total_tokens)
+}
--- /dev/null
+++ b/components/process/instance/src/bookings.rs
@@ -0,0 +1,72 @@
+//! Booking of finished requests: metrics, service-level burn and counted work.
+
+use burn::{Burn, Objective};
+use telemetry::OutcomeLabels;
+use types::prelude::*;
+
+use crate::context::Context;
+use crate::finished::Finished;
+use crate::usage::Usage;
+
+/// Everything that is counted.
+pub(crate) struct Bookings {
+    pub(crate) burn: Burn,
+    pub(crate) usage: Usage,
+}
+
+impl Bookings {
+    /// Nothing counted.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self { burn: Burn::new(now), usage: Usage::new(now) }
+    }
+
+    /// Books a finished request.
+    pub(crate) fn book(
+        &mut self,
+        cx: &Context,
+        cfg: &Configuration,
+        finished: &Finished,
+        now: Instant,
+        wall: SystemTime,
+    ) {
+        self.count_metrics(cx, finished);
+        self.usage.count(finished, wall);
+        if !finished.counts_for_service_level() {
+            return;
+        }
+        let class = cfg
+            .contracts
+            .get(&finished.customer)
+            .and_then(|contract| contract.classes.get(&finished.class));
+        if let Some(class) = class {
+            let objective =
+                Objective { version: finished.version, objective: class.objective };
+            let (customer, class) = (&finished.customer, &finished.class);
+            self.burn.record(now, customer, class, objective, finished.in_time);
+        }
+    }
+
+    /// Whether the last flush of a planned stop is done, or is not waited for any longer.
+    pub(crate) fn is_closed(&self, give_up_at: Instant) -> bool {
+        self.usage.is_closed() || Instant::now() >= give_up_at
+    }
+
+    fn count_metrics(&self, cx: &Context, finished: &Finished) {
+        let outcome = match finished.refused {
+            None => "answered".to_owned(),
+            Some(reason) => format!("{reason:?}"),
+        };
+        let labels = OutcomeLabels {
+            customer: finished.customer.to_string(),
+            class: finished.class.to_string(),
+            outcome,
+        };
+        cx.metrics.requests.get_or_create(&labels).inc();
+        if let Some(time) = finished.first_token_in {
+            cx.metrics.first_token.observe(time.as_secs_f64());
+            if finished.was_cold {
+                cx.metrics.cold_start.observe(time.as_secs_f64());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/context.rs
@@ -0,0 +1,96 @@
+//! What every part of the loop uses: connections, the event queue, randomness and metrics.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+
+use backend_server::BackendClient;
+use peer::{Frame, PeerClient};
+use platform::{Call, Client};
+use rand_chacha::ChaCha8Rng;
+use telemetry::Metrics;
+use tokio::sync::mpsc;
+use types::object::{CallId, CallPriority, ObjectAnswer, ObjectCall};
+use types::prelude::*;
+
+use crate::event::{Caller, Event};
+use crate::message::{PeerMessage, PeerReply};
+
+/// Time for a peer to answer a message.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Shared by the parts of one instance. Lives as long as the process.
+#[derive(Clone)]
+pub(crate) struct Context {
+    pub(crate) instance: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) client: BackendClient,
+    pub(crate) platform: Client,
+    /// Time for the answer to one platform call.
+    pub(crate) platform_timeout: Duration,
+    pub(crate) peers: Rc<PeerClient>,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) rng: Rc<RefCell<ChaCha8Rng>>,
+    pub(crate) events: mpsc::UnboundedSender<Event>,
+}
+
+impl Context {
+    /// Runs `work` as a task and passes its event to the loop.
+    pub(crate) fn spawn(&self, work: impl Future<Output = Event> + 'static) {
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            // The loop is gone only when the process stops.
+            let _ = events.send(work.await);
+        });
+    }
+
+    /// Makes one call to the platform; its answer comes back as an event.
+    pub(crate) fn call(
+        &self,
+        caller: Caller,
+        call: CallId,
+        priority: CallPriority,
+        request: ObjectCall,
+    ) {
+        let (platform, metrics) = (self.platform.clone(), Rc::clone(&self.metrics));
+        let limits = Call { deadline: Instant::now() + self.platform_timeout, priority };
+        self.spawn(async move {
+            metrics.platform_calls.inc();
+            let answer = platform.call(&request, limits).await;
+            if matches!(answer, ObjectAnswer::Failed | ObjectAnswer::Lost) {
+                metrics.platform_failures.inc();
+            }
+            Event::Answer { caller, call, answer }
+        });
+    }
+
+    /// Sends a message whose answer does not matter. Losses are tolerated.
+    pub(crate) fn send(&self, address: impl Into<Box<str>>, message: PeerMessage) {
+        let exchange = self.exchange(address.into(), message, Instant::now() + PEER_TIMEOUT);
+        tokio::task::spawn_local(async move {
+            let _ = exchange.await;
+        });
+    }
+
+    /// Sends a message and waits for the answer; `None` if there is none.
+    pub(crate) fn exchange(
+        &self,
+        address: Box<str>,
+        message: PeerMessage,
+        deadline: Instant,
+    ) -> impl Future<Output = Option<PeerReply>> + 'static {
+        let peers = Rc::clone(&self.peers);
+        let frame = Frame::encode(&self.instance, self.incarnation, &message);
+        async move {
+            let outcome = async { peers.exchange(&address, frame?, deadline).await?.decode() };
+            match outcome.await {
+                Ok(reply) => Some(reply),
+                Err(e) => {
+                    tracing::debug!("peer: message to {address} failed: {e}");
+                    None
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/control.rs
@@ -0,0 +1,381 @@
+//! Ownership, membership and configuration: carries out their actions.
+
+use configuration::ConfigurationMessage;
+use front::KeyTable;
+use membership::MemberState;
+use platform::{Call, Error};
+use rand::Rng;
+use types::object::CallPriority;
+use types::prelude::*;
+use types::status::InstanceStatus;
+
+use crate::context::Context;
+use crate::directory::{key_group, key_range, limits_group};
+use crate::event::{Caller, Event};
+use crate::instance::{Drain, Instance};
+use crate::message::PeerMessage;
+use crate::operators::Status;
+
+/// Time for reading the platform's list.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long one watch lasts before it is renewed.
+const WATCH_TIME: Duration = Duration::from_secs(60);
+/// Pause before a broken watch is started again.
+const WATCH_RETRY: Duration = Duration::from_millis(500);
+/// Time for handing ownership over at a planned stop. Without the platform nobody can take over,
+/// so that waiting longer would serve nobody.
+const HAND_OVER_TIME: Duration = Duration::from_secs(10);
+
+impl Instance {
+    pub(crate) fn on_ownership_actions(&mut self, actions: Vec<ownership::Action>, now: Instant) {
+        for action in actions {
+            match action {
+                ownership::Action::Call { call, priority, request } => {
+                    self.cx.call(Caller::Ownership, call, priority, request);
+                }
+                ownership::Action::LeaseExtended { until } => {
+                    self.groups.values_mut().for_each(|owned| owned.group.set_lease(until));
+                }
+                ownership::Action::Gained { group, fencing } => self.on_gained(group, fencing, now),
+                ownership::Action::Lapsed { group } => self.on_lapsed(&group, now),
+                ownership::Action::Lost { group } => self.on_lost(&group, now),
+                ownership::Action::Release { group } => self.on_release(group, now),
+                ownership::Action::Announce(announcement) => {
+                    self.broadcast(&PeerMessage::Announcement(announcement));
+                }
+                ownership::Action::SendHandover { to, handover } => {
+                    self.send(&to, PeerMessage::Handover(handover));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn on_membership_actions(&mut self, actions: Vec<membership::Action>, now: Instant) {
+        let mut members_changed = false;
+        for action in actions {
+            match action {
+                membership::Action::SendHeartbeat { address, heartbeat } => {
+                    self.cx.send(address, PeerMessage::Heartbeat(heartbeat));
+                }
+                membership::Action::SendSummary { address, summary } => {
+                    self.cx.send(address, PeerMessage::Summary(summary));
+                }
+                membership::Action::MemberChanged { instance, incarnation, state } => {
+                    members_changed = true;
+                    tracing::info!("membership: {instance} is {state:?}");
+                    if state == MemberState::Failed {
+                        let wall = SystemTime::now();
+                        self.bookings.usage.died(instance, incarnation, wall);
+                    }
+                }
+                membership::Action::PeerVersion { instance, version } => {
+                    let rng = self.cx.rng.clone();
+                    let actions = self.follower.on_peer_version(
+                        now,
+                        &instance,
+                        version,
+                        &mut *rng.borrow_mut(),
+                    );
+                    self.on_configuration_actions(actions, now);
+                }
+                membership::Action::SummaryChanged { data_centre } => {
+                    self.on_summary_changed(&data_centre, now);
+                }
+            }
+        }
+        if members_changed {
+            self.on_members_changed(now);
+        }
+    }
+
+    pub(crate) fn on_configuration_actions(
+        &mut self,
+        actions: Vec<configuration::Action>,
+        now: Instant,
+    ) {
+        for action in actions {
+            match action {
+                configuration::Action::Call { call, request } => {
+                    self.cx.call(Caller::Configuration, call, CallPriority::Ordinary, request);
+                }
+                configuration::Action::StartWatch => self.start_watch(),
+                configuration::Action::StopWatch => {
+                    if let Some(watch) = self.head_watch.take() {
+                        watch.abort();
+                    }
+                }
+                configuration::Action::Send { to, message } => {
+                    self.send(&to, PeerMessage::Configuration(message));
+                }
+                configuration::Action::Adopted(cfg) => self.on_adopted(&cfg, now),
+            }
+        }
+    }
+
+    pub(crate) fn on_configuration_message(
+        &mut self,
+        from: &InstanceId,
+        message: ConfigurationMessage,
+        now: Instant,
+    ) {
+        let rng = self.cx.rng.clone();
+        let actions = self.follower.on_message(now, from, message, &mut *rng.borrow_mut());
+        self.on_configuration_actions(actions, now);
+    }
+
+    /// Runs what is due in ownership, membership and configuration.
+    pub(crate) fn control_timers(&mut self, now: Instant) {
+        let rng = self.cx.rng.clone();
+        if self.ownership.next_timer().is_some_and(|at| at <= now) {
+            let actions = self.ownership.on_timer(now, &mut *rng.borrow_mut());
+            self.on_ownership_actions(actions, now);
+        }
+        if self.membership.next_timer() <= now {
+            self.membership.set_summary_body(self.summary_body());
+            let actions = self.membership.on_timer(now, &mut *rng.borrow_mut());
+            self.on_membership_actions(actions, now);
+        }
+        if self.follower.next_timer().is_some_and(|at| at <= now) {
+            let actions = self.follower.on_timer(now, &mut *rng.borrow_mut());
+            self.on_configuration_actions(actions, now);
+        }
+    }
+
+    /// Reads the platform's list.
+    pub(crate) fn read_list(&self) {
+        let client = self.cx.platform.clone();
+        self.cx.spawn(async move {
+            let list = client.instances(Call::by(Instant::now() + LIST_TIMEOUT)).await;
+            if let Err(e) = &list {
+                tracing::debug!("platform: list not read: {e}");
+            }
+            Event::List(list.ok())
+        });
+    }
+
+    /// Takes the platform's list.
+    pub(crate) fn on_list(&mut self, list: Option<Vec<ListedInstance>>, now: Instant) {
+        let Some(list) = list else { return };
+        let own = self.cx.data_centre.clone();
+        let actions = self.membership.on_list(now, &list);
+        self.directory.update(list, &own);
+        self.requests.router.platform_list(&self.directory.of_data_centre(&own));
+        self.ownership.set_groups(now, self.directory.candidate_groups(&own));
+        self.on_membership_actions(actions, now);
+        self.on_members_changed(now);
+        self.update_group_lists(now);
+        self.requests.pump_all(&self.cx, now);
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn begin_drain(&mut self, now: Instant) {
+        tracing::info!("instance: stop requested; handing over and finishing requests");
+        self.drain = Drain::Draining { hand_over_by: now + HAND_OVER_TIME };
+        let rng = self.cx.rng.clone();
+        let actions = self.membership.leave(now, &mut *rng.borrow_mut());
+        self.on_membership_actions(actions, now);
+        let actions = self.ownership.stop(now, &mut *rng.borrow_mut());
+        self.on_ownership_actions(actions, now);
+    }
+
+    /// Sends a message to an instance of any data centre, if its address is known.
+    pub(crate) fn send(&self, to: &str, message: PeerMessage) {
+        match self.address_of(to) {
+            Some(address) => self.cx.send(address, message),
+            None => tracing::debug!("peer: address of {to} is not known"),
+        }
+    }
+
+    /// Sends a message to every other live instance of the data centre.
+    pub(crate) fn broadcast(&self, message: &PeerMessage) {
+        for (instance, address) in self.membership.live() {
+            if instance != self.cx.instance {
+                self.cx.send(address, message.clone());
+            }
+        }
+    }
+
+    pub(crate) fn address_of(&self, instance: &str) -> Option<Box<str>> {
+        let member = self.membership.address(instance).map(Into::into);
+        member.or_else(|| self.directory.peer_address(instance))
+    }
+
+    /// What operators are told.
+    pub(crate) fn status(&self, now: Instant) -> Status {
+        let (waiting, running) = self.requests.counts();
+        self.cx.metrics.queued.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        self.cx.metrics.running.set(i64::try_from(running).unwrap_or(i64::MAX));
+        let blocked = self.owned.keys().filter_map(|g| self.groups.get(g)).flat_map(|owned| {
+            let servers = owned.group.view(now).servers;
+            servers.into_iter().filter(|(_, s)| s.blocked).map(|(name, _)| name)
+        });
+        Status {
+            summary: InstanceStatus {
+                instance: self.cx.instance.clone(),
+                data_centre: self.cx.data_centre.clone(),
+                configuration_version: self.follower.current().version,
+                owned_groups: self.owned.keys().cloned().collect(),
+                ready: self.is_ready(now),
+            },
+            stopping: self.drain != Drain::Serving,
+            platform_reachable: !self.cx.platform.is_failing(),
+            live_instances: self.membership.live().into_keys().collect(),
+            reachable_data_centres: self.membership.reachable_data_centres(now),
+            waiting,
+            running,
+            blocked_servers: blocked.collect(),
+        }
+    }
+
+    fn is_ready(&self, now: Instant) -> bool {
+        self.drain == Drain::Serving
+            && self.follower.current().version > 0
+            && self.follower.is_started(now)
+    }
+
+    fn on_members_changed(&mut self, now: Instant) {
+        let live: BTreeSet<InstanceId> = self.membership.live().into_keys().collect();
+        self.ownership.set_members(now, live.clone());
+        let rng = self.cx.rng.clone();
+        let actions = self.follower.set_members(now, live, &mut *rng.borrow_mut());
+        self.on_configuration_actions(actions, now);
+        self.cx.peers.retain(|address| {
+            self.membership.live().values().any(|known| **known == *address)
+                || self.directory.list().iter().any(|listed| *listed.address == *address)
+        });
+    }
+
+    fn on_adopted(&mut self, cfg: &std::sync::Arc<Configuration>, now: Instant) {
+        tracing::info!("configuration: version {} in effect", cfg.version);
+        let keys: KeyTable = cfg
+            .contracts
+            .values()
+            .flat_map(|c| c.key_hashes.iter().map(|hash| (hash.clone(), c.customer.clone())))
+            .collect();
+        self.key_table.send_replace(keys.into());
+        self.requests.configure(cfg.clone());
+        self.bookings.usage.adopted(cfg, SystemTime::now());
+        self.bookings.burn.retain(cfg);
+        self.groups.values_mut().for_each(|owned| owned.configure(cfg));
+        self.shares.apply(&mut self.requests, cfg, now);
+        self.membership.set_configuration(cfg.version);
+        let version = i64::try_from(cfg.version).unwrap_or(i64::MAX);
+        self.cx.metrics.configuration_version.set(version);
+    }
+
+    fn on_gained(&mut self, group: GroupId, fencing: FencingNumber, now: Instant) {
+        tracing::info!("ownership: {group} gained with fencing number {fencing}");
+        self.owned.insert(group.clone(), fencing);
+        self.count_owned();
+        if let Some(range) = key_range(&group) {
+            self.keys.gained(range, fencing);
+        } else if group == limits_group(&self.cx.data_centre) {
+            self.shares.gained(fencing, now);
+        } else {
+            self.gain_server_group(group, fencing, now);
+        }
+    }
+
+    fn on_lapsed(&mut self, group: &GroupId, now: Instant) {
+        tracing::warn!("ownership: lease lapsed; {group} is held under standing permits only");
+        if let Some(range) = key_range(group) {
+            self.keys.lost(range);
+        } else if *group == limits_group(&self.cx.data_centre) {
+            self.shares.lost();
+        } else if let Some(owned) = self.groups.get_mut(group) {
+            owned.group.on_lapsed(now);
+        }
+    }
+
+    fn on_lost(&mut self, group: &GroupId, now: Instant) {
+        tracing::info!("ownership: {group} lost");
+        self.owned.remove(group);
+        self.count_owned();
+        if let Some(range) = key_range(group) {
+            self.keys.lost(range);
+        } else if *group == limits_group(&self.cx.data_centre) {
+            self.shares.lost();
+        } else if let Some(owned) = self.groups.get_mut(group) {
+            owned.group.on_lost(now);
+        }
+    }
+
+    fn on_release(&mut self, group: GroupId, now: Instant) {
+        if self.groups.contains_key(&group) {
+            self.with_group(&group, now, |owned, _, rng| {
+                let actions = owned.group.release(now, rng);
+                owned.act(actions, now);
+            });
+        } else {
+            self.released(&group, now);
+        }
+    }
+
+    pub(crate) fn released(&mut self, group: &GroupId, now: Instant) {
+        let rng = self.cx.rng.clone();
+        let actions = self.ownership.released(now, group, &mut *rng.borrow_mut());
+        self.on_ownership_actions(actions, now);
+    }
+
+    fn count_owned(&self) {
+        self.cx.metrics.owned_groups.set(i64::try_from(self.owned.len()).unwrap_or(i64::MAX));
+    }
+
+    fn start_watch(&mut self) {
+        let cx = self.cx.clone();
+        let watch = tokio::task::spawn_local(async move { watch_head(cx).await });
+        if let Some(old) = self.head_watch.replace(watch.abort_handle()) {
+            old.abort();
+        }
+    }
+
+    /// The present owner of a key range, wherever it runs.
+    pub(crate) fn key_owner(&self, range: u32, now: Instant) -> Option<InstanceId> {
+        let group = key_group(range);
+        let data_centre = self.directory.key_data_centre(range)?;
+        if *data_centre == self.cx.data_centre {
+            return self.ownership.owner_hint(&group).cloned();
+        }
+        let summary = self.membership.summary(now, data_centre)?;
+        let ranges = &summary.body.as_ref()?.key_ranges;
+        ranges.iter().find(|(name, _)| *name == group).map(|(_, owner)| owner.clone())
+    }
+
+    /// Draws a nonce.
+    pub(crate) fn nonce(&self) -> Nonce {
+        self.cx.rng.borrow_mut().random()
+    }
+}
+
+/// Watches the head until the task is ended, and reports each change and each new watch.
+async fn watch_head(cx: Context) {
+    let mut since = 0;
+    loop {
+        let call = Call::by(Instant::now() + WATCH_TIME);
+        match cx.platform.watch::<serde_json::Value>("configuration", "head", since, call).await {
+            Ok(mut watch) => {
+                // A change may have come before the watch.
+                let _ = cx.events.send(Event::HeadChanged);
+                loop {
+                    match watch.next().await {
+                        Ok(Some(change)) => {
+                            since = change.version;
+                            let _ = cx.events.send(Event::HeadChanged);
+                        }
+                        Ok(None) => break,
+                        Err(e) => {
+                            tracing::debug!("configuration: watch broke: {e}");
+                            tokio::time::sleep(WATCH_RETRY).await;
+                            break;
+                        }
+                    }
+                }
+            }
+            Err(Error::TooOld) => since = 0,
+            Err(e) => {
+                tracing::debug!("configuration: head not watched: {e}");
+                tokio::time::sleep(WATCH_RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/directory.rs
@@ -0,0 +1,96 @@
+//! What the platform's list says, and which groups this data centre's instances may own.
+
+use idempotency::KEY_RANGES;
+use types::prelude::*;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Name of the group of a key range.
+pub(crate) fn key_group(range: u32) -> GroupId {
+    format!("keys/{range}").into()
+}
+
+/// The key range that a group name stands for.
+pub(crate) fn key_range(group: &str) -> Option<u32> {
+    group.strip_prefix("keys/")?.parse().ok()
+}
+
+/// Name of the group whose owner grants limit shares in a data centre.
+pub(crate) fn limits_group(data_centre: &str) -> GroupId {
+    format!("limits/{data_centre}").into()
+}
+
+/// The platform's list, sorted for use.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    list: Vec<ListedInstance>,
+    /// Groups of engines in the own data centre.
+    groups: BTreeSet<GroupId>,
+    data_centres: BTreeSet<DataCentreId>,
+}
+
+impl Directory {
+    /// Takes a newer list.
+    pub(crate) fn update(&mut self, list: Vec<ListedInstance>, own: &DataCentreId) {
+        let is_own_engine =
+            |l: &&ListedInstance| l.role == ListedRole::Engine && l.data_centre == *own;
+        self.groups = list.iter().filter(is_own_engine).map(|l| l.group.clone()).collect();
+        self.data_centres = list
+            .iter()
+            .filter(|l| l.role == ListedRole::Entry)
+            .map(|l| l.data_centre.clone())
+            .chain([own.clone()])
+            .collect();
+        self.list = list;
+    }
+
+    /// The whole list.
+    pub(crate) fn list(&self) -> &[ListedInstance] {
+        &self.list
+    }
+
+    /// Entries of a data centre.
+    pub(crate) fn of_data_centre(&self, data_centre: &str) -> Vec<ListedInstance> {
+        self.list.iter().filter(|l| *l.data_centre == *data_centre).cloned().collect()
+    }
+
+    /// Engines of a group of the own data centre.
+    pub(crate) fn engines(&self, group: &str, own: &str) -> Vec<ListedInstance> {
+        let in_group = |l: &&ListedInstance| {
+            l.role == ListedRole::Engine && *l.group == *group && *l.data_centre == *own
+        };
+        self.list.iter().filter(in_group).cloned().collect()
+    }
+
+    /// Data centres with entry instances, the own one included.
+    pub(crate) fn data_centres(&self) -> &BTreeSet<DataCentreId> {
+        &self.data_centres
+    }
+
+    /// Peer address of an entry instance.
+    pub(crate) fn peer_address(&self, instance: &str) -> Option<Box<str>> {
+        let is_it = |l: &&ListedInstance| l.role == ListedRole::Entry && *l.name == *instance;
+        self.list.iter().find(is_it).map(|l| l.address.clone())
+    }
+
+    /// Groups for which the own data centre's instances are candidates.
+    pub(crate) fn candidate_groups(&self, own: &DataCentreId) -> BTreeSet<GroupId> {
+        let keys = (0..KEY_RANGES)
+            .filter(|range| self.key_data_centre(*range) == Some(own))
+            .map(key_group);
+        self.groups.iter().cloned().chain(keys).chain([limits_group(own)]).collect()
+    }
+
+    /// The data centre whose instances are candidates for a key range.
+    pub(crate) fn key_data_centre(&self, range: u32) -> Option<&DataCentreId> {
+        let score = |d: &&DataCentreId| xxh3_64_with_seed(d.as_bytes(), range.into());
+        self.data_centres.iter().max_by_key(score)
+    }
+
+    /// Engine groups of the own data centre in the order in which they are asked for a model.
+    pub(crate) fn groups_for(&self, model: &str) -> Vec<GroupId> {
+        let seed = xxhash_rust::xxh3::xxh3_64(model.as_bytes());
+        let mut groups: Vec<GroupId> = self.groups.iter().cloned().collect();
+        groups.sort_by_cached_key(|g| std::cmp::Reverse(xxh3_64_with_seed(g.as_bytes(), seed)));
+        groups
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/event.rs
@@ -0,0 +1,65 @@
+//! Events that tasks pass to the loop.
+
+use admission::Ticket;
+use admission::shares::{Holding, ShareGrant};
+use backend_server::{CacheEvents, SendError};
+use group::OrderResult;
+use idempotency::Segment;
+use types::object::{CallId, ObjectAnswer};
+use types::prelude::*;
+
+use crate::attempt::AttemptEnd;
+use crate::message::{ClaimAnswer, DemandReply};
+
+/// Result of a task.
+pub(crate) enum Event {
+    /// A platform call ended.
+    Answer { caller: Caller, call: CallId, answer: ObjectAnswer },
+    /// The platform's list was read, or could not be read.
+    List(Option<Vec<ListedInstance>>),
+    /// The watched head changed, or its watch was started again.
+    HeadChanged,
+    /// A backend server's report was read, or could not be read.
+    Report {
+        group: GroupId,
+        server: BackendServerId,
+        requested: Instant,
+        result: Result<Box<ServerReport>, SendError>,
+    },
+    /// Sending an order ended.
+    OrderResult {
+        group: GroupId,
+        server: BackendServerId,
+        order: OrderId,
+        result: OrderResult,
+    },
+    /// Cache events of a backend server were read.
+    CacheEvents { group: GroupId, server: BackendServerId, events: CacheEvents },
+    /// An attempt ended.
+    Attempt(Box<AttemptEnd>),
+    /// The owner of a group answered a demand, or could not be reached.
+    Demand { target: Target, group: GroupId, reply: Option<DemandReply> },
+    /// The owner of a key range answered a claim, or could not be reached.
+    Claim { ticket: Ticket, answer: Option<ClaimAnswer> },
+    /// The holder of the limits answered.
+    Share(Option<ShareGrant>),
+    /// The data centre's standing share was read, or could not be read.
+    Holding { fencing: FencingNumber, holding: Option<Holding> },
+    /// The deletion of a segment of a key range ended.
+    SegmentDeleted { range: u32, number: u64, gone: bool },
+    /// Writing counted work ended.
+    WorkWritten { generation: u64, written: bool },
+    /// Writing a group's ended intervals ended.
+    UsageWritten { group: GroupId, replicas: Vec<ReplicaId>, written: bool },
+    /// The stored segments of a key range were read, or could not be read.
+    Segments { range: u32, stored: Option<Vec<(ObjectVersion, Segment)>> },
+}
+
+/// Part of the loop that made a platform call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Caller {
+    Ownership,
+    Configuration,
+    Group(GroupId),
+    KeyRange(u32),
+}
--- /dev/null
+++ b/components/process/instance/src/keys.rs
@@ -0,0 +1,278 @@
+//! Idempotency keys: ranges that this instance owns and claims that it makes.
+
+use admission::Ticket;
+use idempotency::{
+    Action, Claim, ClaimReply, Decision, KeyHash, KeyRange, Segment, Token, Write, WriteResult,
+    range_of, segment_name,
+};
+use platform::{Call, WriteOutcome};
+use rand::Rng;
+use tokio::sync::oneshot;
+use types::object::{CallPriority, Condition, ObjectAnswer, ObjectCall, ObjectKey, decode, encode};
+use types::prelude::*;
+
+use crate::context::Context;
+use crate::event::{Caller, Event};
+use crate::message::{ClaimAnswer, ClaimMessage, FinishMessage};
+
+/// How long records are kept. A caller that repeats a call after a day gets it run again.
+const RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// Time for the platform to list or delete segments.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+const KIND: &str = "idempotency";
+
+/// Who waits for the decision on a claim.
+#[derive(Debug)]
+pub(crate) enum Claimant {
+    /// A request of this instance.
+    Own(Ticket),
+    /// Another instance.
+    Peer(oneshot::Sender<ClaimAnswer>),
+}
+
+#[derive(Debug)]
+struct OwnedRange {
+    range: KeyRange,
+    claimants: HashMap<Token, Claimant>,
+    /// What the platform call in progress is for.
+    call: Option<Outstanding>,
+}
+
+#[derive(Debug)]
+enum Outstanding {
+    Write,
+    Read,
+    Other,
+}
+
+/// Key ranges that this instance owns.
+#[derive(Debug, Default)]
+pub(crate) struct KeyRanges {
+    ranges: BTreeMap<u32, OwnedRange>,
+    next_token: Token,
+    /// Decisions for requests of this instance.
+    decided: Vec<(Ticket, ClaimAnswer)>,
+}
+
+impl KeyRanges {
+    /// The instance owns a range from now on.
+    pub(crate) fn gained(&mut self, range: u32, fencing: FencingNumber) {
+        let owned = OwnedRange {
+            range: KeyRange::new(range, fencing),
+            claimants: HashMap::new(),
+            call: None,
+        };
+        self.lost(range);
+        self.ranges.insert(range, owned);
+    }
+
+    /// The instance owns a range no longer; waiting claims are refused as not recorded.
+    pub(crate) fn lost(&mut self, range: u32) {
+        let Some(owned) = self.ranges.remove(&range) else { return };
+        let refusal = Refusal::not_run(Reason::RecordUnavailable);
+        for claimant in owned.claimants.into_values() {
+            tell(claimant, refused(&refusal), &mut self.decided);
+        }
+    }
+
+    /// Owned ranges.
+    pub(crate) fn owned(&self) -> impl Iterator<Item = u32> + '_ {
+        self.ranges.keys().copied()
+    }
+
+    /// Whether this instance owns the range of a key.
+    pub(crate) fn owns(&self, key: &KeyHash) -> bool {
+        self.ranges.contains_key(&range_of(key))
+    }
+
+    /// Takes decisions for requests of this instance.
+    pub(crate) fn take_decided(&mut self) -> Vec<(Ticket, ClaimAnswer)> {
+        std::mem::take(&mut self.decided)
+    }
+
+    /// Takes a claim on an owned range.
+    pub(crate) fn claim(
+        &mut self,
+        message: ClaimMessage,
+        claimant: Claimant,
+        now: Instant,
+        wall: SystemTime,
+    ) {
+        let Some(owned) = self.ranges.get_mut(&range_of(&message.key)) else {
+            let refusal = Refusal::not_run(Reason::RecordUnavailable);
+            return tell(claimant, refused(&refusal), &mut self.decided);
+        };
+        self.next_token += 1;
+        let claim = Claim {
+            token: self.next_token,
+            key: message.key,
+            fingerprint: message.fingerprint,
+            expires_at: wall + RETENTION,
+            decide_by: crate::message::deadline_in(message.decide_within_ms, now),
+        };
+        match owned.range.claim(claim, now, wall) {
+            ClaimReply::Pending => {
+                owned.claimants.insert(self.next_token, claimant);
+            }
+            ClaimReply::Recorded(answer) => {
+                tell(claimant, ClaimAnswer::Recorded(answer), &mut self.decided);
+            }
+            ClaimReply::Refused(refusal) => tell(claimant, refused(&refusal), &mut self.decided),
+        }
+    }
+
+    /// A granted call has ended.
+    pub(crate) fn finish(&mut self, message: FinishMessage) {
+        if let Some(owned) = self.ranges.get_mut(&range_of(&message.key)) {
+            owned.range.finish(&message.key, &message.fingerprint, message.state);
+        }
+    }
+
+    /// Refuses claims that were not stored in time and makes due platform calls.
+    pub(crate) fn on_timer(&mut self, cx: &Context, now: Instant, wall: SystemTime) {
+        for (number, owned) in &mut self.ranges {
+            let decisions = owned.range.expire(now);
+            owned.tell_all(decisions, &mut self.decided);
+            if owned.call.is_some() {
+                continue;
+            }
+            let nonce = cx.rng.borrow_mut().random();
+            if let Some(action) = owned.range.poll(nonce, now, wall) {
+                owned.call = Some(start(cx, *number, action));
+            }
+        }
+    }
+
+    /// When `on_timer` is due.
+    pub(crate) fn next_timer(&self) -> Option<Instant> {
+        let idle = self.ranges.values().filter(|owned| owned.call.is_none());
+        idle.filter_map(|owned| owned.range.next_deadline()).min()
+    }
+
+    /// Takes the answer to a platform call of a range.
+    pub(crate) fn on_answer(&mut self, range: u32, answer: ObjectAnswer, now: Instant) {
+        let Some(owned) = self.ranges.get_mut(&range) else { return };
+        let decisions = match owned.call.take() {
+            Some(Outstanding::Write) => owned.range.written(write_result(&answer), now),
+            Some(Outstanding::Read) => owned.range.read_back(stored(&answer), now),
+            Some(Outstanding::Other) | None => Vec::new(),
+        };
+        owned.tell_all(decisions, &mut self.decided);
+    }
+
+    /// Takes the stored segments of a range; returns false if the range has another owner.
+    pub(crate) fn on_segments(
+        &mut self,
+        range: u32,
+        stored: Option<Vec<(ObjectVersion, Segment)>>,
+        wall: SystemTime,
+    ) -> bool {
+        let Some(owned) = self.ranges.get_mut(&range) else { return true };
+        owned.call = None;
+        stored.is_none_or(|stored| owned.range.recover(stored, wall))
+    }
+
+    /// Takes the outcome of the deletion of a segment.
+    pub(crate) fn on_deleted(&mut self, range: u32, number: u64, gone: bool) {
+        if let Some(owned) = self.ranges.get_mut(&range) {
+            owned.call = None;
+            owned.range.deleted(number, gone);
+        }
+    }
+}
+
+impl OwnedRange {
+    fn tell_all(&mut self, decisions: Vec<Decision>, decided: &mut Vec<(Ticket, ClaimAnswer)>) {
+        for decision in decisions {
+            let (token, answer) = match decision {
+                Decision::Granted(token) => (token, ClaimAnswer::Granted),
+                Decision::Refused(token, refusal) => (token, refused(&refusal)),
+            };
+            if let Some(claimant) = self.claimants.remove(&token) {
+                tell(claimant, answer, decided);
+            }
+        }
+    }
+}
+
+fn tell(claimant: Claimant, answer: ClaimAnswer, decided: &mut Vec<(Ticket, ClaimAnswer)>) {
+    match claimant {
+        Claimant::Own(ticket) => decided.push((ticket, answer)),
+        // The other instance may have given up; its request then ends as not run.
+        Claimant::Peer(reply) => drop(reply.send(answer)),
+    }
+}
+
+fn refused(refusal: &Refusal) -> ClaimAnswer {
+    ClaimAnswer::Refused { verdict: refusal.verdict, reason: refusal.reason }
+}
+
+fn start(cx: &Context, range: u32, action: Action) -> Outstanding {
+    match action {
+        Action::Write(write) => {
+            let Write { condition, segment } = *write;
+            let condition = match condition {
+                idempotency::Condition::Absent => Condition::Absent,
+                idempotency::Condition::Version(version) => Condition::Version(version),
+            };
+            let key = ObjectKey::new(KIND, segment_name(range, segment.number));
+            let request = ObjectCall::Write { key, condition, value: encode(&segment) };
+            cx.call(Caller::KeyRange(range), 0, CallPriority::Ordinary, request);
+            Outstanding::Write
+        }
+        Action::Read(number) => {
+            let request =
+                ObjectCall::Read { key: ObjectKey::new(KIND, segment_name(range, number)) };
+            cx.call(Caller::KeyRange(range), 0, CallPriority::Ordinary, request);
+            Outstanding::Read
+        }
+        Action::Recover => {
+            let client = cx.platform.clone();
+            cx.spawn(async move {
+                let call = Call::by(Instant::now() + PLATFORM_TIMEOUT);
+                let prefix = format!("{range:04}-");
+                let listed = client.list::<Segment>(KIND, &prefix, call).await;
+                if let Err(e) = &listed {
+                    tracing::warn!("idempotency: range {range} not read: {e}");
+                }
+                let stored = listed
+                    .ok()
+                    .map(|l| l.objects.into_iter().map(|o| (o.version, o.value)).collect());
+                Event::Segments { range, stored }
+            });
+            Outstanding::Other
+        }
+        Action::Delete(number, version) => {
+            let client = cx.platform.clone();
+            cx.spawn(async move {
+                let key = ObjectKey::new(KIND, segment_name(range, number));
+                let call = Call::by(Instant::now() + PLATFORM_TIMEOUT);
+                let outcome = client.delete::<Segment>(&key, version, call).await;
+                let gone = matches!(outcome, WriteOutcome::Written { .. });
+                Event::SegmentDeleted { range, number, gone }
+            });
+            Outstanding::Other
+        }
+    }
+}
+
+fn write_result(answer: &ObjectAnswer) -> WriteResult {
+    match answer {
+        ObjectAnswer::Written { version } => WriteResult::Written(*version),
+        ObjectAnswer::Conflict => WriteResult::Conflict,
+        ObjectAnswer::Failed => WriteResult::NotSent,
+        ObjectAnswer::Found { .. } | ObjectAnswer::Missing | ObjectAnswer::Lost => {
+            WriteResult::Lost
+        }
+    }
+}
+
+fn stored(answer: &ObjectAnswer) -> Result<Option<(ObjectVersion, Segment)>, ()> {
+    match answer {
+        ObjectAnswer::Found { version, value } => {
+            decode(value).map(|segment| Some((*version, segment))).ok_or(())
+        }
+        ObjectAnswer::Missing => Ok(None),
+        _ => Err(()),
+    }
+}
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -1,1 +1,34 @@
-//! The loop of one entry instance.
+//! One entry instance: the loop that drives all components in `serve`.
+//!
+//! Everything runs on one thread. Decisions are taken by state machines without I/O; this crate
+//! passes events to them and carries out their actions as tasks, whose results are events again.
+//! The modules stand by life span: [`pending`] and [`attempt`] for a request, [`context`] for
+//! connections, and the rest for the process.
+
+mod attempt;
+mod attempt_ends;
+mod bookings;
+mod context;
+mod control;
+mod demand;
+mod details;
+mod directory;
+mod event;
+mod expected;
+mod finished;
+mod group_view;
+mod groups;
+mod instance;
+mod keys;
+mod message;
+mod models;
+mod operators;
+mod owned_group;
+mod peers;
+mod pending;
+mod requests;
+mod shares;
+mod start;
+mod usage;
+
+pub use start::{Error, Listeners, run, run_blocking};
--- /dev/null
+++ b/components/process/instance/src/message.rs
@@ -0,0 +1,149 @@
+//! Messages between instances.
+
+use std::sync::Arc;
+
+use admission::shares::{ShareGrant, ShareRequest};
+use configuration::ConfigurationMessage;
+use idempotency::{Answer, EntryState, Fingerprint, KeyHash};
+use membership::{Heartbeat, Summary};
+use ownership::{Announcement, Handover};
+use routing::CacheEvent;
+use serde::{Deserialize, Serialize};
+use types::prelude::*;
+
+/// A message to another instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum PeerMessage {
+    /// A heartbeat.
+    Heartbeat(Heartbeat),
+    /// A summary of a data centre.
+    Summary(Summary),
+    /// An owner's announcement.
+    Announcement(Announcement),
+    /// A group is vacant.
+    Handover(Handover),
+    /// Spread of the configuration.
+    Configuration(ConfigurationMessage),
+    /// State of a group, from its owner.
+    GroupState(Arc<GroupState>),
+    /// Cache events of a replica, from the owner of its group.
+    CacheEvents {
+        /// The replica.
+        replica: ReplicaRef,
+        /// The events, in the order received.
+        events: Vec<CacheEvent>,
+    },
+    /// Requests that arrived since the last message, for the arrival history.
+    Arrivals(Vec<ArrivalCount>),
+    /// Demand that the sender cannot serve; answered by `PeerReply::Demand`.
+    Demand(DemandMessage),
+    /// Asks for an idempotency key; answered by `PeerReply::Claim`.
+    Claim(ClaimMessage),
+    /// Tells how a granted call ended.
+    Finish(FinishMessage),
+    /// Asks for a part of the limits; answered by `PeerReply::Share`.
+    Share(ShareRequest),
+}
+
+/// Answer to a message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum PeerReply {
+    /// The message was taken.
+    Taken,
+    /// The receiver does not own what the message concerns.
+    NotOwner,
+    /// Answer to `Demand`.
+    Demand(DemandReply),
+    /// Answer to `Claim`.
+    Claim(ClaimAnswer),
+    /// Answer to `Share`; `None` if nothing can be granted now.
+    Share(Option<ShareGrant>),
+}
+
+/// Requests of one model that arrived at one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ArrivalCount {
+    pub(crate) model: ModelId,
+    pub(crate) count: u32,
+    /// Worth of one request.
+    pub(crate) worth_milli: u32,
+    /// Time left to the first token of the most urgent one.
+    pub(crate) remaining_ms: u64,
+}
+
+/// Demand for a target in a group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct DemandMessage {
+    pub(crate) group: GroupId,
+    pub(crate) target: Target,
+    pub(crate) waiting: u32,
+    /// Worth of one request.
+    pub(crate) worth_milli: u32,
+    /// Time left to the earliest deadline.
+    pub(crate) remaining_ms: u64,
+}
+
+/// When a target can be ready.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum DemandReply {
+    /// The target is expected to be ready after this time.
+    ReadyIn {
+        /// Time from the receipt of the reply.
+        ms: u64,
+    },
+    /// The group cannot load the target.
+    Unreachable,
+}
+
+/// Asks for an idempotency key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ClaimMessage {
+    pub(crate) key: KeyHash,
+    pub(crate) fingerprint: Fingerprint,
+    /// The claim is refused if it is not stored within this time.
+    pub(crate) decide_within_ms: u64,
+}
+
+/// Answer to a claim.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ClaimAnswer {
+    /// The key is recorded; the call may be dispatched once.
+    Granted,
+    /// The call finished earlier.
+    Recorded(Answer),
+    /// The call may not be dispatched.
+    Refused {
+        /// Whether the earlier call may have run.
+        verdict: Verdict,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// How a granted call ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct FinishMessage {
+    pub(crate) key: KeyHash,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) state: EntryState,
+}
+
+/// Time left until `deadline`, as messages carry it.
+pub(crate) fn remaining_ms(deadline: Instant, now: Instant) -> u64 {
+    u64::try_from(deadline.saturating_duration_since(now).as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The deadline that a received remaining time stands for.
+pub(crate) fn deadline_in(ms: u64, now: Instant) -> Instant {
+    /// Longer times are meaningless and could overflow the clock.
+    const MAX_REMAINING: Duration = Duration::from_secs(7 * 24 * 3600);
+    now + Duration::from_millis(ms).min(MAX_REMAINING)
+}
--- /dev/null
+++ b/components/process/instance/src/models.rs
@@ -0,0 +1,38 @@
+//! The list of models that a customer may use.
+
+use front::{Problem, Reply};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use serde::Serialize;
+use types::prelude::*;
+
+#[derive(Serialize)]
+struct List {
+    object: &'static str,
+    data: Vec<Entry>,
+}
+
+#[derive(Serialize)]
+struct Entry {
+    id: Box<str>,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+/// Lists models and adapters of a customer in the form that callers' client libraries expect.
+pub(crate) fn list(cfg: &Configuration, customer: &str) -> Reply {
+    let Some(contract) = cfg.contracts.get(customer) else {
+        let refusal = Refusal::not_run(Reason::UnknownKey);
+        return Reply::Refused(Problem::new(refusal, "the contract has ended"));
+    };
+    let models = contract.models.iter().cloned();
+    let adapters = contract.adapters.iter().flat_map(|(model, adapters)| {
+        adapters.iter().map(move |adapter| format!("{model}:{adapter}").into())
+    });
+    let entry = |id| Entry { id, object: "model", owned_by: "sequoiawell" };
+    let list = List { object: "list", data: models.chain(adapters).map(entry).collect() };
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let body = serde_json::to_vec(&list).unwrap_or_default().into();
+    Reply::Whole { status: StatusCode::OK, headers, body }
+}
--- /dev/null
+++ b/components/process/instance/src/owned_group.rs
@@ -0,0 +1,412 @@
+//! A group of backend servers that this instance owns.
+
+use std::sync::Arc;
+
+use group::{Action, Decision, Group, OrderResult};
+use placement::{Event, LoadEnded, Placement, StoreView};
+use rand::Rng;
+use types::object::{CallId, ObjectAnswer, ObjectCall};
+use types::prelude::*;
+
+use crate::group_view::{LastUsed, placement_view};
+use crate::message::DemandReply;
+
+/// Time between reads of a server's report while nothing changes. 6 servers of one instance at
+/// 1.5 KB a report stay below 9 KB/s.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between reads while an order is being carried out.
+const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How long changes are gathered before they are published.
+const PUBLISH_DELAY: Duration = Duration::from_millis(5);
+/// Time after which the state is published again for instances that missed it.
+const REPUBLISH_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What an owned group wants from the loop.
+#[derive(Debug)]
+pub(crate) enum GroupWants {
+    /// A platform call.
+    Call { call: CallId, request: ObjectCall },
+    /// An order, sent once.
+    Order { server: BackendServerId, address: Box<str>, order: Order },
+    /// A server's report.
+    Report { server: BackendServerId, address: Box<str> },
+    /// A higher fencing number.
+    RaiseFencing,
+    /// Somebody else has written the decision object.
+    Superseded,
+    /// The hand-over can go on.
+    Released,
+    /// The state is to be published.
+    Publish(Arc<GroupState>),
+}
+
+/// A load or prefetch that was ordered.
+#[derive(Debug)]
+struct Loading {
+    server: BackendServerId,
+    model: ModelId,
+    source: LoadSource,
+    started: Instant,
+}
+
+/// When a server's report is read next.
+#[derive(Debug)]
+struct Poll {
+    address: Box<str>,
+    at: Instant,
+    in_flight: bool,
+}
+
+/// State of an owned group. Lives as long as the process; ownership may come and go.
+pub(crate) struct OwnedGroup {
+    pub(crate) group: Group,
+    placement: Placement,
+    catalogue: Arc<Catalogue>,
+    used: LastUsed,
+    polls: BTreeMap<BackendServerId, Poll>,
+    /// Loads by replica, for the measured load times.
+    loading: HashMap<ReplicaId, Loading>,
+    publish_at: Instant,
+    tick_at: Instant,
+    wants: Vec<GroupWants>,
+}
+
+impl OwnedGroup {
+    /// A group without authority.
+    pub(crate) fn new(
+        cfg: group::Settings,
+        catalogue: Arc<Catalogue>,
+        now: Instant,
+        time_of_day: Duration,
+    ) -> Self {
+        let settings = placement::Settings::from(&catalogue.deployment);
+        Self {
+            group: Group::new(cfg),
+            placement: Placement::new(Arc::clone(&catalogue), settings, now, time_of_day),
+            catalogue,
+            used: LastUsed::default(),
+            polls: BTreeMap::new(),
+            loading: HashMap::new(),
+            publish_at: now + REPUBLISH_INTERVAL,
+            tick_at: now,
+            wants: Vec::new(),
+        }
+    }
+
+    /// Takes what the group wants from the loop.
+    pub(crate) fn take_wants(&mut self) -> Vec<GroupWants> {
+        std::mem::take(&mut self.wants)
+    }
+
+    /// Adopts a configuration.
+    pub(crate) fn configure(&mut self, cfg: &Configuration) {
+        self.catalogue = Arc::clone(&cfg.catalogue);
+        let settings = placement::Settings::from(&cfg.catalogue.deployment);
+        self.placement.configure(Arc::clone(&cfg.catalogue), settings);
+        self.group.set_catalogue(cfg.version, Arc::clone(&cfg.catalogue));
+    }
+
+    /// The instance owns the group from now on.
+    pub(crate) fn on_gained(
+        &mut self,
+        fencing: FencingNumber,
+        lease_until: Instant,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) {
+        let actions = self.group.on_gained(now, fencing, lease_until, rng);
+        self.act(actions, now);
+        self.polls.values_mut().for_each(|poll| poll.at = now);
+    }
+
+    /// Takes the platform's list of this group's servers.
+    pub(crate) fn on_list(
+        &mut self,
+        servers: &[ListedInstance],
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
+        self.polls.retain(|name, _| servers.iter().any(|s| s.name == *name));
+        for server in servers {
+            let poll = self.polls.entry(server.name.clone()).or_insert_with(|| Poll {
+                address: server.address.clone(),
+                at: now,
+                in_flight: false,
+            });
+            poll.address = server.address.clone();
+        }
+        let actions = self.group.on_server_list(now, wall, servers, rng);
+        self.act(actions, now);
+    }
+
+    /// Takes the answer to a platform call.
+    pub(crate) fn on_answer(
+        &mut self,
+        call: CallId,
+        answer: ObjectAnswer,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
+        let actions = self.group.on_answer(now, call, answer, rng);
+        self.act(actions, now);
+        self.place(&Event::Tick, now, wall, rng);
+    }
+
+    /// Takes a server's report, or the failure to read it.
+    pub(crate) fn on_report(
+        &mut self,
+        server: &BackendServerId,
+        requested: Instant,
+        report: Option<&ServerReport>,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
+        if let Some(poll) = self.polls.get_mut(server) {
+            poll.in_flight = false;
+            poll.at = now + POLL_INTERVAL;
+        }
+        let Some(report) = report else { return };
+        let actions = self.group.on_report(now, wall, requested, report, rng);
+        self.act(actions, now);
+        self.note_loads(now, wall, rng);
+        let is_busy = report.replicas.iter().any(|r| r.phase != ReplicaPhase::Ready)
+            || self.loading.values().any(|loading| loading.server == *server);
+        if let Some(poll) = self.polls.get_mut(server).filter(|_| is_busy) {
+            poll.at = now + BUSY_POLL_INTERVAL;
+        }
+    }
+
+    /// Takes the result of sending an order.
+    pub(crate) fn on_order_result(
+        &mut self,
+        server: &BackendServerId,
+        order: OrderId,
+        result: OrderResult,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
+        let actions = self.group.on_order_result(now, wall, server, order, result, rng);
+        self.act(actions, now);
+        if let Some(poll) = self.polls.get_mut(server) {
+            poll.at = poll.at.min(now + BUSY_POLL_INTERVAL);
+        }
+        self.place(&Event::Tick, now, wall, rng);
+    }
+
+    /// Takes arrivals for the arrival history.
+    pub(crate) fn on_arrivals(
+        &mut self,
+        arrival: placement::Arrival,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
+        self.place(&Event::Arrived(arrival), now, wall, rng);
+    }
+
+    /// Takes demand and says when its target can be ready.
+    pub(crate) fn on_demand(
+        &mut self,
+        demand: placement::Demand,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) -> DemandReply {
+        let target = demand.target.clone();
+        let view = self.group.view(now);
+        if view.writable && view.allowance_left.get(&target.model).is_none_or(|left| *left == 0) {
+            let actions = self.group.request_allowance(now, &target.model, 1, rng);
+            self.act(actions, now);
+        }
+        self.place(&Event::Demand(demand), now, wall, rng);
+        let view = self.placement_view(now);
+        match self.placement.expected_ready(&view, &target, now) {
+            Some(at) => DemandReply::ReadyIn { ms: crate::message::remaining_ms(at, now) },
+            None => DemandReply::Unreachable,
+        }
+    }
+
+    /// Polls servers, publishes and lets placement look at idle replicas.
+    pub(crate) fn on_timer(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
+        if self.group.next_timer().is_some_and(|at| at <= now) {
+            let actions = self.group.on_timer(now, rng);
+            self.act(actions, now);
+        }
+        for (server, poll) in &mut self.polls {
+            if poll.at <= now && !poll.in_flight {
+                poll.in_flight = true;
+                let address = poll.address.clone();
+                self.wants.push(GroupWants::Report { server: server.clone(), address });
+            }
+        }
+        if self.tick_at <= now {
+            self.used.update(&self.group.view(now), now);
+            self.place(&Event::Tick, now, wall, rng);
+            self.tick_at = self.placement.next_wakeup(now);
+        }
+        if self.publish_at <= now {
+            self.publish_at = now + REPUBLISH_INTERVAL;
+            if let Some(state) = self.group.publish(now) {
+                self.wants.push(GroupWants::Publish(Arc::new(state)));
+            }
+        }
+    }
+
+    /// When `on_timer` is due.
+    pub(crate) fn next_timer(&self) -> Instant {
+        let polls = self.polls.values().filter(|poll| !poll.in_flight).map(|poll| poll.at);
+        polls
+            .chain(self.group.next_timer())
+            .chain([self.publish_at, self.tick_at])
+            .min()
+            .unwrap_or(self.tick_at)
+    }
+
+    /// Passes the group's actions on.
+    pub(crate) fn act(&mut self, actions: Vec<Action>, now: Instant) {
+        for action in actions {
+            let wants = match action {
+                Action::Call { call, request } => GroupWants::Call { call, request },
+                Action::SendOrder { server, address, order } => {
+                    GroupWants::Order { server, address, order }
+                }
+                Action::ReadReport { server, address } => GroupWants::Report { server, address },
+                Action::RaiseFencing => GroupWants::RaiseFencing,
+                Action::Superseded => GroupWants::Superseded,
+                Action::Released => GroupWants::Released,
+                Action::Publish => {
+                    self.publish_at = self.publish_at.min(now + PUBLISH_DELAY);
+                    continue;
+                }
+            };
+            self.wants.push(wants);
+        }
+    }
+
+    /// Lets placement decide and carries its decisions out.
+    fn place(&mut self, event: &Event, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
+        let mut decisions = Vec::new();
+        let view = self.placement_view(now);
+        self.placement.handle(event, &view, now, rng, &mut decisions);
+        for decision in decisions {
+            self.carry_out(decision, now, wall, rng);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        decision: placement::Decision,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
+        let order = match decision.clone() {
+            placement::Decision::Load { server, model, source } => {
+                Decision::Load { server, model, source }
+            }
+            placement::Decision::Unload { replica, .. } => Decision::Unload { replica },
+            placement::Decision::Prefetch { server, model, .. } => {
+                Decision::Prefetch { server, model }
+            }
+            placement::Decision::LoadAdapter { replica, adapter, evict, .. } => {
+                Decision::LoadAdapter { replica, adapter, evict }
+            }
+            // `on_demand` answers the instance that asked.
+            placement::Decision::Unreachable { .. } => return,
+        };
+        let before = self.replica_ids(now);
+        match self.group.decide(now, wall, order, rng) {
+            Ok(actions) => {
+                tracing::info!("placement: {}", describe(&decision));
+                self.act(actions, now);
+                self.note_started(&decision, &before, now);
+            }
+            Err(refused) => {
+                tracing::debug!("placement: {} refused: {refused}", describe(&decision));
+                let event = Event::Rejected(decision);
+                let view = self.placement_view(now);
+                self.placement.handle(&event, &view, now, rng, &mut Vec::new());
+            }
+        }
+    }
+
+    fn replica_ids(&self, now: Instant) -> BTreeSet<ReplicaId> {
+        let view = self.group.view(now);
+        view.servers.values().flat_map(|s| s.replicas.keys().copied()).collect()
+    }
+
+    fn note_started(
+        &mut self,
+        decision: &placement::Decision,
+        before: &BTreeSet<ReplicaId>,
+        now: Instant,
+    ) {
+        let placement::Decision::Load { server, model, source } = decision else { return };
+        let after = self.replica_ids(now);
+        if let Some(replica) = after.difference(before).next() {
+            let loading = Loading {
+                server: server.clone(),
+                model: model.clone(),
+                source: *source,
+                started: now,
+            };
+            self.loading.insert(*replica, loading);
+        }
+    }
+
+    /// Tells placement which loads have ended.
+    fn note_loads(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
+        let view = self.group.view(now);
+        self.used.update(&view, now);
+        let phase = |id: &ReplicaId| {
+            view.servers.values().find_map(|s| s.replicas.get(id)).map(|replica| replica.phase)
+        };
+        let ended: Vec<(ReplicaId, bool)> = self
+            .loading
+            .keys()
+            .filter_map(|id| match phase(id) {
+                Some(ReplicaPhase::Loading) => None,
+                Some(ReplicaPhase::Ready) => Some((*id, true)),
+                Some(ReplicaPhase::Unloading) | None => Some((*id, false)),
+            })
+            .collect();
+        for (id, succeeded) in ended {
+            let Some(Loading { server, model, source, started }) = self.loading.remove(&id) else {
+                continue;
+            };
+            let event = Event::LoadEnded(LoadEnded { server, model, source, started, succeeded });
+            self.place(&event, now, wall, rng);
+        }
+    }
+
+    fn placement_view(&self, now: Instant) -> placement::View {
+        let loads = self.loading.values().filter(|l| l.source == LoadSource::Remote).count();
+        let store = StoreView {
+            loads_in_progress: u32::try_from(loads).unwrap_or(u32::MAX),
+            adapters_in_flight: 0,
+        };
+        placement_view(&self.group.view(now), &self.used, store, now)
+    }
+}
+
+fn describe(decision: &placement::Decision) -> String {
+    match decision {
+        placement::Decision::Load { server, model, source } => {
+            format!("load {model} on {server} from {source:?}")
+        }
+        placement::Decision::Unload { server, replica } => {
+            format!("unload replica {replica} on {server}")
+        }
+        placement::Decision::Prefetch { server, model, .. } => {
+            format!("prefetch {model} on {server}")
+        }
+        placement::Decision::LoadAdapter { server, replica, adapter, .. } => {
+            format!("load adapter {adapter} into replica {replica} on {server}")
+        }
+        placement::Decision::Unreachable { target, .. } => format!("{target} unreachable"),
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/usage.rs
@@ -0,0 +1,215 @@
+//! Counted work and accelerator intervals, written to the platform for the cost split.
+
+use accounting::{
+    ContractVersion, Death, FLUSH_INTERVAL, Interval, Minute, Run, UsageObject, VersionRecord,
+    Work, WorkObject, minute, usage_name, work_name,
+};
+use contracts::content_hash;
+use platform::{Call, Client, WriteOutcome};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use types::object::{Condition, ObjectKey};
+use types::prelude::*;
+
+use crate::context::Context;
+use crate::event::Event;
+use crate::finished::Finished;
+
+/// Time for one flush; the next one is due soon after.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(8);
+/// Attempts of one flush that another writer overtakes.
+const MAX_CONFLICTS: u32 = 4;
+
+/// Work that one run of this instance has counted in the present hour.
+pub(crate) struct Usage {
+    contracts: BTreeMap<ConfigurationVersion, BTreeMap<CustomerId, ContractVersion>>,
+    work: BTreeMap<(Minute, ModelId, CustomerId, ContractVersion), u64>,
+    versions: Vec<VersionRecord>,
+    deaths: Vec<Death>,
+    flush_at: Instant,
+    is_flushing: bool,
+    /// The flush in progress is the last one of a planned stop.
+    is_closing: bool,
+    is_closed: bool,
+    /// Grows with every count; tells whether a flush contains everything.
+    generation: u64,
+    flushed: u64,
+}
+
+impl Usage {
+    /// Nothing counted.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            contracts: BTreeMap::new(),
+            work: BTreeMap::new(),
+            versions: Vec::new(),
+            deaths: Vec::new(),
+            flush_at: now + FLUSH_INTERVAL,
+            is_flushing: false,
+            is_closing: false,
+            is_closed: false,
+            generation: 0,
+            flushed: 0,
+        }
+    }
+
+    /// Notes when a configuration version was adopted.
+    pub(crate) fn adopted(&mut self, cfg: &Configuration, wall: SystemTime) {
+        let contracts: BTreeMap<CustomerId, ContractVersion> = cfg
+            .contracts
+            .iter()
+            .map(|(customer, contract)| (customer.clone(), content_hash(&**contract)))
+            .collect();
+        self.contracts.insert(cfg.version, contracts.clone());
+        self.versions.push(VersionRecord { version: cfg.version, adopted_at: wall, contracts });
+        self.generation += 1;
+    }
+
+    /// Notes the death of another instance.
+    pub(crate) fn died(&mut self, instance: InstanceId, incarnation: Incarnation, wall: SystemTime) {
+        self.deaths.push(Death { instance, incarnation, noticed_at: wall });
+        self.generation += 1;
+    }
+
+    /// Counts the work of a request.
+    pub(crate) fn count(&mut self, finished: &Finished, wall: SystemTime) {
+        let Some(model) = finished.model.clone().filter(|_| finished.tokens > 0) else { return };
+        let contract = self.contracts.get(&finished.version).and_then(|c| c.get(&finished.customer));
+        let Some(contract) = contract else {
+            tracing::error!("accounting: no contract of {} to book under", finished.customer);
+            return;
+        };
+        let key = (minute(wall), model, finished.customer.clone(), contract.clone());
+        *self.work.entry(key).or_default() += finished.tokens;
+        self.generation += 1;
+    }
+
+    /// Whether everything counted has been written.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.flushed == self.generation && !self.is_flushing
+    }
+
+    /// Whether the last flush of a planned stop may be begun.
+    pub(crate) fn may_close(&self) -> bool {
+        !self.is_flushing && !self.is_closed
+    }
+
+    /// Whether the last flush of a planned stop is written.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed
+    }
+
+    /// When `flush` is due.
+    pub(crate) fn next_timer(&self) -> Instant {
+        self.flush_at
+    }
+
+    /// Writes what was counted. `closed` marks the last flush of a planned stop.
+    pub(crate) fn flush(&mut self, cx: &Context, closed: bool, now: Instant, wall: SystemTime) {
+        self.flush_at = now + FLUSH_INTERVAL;
+        if self.is_flushing || (self.is_flushed() && !closed) {
+            return;
+        }
+        self.is_flushing = true;
+        self.is_closing = closed;
+        let run = self.run(closed, wall);
+        let (client, generation) = (cx.platform.clone(), self.generation);
+        let key = ObjectKey::new("work", work_name(&cx.instance, wall));
+        let incarnation = cx.incarnation;
+        cx.spawn(async move {
+            let update = |object: &mut WorkObject| {
+                object.runs.insert(incarnation, run.clone());
+            };
+            let written = update_object(&client, &key, update).await;
+            Event::WorkWritten { generation, written }
+        });
+    }
+
+    /// Takes the outcome of a flush.
+    pub(crate) fn on_written(&mut self, generation: u64, written: bool, wall: SystemTime) {
+        self.is_flushing = false;
+        if !written {
+            tracing::warn!("accounting: counted work not written; it is kept for the next flush");
+            return;
+        }
+        self.flushed = generation;
+        self.is_closed = self.is_closing;
+        // Work of the previous hour is in the object of that hour.
+        let first = minute(wall).saturating_sub(60);
+        self.work.retain(|(minute, ..), _| *minute >= first);
+    }
+
+    fn run(&self, closed: bool, wall: SystemTime) -> Run {
+        let work = self.work.iter().map(|((minute, model, customer, contract), tokens)| Work {
+            minute: *minute,
+            model: model.clone(),
+            customer: customer.clone(),
+            contract_version: contract.clone(),
+            tokens: *tokens,
+        });
+        Run {
+            flushed_until: wall,
+            closed,
+            work: work.collect(),
+            versions: self.versions.clone(),
+            deaths: self.deaths.clone(),
+        }
+    }
+}
+
+/// Writes intervals of a group's replicas: ended ones, which are dropped from the decision object
+/// afterwards, and running ones up to now.
+pub(crate) fn write_intervals(
+    cx: &Context,
+    group: &GroupId,
+    closed: Vec<group::Interval>,
+    open: Vec<group::Interval>,
+    wall: SystemTime,
+) {
+    let replicas: Vec<ReplicaId> = closed.iter().map(|i| i.replica).collect();
+    let intervals: Vec<Interval> =
+        closed.into_iter().chain(open).map(|i| interval(group, i, wall)).collect();
+    if intervals.is_empty() {
+        return;
+    }
+    let (client, group) = (cx.platform.clone(), group.clone());
+    let key = ObjectKey::new("usage", usage_name(&group, wall));
+    cx.spawn(async move {
+        let update = |object: &mut UsageObject| {
+            for interval in &intervals {
+                let same = |old: &&mut Interval| {
+                    old.replica == interval.replica && old.from == interval.from
+                };
+                match object.intervals.iter_mut().find(same) {
+                    Some(old) => old.to = old.to.max(interval.to),
+                    None => object.intervals.push(interval.clone()),
+                }
+            }
+        };
+        let written = update_object(&client, &key, update).await;
+        Event::UsageWritten { group, replicas, written }
+    });
+}
+
+/// Reads, changes and writes an object until no other writer overtakes.
+async fn update_object<T: Clone + Default + Serialize + DeserializeOwned>(
+    client: &Client,
+    key: &ObjectKey,
+    update: impl Fn(&mut T),
+) -> bool {
+    let call = Call::by(Instant::now() + FLUSH_TIMEOUT);
+    for _ in 0..MAX_CONFLICTS {
+        let Ok(present) = client.get::<T>(key, call).await else { return false };
+        let (condition, mut value) = match present {
+            Some(object) => (Condition::Version(object.version), object.value),
+            None => (Condition::Absent, T::default()),
+        };
+        update(&mut value);
+        match client.write(key, condition, &value, call).await {
+            WriteOutcome::Written { .. } => return true,
+            WriteOutcome::Conflict { .. } => {}
+            WriteOutcome::NotWritten | WriteOutcome::Unknown => return false,
+        }
+    }
+    false
+}
