Cover noticed deaths in the property tests of accounting

Cause: the property of flagged losses held although the rule for noticed deaths was removed on a trial copy. Change: the death of one of two runs is recorded by an observer. Result: 17 tests pass; on a trial copy without the rule the property fails, where it passed before. Conclusion: both ways to learn of a death are covered.

--- a/components/version/accounting/src/property_tests.rs
+++ b/components/version/accounting/src/property_tests.rs
@@ -71,6 +71,17 @@
             records.push(Record::Version(version(n as u64 + 1, *adopted_at, &named)));
         }
         for run in 0..self.events.len() {
+            // The first run's death is noticed, the second one's is not.
+            if let (0, Some(died)) = (run, self.deaths[run]) {
+                let death =
+                    Death { instance: "i".into(), incarnation: 0, noticed_at: at(died + 5_000) };
+                let observer = Run {
+                    deaths: vec![death],
+                    closed: true,
+                    ..crate::test_data::run(END, Vec::new())
+                };
+                records.push(Record::Work("observer", object(9, observer)));
+            }
             records.extend(
                 self.flushes(run)
                     .map(|until| Record::Work("i", object(run as u64, self.run(run, until)))),
