Track service-level burn with bounded memory

Cause: operators need burn rates, budgets and alerts per customer and class, over all instances. Change: burn counts in three rings of 165 buckets per series, merges states by age of buckets, and reports as text, JSON and a self-contained HTML page with SVG plots. Conclusion: GET /burn can return burn::BurnState.

--- a/components/process/burn/src/lib.rs
+++ b/components/process/burn/src/lib.rs
@@ -1,1 +1,29 @@
 //! Service-level windows, error budgets, burn rates and alerts.
+//!
+//! A [`Burn`] counts good and bad requests per customer and class in bounded memory. Its
+//! [`BurnState`] can be merged with those of other instances, and a [`BurnReport`] shows burn rates
+//! and alerts as text, JSON or HTML.
+//!
+//! A request is good if it met its class's targets. The burn rate is the bad part of requests
+//! divided by the part that the objective leaves for bad ones: at a rate of 1 the budget is used up
+//! exactly by the end of the window.
+
+pub mod html;
+pub mod report;
+pub mod state;
+pub mod tracker;
+pub mod window;
+
+#[cfg(test)]
+mod report_tests;
+#[cfg(test)]
+mod state_tests;
+#[cfg(test)]
+mod tracker_tests;
+#[cfg(test)]
+mod window_tests;
+
+pub use report::{Alert, BurnReport, BurnRow, WindowRow};
+pub use state::{BurnState, SeriesState};
+pub use tracker::{Burn, Objective};
+pub use window::{Counts, WINDOWS, WindowShape};
--- /dev/null
+++ b/components/process/burn/src/state_tests.rs
@@ -0,0 +1,73 @@
+//! Tests of merging.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+
+use crate::state::BurnState;
+use crate::tracker::{Burn, Objective};
+
+fn state(requests: &[(u64, u8, bool)]) -> BurnState {
+    let start = Instant::now();
+    let mut burn = Burn::new(start);
+    let mut sorted = requests.to_vec();
+    sorted.sort();
+    for (time, customer, good) in sorted {
+        let objective = Objective { version: u64::from(customer % 2), objective: 9_000 };
+        burn.record(
+            start + Duration::from_secs(time),
+            &format!("c{customer}"),
+            "x",
+            objective,
+            good,
+        );
+    }
+    burn.state(start + Duration::from_secs(20_000))
+}
+
+fn merged(states: &[&BurnState]) -> BurnState {
+    let mut sum = BurnState::default();
+    for state in states {
+        sum.merge(state);
+    }
+    sum
+}
+
+fn requests() -> impl Strategy<Value = Vec<(u64, u8, bool)>> {
+    prop::collection::vec((0u64..20_000, 0u8..3, any::<bool>()), 0..20)
+}
+
+proptest! {
+    /// Guards against a report that depends on which instance answers first, or on how requests are
+    /// spread over instances.
+    #[test]
+    fn merging_is_the_same_in_any_order_and_equals_one_instance(a in requests(), b in requests(), c in requests()) {
+        let all: Vec<_> = [a.clone(), b.clone(), c.clone()].concat();
+        let (a, b, c) = (state(&a), state(&b), state(&c));
+        let sum = merged(&[&a, &b, &c]);
+        prop_assert_eq!(&sum, &merged(&[&c, &a, &b]));
+        prop_assert_eq!(&sum, &merged(&[&a, &merged(&[&b, &c])]));
+        prop_assert_eq!(&sum, &state(&all));
+    }
+
+    /// Guards against a body of `GET /burn` that reads back as something else.
+    #[test]
+    fn json_reads_back_unchanged(a in requests()) {
+        let state = state(&a);
+        let json = serde_json::to_string(&state).unwrap();
+        prop_assert_eq!(serde_json::from_str::<BurnState>(&json).unwrap(), state);
+    }
+}
+
+/// Guards against a panic on a state from an instance with other windows.
+#[test]
+fn a_state_with_missing_windows_is_merged() {
+    let json = r#"{"series":[{"customer":"c0","class":"x","version":1,"objective":9000,"windows":[]}],"uncounted":0}"#;
+    let mut foreign: BurnState = serde_json::from_str(json).unwrap();
+    foreign.merge(&state(&[(1, 0, false)]));
+    assert_eq!(foreign.series[0].sum(2).bad, 1);
+    assert_eq!(
+        crate::BurnReport::new(&serde_json::from_str(json).unwrap()).rows[0].windows[0].good,
+        0
+    );
+}
--- /dev/null
+++ b/components/process/burn/src/tracker.rs
@@ -0,0 +1,89 @@
+//! Counts the requests of one instance.
+
+use types::prelude::*;
+
+use crate::state::{BurnState, SeriesState};
+use crate::window::{Counts, Ring, WINDOWS};
+
+/// Series beyond this number are not counted one by one. At about 1.4 KiB each they take 6 MiB of
+/// the 64 MB that one instance may use.
+pub const MAX_SERIES: usize = 4096;
+
+/// Objective of a class and the configuration version that it comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Objective {
+    /// Version under which the request was admitted.
+    pub version: ConfigurationVersion,
+    /// Part of requests that must be good.
+    pub objective: BasisPoints,
+}
+
+/// Good and bad requests per customer and class, in bounded memory.
+#[derive(Clone, Debug)]
+pub struct Burn {
+    start: Instant,
+    series: BTreeMap<(CustomerId, ClassId), Series>,
+    uncounted: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Series {
+    objective: Objective,
+    rings: [Ring; 3],
+}
+
+impl Burn {
+    /// Nothing counted yet; `start` is the begin of the first buckets.
+    pub fn new(start: Instant) -> Self {
+        Self { start, series: BTreeMap::new(), uncounted: 0 }
+    }
+
+    /// Counts one request.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        customer: &str,
+        class: &str,
+        objective: Objective,
+        good: bool,
+    ) {
+        let elapsed = now.saturating_duration_since(self.start);
+        let key = (customer.into(), class.into());
+        if !self.series.contains_key(&key) && self.series.len() >= MAX_SERIES {
+            self.uncounted += 1;
+            return;
+        }
+        let series = self
+            .series
+            .entry(key)
+            .or_insert_with(|| Series { objective, rings: WINDOWS.map(Ring::new) });
+        // Requests finish out of order; the objective of the newest version counts.
+        if objective.version >= series.objective.version {
+            series.objective = objective;
+        }
+        let counts = Counts { good: u32::from(good), bad: u32::from(!good) };
+        for ring in &mut series.rings {
+            ring.record(elapsed, counts);
+        }
+    }
+
+    /// Drops the series of classes that the configuration no longer has.
+    pub fn retain(&mut self, configuration: &Configuration) {
+        self.series.retain(|(customer, class), _| {
+            configuration.contracts.get(customer).is_some_and(|c| c.classes.contains_key(class))
+        });
+    }
+
+    /// The counts by age, to be merged with those of other instances.
+    pub fn state(&self, now: Instant) -> BurnState {
+        let elapsed = now.saturating_duration_since(self.start);
+        let series = self.series.iter().map(|((customer, class), series)| SeriesState {
+            customer: customer.clone(),
+            class: class.clone(),
+            version: series.objective.version,
+            objective: series.objective.objective,
+            windows: series.rings.iter().map(|ring| ring.by_age(elapsed)).collect(),
+        });
+        BurnState { series: series.collect(), uncounted: self.uncounted }
+    }
+}
--- /dev/null
+++ b/components/process/burn/src/tracker_tests.rs
@@ -0,0 +1,49 @@
+//! Tests of counting in one instance.
+
+use std::time::{Duration, Instant};
+
+use types::contract::Configuration;
+
+use crate::tracker::{Burn, MAX_SERIES, Objective};
+
+const OBJECTIVE: Objective = Objective { version: 1, objective: 9_900 };
+
+/// Guards against memory that grows with names, and against requests that vanish beyond the bound.
+#[test]
+fn the_number_of_series_is_bounded_and_the_rest_is_shown() {
+    let start = Instant::now();
+    let mut burn = Burn::new(start);
+    for n in 0..MAX_SERIES + 3 {
+        burn.record(start, &format!("c{n}"), "interactive", OBJECTIVE, true);
+    }
+    burn.record(start, "c0", "interactive", OBJECTIVE, true);
+    let state = burn.state(start);
+    assert_eq!((state.series.len(), state.uncounted), (MAX_SERIES, 3));
+}
+
+/// Guards against an old request that brings back an old objective.
+#[test]
+fn the_objective_of_the_highest_version_counts() {
+    let start = Instant::now();
+    let mut burn = Burn::new(start);
+    for (version, objective) in [(1, 9_000), (3, 9_900), (2, 9_500)] {
+        burn.record(start, "a", "batch", Objective { version, objective }, true);
+    }
+    let state = burn.state(start);
+    assert_eq!((state.series[0].version, state.series[0].objective), (3, 9_900));
+}
+
+/// Guards against windows that keep counts after their end, and series of removed customers.
+#[test]
+fn old_requests_and_removed_customers_are_dropped() {
+    let start = Instant::now();
+    let mut burn = Burn::new(start);
+    burn.record(start, "a", "batch", OBJECTIVE, false);
+    let sums = |after: Duration| [0, 1, 2].map(|w| burn.state(start + after).series[0].sum(w).bad);
+    assert_eq!(sums(Duration::from_secs(300)), [1, 1, 1]);
+    assert_eq!(sums(Duration::from_secs(320)), [0, 1, 1]);
+    assert_eq!(sums(Duration::from_secs(3_700)), [0, 0, 1]);
+    assert_eq!(sums(Duration::from_secs(22_000)), [0, 0, 0]);
+    burn.retain(&Configuration::default());
+    assert_eq!(burn.state(start).series, []);
+}
