--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,6 +2,8 @@
 
 use clap::Command;
 
+use crate::cmd;
+
 /// Builds the whole command line.
 pub(crate) fn build() -> Command {
     Command::new("sequoiawell")
@@ -9,4 +11,5 @@
         .version(clap::crate_version!())
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(cmd::stand_in::command())
 }
