--- a/components/stand_ins/src/platform/mod.rs
+++ b/components/stand_ins/src/platform/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 use types::prelude::*;
 
-pub use objects::{Condition, WatchEvent};
+pub use objects::WatchEvent;
 pub use rates::{PlatformCounters, SecondCount};
 
 use crate::http_server;
--- a/components/stand_ins/src/platform/objects.rs
+++ b/components/stand_ins/src/platform/objects.rs
@@ -5,20 +5,12 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use types::object::Condition;
 use types::prelude::ObjectVersion;
 
 /// Changes that a watch can go back to; a watch from an older version gets 410.
 const KEPT_EVENTS: usize = 100_000;
 
-/// Condition of a write.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Condition {
-    /// The object does not exist.
-    Absent,
-    /// The object has this version.
-    Version(ObjectVersion),
-}
-
 /// One line of a watch.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/components/stand_ins/src/platform/requests.rs
+++ b/components/stand_ins/src/platform/requests.rs
@@ -10,9 +10,10 @@
 use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::{Duration, Instant, sleep};
+use types::object::Condition;
 use types::prelude::ObjectVersion;
 
-use super::objects::{Condition, raw};
+use super::objects::raw;
 use super::{Inner, MAX_VALUE_BYTES};
 use crate::http_server::{self, Answer, Body, Closed, Refused};
 
