Add the commands check, status and report burn

Cause: operators need to find mistakes before sending anything, and to see instances and burn rates. Change: check works on files alone; status and report burn ask the instances' operators' addresses at one time, show what is missing and then exit with 1. types::status holds the body of GET /status.

--- a/components/process/types/src/lib.rs
+++ b/components/process/types/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod ids;
 pub mod object;
 pub mod prelude;
+pub mod status;
 pub mod verdict;
--- a/components/process/types/src/prelude.rs
+++ b/components/process/types/src/prelude.rs
@@ -7,4 +7,5 @@
 pub use crate::contract::*;
 pub use crate::group_state::*;
 pub use crate::ids::*;
+pub use crate::status::*;
 pub use crate::verdict::*;
--- /dev/null
+++ b/src/args.rs
@@ -0,0 +1,73 @@
+//! Arguments that several commands have.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, value_parser};
+
+/// Where an instance answers operators, unless the command line says otherwise.
+const DEFAULT_OPERATORS: &str = "127.0.0.1:9090";
+
+/// Form of a command's output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    /// Text for people.
+    Text,
+    /// JSON.
+    Json,
+    /// Comma-separated values.
+    Csv,
+    /// A page for a browser.
+    Html,
+}
+
+const FORMATS: &[(&str, Format)] =
+    &[("text", Format::Text), ("json", Format::Json), ("csv", Format::Csv), ("html", Format::Html)];
+
+/// `--format`, with the formats that the command has.
+pub(crate) fn format_arg(formats: &'static [&'static str]) -> Arg {
+    Arg::new("format")
+        .long("format")
+        .value_name("FORMAT")
+        .default_value("text")
+        .value_parser(clap::builder::PossibleValuesParser::new(formats))
+        .help("Form of the output")
+}
+
+/// The chosen format.
+pub(crate) fn format(matches: &ArgMatches) -> Format {
+    let name = matches.get_one::<String>("format").map_or("text", String::as_str);
+    FORMATS.iter().find(|(word, _)| *word == name).map_or(Format::Text, |(_, format)| *format)
+}
+
+/// `--operators`, repeatable.
+pub(crate) fn operators_arg() -> Arg {
+    Arg::new("operators")
+        .long("operators")
+        .value_name("IP:PORT")
+        .action(ArgAction::Append)
+        .default_value(DEFAULT_OPERATORS)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Operators' address of an instance; give the option once per instance")
+}
+
+/// The instances' operators' addresses, each once.
+pub(crate) fn operators(matches: &ArgMatches) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for address in matches.get_many::<SocketAddr>("operators").into_iter().flatten() {
+        if !addresses.contains(address) {
+            addresses.push(*address);
+        }
+    }
+    addresses
+}
+
+/// A path that the command reads.
+pub(crate) fn path_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new("path").value_name(name).required(true).value_parser(value_parser!(PathBuf)).help(help)
+}
+
+/// The path that the command reads.
+pub(crate) fn path(matches: &ArgMatches) -> PathBuf {
+    matches.get_one::<PathBuf>("path").cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,96 @@
+//! `check`: finds mistakes in contracts, catalogues and settings, on files alone.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+use contracts::CATALOGUE_FILE;
+use ini_file::{Diagnostics, Ini};
+use settings::Settings;
+use types::contract::{Catalogue, Configuration, Contract};
+
+use crate::args::{self, Format};
+use crate::cmd;
+use crate::failure::Failure;
+
+/// Describes the command.
+pub(crate) fn command() -> Command {
+    Command::new("check")
+        .about("Checks contracts, a catalogue or settings, on files alone")
+        .arg(args::path_arg(
+            "FILE|DIR",
+            "A directory of contracts, or one contract, catalogue or settings file",
+        ))
+        .arg(args::format_arg(&["text", "json"]))
+}
+
+/// Runs the command. Mistakes are its result and go to standard output.
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, Failure> {
+    let path = args::path(matches);
+    let checked = check(&path);
+    match args::format(matches) {
+        Format::Json => print_json(&path, &checked)?,
+        _ => cmd::print(text(&path, &checked))?,
+    }
+    Ok(cmd::exit_code(checked.is_ok()))
+}
+
+/// Checks a directory or file; the result describes what it holds.
+fn check(path: &Path) -> Result<String, Diagnostics> {
+    if path.is_dir() {
+        return contracts::read_directory(path).map(|c| describe_directory(&c));
+    }
+    if path.file_name().is_some_and(|name| name == CATALOGUE_FILE) {
+        return contracts::read_catalogue(path).map(|c| describe_catalogue(&c));
+    }
+    if is_settings(path) {
+        return Settings::load(path).map(|s| format!("settings of instance {}", s.instance.name));
+    }
+    contracts::read_contract(path).map(|c| describe_contract(&c))
+}
+
+/// Only settings have a section `[instance]`.
+fn is_settings(path: &Path) -> bool {
+    let mut ignored = Diagnostics::new();
+    Ini::read(path, &mut ignored).is_some_and(|ini| ini.section("instance").is_some())
+}
+
+fn describe_directory(configuration: &Configuration) -> String {
+    let catalogue = describe_catalogue(&configuration.catalogue);
+    format!("contracts: {}, {catalogue}", configuration.contracts.len())
+}
+
+fn describe_catalogue(catalogue: &Catalogue) -> String {
+    let adapters: usize = catalogue.models.values().map(|m| m.adapters.len()).sum();
+    format!(
+        "models: {}, adapters: {adapters}, services: {}",
+        catalogue.models.len(),
+        catalogue.services.len()
+    )
+}
+
+fn describe_contract(contract: &Contract) -> String {
+    format!(
+        "contract of customer {} by itself; check its directory for the catalogue and other contracts",
+        contract.customer
+    )
+}
+
+fn text(path: &Path, checked: &Result<String, Diagnostics>) -> String {
+    let path = path.display();
+    match checked {
+        Ok(found) => format!("{path}: no mistakes ({found})\n"),
+        Err(diagnostics) => {
+            format!("{diagnostics}\n{path}: mistakes: {}\n", diagnostics.sorted().len())
+        }
+    }
+}
+
+fn print_json(path: &Path, checked: &Result<String, Diagnostics>) -> Result<(), Failure> {
+    cmd::print_json(&serde_json::json!({
+        "path": path.display().to_string(),
+        "valid": checked.is_ok(),
+        "found": checked.as_ref().ok(),
+        "mistakes": checked.as_ref().err().map(Diagnostics::sorted).unwrap_or_default(),
+    }))
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,19 +1,54 @@
 //! One module per command.
 
+pub(crate) mod check;
+pub(crate) mod report;
 pub(crate) mod stand_in;
+pub(crate) mod status;
 
+use std::future::Future;
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use clap::ArgMatches;
 
-/// Exit code for a usage error.
-const USAGE_ERROR: u8 = 2;
+use crate::failure::Failure;
 
 /// Runs the command that `matches` names.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
-    if let Some(("stand-in", matches)) = matches.subcommand() {
-        return stand_in::run(matches);
-    }
-    eprintln!("sequoiawell: no command named {:?}", matches.subcommand_name().unwrap_or_default());
-    ExitCode::from(USAGE_ERROR)
+    let result = match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("status", matches)) => status::run(matches),
+        Some(("report", matches)) => report::run(matches),
+        Some(("stand-in", matches)) => return stand_in::run(matches),
+        _ => unreachable!("clap requires one of the subcommands"),
+    };
+    result.unwrap_or_else(|e| {
+        // Standard error may be closed too; the exit code still tells.
+        let _ = writeln!(io::stderr(), "sequoiawell: {e}");
+        ExitCode::FAILURE
+    })
+}
+
+/// Runs a future on a runtime of its own.
+fn block_on<T>(future: impl Future<Output = T>) -> Result<T, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(runtime.block_on(future))
+}
+
+/// Writes a command's result. Unlike `print!` it does not panic if the reader has gone.
+fn print(text: impl AsRef<str>) -> Result<(), Failure> {
+    let mut out = io::stdout().lock();
+    out.write_all(text.as_ref().as_bytes())?;
+    out.flush()?;
+    Ok(())
+}
+
+/// Writes a command's result as JSON.
+fn print_json(value: &impl serde::Serialize) -> Result<(), Failure> {
+    print(serde_json::to_string_pretty(value)? + "\n")
+}
+
+/// Success if `complete`, otherwise failure.
+fn exit_code(complete: bool) -> ExitCode {
+    if complete { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- /dev/null
+++ b/src/cmd/report/mod.rs
@@ -0,0 +1,26 @@
+//! `report`: one module per report.
+
+mod burn;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+use crate::failure::Failure;
+
+/// Describes the command.
+pub(crate) fn command() -> Command {
+    Command::new("report")
+        .about("Shows service-level burn or cost")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(burn::command())
+}
+
+/// Runs the report that `matches` names.
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, Failure> {
+    match matches.subcommand() {
+        Some(("burn", matches)) => burn::run(matches),
+        _ => unreachable!("clap requires one of the subcommands"),
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,10 @@
 //! Entry point of the `sequoiawell` binary.
 
+mod args;
 mod cli;
+mod client;
 mod cmd;
+mod failure;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/tests/check_command_tests.rs
@@ -0,0 +1,32 @@
+//! The `check` command against golden files. Set `UPDATE_GOLDEN=1` to rewrite them.
+
+mod support;
+
+use rstest::rstest;
+
+/// Guards against mistakes that are missed, reported without their place or reported where there are
+/// none, and against wrong exit codes.
+#[rstest]
+#[case("check-alykes", &["check", "samples/alykes"])]
+#[case("check-alykes-json", &["check", "samples/alykes", "--format", "json"])]
+#[case("check-kovac-hudec", &["check", "samples/kovac-hudec"])]
+#[case("check-contract", &["check", "samples/alykes/foremen.ini"])]
+#[case("check-catalogue", &["check", "samples/alykes/catalogue.ini"])]
+#[case("check-settings", &["check", "samples/settings/north-1.ini"])]
+#[case("check-mistakes", &["check", "tests/golden/mistakes"])]
+#[case("check-mistakes-json", &["check", "tests/golden/mistakes", "--format", "json"])]
+#[case("check-absent", &["check", "samples/absent"])]
+#[case("check-no-path", &["check"])]
+#[case("check-no-format", &["check", "samples/alykes", "--format", "xml"])]
+fn check_prints_what_the_golden_file_holds(#[case] name: &str, #[case] args: &[&str]) {
+    support::assert_golden(name, &support::run(args), &[]);
+}
+
+/// Guards against a sample whose settings do not start.
+#[test]
+fn all_sample_settings_are_valid() {
+    for name in ["north-1", "north-2", "south-1", "south-2"] {
+        let output = support::run(&["check", &format!("samples/settings/{name}.ini")]);
+        assert!(output.status.success(), "{name}: {output:?}");
+    }
+}
