Prove that limit shares never exceed their limit

Cause: shares of limits move between data centres and instances while messages are lost, clocks run slow and processes die. Requests name the holder that is meant, so that one that reaches a later holder late is ignored.

--- a/components/request/admission/src/shares/grantee.rs
+++ b/components/request/admission/src/shares/grantee.rs
@@ -55,13 +55,14 @@
         self.wanted.remove(customer);
     }
 
-    /// The request to send to the holder now.
-    pub fn request(&mut self, now: Instant) -> ShareRequest {
+    /// The request to send now to the holder with this fencing number.
+    pub fn request(&mut self, holder: FencingNumber, now: Instant) -> ShareRequest {
         self.requests += 1;
         self.sent_at = Some(now);
         ShareRequest {
             instance: self.instance.clone(),
             incarnation: self.incarnation,
+            holder,
             request: self.requests,
             applied: self.applied,
             fencing: self.fencing,
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -22,6 +22,9 @@
     pub instance: InstanceId,
     /// Its run; a restarted instance holds nothing.
     pub incarnation: Incarnation,
+    /// Fencing number of the holder that is meant. A request that reaches a later holder late is
+    /// ignored, because what it says of `held` may no longer be true.
+    pub holder: FencingNumber,
     /// Number of this request, echoed in the grant.
     pub request: u64,
     /// Serial number of the latest grant that it applied from `fencing`; zero for none.
@@ -119,7 +122,8 @@
         self.withheld = self.withheld.union(&parts.intersection(&self.holding));
     }
 
-    /// Gives up a donation that was not written.
+    /// Gives up a donation. `set_holding` must have been given the value as stored by then, because
+    /// a write whose answer was lost may have given the parts away.
     pub fn resume(&mut self, parts: &Holding) {
         self.withheld = self.withheld.minus(parts);
     }
@@ -135,8 +139,11 @@
                 .all(|(customer, used)| used.intersection(parts.parts(customer)).is_empty())
     }
 
-    /// Answers a request.
-    pub fn grant(&mut self, request: &ShareRequest, now: Instant) -> ShareGrant {
+    /// Answers a request; `None` if another holder is meant.
+    pub fn grant(&mut self, request: &ShareRequest, now: Instant) -> Option<ShareGrant> {
+        if request.holder != self.fencing {
+            return None;
+        }
         self.drop_ended(now);
         let previous = self.previous(request, now);
         self.serial += 1;
@@ -167,7 +174,7 @@
             term_ms: GRANT_TERM.as_millis() as u64,
         };
         self.grants.insert(request.instance.clone(), grant);
-        reply
+        Some(reply)
     }
 
     /// Customers of whose limits more is wanted than the data centre holds, with the length that
--- a/components/request/admission/src/shares/standing.rs
+++ b/components/request/admission/src/shares/standing.rs
@@ -123,7 +123,8 @@
     }
 
     /// Adds a transfer read from the donor's object. `None` if it was added before or goes
-    /// elsewhere.
+    /// elsewhere. The donor's object must have been read after this one; otherwise a transfer
+    /// that was received, cleared and forgotten in between would be added a second time.
     pub fn receive(&self, transfer: &Transfer, nonce: Nonce) -> Option<Self> {
         if transfer.to != self.data_centre || self.received.contains_key(&transfer.nonce) {
             return None;
--- /dev/null
+++ b/components/request/admission/tests/shares.rs
@@ -0,0 +1,121 @@
+//! Faults of the limit shares, each by itself.
+
+use admission::LocalLimits;
+use admission::shares::*;
+use types::prelude::*;
+
+const LIMITS: Limits =
+    Limits { requests_per_second: 20, concurrent_requests: 7, queued_requests: 11 };
+const NEED: LocalLimits = LocalLimits { rate_milli: 0, concurrent: 3, queued: 0 };
+
+fn renew(holder: &mut Holder, grantee: &mut Grantee, fencing: FencingNumber, now: Instant) -> u64 {
+    let grant = holder.grant(&grantee.request(fencing, now), now).unwrap();
+    assert!(grantee.apply(grant));
+    grantee.limits("c0", &LIMITS, now).concurrent
+}
+
+fn wanting(instance: &str, need: LocalLimits) -> Grantee {
+    let mut grantee = Grantee::new(instance, 1);
+    grantee.want("c0", need, &LIMITS);
+    grantee
+}
+
+/// Guards against parts of a span that lose or create units when limits are small.
+#[test]
+fn units_of_even_parts_add_up_to_every_limit() {
+    for limit in [0, 1, 2, 3, 7, 20, 1_000_003] {
+        for count in [1, 3, 4, 9] {
+            let sum: u64 = (0..count).map(|index| Parts::even(index, count).units(limit)).sum();
+            assert_eq!(sum, limit);
+        }
+    }
+}
+
+/// Guards against handing a grant that was shrunk to others while its first holder may use it.
+#[test]
+fn lost_grant_keeps_the_parts_taken_away_until_the_old_grant_has_ended() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", LocalLimits { concurrent: 7, ..NEED }), wanting("b", NEED));
+    assert_eq!(renew(&mut holder, &mut a, 1, now), 7);
+    a.want("c0", LocalLimits::default(), &LIMITS);
+    let lost = holder.grant(&a.request(1, now), now);
+    assert!(lost.is_some());
+    assert_eq!(renew(&mut holder, &mut b, 1, now), 0);
+    let before = now + GRANT_TERM + GRANT_MARGIN - ms(1);
+    assert_eq!(renew(&mut holder, &mut b, 1, before), 0);
+    assert_eq!(a.limits("c0", &LIMITS, now + GRANT_TERM).concurrent, 0);
+    assert!(renew(&mut holder, &mut b, 1, before + ms(1)) >= 3);
+}
+
+/// Guards against waiting for the term when the instance is known to have given the parts up.
+#[test]
+fn confirmed_shrinking_frees_parts_at_the_next_request() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", LocalLimits { concurrent: 7, ..NEED }), wanting("b", NEED));
+    renew(&mut holder, &mut a, 1, now);
+    assert_eq!(renew(&mut holder, &mut b, 1, now), 0);
+    let kept = renew(&mut holder, &mut a, 1, now + RENEW_INTERVAL);
+    assert!((3..=4).contains(&kept), "kept {kept}");
+    renew(&mut holder, &mut a, 1, now + 2 * RENEW_INTERVAL);
+    assert_eq!(renew(&mut holder, &mut b, 1, now + 2 * RENEW_INTERVAL), 3);
+}
+
+/// Guards against a gap in service, and against grants in excess, after the holder dies.
+#[test]
+fn new_holder_confirms_what_instances_hold_and_grants_nothing_else_at_first() {
+    let now = Instant::now();
+    let mut old = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", NEED), wanting("b", NEED));
+    let held = renew(&mut old, &mut a, 1, now);
+    let takeover = now + ms(12_000);
+    let mut new = Holder::new(2, Holding::even(0, 1), takeover);
+    assert_eq!(renew(&mut new, &mut a, 2, takeover), held);
+    assert_eq!(renew(&mut new, &mut b, 2, takeover), 0);
+    assert!(new.grant(&b.request(1, takeover), takeover).is_none(), "meant for the old holder");
+    let later = takeover + GRANT_TERM + GRANT_MARGIN;
+    assert!(renew(&mut new, &mut b, 2, later) >= 3);
+}
+
+/// Guards against a late grant that overwrites a newer one.
+#[test]
+fn late_grant_is_ignored() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let mut a = wanting("a", NEED);
+    let late = holder.grant(&a.request(1, now), now).unwrap();
+    renew(&mut holder, &mut a, 1, now + ms(10));
+    assert!(!a.apply(late));
+}
+
+/// Guards against counting a late grant's term from a request sent after the one it answers.
+#[test]
+fn grant_that_answers_an_earlier_request_is_ignored() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let mut a = wanting("a", NEED);
+    let late = holder.grant(&a.request(1, now), now).unwrap();
+    let _lost = a.request(1, now + ms(10_000));
+    assert!(!a.apply(late));
+}
+
+/// Guards against giving away parts that instances still use.
+#[test]
+fn donation_waits_for_the_grants_on_its_parts() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let mut a = wanting("a", LocalLimits { concurrent: 7, ..NEED });
+    renew(&mut holder, &mut a, 1, now);
+    let donation = Holding::of_customer("c0", Parts::even(1, 2));
+    holder.withhold(&donation);
+    assert!(!holder.is_free(&donation, now));
+    assert_eq!(renew(&mut holder, &mut a, 1, now + ms(1)), 4);
+    assert!(!holder.is_free(&donation, now + ms(1)), "the grant may not have arrived");
+    renew(&mut holder, &mut a, 1, now + ms(2));
+    assert!(holder.is_free(&donation, now + ms(2)));
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
