--- a/components/process/instance/src/attempt.rs
+++ b/components/process/instance/src/attempt.rs
@@ -16,7 +16,7 @@
     Answered, CallResult, Progress, Queued, Request, RetryBudget, Sent, StreamEvent,
 };
 use front::{Reply, StreamItem};
-use http::{Method, Response, StatusCode};
+use http::{Method, Response};
 use http_body_util::Full;
 use tokio::sync::mpsc;
 use types::prelude::*;
@@ -189,7 +189,7 @@
             .uri(format!("http://{}{}", self.address, job.path))
             .header(http::header::CONTENT_TYPE, "application/json")
             .header(ATTEMPT_HEADER, &*self.attempt)
-            .header(PRIORITY_HEADER, self.priority)
+            .header(PRIORITY_HEADER, u16::from(self.priority))
             .header(REPLICA_HEADER, replica)
             .body(Full::new(job.body.clone()))
     }
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -119,7 +119,7 @@
     }
 
     fn begin(&mut self, now: Instant) {
-        let rng = &mut *self.cx.rng.clone();
+        let rng = self.cx.rng.clone();
         let actions = self.follower.start(now, &[], &mut *rng.borrow_mut());
         self.on_configuration_actions(actions, now);
         self.read_list();
--- a/components/process/instance/src/usage.rs
+++ b/components/process/instance/src/usage.rs
@@ -1,8 +1,9 @@
 //! Counted work and accelerator intervals, written to the platform for the cost split.
 
+use accounting::records::{ContractVersion, Minute, minute};
 use accounting::{
-    ContractVersion, Death, FLUSH_INTERVAL, Interval, Minute, Run, UsageObject, VersionRecord,
-    Work, WorkObject, minute, usage_name, work_name,
+    Death, FLUSH_INTERVAL, Interval, Run, UsageObject, VersionRecord, Work, WorkObject, usage_name,
+    work_name,
 };
 use contracts::content_hash;
 use platform::{Call, Client, WriteOutcome};
@@ -168,12 +169,13 @@
 ) {
     let replicas: Vec<ReplicaId> = closed.iter().map(|i| i.replica).collect();
     let intervals: Vec<Interval> =
-        closed.into_iter().chain(open).map(|i| interval(group, i, wall)).collect();
+        closed.into_iter().chain(open).map(|i| interval(group, i)).collect();
     if intervals.is_empty() {
         return;
     }
-    let (client, group) = (cx.platform.clone(), group.clone());
-    let key = ObjectKey::new("usage", usage_name(&group, wall));
+    let client = cx.platform.clone();
+    let key = ObjectKey::new("usage", usage_name(group, wall));
+    let group: GroupId = group.clone();
     cx.spawn(async move {
         let update = |object: &mut UsageObject| {
             for interval in &intervals {
@@ -191,6 +193,17 @@
     });
 }
 
+fn interval(group: &GroupId, interval: group::Interval) -> Interval {
+    Interval {
+        group: group.clone(),
+        replica: interval.replica,
+        model: interval.model,
+        accelerators: interval.accelerators,
+        from: interval.from,
+        to: interval.until,
+    }
+}
+
 /// Reads, changes and writes an object until no other writer overtakes.
 async fn update_object<T: Clone + Default + Serialize + DeserializeOwned>(
     client: &Client,
