--- /dev/null
+++ b/components/connection/platform/src/transport.rs
@@ -0,0 +1,139 @@
+//! HTTP calls, one at a time, without retries.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use tokio::time::timeout_at;
+use types::object::{Condition, ObjectKey};
+use types::prelude::*;
+
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an idle connection is kept.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Header that names the calling instance.
+const INSTANCE_HEADER: &str = "x-instance";
+
+/// Characters that stand for themselves in kinds, names and prefixes.
+const ENCODED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.').remove(b'~').remove(b'/').remove(b'@');
+
+/// How one HTTP call ended.
+#[derive(Debug)]
+pub(crate) enum Exchange<A> {
+    /// An answer arrived.
+    Answered(A),
+    /// The request was not sent.
+    NotSent,
+    /// The request was sent and its answer was lost.
+    Lost,
+}
+
+/// An answer with its whole body.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) version: Option<ObjectVersion>,
+    pub(crate) body: Bytes,
+}
+
+/// Sends calls of one instance.
+#[derive(Clone)]
+pub(crate) struct Transport {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    instance: HeaderValue,
+}
+
+/// Path of an object.
+pub(crate) fn object_path(key: &ObjectKey) -> String {
+    format!("/objects/{}/{}", encode(key.kind), encode(&key.name))
+}
+
+/// Path of a listing.
+pub(crate) fn list_path(kind: &str, prefix: &str) -> String {
+    format!("/objects/{}?prefix={}", encode(kind), encode(prefix))
+}
+
+fn encode(text: &str) -> String {
+    utf8_percent_encode(text, ENCODED).to_string()
+}
+
+impl Transport {
+    pub(crate) fn new(address: SocketAddr, instance: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .build(connector);
+        let instance =
+            HeaderValue::from_str(instance).unwrap_or_else(|_| HeaderValue::from_static("?"));
+        Self { client, address, instance }
+    }
+
+    /// Sends a call and waits until `deadline` for the head of the answer.
+    pub(crate) async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        condition: Option<Condition>,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Exchange<Response<Incoming>> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(INSTANCE_HEADER, self.instance.clone());
+        req = match condition {
+            None => req,
+            Some(Condition::Absent) => req.header(header::IF_NONE_MATCH, "*"),
+            Some(Condition::Version(version)) => {
+                req.header(header::IF_MATCH, format!("\"{version}\""))
+            }
+        };
+        let Ok(req) = req.body(Full::new(body)) else { return Exchange::NotSent };
+        match timeout_at(deadline.into(), self.client.request(req)).await {
+            Ok(Ok(answer)) => Exchange::Answered(answer),
+            Ok(Err(e)) if e.is_connect() => Exchange::NotSent,
+            Ok(Err(_)) | Err(_) => Exchange::Lost,
+        }
+    }
+
+    /// Sends a call and waits until `deadline` for the whole answer.
+    pub(crate) async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        condition: Option<Condition>,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Exchange<Answer> {
+        let answer = match self.open(method, path, condition, body, deadline).await {
+            Exchange::Answered(answer) => answer,
+            Exchange::NotSent => return Exchange::NotSent,
+            Exchange::Lost => return Exchange::Lost,
+        };
+        let status = answer.status();
+        let version = version(&answer);
+        match timeout_at(deadline.into(), answer.into_body().collect()).await {
+            Ok(Ok(body)) => Exchange::Answered(Answer { status, version, body: body.to_bytes() }),
+            Ok(Err(_)) | Err(_) => Exchange::Lost,
+        }
+    }
+}
+
+fn version(answer: &Response<Incoming>) -> Option<ObjectVersion> {
+    let tag = answer.headers().get(header::ETAG)?.to_str().ok()?;
+    tag.trim_matches('"').parse().ok()
+}
