--- a/components/process/ownership/tests/ownership.rs
+++ b/components/process/ownership/tests/ownership.rs
@@ -3,9 +3,14 @@
 mod fleet;
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use fleet::{Fleet, secs};
+use ownership::{Action, Ownership, Settings};
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use types::object::{ObjectAnswer, ObjectCall};
 
 /// Guards against groups that stay without an owner and against uneven suggestions.
 #[test]
@@ -109,6 +114,51 @@
     fleet.check_history();
 }
 
+/// Guards against repeating a write whose answer was lost: its nonce shows that it took effect.
+#[test]
+fn a_lost_answer_does_not_cause_a_second_claim() {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(1, 40, seed);
+        fleet.platform.faults.lost = 0.1;
+        fleet.run_until(90.0);
+        let claims = fleet.platform.history.iter().filter(|(_, key, _)| key.kind == "group");
+        assert_eq!(claims.count(), 40, "seed {seed}");
+        assert_eq!(fleet.gained.len(), 40, "seed {seed}");
+    }
+}
+
+/// Guards against a claim that is written after the lease lapsed and used after it was renewed.
+#[test]
+fn nothing_is_claimed_while_the_lease_is_not_valid() {
+    let (start, rng) = (Instant::now(), &mut ChaCha8Rng::seed_from_u64(8));
+    let mut machine = Ownership::new(Settings::new("a", 1, "127.0.0.1:1", "dc"), start, rng);
+    machine.set_members(start, ["a".into()].into());
+    machine.set_groups(start, ["g".into()].into());
+    let mut now = start;
+    let group_read = loop {
+        now = machine.next_timer().expect("a timer").max(now);
+        let Some((call, request)) = calls(machine.on_timer(now, rng)).pop() else { continue };
+        match request {
+            ObjectCall::Read { key } if key.kind == "group" => break call,
+            ObjectCall::Read { .. } => machine.on_answer(now, call, ObjectAnswer::Missing, rng),
+            ObjectCall::Write { .. } => {
+                machine.on_answer(now, call, ObjectAnswer::Written { version: 1 }, rng)
+            }
+        };
+    };
+    now += secs(20.0);
+    let actions = machine.on_answer(now, group_read, ObjectAnswer::Missing, rng);
+    assert_eq!(calls(actions), Vec::new());
+}
+
+fn calls(actions: Vec<Action>) -> Vec<(u64, ObjectCall)> {
+    let call = |action| match action {
+        Action::Call { call, request, .. } => Some((call, request)),
+        _ => None,
+    };
+    actions.into_iter().filter_map(call).collect()
+}
+
 /// One fault, at a time in seconds, against an instance.
 #[derive(Clone, Debug)]
 enum Fault {
