Implement the life cycle of a dispatched request

Cause: dispatch had placeholder bodies. A queued request remembers whether an earlier attempt may have run, so its refusal stays true.

--- a/components/request/dispatch/src/request.rs
+++ b/components/request/dispatch/src/request.rs
@@ -1,12 +1,22 @@
 //! Typestate of one request.
 
-use std::marker::PhantomData;
-
 use rand::Rng;
 use types::prelude::*;
 
+use crate::backoff::backoff;
 use crate::budget::RetryBudget;
-use crate::stream::{Progress, StreamEvent};
+use crate::stream::{Progress, Stream, StreamEvent};
+
+/// Attempts of one request, the first included.
+pub const MAX_ATTEMPTS: u32 = 3;
+/// Connections tried for one attempt.
+pub const MAX_CONNECTS: u32 = 4;
+/// Resumes of one attempt's stream.
+pub const MAX_RESUMES: u32 = 3;
+/// Shortest delay of a retry, before jitter.
+const RETRY_BASE: Duration = Duration::from_millis(50);
+/// Longest delay of a retry, before jitter.
+const RETRY_LONGEST: Duration = Duration::from_secs(2);
 
 /// Hands out attempt ids that no other attempt of any process has.
 #[derive(Debug)]
@@ -46,20 +56,37 @@
 #[must_use]
 pub struct Request<S> {
     terms: Terms,
-    state: PhantomData<S>,
+    /// Attempts sent so far.
+    attempts: u32,
+    /// An earlier attempt may have run, so no later refusal can say `not_run`.
+    may_have_run: bool,
+    state: S,
 }
 
 /// The request waits; no bytes of the present attempt were written.
 #[derive(Debug)]
-pub struct Queued;
+pub struct Queued {
+    /// Connections that failed before the first byte of the present attempt.
+    failed_connects: u32,
+}
+
 /// Bytes of an attempt were written to a backend server.
 #[derive(Debug)]
-pub struct Sent;
+pub struct Sent {
+    server: BackendServerId,
+    attempt: AttemptId,
+    stream: Stream,
+    resumes: u32,
+    /// The server stated that it did not start this attempt.
+    not_started: bool,
+}
+
 /// The complete answer has arrived.
 #[derive(Debug)]
-pub struct Answered;
+pub struct Answered(());
 
-/// Where to resume a broken stream.
+/// Where to resume a broken stream. The old connection is to be closed first, and its events are
+/// not to be passed to `accept` any more.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resume {
     /// Backend server that runs the attempt.
@@ -70,7 +97,7 @@
     pub from: u64,
 }
 
-/// A sent request that may run again.
+/// A sent request that may run again: it is idempotent, and nothing of its answer was passed on.
 #[derive(Debug)]
 #[must_use]
 pub struct Repeatable(Request<Sent>);
@@ -80,91 +107,158 @@
     pub fn terms(&self) -> &Terms {
         &self.terms
     }
+
+    /// Attempts sent so far.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    fn with<T>(self, state: T) -> Request<T> {
+        let Self { terms, attempts, may_have_run, state: _ } = self;
+        Request { terms, attempts, may_have_run, state }
+    }
 }
 
 impl Request<Queued> {
     /// A request that no backend server has seen.
     pub fn new(terms: Terms) -> Self {
-        Self { terms, state: PhantomData }
+        Self { terms, attempts: 0, may_have_run: false, state: Queued { failed_connects: 0 } }
     }
 
-    /// Call this directly before the first byte is written. A connection that fails earlier
-    /// leaves the request as it is.
+    /// Call this directly before the first byte is written, with an attempt id that was never
+    /// used. A connection that fails earlier is a matter for `connect_failed`.
     pub fn send(
-        self,
+        mut self,
         server: BackendServerId,
         attempt: AttemptId,
-        _budget: &mut RetryBudget,
-        _now: Instant,
+        budget: &mut RetryBudget,
+        now: Instant,
     ) -> Request<Sent> {
-        drop((server, attempt));
-        Request { terms: self.terms, state: PhantomData }
+        if self.attempts == 0 {
+            budget.first_attempt(&server, now);
+        }
+        self.attempts += 1;
+        let stream = Stream::default();
+        self.with(Sent { server, attempt, stream, resumes: 0, not_started: false })
+    }
+
+    /// Returns the earliest time of the next connection, or ends the request with a refusal if
+    /// the deadline or the number of failures forbids another.
+    pub fn connect_failed(
+        mut self,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Result<(Self, Instant), Refusal> {
+        self.state.failed_connects += 1;
+        let failed = self.state.failed_connects;
+        let at = now + backoff(RETRY_BASE, RETRY_LONGEST, failed - 1, rng);
+        if failed >= MAX_CONNECTS || at >= self.terms.first_token_by {
+            return Err(self.refuse(Reason::NoCapacity).with_retry_at(at));
+        }
+        Ok((self, at))
     }
 
     /// `NotRun` unless an earlier attempt may have run.
     pub fn verdict(&self) -> Verdict {
-        Verdict::NotRun
+        verdict(self.may_have_run)
     }
 
     /// Ends the request with a refusal.
     pub fn refuse(self, reason: Reason) -> Refusal {
-        Refusal::not_run(reason)
+        Refusal { verdict: self.verdict(), reason, retry_at: None }
     }
 }
 
 impl Request<Sent> {
     /// The present attempt.
     pub fn attempt(&self) -> &str {
-        ""
+        &self.state.attempt
     }
 
     /// The backend server of the present attempt.
     pub fn server(&self) -> &str {
-        ""
+        &self.state.server
     }
 
     /// Takes an event of the answer that echoes `attempt`.
-    pub fn accept(&mut self, _attempt: &str, _event: StreamEvent) -> Progress {
-        Progress::Discard
+    pub fn accept(&mut self, attempt: &str, event: StreamEvent) -> Progress {
+        if *attempt != *self.state.attempt {
+            return Progress::Discard;
+        }
+        self.state.stream.accept(event)
+    }
+
+    /// Takes the server's own statement that it did not start `attempt` and will not. Returns
+    /// false if the statement is about another attempt or contradicts what has arrived.
+    pub fn mark_not_started(&mut self, attempt: &str) -> bool {
+        let holds = *attempt == *self.state.attempt && !self.state.stream.has_begun();
+        self.state.not_started |= holds;
+        holds
     }
 
-    /// Where to resume, if the stream broke and a further resume is allowed at `now`.
-    pub fn resume(&mut self, _now: Instant) -> Option<Resume> {
-        None
+    /// Where to resume, if the stream broke and a further resume is allowed at `now`. Resuming
+    /// runs nothing again, so it is open to requests that are not idempotent, too.
+    pub fn resume(&mut self, now: Instant) -> Option<Resume> {
+        let state = &mut self.state;
+        if state.not_started || state.resumes >= MAX_RESUMES || now >= self.terms.complete_by {
+            return None;
+        }
+        let from = state.stream.resume()?;
+        state.resumes += 1;
+        Some(Resume { server: state.server.clone(), attempt: state.attempt.clone(), from })
     }
 
     /// The answered request, if the answer is complete.
-    pub fn finish(self) -> Result<Request<Answered>, Request<Sent>> {
-        Err(self)
+    // The unfinished request is as large as the finished one and goes on being used.
+    #[allow(clippy::result_large_err)]
+    pub fn finish(self) -> Result<Request<Answered>, Self> {
+        if self.state.stream.is_complete() { Ok(self.with(Answered(()))) } else { Err(self) }
     }
 
-    /// Ends the request without an answer.
-    pub fn fail(self, reason: Reason) -> Refusal {
-        Refusal::may_have_run(reason)
+    /// `NotRun` only if the server stated that it did not start, and no earlier attempt may have
+    /// run.
+    pub fn verdict(&self) -> Verdict {
+        verdict(self.may_have_run || !self.state.not_started)
     }
 
-    /// Ends the request after the server itself stated that it did not start this attempt.
-    pub fn not_started(self, reason: Reason) -> Refusal {
-        Refusal::not_run(reason)
+    /// Ends the request without a complete answer. If parts were passed on, the caller must see
+    /// an explicit error event with this refusal.
+    pub fn fail(self, reason: Reason) -> Refusal {
+        Refusal { verdict: self.verdict(), reason, retry_at: None }
     }
 
-    /// The request as one that may be retried; a request that is not idempotent comes back
-    /// unchanged.
-    pub fn repeatable(self) -> Result<Repeatable, Request<Sent>> {
-        Err(self)
+    /// The request as one that may be retried; any other comes back unchanged.
+    #[allow(clippy::result_large_err)]
+    pub fn repeatable(self) -> Result<Repeatable, Self> {
+        // A second run may differ, so its parts cannot continue those already passed on.
+        let allowed = self.terms.idempotent && !self.state.stream.has_begun();
+        if allowed { Ok(Repeatable(self)) } else { Err(self) }
     }
 }
 
 impl Repeatable {
     /// Returns the request to `Queued` with the earliest time of the next attempt, or ends it
-    /// with a refusal if the budget, the deadline or parts already passed on forbid a retry.
+    /// with a refusal if the budget, the deadline or the number of attempts forbids a retry.
     pub fn retry(
         self,
-        _reason: Reason,
-        _budget: &mut RetryBudget,
-        _now: Instant,
-        _rng: &mut impl Rng,
+        reason: Reason,
+        budget: &mut RetryBudget,
+        now: Instant,
+        rng: &mut impl Rng,
     ) -> Result<(Request<Queued>, Instant), Refusal> {
-        Err(self.0.fail(Reason::BackendFailed))
+        let Self(mut req) = self;
+        let at = now + backoff(RETRY_BASE, RETRY_LONGEST, req.attempts - 1, rng);
+        if req.attempts >= MAX_ATTEMPTS
+            || at >= req.terms.first_token_by
+            || !budget.try_retry(&req.state.server, now)
+        {
+            return Err(req.fail(reason).with_retry_at(at));
+        }
+        req.may_have_run |= !req.state.not_started;
+        Ok((req.with(Queued { failed_connects: 0 }), at))
     }
 }
+
+fn verdict(may_have_run: bool) -> Verdict {
+    if may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun }
+}
--- a/components/request/dispatch/src/stream.rs
+++ b/components/request/dispatch/src/stream.rs
@@ -25,3 +25,60 @@
     /// Parts are missing: resume, retry or fail explicitly.
     Broken,
 }
+
+/// What has arrived of one attempt's answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Stream {
+    /// Number of the next part to pass on; all earlier ones were passed on in order.
+    next: u64,
+    /// Parts were missing or the connection broke, and the stream was not resumed.
+    broken: bool,
+    complete: bool,
+}
+
+impl Stream {
+    pub(crate) fn accept(&mut self, event: StreamEvent) -> Progress {
+        if self.complete {
+            return Progress::Discard;
+        }
+        match event {
+            StreamEvent::Part(number) if number < self.next => Progress::Discard,
+            StreamEvent::Part(number) if number > self.next => self.fail(),
+            StreamEvent::Part(_) => {
+                self.next += 1;
+                Progress::Forward
+            }
+            // An engine sends at least one part, so an end marker alone means that all were lost.
+            StreamEvent::End if self.broken || self.next == 0 => self.fail(),
+            StreamEvent::Whole if self.broken || self.next > 0 => self.fail(),
+            StreamEvent::End | StreamEvent::Whole => {
+                self.complete = true;
+                Progress::Complete
+            }
+            StreamEvent::Broken => self.fail(),
+        }
+    }
+
+    /// Number of the first missing part, if the stream is broken; it then counts as whole again.
+    pub(crate) fn resume(&mut self) -> Option<u64> {
+        if !self.broken || self.complete {
+            return None;
+        }
+        self.broken = false;
+        Some(self.next)
+    }
+
+    pub(crate) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Whether any part was passed on to the caller.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.next > 0 || self.complete
+    }
+
+    fn fail(&mut self) -> Progress {
+        self.broken = true;
+        Progress::Broken
+    }
+}
