--- /dev/null
+++ b/benches/policy/trace.rs
@@ -0,0 +1,200 @@
+//! Generates the requests of several days.
+
+use rand::Rng;
+use rand::seq::index::sample;
+use rand_chacha::ChaCha8Rng;
+
+use crate::site::{Kind, Site};
+
+/// Milliseconds of one day.
+pub(crate) const DAY: u64 = 86_400_000;
+/// Days generated. The first two are for learning and are not measured.
+pub(crate) const DAYS: u64 = 4;
+/// Start of the measured part.
+pub(crate) const MEASURED_FROM: u64 = 2 * DAY;
+
+const HOUR: u64 = 3_600_000;
+const MINUTE: u64 = 60_000;
+const SECOND: u64 = 1_000;
+
+/// One request.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    /// Arrival, in milliseconds since the first midnight.
+    pub(crate) at: u64,
+    pub(crate) model: usize,
+    /// Index into the model's adapters.
+    pub(crate) adapter: Option<usize>,
+    /// Whether the class is interactive; batch otherwise.
+    pub(crate) interactive: bool,
+    pub(crate) worth_milli: u32,
+    /// How long it runs once its model is ready.
+    pub(crate) service: u64,
+    /// When the first token is due.
+    pub(crate) deadline: u64,
+    /// Entry instance at which it arrives.
+    pub(crate) instance: usize,
+}
+
+/// Entry instances of one deployment.
+pub(crate) const INSTANCES: usize = 8;
+
+struct Generator<'a> {
+    site: &'a Site,
+    rng: &'a mut ChaCha8Rng,
+    requests: Vec<Request>,
+    /// Cumulative popularity.
+    popularity: Vec<f64>,
+}
+
+/// What a class's requests look like.
+#[derive(Clone, Copy)]
+struct Class {
+    interactive: bool,
+    worth_milli: u32,
+    service: (u64, u64),
+    /// Time to the first token's deadline; for batch, the time of day at which it is due.
+    due: u64,
+}
+
+const STOCK_SUMMARY: Class =
+    Class { interactive: true, worth_milli: 2_000, service: (3_000, 6_000), due: 20 * SECOND };
+const TALLY_VERDICT: Class =
+    Class { interactive: true, worth_milli: 1_000, service: (2_000, 4_000), due: 30 * SECOND };
+const RECONCILIATION: Class =
+    Class { interactive: false, worth_milli: 500, service: (30_000, 90_000), due: 6 * HOUR };
+const REPAIR_QUOTE: Class =
+    Class { interactive: true, worth_milli: 2_000, service: (2_000, 5_000), due: 15 * SECOND };
+const INSPECTION: Class =
+    Class { interactive: true, worth_milli: 800, service: (4_000, 9_000), due: 30 * SECOND };
+const RESTORATION_NOTE: Class =
+    Class { interactive: false, worth_milli: 400, service: (60_000, 180_000), due: 7 * HOUR };
+
+/// The requests of all days, in order of arrival.
+pub(crate) fn generate(site: &Site, rng: &mut ChaCha8Rng) -> Vec<Request> {
+    let mut sum = 0.0;
+    let popularity = (0..site.names.len())
+        .map(|i| {
+            // Ten models of the larger deployment share the rank of one of the smaller.
+            sum += 1.0 / (1.0 + (i / site.scale) as f64).powf(0.8);
+            sum
+        })
+        .collect();
+    let mut g = Generator { site, rng, requests: Vec::new(), popularity };
+    for day in 0..DAYS {
+        match site.kind {
+            Kind::Alykes => g.alykes_day(day * DAY),
+            Kind::Kovac => g.kovac_day(day * DAY),
+        }
+    }
+    let mut requests = g.requests;
+    requests.retain(|r| r.at < DAYS * DAY);
+    requests.sort_by_key(|r| r.at);
+    requests
+}
+
+impl Generator<'_> {
+    fn alykes_day(&mut self, day: u64) {
+        let scale = self.site.scale;
+        // Trucks are loaded every half hour; the foremen of all barns ask within two seconds.
+        for window in 0..18 {
+            let jitter = self.rng.random_range(0..4 * MINUTE);
+            let at = day + 5 * HOUR + window * 30 * MINUTE + jitter;
+            let n = self.rng.random_range(20..=32) * scale;
+            for model in sample(self.rng, self.site.names.len(), n) {
+                let at = at + self.rng.random_range(0..2 * SECOND);
+                let requests = self.rng.random_range(2..=4);
+                self.burst(model, at, requests, 300, STOCK_SUMMARY);
+            }
+        }
+        self.spread(day, (4 * HOUR, 20 * HOUR), 2_400 * scale, STOCK_SUMMARY);
+        self.spread(day, (7 * HOUR, 18 * HOUR), 300 * scale, TALLY_VERDICT);
+        self.spread(day, (0, 24 * HOUR), 100 * scale, STOCK_SUMMARY);
+        self.cold_bursts(day, (4 * HOUR, 20 * HOUR), 20 * scale, STOCK_SUMMARY);
+        self.batch(day, (18 * HOUR, 22 * HOUR), 200 * scale, RECONCILIATION);
+    }
+
+    fn kovac_day(&mut self, day: u64) {
+        let scale = self.site.scale;
+        // The workshop opens at eight and customers wait already.
+        for model in sample(self.rng, self.site.names.len(), 12 * scale) {
+            let at = day + 8 * HOUR + self.rng.random_range(0..2 * MINUTE);
+            self.session(model, at, REPAIR_QUOTE);
+        }
+        for _ in 0..1_000 * scale {
+            let at = day + self.rng.random_range(8 * HOUR..18 * HOUR);
+            let model = self.popular_model();
+            self.session(model, at, REPAIR_QUOTE);
+        }
+        self.spread(day, (14 * HOUR, 17 * HOUR), 150 * scale, INSPECTION);
+        self.cold_bursts(day, (8 * HOUR, 18 * HOUR), 10 * scale, REPAIR_QUOTE);
+        self.batch(day, (17 * HOUR, 18 * HOUR), 100 * scale, RESTORATION_NOTE);
+    }
+
+    fn popular_model(&mut self) -> usize {
+        let x = self.rng.random_range(0.0..*self.popularity.last().expect("has models"));
+        self.popularity.partition_point(|&p| p <= x)
+    }
+
+    /// Bursts of one to three requests, spread over part of the day.
+    fn spread(&mut self, day: u64, (from, to): (u64, u64), bursts: usize, class: Class) {
+        for _ in 0..bursts {
+            let at = day + self.rng.random_range(from..to);
+            let model = self.popular_model();
+            let requests = self.rng.random_range(1..=3);
+            self.burst(model, at, requests, 2_000, class);
+        }
+    }
+
+    /// First requests that arrive at many instances at once, for any model.
+    fn cold_bursts(&mut self, day: u64, (from, to): (u64, u64), bursts: usize, class: Class) {
+        for _ in 0..bursts {
+            let at = day + self.rng.random_range(from..to);
+            let model = self.rng.random_range(0..self.site.names.len());
+            let requests = self.rng.random_range(8..=16);
+            self.burst(model, at, requests, 300, class);
+        }
+    }
+
+    /// A customer at the counter: a few requests, one after the other.
+    fn session(&mut self, model: usize, at: u64, class: Class) {
+        let mut at = at;
+        for _ in 0..self.rng.random_range(2..=4) {
+            self.request(model, at, class);
+            at += self.rng.random_range(15 * SECOND..90 * SECOND);
+        }
+    }
+
+    fn batch(&mut self, day: u64, (from, to): (u64, u64), jobs: usize, class: Class) {
+        for _ in 0..jobs {
+            let at = day + self.rng.random_range(from..to);
+            let model = self.popular_model();
+            self.request(model, at, class);
+        }
+    }
+
+    fn burst(&mut self, model: usize, at: u64, requests: usize, within: u64, class: Class) {
+        for i in 0..requests {
+            let at = if i == 0 { at } else { at + self.rng.random_range(0..within) };
+            self.request(model, at, class);
+        }
+    }
+
+    fn request(&mut self, model: usize, at: u64, class: Class) {
+        let adapters = self.site.adapters[model].len();
+        let adapter =
+            (adapters > 0 && self.rng.random_bool(0.5)).then(|| self.rng.random_range(0..adapters));
+        let deadline =
+            if class.interactive { at + class.due } else { (at / DAY + 1) * DAY + class.due };
+        self.requests.push(Request {
+            at,
+            model,
+            adapter,
+            interactive: class.interactive,
+            worth_milli: class.worth_milli,
+            service: self.rng.random_range(class.service.0..=class.service.1),
+            deadline,
+            instance: self.rng.random_range(0..INSTANCES),
+        });
+    }
+}
