--- a/components/process/instance/src/attempt.rs
+++ b/components/process/instance/src/attempt.rs
@@ -13,7 +13,7 @@
 };
 use bytes::Bytes;
 use dispatch::{
-    Answered, CallResult, Progress, Queued, Request, RetryBudget, Sent, StreamEvent,
+    Answered, CallResult, Permit, Progress, Queued, Request, RetryBudget, Sent, StreamEvent,
 };
 use front::{Reply, StreamItem};
 use http::{Method, Response};
@@ -36,6 +36,8 @@
     pub(crate) server: BackendServerId,
     pub(crate) address: Box<str>,
     pub(crate) attempt: AttemptId,
+    /// The circuit breaker's permission.
+    pub(crate) permit: Permit,
     /// The replica of a completion.
     pub(crate) replica: Option<ReplicaRef>,
     pub(crate) priority: u8,
@@ -45,6 +47,7 @@
 pub(crate) struct AttemptEnd {
     pub(crate) ticket: Ticket,
     pub(crate) server: BackendServerId,
+    pub(crate) permit: Permit,
     pub(crate) replica: Option<ReplicaRef>,
     pub(crate) sent_at: Instant,
     pub(crate) result: AttemptResult,
@@ -64,8 +67,6 @@
     Answered(Request<Answered>, Option<Response<Bytes>>),
     /// No connection was made; nothing was sent.
     NotConnected(Request<Queued>),
-    /// The backend server stated that it did not start the request.
-    NotStarted(Request<Sent>),
     /// The answer is missing or not whole.
     Failed(Request<Sent>, Reason),
     /// The caller went away.
@@ -97,7 +98,7 @@
                 return self.end(record, result, Some(reply), CallResult::Void);
             }
         };
-        let request = self.mark_sent(request);
+        let mut request = self.mark_sent(request);
         let res = tokio::select! {
             res = self.client.send(req, deadline) => res,
             () = reply.closed() => {
@@ -109,11 +110,11 @@
             Ok(res) => res,
             Err(e) => return self.fail(record, request, Some(reply), &e),
         };
-        if is_not_started(&res) {
-            let result = AttemptResult::NotStarted(request);
+        let echoed: AttemptId = echoed_attempt(&res).into();
+        if is_not_started(&res) && request.mark_not_started(&echoed) {
+            let result = AttemptResult::Failed(request, Reason::NoCapacity);
             return self.end(record, result, Some(reply), CallResult::Bad);
         }
-        let echoed: AttemptId = echoed_attempt(&res).into();
         if job.stream && res.status().is_success() {
             let stream = TokenStream::new(res.into_body());
             return self.stream(record, request, stream, echoed, reply).await;
@@ -161,10 +162,10 @@
                 return self.end(record, result, Some(reply), CallResult::Bad);
             }
         };
-        let request = self.mark_sent(request);
+        let mut request = self.mark_sent(request);
         match connection.send_and_collect(req, deadline).await {
-            Ok(res) if is_not_started(&res) => {
-                let result = AttemptResult::NotStarted(request);
+            Ok(res) if is_not_started(&res) && request.mark_not_started(&self.attempt) => {
+                let result = AttemptResult::Failed(request, Reason::NoCapacity);
                 self.end(record, result, Some(reply), CallResult::Bad)
             }
             Ok(res) => {
@@ -341,7 +342,7 @@
     fn fail(
         self,
         record: Record,
-        request: Request<Sent>,
+        mut request: Request<Sent>,
         reply: Option<ReplySlot>,
         e: &SendError,
     ) -> AttemptEnd {
@@ -350,12 +351,11 @@
             SendError::DeadlinePassed => Reason::DeadlinePassed,
             _ => Reason::BackendFailed,
         };
-        // Without a connection the engine cannot have started the attempt.
-        let result = match e.verdict() {
-            Verdict::NotRun => AttemptResult::NotStarted(request),
-            Verdict::MayHaveRun => AttemptResult::Failed(request, reason),
-        };
-        self.end(record, result, reply, CallResult::Bad)
+        if e.verdict() == Verdict::NotRun {
+            // Without a connection the engine cannot have started the attempt.
+            request.mark_not_started(&self.attempt);
+        }
+        self.end(record, AttemptResult::Failed(request, reason), reply, CallResult::Bad)
     }
 
     /// Asks the engine to stop; the answer does not matter.
@@ -380,6 +380,7 @@
         AttemptEnd {
             ticket: self.ticket,
             server: self.server,
+            permit: self.permit,
             replica: self.replica,
             sent_at: record.sent_at,
             result,
--- a/components/process/instance/src/attempt_ends.rs
+++ b/components/process/instance/src/attempt_ends.rs
@@ -2,7 +2,7 @@
 
 use admission::Ticket;
 use bytes::Bytes;
-use dispatch::{CallResult, Request, Sent};
+use dispatch::{CallResult, Permit, Queued, Request, Sent};
 use http::{Response, StatusCode};
 use idempotency::{Answer, EntryState, MAX_ANSWER_BYTES};
 use types::prelude::*;
@@ -14,35 +14,36 @@
 use crate::pending::{Job, ReplySlot, Stage};
 use crate::requests::{Requests, Wanted};
 
-/// Delay before another backend server is tried after a failed connection.
-const NEXT_SERVER_DELAY: Duration = Duration::from_millis(2);
-
 impl Requests {
     /// Takes the result of an attempt.
     pub(crate) fn on_attempt(&mut self, cx: &Context, end: AttemptEnd, now: Instant) {
-        self.record_health(cx, &end, now);
-        let ticket = end.ticket;
+        let AttemptEnd { ticket, server, permit, replica, sent_at, result, reply, .. } = end;
+        let health = match &result {
+            AttemptResult::NotConnected(_) => CallResult::Bad,
+            _ => end.health,
+        };
+        match &replica {
+            Some(replica) => self.router.ended(replica, sent_at, now),
+            None => self.router.service_ended(&server),
+        }
+        self.record_health(cx, &server, permit, health, now);
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         let queue = pending.admitted.queue.clone();
-        match end.result {
+        match result {
             AttemptResult::Answered(request, whole) => {
                 tracing::debug!("dispatch: {} answered", request.terms().id);
-                self.answered(ticket, whole, end.reply, (end.first_token_at, end.tokens), now);
+                self.answered(ticket, whole, reply, (end.first_token_at, end.tokens), now);
             }
             AttemptResult::NotConnected(request) => {
-                pending.reply = end.reply;
-                pending.exclude(end.replica, end.server);
-                self.requeue(ticket, request, now + NEXT_SERVER_DELAY, now);
-            }
-            AttemptResult::NotStarted(request) => {
-                pending.reply = end.reply;
-                pending.exclude(end.replica, end.server);
-                self.retry(cx, ticket, request, (Reason::NoCapacity, true), now);
+                pending.reply = reply;
+                pending.exclude(replica, server);
+                let next = request.connect_failed(now, &mut *cx.rng.borrow_mut());
+                self.after_failure(ticket, next, Reason::BackendFailed, now);
             }
             AttemptResult::Failed(request, reason) => {
-                pending.reply = end.reply;
-                pending.exclude(end.replica, end.server);
-                self.retry(cx, ticket, request, (reason, false), now);
+                pending.reply = reply;
+                pending.exclude(replica, server);
+                self.retry(cx, ticket, request, reason, now);
             }
             AttemptResult::Abandoned(request) => {
                 self.admission.finish(ticket);
@@ -93,19 +94,18 @@
         }
     }
 
-    fn record_health(&mut self, cx: &Context, end: &AttemptEnd, now: Instant) {
-        let health = match &end.result {
-            AttemptResult::NotConnected(_) => CallResult::Bad,
-            _ => end.health,
-        };
-        match &end.replica {
-            Some(replica) => self.router.ended(replica, end.sent_at, now),
-            None => self.router.service_ended(&end.server),
-        }
+    fn record_health(
+        &mut self,
+        cx: &Context,
+        server: &BackendServerId,
+        permit: Permit,
+        health: CallResult,
+        now: Instant,
+    ) {
         let rng = &mut *cx.rng.borrow_mut();
-        if let Some(until) = self.breakers.record(&end.server, health, now, rng) {
-            tracing::warn!("dispatch: {} excluded after failures", end.server);
-            self.router.exclude_server(&end.server, until);
+        if let Some(until) = self.breakers.record(permit, health, now, rng) {
+            tracing::warn!("dispatch: {server} excluded after failures");
+            self.router.exclude_server(server, until);
         }
     }
 
@@ -115,21 +115,32 @@
         cx: &Context,
         ticket: Ticket,
         request: Request<Sent>,
-        (reason, not_started): (Reason, bool),
+        reason: Reason,
         now: Instant,
     ) {
-        let outcome = match request.repeatable() {
+        let next = match request.repeatable() {
             Ok(repeatable) => {
                 let mut budget = self.budget.borrow_mut();
                 let rng = &mut *cx.rng.borrow_mut();
                 repeatable.retry(reason, &mut budget, now, rng)
             }
-            Err(request) if not_started => Err(request.not_started(reason)),
             Err(request) => Err(request.fail(reason)),
         };
-        match outcome {
+        if next.is_ok() {
+            cx.metrics.retries.inc();
+        }
+        self.after_failure(ticket, next, reason, now);
+    }
+
+    fn after_failure(
+        &mut self,
+        ticket: Ticket,
+        next: Result<(Request<Queued>, Instant), Refusal>,
+        reason: Reason,
+        now: Instant,
+    ) {
+        match next {
             Ok((request, not_before)) => {
-                cx.metrics.retries.inc();
                 self.requeue(ticket, request, not_before, now);
             }
             Err(refusal) => {
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -421,9 +421,9 @@
                 return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
             }
         };
-        if !self.breakers.admit(&choice.server, now) {
+        let Some(permit) = self.breakers.admit(&choice.server, now) else {
             return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
-        }
+        };
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         let Some(reply) = pending.reply.take() else { return };
         let attempt = Attempt {
@@ -433,6 +433,7 @@
             server: choice.server,
             address: choice.address,
             attempt: self.attempts.issue(),
+            permit,
             replica: Some(choice.replica.clone()),
             priority: pending.admitted.priority,
         };
@@ -458,7 +459,11 @@
         let excluded = &pending.excluded_servers;
         let rng = &mut *cx.rng.borrow_mut();
         let choice = self.router.route_service(&job.service, excluded, now, rng);
-        let Some(choice) = choice.filter(|choice| self.breakers.admit(&choice.server, now)) else {
+        let permitted = choice.and_then(|choice| {
+            let permit = self.breakers.admit(&choice.server, now)?;
+            Some((choice, permit))
+        });
+        let Some((choice, permit)) = permitted else {
             pending.excluded_servers.clear();
             return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
         };
@@ -470,6 +475,7 @@
             server: choice.server.clone(),
             address: choice.address,
             attempt: self.attempts.issue(),
+            permit,
             replica: None,
             priority: pending.admitted.priority,
         };
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,8 @@
         .version(clap::crate_version!())
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(cmd::serve::command())
+        .subcommand(cmd::demo::command())
         .subcommand(cmd::check::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::report::command())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,7 +1,9 @@
 //! One module per command.
 
 pub(crate) mod check;
+pub(crate) mod demo;
 pub(crate) mod report;
+pub(crate) mod serve;
 pub(crate) mod stand_in;
 pub(crate) mod status;
 
@@ -16,6 +18,8 @@
 /// Runs the command that `matches` names.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     let result = match matches.subcommand() {
+        Some(("serve", matches)) => serve::run(matches),
+        Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
