--- a/components/connection/front/src/arrival.rs
+++ b/components/connection/front/src/arrival.rs
@@ -1,5 +1,7 @@
 //! Events that the servers send to the instance's loop, and the loop's answers.
 
+use std::fmt;
+
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use sha2::{Digest, Sha256};
@@ -16,6 +18,28 @@
     hex::encode(Sha256::digest(key.as_bytes())).into()
 }
 
+/// Text that must not reach the log.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Box<str>);
+
+impl Secret {
+    /// Wraps `text`.
+    pub fn new(text: impl Into<Box<str>>) -> Self {
+        Self(text.into())
+    }
+
+    /// The text, for sending it on.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
 /// A well-formed request of an authenticated caller.
 #[derive(Debug)]
 pub struct Arrival {
@@ -23,6 +47,10 @@
     pub request: RequestId,
     /// Customer whose key the caller presented.
     pub customer: CustomerId,
+    /// The `Authorization` header, to forward the request to another data centre.
+    pub authorization: Secret,
+    /// Set if another instance forwarded the request; it is not forwarded again.
+    pub is_forwarded: bool,
     /// Time at which the head of the request was read.
     pub arrived_at: Instant,
     /// Deadline that the caller set for the whole answer.
--- a/components/connection/front/src/body.rs
+++ b/components/connection/front/src/body.rs
@@ -37,12 +37,14 @@
 
 /// A body of server-sent events.
 pub(crate) fn events(request: RequestId, rx: mpsc::Receiver<StreamItem>) -> AnswerBody {
-    EventBody { request, rx, ended: false }.boxed_unsync()
+    EventBody { request, rx, sequence: 0, ended: false }.boxed_unsync()
 }
 
 struct EventBody {
     request: RequestId,
     rx: mpsc::Receiver<StreamItem>,
+    /// Number of the next chunk, sent as the event's id.
+    sequence: u64,
     /// Set once the end marker or a failure was sent; nothing follows.
     ended: bool,
 }
@@ -64,7 +66,10 @@
                 self.ended = true;
                 return Poll::Ready(Some(Err(StreamCutOff::CutOff)));
             }
-            Poll::Ready(Some(StreamItem::Chunk(data))) => format!("data: {data}\n\n"),
+            Poll::Ready(Some(StreamItem::Chunk(data))) => {
+                self.sequence += 1;
+                format!("id: {}\ndata: {data}\n\n", self.sequence - 1)
+            }
             Poll::Ready(Some(StreamItem::End)) => {
                 self.ended = true;
                 "data: [DONE]\n\n".to_string()
--- a/components/connection/front/src/callers.rs
+++ b/components/connection/front/src/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::header::{CACHE_CONTROL, CONTENT_TYPE, WWW_AUTHENTICATE};
+use http::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, WWW_AUTHENTICATE};
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -15,7 +15,12 @@
 use crate::body::{AnswerBody, events, whole};
 use crate::listener::{ConnectionLimits, serve};
 use crate::parse::{self, Route};
-use crate::{Arrival, Call, KeyTable, Problem, REQUEST_ID_HEADER, Reply, hash_key};
+use crate::{
+    Arrival, Call, FORWARDED_HEADER, KeyTable, Problem, REQUEST_ID_HEADER, Reply, Secret, hash_key,
+};
+
+/// Header with the identifier of an attempt, echoed for instances that forward requests.
+const ATTEMPT_HEADER: &str = "x-attempt-id";
 
 /// Limits on what callers may send.
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +74,7 @@
 impl Handler {
     async fn answer(self, req: Request<Incoming>) -> Response<AnswerBody> {
         let request = self.next_request_id();
+        let attempt = req.headers().get(ATTEMPT_HEADER).cloned();
         let mut res = match self.exchange(&request, req).await {
             Ok(reply) => write_reply(&request, reply),
             Err(problem) => problem.into_response(&request, Instant::now()),
@@ -79,6 +85,9 @@
         if let Ok(value) = HeaderValue::from_str(&request) {
             res.headers_mut().insert(REQUEST_ID_HEADER, value);
         }
+        if let Some(attempt) = attempt {
+            res.headers_mut().insert(ATTEMPT_HEADER, attempt);
+        }
         res
     }
 
@@ -135,7 +144,19 @@
                 body: self.read_body(body).await?,
             },
         };
-        Ok(Arrival { request, customer, arrived_at, deadline, class, idempotency_key, call, reply })
+        let authorization = head.headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+        Ok(Arrival {
+            request,
+            customer,
+            authorization: Secret::new(authorization.unwrap_or_default()),
+            is_forwarded: head.headers.contains_key(FORWARDED_HEADER),
+            arrived_at,
+            deadline,
+            class,
+            idempotency_key,
+            call,
+            reply,
+        })
     }
 
     fn authenticate(&self, headers: &http::HeaderMap) -> Result<CustomerId, Problem> {
--- a/components/connection/front/src/callers_tests.rs
+++ b/components/connection/front/src/callers_tests.rs
@@ -102,7 +102,7 @@
     .await;
     let res = post(&address, KEY, chat(true)).send().await.unwrap();
     assert_eq!(res.headers()["content-type"], "text/event-stream");
-    assert_eq!(res.text().await.unwrap(), "data: {\"n\":1}\n\ndata: [DONE]\n\n");
+    assert_eq!(res.text().await.unwrap(), "id: 0\ndata: {\"n\":1}\n\ndata: [DONE]\n\n");
 }
 
 // Guards against a dropped stream that looks complete to the caller.
--- a/components/connection/front/src/lib.rs
+++ b/components/connection/front/src/lib.rs
@@ -17,9 +17,10 @@
 mod parse_tests;
 
 pub use arrival::{
-    Arrival, Call, KeyTable, OperatorQuery, OperatorReply, OperatorRequest, Reply, StreamItem,
-    hash_key,
+    Arrival, Call, KeyTable, OperatorQuery, OperatorReply, OperatorRequest, Reply, Secret,
+    StreamItem, hash_key,
 };
 pub use callers::{CallerLimits, serve_callers};
 pub use operators::serve_operators;
-pub use problem::{Problem, REQUEST_ID_HEADER};
+pub use parse::{CLASS_HEADER, DEADLINE_HEADER, FORWARDED_HEADER};
+pub use problem::{Problem, REQUEST_ID_HEADER, VERDICT_HEADER};
--- a/components/connection/front/src/parse.rs
+++ b/components/connection/front/src/parse.rs
@@ -18,9 +18,11 @@
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3600);
 
 /// Header with the remaining time for the whole answer in milliseconds.
-pub(crate) const DEADLINE_HEADER: &str = "x-deadline-ms";
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// Header with the urgency class.
-pub(crate) const CLASS_HEADER: &str = "x-class";
+pub const CLASS_HEADER: &str = "x-class";
+/// Header that names the instance which forwarded a request from another data centre.
+pub const FORWARDED_HEADER: &str = "x-forwarded-by";
 /// Header with the idempotency key.
 pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
@@ -108,13 +110,16 @@
     Ok(Call::Completion { path, target, stream, prompt, body })
 }
 
+/// The prompt text as engines hash it: one line `ROLE: CONTENT` per message.
 fn prompt_beginning(body: &CompletionBody<'_>) -> Box<[u8]> {
     let mut text = Vec::new();
     for message in body.messages.iter().flatten() {
         text.extend_from_slice(message.role.as_bytes());
+        text.extend_from_slice(b": ");
         if let Content::Text(content) = &message.content {
             text.extend_from_slice(content.as_bytes());
         }
+        text.push(b'\n');
         if text.len() >= PROMPT_BYTES {
             break;
         }
--- a/components/connection/front/src/problem.rs
+++ b/components/connection/front/src/problem.rs
@@ -10,6 +10,8 @@
 
 /// Header with the identifier of a request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header of refusals that repeats the verdict, for callers that do not read problem documents.
+pub const VERDICT_HEADER: &str = "x-verdict";
 
 /// A refusal with a sentence for the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,6 +79,11 @@
         *res.status_mut() = self.status();
         let headers = res.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        let verdict = match self.refusal.verdict {
+            Verdict::NotRun => "not_run",
+            Verdict::MayHaveRun => "may_have_run",
+        };
+        headers.insert(VERDICT_HEADER, HeaderValue::from_static(verdict));
         if let Some(at) = self.refusal.retry_at {
             // The header has whole seconds; rounding up keeps a repeat from coming too early.
             let seconds = at.saturating_duration_since(now).as_millis().div_ceil(1000);
--- a/components/process/instance/src/attempt.rs
+++ b/components/process/instance/src/attempt.rs
@@ -15,12 +15,13 @@
 use dispatch::{
     Answered, CallResult, Permit, Progress, Queued, Request, RetryBudget, Sent, StreamEvent,
 };
-use front::{Reply, StreamItem};
+use front::{CLASS_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, Reply, StreamItem};
 use http::{Method, Response};
 use http_body_util::Full;
 use tokio::sync::mpsc;
 use types::prelude::*;
 
+use crate::message::remaining_ms;
 use crate::pending::{CompletionJob, ReplySlot, ServiceJob};
 
 /// Stream chunks that wait for a slow caller before the engine is read no further.
@@ -38,9 +39,18 @@
     pub(crate) attempt: AttemptId,
     /// The circuit breaker's permission.
     pub(crate) permit: Permit,
-    /// The replica of a completion.
+    /// The replica of a completion; `None` if it is forwarded to another data centre.
     pub(crate) replica: Option<ReplicaRef>,
     pub(crate) priority: u8,
+    /// Set if `server` is an instance of another data centre.
+    pub(crate) forward: Option<Forward>,
+}
+
+/// What a forwarded request carries besides its body.
+pub(crate) struct Forward {
+    /// This instance.
+    pub(crate) by: InstanceId,
+    pub(crate) class: ClassId,
 }
 
 /// How an attempt ended.
@@ -90,7 +100,7 @@
     ) -> AttemptEnd {
         let mut record = Record::new();
         let deadline = request.terms().complete_by;
-        let req = match self.completion_request(&job) {
+        let req = match self.completion_request(&job, deadline) {
             Ok(req) => req,
             Err(e) => {
                 tracing::error!("dispatch: request cannot be built: {e}");
@@ -183,16 +193,27 @@
         request.send(self.server.clone(), self.attempt.clone(), &mut budget, Instant::now())
     }
 
-    fn completion_request(&self, job: &CompletionJob) -> Result<http::Request<Full<Bytes>>, http::Error> {
-        let replica = self.replica.as_ref().map_or(0, |r| r.replica);
-        http::Request::builder()
+    fn completion_request(
+        &self,
+        job: &CompletionJob,
+        deadline: Instant,
+    ) -> Result<http::Request<Full<Bytes>>, http::Error> {
+        let req = http::Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}{}", self.address, job.path))
             .header(http::header::CONTENT_TYPE, "application/json")
             .header(ATTEMPT_HEADER, &*self.attempt)
-            .header(PRIORITY_HEADER, u16::from(self.priority))
-            .header(REPLICA_HEADER, replica)
-            .body(Full::new(job.body.clone()))
+            .header(PRIORITY_HEADER, u16::from(self.priority));
+        let req = match (&self.forward, &self.replica) {
+            (Some(forward), _) => req
+                .header(http::header::AUTHORIZATION, job.authorization.expose())
+                .header(FORWARDED_HEADER, &*forward.by)
+                .header(CLASS_HEADER, &*forward.class)
+                .header(DEADLINE_HEADER, remaining_ms(deadline, Instant::now())),
+            (None, Some(replica)) => req.header(REPLICA_HEADER, replica.replica),
+            (None, None) => req,
+        };
+        req.body(Full::new(job.body.clone()))
     }
 
     fn service_request(&self, job: &ServiceJob) -> Result<http::Request<Full<Bytes>>, http::Error> {
--- a/components/process/instance/src/attempt_ends.rs
+++ b/components/process/instance/src/attempt_ends.rs
@@ -24,6 +24,7 @@
         };
         match &replica {
             Some(replica) => self.router.ended(replica, sent_at, now),
+            // Does nothing for a forwarded request, whose server is an instance.
             None => self.router.service_ended(&server),
         }
         self.record_health(cx, &server, permit, health, now);
--- a/components/process/instance/src/bookings.rs
+++ b/components/process/instance/src/bookings.rs
@@ -39,8 +39,7 @@
             .get(&finished.customer)
             .and_then(|contract| contract.classes.get(&finished.class));
         if let Some(class) = class {
-            let objective =
-                Objective { version: finished.version, objective: class.objective };
+            let objective = Objective { version: finished.version, objective: class.objective };
             let (customer, class) = (&finished.customer, &finished.class);
             self.burn.record(now, customer, class, objective, finished.in_time);
         }
--- a/components/process/instance/src/demand.rs
+++ b/components/process/instance/src/demand.rs
@@ -28,8 +28,7 @@
             .collect();
         let is_ready = |r: &&ReplicaState| r.phase == ReplicaPhase::Ready;
         let ready = state.servers.iter().filter(|s| !s.leaving && s.reachable);
-        let ready =
-            ready.flat_map(|s| s.replicas.iter().filter(is_ready).map(|r| r.model.clone()));
+        let ready = ready.flat_map(|s| s.replicas.iter().filter(is_ready).map(|r| r.model.clone()));
         self.ready.insert(state.group.clone(), ready.collect());
         let before = self.published.insert(state.group.clone(), models.clone()).unwrap_or_default();
         for model in before.difference(&models) {
--- a/components/process/instance/src/event.rs
+++ b/components/process/instance/src/event.rs
@@ -27,12 +27,7 @@
         result: Result<Box<ServerReport>, SendError>,
     },
     /// Sending an order ended.
-    OrderResult {
-        group: GroupId,
-        server: BackendServerId,
-        order: OrderId,
-        result: OrderResult,
-    },
+    OrderResult { group: GroupId, server: BackendServerId, order: OrderId, result: OrderResult },
     /// Cache events of a backend server were read.
     CacheEvents { group: GroupId, server: BackendServerId, events: CacheEvents },
     /// An attempt ended.
--- a/components/process/instance/src/group_view.rs
+++ b/components/process/instance/src/group_view.rs
@@ -14,9 +14,8 @@
     pub(crate) fn update(&mut self, view: &group::GroupView, now: Instant) {
         let mut seen = HashMap::with_capacity(self.at.len());
         for (id, replica) in view.servers.values().flat_map(|s| &s.replicas) {
-            let is_used = replica.phase != ReplicaPhase::Ready
-                || replica.running > 0
-                || replica.queued > 0;
+            let is_used =
+                replica.phase != ReplicaPhase::Ready || replica.running > 0 || replica.queued > 0;
             let known = self.at.get(id).copied();
             seen.insert(*id, if is_used { now } else { known.unwrap_or(now) });
         }
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -34,8 +34,6 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for the holder of the limits to answer.
 const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Entry points that a summary names.
-const ENTRY_POINTS: usize = 4;
 
 impl Instance {
     /// Runs `act` on an owned group and carries out what the group then wants.
@@ -286,8 +284,7 @@
             return self.on_event(Event::Share(grant), now);
         }
         let Some(address) = self.address_of(&owner) else { return };
-        let exchange =
-            self.cx.exchange(address, PeerMessage::Share(request), now + SHARE_TIMEOUT);
+        let exchange = self.cx.exchange(address, PeerMessage::Share(request), now + SHARE_TIMEOUT);
         self.cx.spawn(async move {
             match exchange.await {
                 Some(PeerReply::Share(grant)) => Event::Share(grant),
@@ -320,12 +317,11 @@
             let owner = owners.contains(&group).then(|| self.ownership.owner_hint(&group))??;
             Some((group, owner.clone()))
         });
-        let entry_points = self.membership.live().into_values().take(ENTRY_POINTS);
         SummaryBody {
             models_ready: self.demand.ready_models(),
             memory_free: 0,
             key_ranges: key_ranges.collect(),
-            entry_points: entry_points.collect(),
+            entry_points: vec![self.callers_address.clone()],
         }
     }
 
@@ -335,6 +331,9 @@
         else {
             return;
         };
+        if let Some(entry_point) = body.entry_points.first() {
+            self.requests.entry_points.insert(data_centre.clone(), entry_point.clone());
+        }
         let free = body.models_ready.iter().map(|model| (model.clone(), 1)).collect();
         let summary = DataCentreSummary { data_centre: data_centre.clone(), free };
         self.requests.router.summary(summary, now);
@@ -355,15 +354,13 @@
                 }
                 GroupWants::RaiseFencing => {
                     let rng = self.cx.rng.clone();
-                    let actions =
-                        self.ownership.raise_fencing(now, group, &mut *rng.borrow_mut());
+                    let actions = self.ownership.raise_fencing(now, group, &mut *rng.borrow_mut());
                     self.on_ownership_actions(actions, now);
                 }
                 GroupWants::Superseded => {
                     tracing::warn!("group: {group} has another owner");
                     let rng = self.cx.rng.clone();
-                    let actions =
-                        self.ownership.raise_fencing(now, group, &mut *rng.borrow_mut());
+                    let actions = self.ownership.raise_fencing(now, group, &mut *rng.borrow_mut());
                     self.on_ownership_actions(actions, now);
                 }
                 GroupWants::Released => self.released(group, now),
@@ -375,13 +372,7 @@
         }
     }
 
-    fn send_order(
-        &self,
-        group: GroupId,
-        server: BackendServerId,
-        address: Box<str>,
-        order: Order,
-    ) {
+    fn send_order(&self, group: GroupId, server: BackendServerId, address: Box<str>, order: Order) {
         if let OrderKind::Load { source, .. } = &order.kind {
             self.cx.metrics.loads.get_or_create(&(*source).into()).inc();
         }
@@ -430,8 +421,7 @@
             let deadline = Instant::now() + REPORT_TIMEOUT;
             let events = client.cache_events(&entry.address, since, deadline).await;
             // A hint only: what is missed shows as a gap.
-            let events =
-                events.unwrap_or_else(|_| CacheEvents { next: since, events: Vec::new() });
+            let events = events.unwrap_or_else(|_| CacheEvents { next: since, events: Vec::new() });
             Event::CacheEvents { group, server, events }
         });
     }
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -71,6 +71,8 @@
     pub(crate) bookings: Bookings,
     pub(crate) key_table: watch::Sender<Arc<KeyTable>>,
     pub(crate) drain: Drain,
+    /// Address for callers, told to other data centres.
+    pub(crate) callers_address: Box<str>,
     /// The task that watches the configuration's head.
     pub(crate) head_watch: Option<AbortHandle>,
     /// Cache events are read from this position on, by server.
@@ -175,7 +177,9 @@
                 self.on_cache_events(&group, server, events);
             }
             Event::Attempt(end) => self.requests.on_attempt(&self.cx, *end, now),
-            Event::Demand { target, group, reply } => self.on_demand_reply(target, group, reply, now),
+            Event::Demand { target, group, reply } => {
+                self.on_demand_reply(target, group, reply, now)
+            }
             Event::Claim { ticket, answer } => {
                 self.requests.on_claim(&self.cx, ticket, answer, now);
             }
--- a/components/process/instance/src/keys.rs
+++ b/components/process/instance/src/keys.rs
@@ -75,11 +75,6 @@
         }
     }
 
-    /// Owned ranges.
-    pub(crate) fn owned(&self) -> impl Iterator<Item = u32> + '_ {
-        self.ranges.keys().copied()
-    }
-
     /// Whether this instance owns the range of a key.
     pub(crate) fn owns(&self, key: &KeyHash) -> bool {
         self.ranges.contains_key(&range_of(key))
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -26,6 +26,7 @@
 mod owned_group;
 mod peers;
 mod pending;
+mod progress;
 mod requests;
 mod shares;
 mod start;
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use group::{Action, Decision, Group, OrderResult};
-use placement::{Event, LoadEnded, Placement, StoreView};
+use placement::{Event, Placement, StoreView};
 use rand::Rng;
 use types::object::{CallId, ObjectAnswer, ObjectCall};
 use types::prelude::*;
 
 use crate::group_view::{LastUsed, placement_view};
 use crate::message::DemandReply;
+use crate::progress::Progress;
 
 /// Time between reads of a server's report while nothing changes. 6 servers of one instance at
 /// 1.5 KB a report stay below 9 KB/s.
@@ -20,6 +21,13 @@
 const PUBLISH_DELAY: Duration = Duration::from_millis(5);
 /// Time after which the state is published again for instances that missed it.
 const REPUBLISH_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for the pool to give allowance: two writes and a read take some milliseconds, and more if
+/// an answer is lost.
+const ALLOWANCE_TIME: Duration = Duration::from_millis(1_000);
+/// Time after which the pool may have allowance again.
+const ASK_AGAIN_AFTER: Duration = Duration::from_secs(5);
+/// Time between choices of the models that permits cover. Each change costs a write.
+const PERMIT_INTERVAL: Duration = Duration::from_secs(60);
 
 /// What an owned group wants from the loop.
 #[derive(Debug)]
@@ -40,15 +48,6 @@
     Publish(Arc<GroupState>),
 }
 
-/// A load or prefetch that was ordered.
-#[derive(Debug)]
-struct Loading {
-    server: BackendServerId,
-    model: ModelId,
-    source: LoadSource,
-    started: Instant,
-}
-
 /// When a server's report is read next.
 #[derive(Debug)]
 struct Poll {
@@ -64,8 +63,12 @@
     catalogue: Arc<Catalogue>,
     used: LastUsed,
     polls: BTreeMap<BackendServerId, Poll>,
-    /// Loads by replica, for the measured load times.
-    loading: HashMap<ReplicaId, Loading>,
+    progress: Progress,
+    /// When allowance for a model was first asked for without success.
+    asked_at: HashMap<ModelId, Instant>,
+    /// Requests by model since the permits were last set.
+    asked_for: HashMap<ModelId, u32>,
+    permits_at: Instant,
     publish_at: Instant,
     tick_at: Instant,
     wants: Vec<GroupWants>,
@@ -86,7 +89,10 @@
             catalogue,
             used: LastUsed::default(),
             polls: BTreeMap::new(),
-            loading: HashMap::new(),
+            progress: Progress::default(),
+            asked_at: HashMap::new(),
+            asked_for: HashMap::new(),
+            permits_at: now,
             publish_at: now + REPUBLISH_INTERVAL,
             tick_at: now,
             wants: Vec::new(),
@@ -171,9 +177,9 @@
         let Some(report) = report else { return };
         let actions = self.group.on_report(now, wall, requested, report, rng);
         self.act(actions, now);
-        self.note_loads(now, wall, rng);
+        self.note_ended(now, wall, rng);
         let is_busy = report.replicas.iter().any(|r| r.phase != ReplicaPhase::Ready)
-            || self.loading.values().any(|loading| loading.server == *server);
+            || self.progress.is_busy(server, &self.group.view(now));
         if let Some(poll) = self.polls.get_mut(server).filter(|_| is_busy) {
             poll.at = now + BUSY_POLL_INTERVAL;
         }
@@ -205,6 +211,7 @@
         wall: SystemTime,
         rng: &mut impl Rng,
     ) {
+        *self.asked_for.entry(arrival.model.clone()).or_default() += arrival.count;
         self.place(&Event::Arrived(arrival), now, wall, rng);
     }
 
@@ -217,19 +224,49 @@
         rng: &mut impl Rng,
     ) -> DemandReply {
         let target = demand.target.clone();
-        let view = self.group.view(now);
-        if view.writable && view.allowance_left.get(&target.model).is_none_or(|left| *left == 0) {
-            let actions = self.group.request_allowance(now, &target.model, 1, rng);
-            self.act(actions, now);
-        }
+        let is_asking = self.ask_for_allowance(&target.model, now, rng);
         self.place(&Event::Demand(demand), now, wall, rng);
-        let view = self.placement_view(now);
+        let mut view = self.placement_view(now);
+        if is_asking {
+            // The allowance is on its way; the answer should say when the load can end.
+            view.allowance_left.insert(target.model.clone(), 1);
+        }
         match self.placement.expected_ready(&view, &target, now) {
             Some(at) => DemandReply::ReadyIn { ms: crate::message::remaining_ms(at, now) },
             None => DemandReply::Unreachable,
         }
     }
 
+    /// Asks the pool for allowance if none is left. Returns true while the answer is waited for.
+    fn ask_for_allowance(&mut self, model: &ModelId, now: Instant, rng: &mut impl Rng) -> bool {
+        let view = self.group.view(now);
+        let has_allowance = view.allowance_left.get(model).is_some_and(|left| *left > 0);
+        if has_allowance || !view.writable {
+            self.asked_at.remove(model);
+            return false;
+        }
+        let actions = self.group.request_allowance(now, model, 1, rng);
+        self.act(actions, now);
+        let asked_at = *self.asked_at.entry(model.clone()).or_insert(now);
+        if now >= asked_at + ASK_AGAIN_AFTER {
+            self.asked_at.insert(model.clone(), now);
+        }
+        now < asked_at + ALLOWANCE_TIME
+    }
+
+    /// Sets the permits to the models that were asked for most.
+    fn set_permits(&mut self, now: Instant) {
+        self.permits_at = now + PERMIT_INTERVAL;
+        let mut models: Vec<(u32, ModelId)> =
+            self.asked_for.iter().map(|(model, count)| (*count, model.clone())).collect();
+        models.sort_unstable_by(|a, b| b.cmp(a));
+        self.group.set_permit_models(models.into_iter().map(|(_, model)| model).collect());
+        self.asked_for.retain(|_, count| {
+            *count /= 2;
+            *count > 0
+        });
+    }
+
     /// Polls servers, publishes and lets placement look at idle replicas.
     pub(crate) fn on_timer(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
         if self.group.next_timer().is_some_and(|at| at <= now) {
@@ -248,6 +285,9 @@
             self.place(&Event::Tick, now, wall, rng);
             self.tick_at = self.placement.next_wakeup(now);
         }
+        if self.permits_at <= now {
+            self.set_permits(now);
+        }
         if self.publish_at <= now {
             self.publish_at = now + REPUBLISH_INTERVAL;
             if let Some(state) = self.group.publish(now) {
@@ -323,7 +363,8 @@
             Ok(actions) => {
                 tracing::info!("placement: {}", describe(&decision));
                 self.act(actions, now);
-                self.note_started(&decision, &before, now);
+                let after = self.replica_ids(now);
+                self.progress.started(&decision, after.difference(&before).next().copied(), now);
             }
             Err(refused) => {
                 tracing::debug!("placement: {} refused: {refused}", describe(&decision));
@@ -339,56 +380,20 @@
         view.servers.values().flat_map(|s| s.replicas.keys().copied()).collect()
     }
 
-    fn note_started(
-        &mut self,
-        decision: &placement::Decision,
-        before: &BTreeSet<ReplicaId>,
-        now: Instant,
-    ) {
-        let placement::Decision::Load { server, model, source } = decision else { return };
-        let after = self.replica_ids(now);
-        if let Some(replica) = after.difference(before).next() {
-            let loading = Loading {
-                server: server.clone(),
-                model: model.clone(),
-                source: *source,
-                started: now,
-            };
-            self.loading.insert(*replica, loading);
-        }
-    }
-
-    /// Tells placement which loads have ended.
-    fn note_loads(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
+    /// Tells placement what has ended.
+    fn note_ended(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
         let view = self.group.view(now);
         self.used.update(&view, now);
-        let phase = |id: &ReplicaId| {
-            view.servers.values().find_map(|s| s.replicas.get(id)).map(|replica| replica.phase)
-        };
-        let ended: Vec<(ReplicaId, bool)> = self
-            .loading
-            .keys()
-            .filter_map(|id| match phase(id) {
-                Some(ReplicaPhase::Loading) => None,
-                Some(ReplicaPhase::Ready) => Some((*id, true)),
-                Some(ReplicaPhase::Unloading) | None => Some((*id, false)),
-            })
-            .collect();
-        for (id, succeeded) in ended {
-            let Some(Loading { server, model, source, started }) = self.loading.remove(&id) else {
-                continue;
-            };
-            let event = Event::LoadEnded(LoadEnded { server, model, source, started, succeeded });
+        for event in self.progress.ended(&view, now) {
             self.place(&event, now, wall, rng);
         }
     }
 
     fn placement_view(&self, now: Instant) -> placement::View {
-        let loads = self.loading.values().filter(|l| l.source == LoadSource::Remote).count();
-        let store = StoreView {
-            loads_in_progress: u32::try_from(loads).unwrap_or(u32::MAX),
-            adapters_in_flight: 0,
-        };
+        let (loads, adapters) = self.progress.from_store();
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let store =
+            StoreView { loads_in_progress: count(loads), adapters_in_flight: count(adapters) };
         placement_view(&self.group.view(now), &self.used, store, now)
     }
 }
--- a/components/process/instance/src/pending.rs
+++ b/components/process/instance/src/pending.rs
@@ -3,7 +3,7 @@
 use admission::Admitted;
 use bytes::Bytes;
 use dispatch::{Queued, Request};
-use front::{Problem, Reply, StreamItem};
+use front::{Problem, Reply, Secret, StreamItem};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use idempotency::{Fingerprint, KeyHash};
 use tokio::sync::{mpsc, oneshot};
@@ -20,6 +20,9 @@
     pub(crate) reply: Option<ReplySlot>,
     /// Replicas that failed this request.
     pub(crate) excluded: Vec<ReplicaRef>,
+    /// Set if the request must be served in this data centre: it was forwarded here, or could not
+    /// be forwarded.
+    pub(crate) is_local: bool,
     /// Backend servers of a plain service that failed this request.
     pub(crate) excluded_servers: Vec<BackendServerId>,
     /// Set if the request found no ready replica.
@@ -54,6 +57,8 @@
     /// Hashes of the prompt's prefixes, shortest first.
     pub(crate) prefixes: Vec<u64>,
     pub(crate) body: Bytes,
+    /// The caller's authorization, for forwarding.
+    pub(crate) authorization: Secret,
 }
 
 /// A call of a plain service.
--- /dev/null
+++ b/components/process/instance/src/progress.rs
@@ -0,0 +1,137 @@
+//! Loads, prefetches and adapter loads that were ordered and not seen to have ended.
+
+use placement::{AdapterEnded, Decision, Event, LoadEnded};
+use types::prelude::*;
+
+/// A prefetch or an adapter load that no report shows after this time has failed. The weight store
+/// may be slow, so that this is far above the usual time.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(120);
+
+/// What was ordered.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    loads: HashMap<ReplicaId, Started>,
+    prefetches: HashMap<(BackendServerId, ModelId), (LoadSource, Instant)>,
+    adapters: HashMap<(ReplicaId, AdapterId), Instant>,
+}
+
+#[derive(Debug)]
+struct Started {
+    server: BackendServerId,
+    model: ModelId,
+    source: LoadSource,
+    at: Instant,
+}
+
+impl Progress {
+    /// Notes a decision that was carried out; `replica` is the new replica of a load.
+    pub(crate) fn started(
+        &mut self,
+        decision: &Decision,
+        replica: Option<ReplicaId>,
+        now: Instant,
+    ) {
+        match decision {
+            Decision::Load { server, model, source } => {
+                let Some(replica) = replica else { return };
+                let started = Started {
+                    server: server.clone(),
+                    model: model.clone(),
+                    source: *source,
+                    at: now,
+                };
+                self.loads.insert(replica, started);
+            }
+            Decision::Prefetch { server, model, source } => {
+                self.prefetches.insert((server.clone(), model.clone()), (*source, now));
+            }
+            Decision::LoadAdapter { replica, adapter, .. } => {
+                self.adapters.insert((*replica, adapter.clone()), now);
+            }
+            Decision::Unload { .. } | Decision::Unreachable { .. } => {}
+        }
+    }
+
+    /// Whether something is in progress on a server.
+    pub(crate) fn is_busy(&self, server: &str, view: &group::GroupView) -> bool {
+        let has = |replica: &ReplicaId| {
+            view.servers.get(server).is_some_and(|s| s.replicas.contains_key(replica))
+        };
+        self.loads.values().any(|load| *load.server == *server)
+            || self.adapters.keys().any(|(replica, _)| has(replica))
+    }
+
+    /// Loads and prefetches from the weight store, and adapter loads, in progress.
+    pub(crate) fn from_store(&self) -> (usize, usize) {
+        let loads = self.loads.values().filter(|load| load.source == LoadSource::Remote).count();
+        let is_remote = |(source, _): &&(LoadSource, Instant)| *source == LoadSource::Remote;
+        let prefetches = self.prefetches.values().filter(is_remote).count();
+        (loads + prefetches, self.adapters.len())
+    }
+
+    /// Takes out what has ended, as the view shows.
+    pub(crate) fn ended(&mut self, view: &group::GroupView, now: Instant) -> Vec<Event> {
+        let mut events = Vec::new();
+        self.loads_ended(view, &mut events);
+        self.prefetches_ended(view, now, &mut events);
+        self.adapters_ended(view, now, &mut events);
+        events
+    }
+
+    fn loads_ended(&mut self, view: &group::GroupView, events: &mut Vec<Event>) {
+        self.loads.retain(|id, load| {
+            let succeeded = match replica(view, *id).map(|r| r.phase) {
+                Some(ReplicaPhase::Loading) => return true,
+                Some(ReplicaPhase::Ready) => true,
+                Some(ReplicaPhase::Unloading) | None => false,
+            };
+            events.push(Event::LoadEnded(LoadEnded {
+                server: load.server.clone(),
+                model: load.model.clone(),
+                source: load.source,
+                started: load.at,
+                succeeded,
+            }));
+            false
+        });
+    }
+
+    fn prefetches_ended(&mut self, view: &group::GroupView, now: Instant, events: &mut Vec<Event>) {
+        self.prefetches.retain(|(server, model), (source, started)| {
+            let is_cached =
+                view.servers.get(server).is_some_and(|s| s.cached_in_memory.contains(model));
+            if !is_cached && now < *started + GIVE_UP_AFTER {
+                return true;
+            }
+            events.push(Event::PrefetchEnded(LoadEnded {
+                server: server.clone(),
+                model: model.clone(),
+                source: *source,
+                started: *started,
+                succeeded: is_cached,
+            }));
+            false
+        });
+    }
+
+    fn adapters_ended(&mut self, view: &group::GroupView, now: Instant, events: &mut Vec<Event>) {
+        self.adapters.retain(|(id, adapter), started| {
+            let replica = replica(view, *id);
+            let is_loaded = replica.is_some_and(|r| r.adapters.contains(adapter));
+            if !is_loaded && replica.is_some() && now < *started + GIVE_UP_AFTER {
+                return true;
+            }
+            events.push(Event::AdapterEnded(AdapterEnded {
+                replica: *id,
+                adapter: adapter.clone(),
+                started: *started,
+                succeeded: is_loaded,
+            }));
+            false
+        });
+    }
+}
+
+fn replica(view: &group::GroupView, id: ReplicaId) -> Option<&group::ReplicaView> {
+    view.servers.values().find_map(|server| server.replicas.get(&id))
+}
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -11,7 +11,7 @@
 use routing::{Outcome, RouteRequest, Router};
 use types::prelude::*;
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Forward};
 use crate::context::Context;
 use crate::event::Event;
 use crate::expected::ExpectedReady;
@@ -46,6 +46,8 @@
     pub(crate) admission: Admission,
     pub(crate) router: Router,
     pub(crate) expected: ExpectedReady,
+    /// Callers' address of an instance of each other data centre.
+    pub(crate) entry_points: HashMap<DataCentreId, Box<str>>,
     /// What is wanted since the loop last took it.
     pub(crate) wanted: Vec<Wanted>,
     /// Requests that ended since the loop last took them.
@@ -70,6 +72,7 @@
             admission: Admission::new(Arc::clone(&cfg)),
             router: Router::new(),
             expected: ExpectedReady::default(),
+            entry_points: HashMap::new(),
             wanted: Vec::new(),
             finished: Vec::new(),
             arrivals: HashMap::new(),
@@ -107,8 +110,8 @@
 
     /// Takes a request of a caller.
     pub(crate) fn on_arrival(&mut self, cx: &Context, arrival: Arrival, now: Instant) {
-        let Arrival { request, customer, arrived_at, deadline, class, idempotency_key, call, reply } =
-            arrival;
+        let Arrival { request, customer, arrived_at, deadline, class, call, reply, .. } = arrival;
+        let (authorization, idempotency_key) = (arrival.authorization, arrival.idempotency_key);
         let job = match call {
             Call::Models => {
                 let _ = reply.send(crate::models::list(&self.cfg, &customer));
@@ -116,7 +119,14 @@
             }
             Call::Completion { path, target, stream, prompt, body } => {
                 let prefixes = routing::prefix_hashes(&prompt);
-                Job::Completion(CompletionJob { path, target, stream, prefixes, body })
+                Job::Completion(CompletionJob {
+                    path,
+                    target,
+                    stream,
+                    prefixes,
+                    body,
+                    authorization,
+                })
             }
             Call::Service { service, method, path, content_type, body } => {
                 let idempotent = self.is_idempotent(&service, method.as_str(), &path);
@@ -160,6 +170,7 @@
                     stage: Stage::Waiting(Request::new(terms)),
                     reply: Some(ReplySlot::Unused(reply)),
                     excluded: Vec::new(),
+                    is_local: arrival.is_forwarded,
                     excluded_servers: Vec::new(),
                 };
                 self.pending.insert(ticket, pending);
@@ -327,13 +338,17 @@
                     earliest_deadline: waiting.earliest_deadline,
                     worth_milli: waiting.worth_milli,
                 };
-                let outcome = self.router.route(&request, now, &mut *cx.rng.borrow_mut());
-                if let Outcome::Cold(Some(demand)) = outcome {
-                    self.want_target(&demand);
+                match self.router.route(&request, now, &mut *cx.rng.borrow_mut()) {
+                    Outcome::Cold(demand) => {
+                        if let Some(demand) = demand {
+                            self.want_target(&demand);
+                        }
+                        return;
+                    }
+                    // Each request is forwarded, or waits here if it cannot be.
+                    Outcome::DataCentre(_) | Outcome::Replica(_) => {}
                 }
-                return;
-            }
-            if !self.router.has_room(model) {
+            } else if !self.router.has_room(model) {
                 self.want_more_replicas(model, &waiting, now);
                 return;
             }
@@ -417,8 +432,8 @@
                 }
                 return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
             }
-            Outcome::DataCentre(_) => {
-                return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
+            Outcome::DataCentre(data_centre) => {
+                return self.forward(cx, ticket, request, job, &data_centre, now);
             }
         };
         let Some(permit) = self.breakers.admit(&choice.server, now) else {
@@ -436,9 +451,69 @@
             permit,
             replica: Some(choice.replica.clone()),
             priority: pending.admitted.priority,
+            forward: None,
         };
         self.router.sent(&choice.replica, &job.prefixes, now);
-        cx.spawn(async move { Event::Attempt(Box::new(attempt.complete(request, job, reply).await)) });
+        cx.spawn(
+            async move { Event::Attempt(Box::new(attempt.complete(request, job, reply).await)) },
+        );
+    }
+
+    /// Sends a request to an instance of a data centre that has the model ready.
+    fn forward(
+        &mut self,
+        cx: &Context,
+        ticket: Ticket,
+        request: Request<Queued>,
+        job: CompletionJob,
+        data_centre: &DataCentreId,
+        now: Instant,
+    ) {
+        let entry_point = self.entry_points.get(data_centre).cloned();
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        let permitted = entry_point.filter(|_| !pending.is_local).and_then(|address| {
+            let permit = self.breakers.admit(&address, now)?;
+            Some((address, permit))
+        });
+        let Some((address, permit)) = permitted else {
+            pending.is_local = true;
+            self.want_locally(job.target, &self.pending[&ticket].admitted.clone(), now);
+            return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
+        };
+        let Some(reply) = pending.reply.take() else { return };
+        // A failed forward is followed by attempts in this data centre.
+        pending.is_local = true;
+        let forward = Forward { by: cx.instance.clone(), class: pending.admitted.class.clone() };
+        let attempt = Attempt {
+            ticket,
+            client: cx.client.clone(),
+            budget: Rc::clone(&self.budget),
+            server: address.clone(),
+            address,
+            attempt: self.attempts.issue(),
+            permit,
+            replica: None,
+            priority: pending.admitted.priority,
+            forward: Some(forward),
+        };
+        tracing::debug!("dispatch: {} forwarded to {data_centre}", pending.id);
+        cx.spawn(
+            async move { Event::Attempt(Box::new(attempt.complete(request, job, reply).await)) },
+        );
+    }
+
+    /// Asks the own data centre for a target although another one has it ready.
+    fn want_locally(&mut self, target: Target, admitted: &Admitted, now: Instant) {
+        if self.more_replicas_at.get(&target.model).is_some_and(|at| now < *at) {
+            return;
+        }
+        self.more_replicas_at.insert(target.model.clone(), now + MORE_REPLICAS_INTERVAL);
+        self.wanted.push(Wanted::Target {
+            target,
+            waiting: 1,
+            worth_milli: admitted.worth_milli,
+            deadline: admitted.first_token_by,
+        });
     }
 
     fn start_call(
@@ -478,6 +553,7 @@
             permit,
             replica: None,
             priority: pending.admitted.priority,
+            forward: None,
         };
         self.router.service_sent(&choice.server);
         cx.spawn(async move { Event::Attempt(Box::new(attempt.call(request, job, reply).await)) });
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -126,7 +126,8 @@
         }
         for (customer, contract) in &cfg.contracts {
             let (waiting, running) = requests.admission.load(customer);
-            let need = LocalLimits { rate_milli: 0, concurrent: running + waiting, queued: waiting };
+            let need =
+                LocalLimits { rate_milli: 0, concurrent: running + waiting, queued: waiting };
             self.grantee.want(customer, need, &contract.limits);
         }
         self.retry_at = now + RETRY_INTERVAL;
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -119,8 +119,8 @@
     listeners: Listeners,
     stop: watch::Receiver<bool>,
 ) -> Result<(), Error> {
-    let now = Instant::now();
     let peer_address = listeners.peers().map_err(Error::Runtime)?.to_string();
+    let callers_address = listeners.callers().map_err(Error::Runtime)?.to_string();
     let (events_tx, events) = mpsc::unbounded_channel();
     let (arrivals_tx, arrivals) = mpsc::channel(ARRIVAL_QUEUE);
     let (operators_tx, operators) = mpsc::channel(OPERATOR_QUEUE);
@@ -137,17 +137,14 @@
         arrivals_tx,
         turned_true(closed.clone()),
     ));
-    let operator_server = serve_operators(
-        from_std(listeners.operators)?,
-        operators_tx,
-        turned_true(closed.clone()),
-    );
+    let operator_server =
+        serve_operators(from_std(listeners.operators)?, operators_tx, turned_true(closed.clone()));
     let operator_server = tokio::spawn(operator_server);
     let peer_server = peer::serve(from_std(listeners.peers)?, peers_tx, turned_true(closed));
     let peer_server = tokio::spawn(peer_server);
 
     let cx = context(settings, events_tx);
-    let instance = assemble(settings, cx, peer_address.into(), key_table, now);
+    let instance = assemble(settings, cx, (peer_address.into(), callers_address.into()), key_table);
     instance.run(Inputs { arrivals, operators, peers, events, stop }).await;
 
     tracing::info!("instance: all requests finished; closing");
@@ -213,10 +210,10 @@
 fn assemble(
     settings: &Settings,
     cx: Context,
-    peer_address: Box<str>,
+    (peer_address, callers_address): (Box<str>, Box<str>),
     key_table: watch::Sender<Arc<KeyTable>>,
-    now: Instant,
 ) -> Instance {
+    let now = Instant::now();
     let mut lease = ownership::Settings::new(
         cx.instance.clone(),
         cx.incarnation,
@@ -249,6 +246,7 @@
         bookings: Bookings::new(now),
         key_table,
         drain: Drain::Serving,
+        callers_address,
         head_watch: None,
         cache_positions: HashMap::new(),
         list_at: now,
--- a/components/process/instance/src/usage.rs
+++ b/components/process/instance/src/usage.rs
@@ -67,7 +67,12 @@
     }
 
     /// Notes the death of another instance.
-    pub(crate) fn died(&mut self, instance: InstanceId, incarnation: Incarnation, wall: SystemTime) {
+    pub(crate) fn died(
+        &mut self,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        wall: SystemTime,
+    ) {
         self.deaths.push(Death { instance, incarnation, noticed_at: wall });
         self.generation += 1;
     }
@@ -75,7 +80,8 @@
     /// Counts the work of a request.
     pub(crate) fn count(&mut self, finished: &Finished, wall: SystemTime) {
         let Some(model) = finished.model.clone().filter(|_| finished.tokens > 0) else { return };
-        let contract = self.contracts.get(&finished.version).and_then(|c| c.get(&finished.customer));
+        let contract =
+            self.contracts.get(&finished.version).and_then(|c| c.get(&finished.customer));
         let Some(contract) = contract else {
             tracing::error!("accounting: no contract of {} to book under", finished.customer);
             return;
