Add the commands diff and report cost

Cause: operators need to see what apply would change, and the cost split over all groups and instances. Change: both read the platform through its client. report cost joins booked intervals with those in decision objects. configuration takes its content hashes from contracts, since usage is booked under them and the two had differed in the order of JSON keys.

--- a/components/version/accounting/src/output.rs
+++ b/components/version/accounting/src/output.rs
@@ -1,7 +1,9 @@
 //! Cost reports as table, CSV and JSON.
 
 use std::fmt;
+use std::time::UNIX_EPOCH;
 
+use humantime::format_rfc3339_millis;
 use types::prelude::*;
 
 use crate::report::{CostLine, CostReport};
@@ -77,11 +79,11 @@
         }
         for gap in &self.gaps {
             let length = seconds(gap.to_ms - gap.from_ms);
+            let at = format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(gap.from_ms));
             let (instance, incarnation) = (&gap.instance, gap.incarnation);
             writeln!(
                 f,
-                "flagged: instance {instance}, incarnation {incarnation}, may have lost {length} s of counted work at {} ms",
-                gap.from_ms
+                "flagged: instance {instance}, incarnation {incarnation}, may have lost {length} s of counted work from {at} on"
             )?;
         }
         Ok(())
--- a/components/version/configuration/src/head.rs
+++ b/components/version/configuration/src/head.rs
@@ -5,7 +5,7 @@
 use types::object::encode;
 use types::prelude::*;
 
-/// SHA-256 of an object's JSON text, lower-case hex.
+/// SHA-256 of an object's canonical JSON, lower-case hex.
 pub type ContentHash = Box<str>;
 /// SHA-256 of everything in a head but its nonce, lower-case hex.
 pub type Digest = Box<str>;
@@ -31,14 +31,14 @@
     }
 }
 
-/// Hash of a contract.
+/// Hash of a contract. Usage is booked under the same hash.
 pub fn contract_hash(contract: &Contract) -> ContentHash {
-    sha256(&encode(contract))
+    contracts::content_hash(contract)
 }
 
 /// Hash of a catalogue.
 pub fn catalogue_hash(catalogue: &Catalogue) -> ContentHash {
-    sha256(&encode(catalogue))
+    contracts::content_hash(catalogue)
 }
 
 fn sha256(text: &[u8]) -> Box<str> {
--- a/components/version/contracts/src/diff.rs
+++ b/components/version/contracts/src/diff.rs
@@ -50,7 +50,11 @@
 /// Compares the contracts and catalogues of two configurations; versions are not compared.
 pub fn diff(old: &Configuration, new: &Configuration) -> Diff {
     let mut objects = Vec::new();
-    objects.extend(object_diff("catalogue", Some(&*old.catalogue), Some(&*new.catalogue)));
+    // Before the first configuration there is no catalogue; a list of all its entries says nothing.
+    let none = Catalogue::default();
+    let catalogue = |c: &Configuration| Some(c.catalogue.clone()).filter(|c| **c != none);
+    let (from, to) = (catalogue(old), catalogue(new));
+    objects.extend(object_diff("catalogue", from.as_deref(), to.as_deref()));
     let customers: BTreeSet<_> = old.contracts.keys().chain(new.contracts.keys()).collect();
     for customer in customers {
         let name = format!("contract {customer}");
--- /dev/null
+++ b/src/accepted.rs
@@ -0,0 +1,75 @@
+//! The accepted configuration and other objects, read from the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use configuration::Head;
+use platform::{Call, Client, ClientConfig, Rate, Rates};
+use serde::de::DeserializeOwned;
+use types::contract::{Configuration, Contract};
+use types::object::ObjectKey;
+
+use crate::failure::Failure;
+
+/// A command makes few calls; this keeps one that runs in a loop from crowding out instances.
+const RATES: Rates = Rates {
+    reads: Rate { per_second: 20.0, burst: 200.0 },
+    writes: Rate { per_second: 10.0, burst: 100.0 },
+};
+
+/// The platform as a command uses it.
+pub(crate) struct Platform {
+    /// The client.
+    pub(crate) client: Client,
+    /// When all calls have to be done.
+    deadline: Instant,
+}
+
+impl Platform {
+    /// Prepares calls to the platform; the first call connects.
+    pub(crate) fn new(address: SocketAddr, deadline: Instant) -> Self {
+        let cfg = ClientConfig {
+            address,
+            instance: "command".into(),
+            rates: RATES,
+            seed: rand::random(),
+        };
+        Self { client: Client::new(&cfg), deadline }
+    }
+
+    /// Limits of a call.
+    pub(crate) fn call(&self) -> Call {
+        Call::by(self.deadline)
+    }
+
+    /// Reads an object that must exist.
+    async fn existing<T: DeserializeOwned>(&self, key: ObjectKey) -> Result<T, Failure> {
+        match self.client.get(&key, self.call()).await? {
+            Some(object) => Ok(object.value),
+            None => Err(Failure::Missing(format!("{}/{}", key.kind, key.name))),
+        }
+    }
+
+    /// Reads the accepted configuration; version zero if none was accepted yet.
+    pub(crate) async fn accepted(&self) -> Result<Configuration, Failure> {
+        let key = ObjectKey::new("configuration", "head");
+        let Some(head) = self.client.get::<Head>(&key, self.call()).await? else {
+            return Ok(Configuration::default());
+        };
+        let head = head.value;
+        let mut accepted = Configuration { version: head.version, ..Configuration::default() };
+        for (customer, hash) in &head.contracts {
+            let contract = self.contract(customer, hash).await?;
+            accepted.contracts.insert(customer.clone(), Arc::new(contract));
+        }
+        accepted.catalogue =
+            Arc::new(self.existing(ObjectKey::new("catalogue", head.catalogue)).await?);
+        Ok(accepted)
+    }
+
+    /// Reads one contract.
+    pub(crate) async fn contract(&self, customer: &str, hash: &str) -> Result<Contract, Failure> {
+        self.existing(ObjectKey::new("contract", format!("{customer}@{hash}"))).await
+    }
+}
--- a/src/args.rs
+++ b/src/args.rs
@@ -2,12 +2,19 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 use clap::{Arg, ArgAction, ArgMatches, value_parser};
 
-/// Where an instance answers operators, unless the command line says otherwise.
+use crate::accepted::Platform;
+
+/// Where the platform and the instances answer on one machine, unless a command says otherwise.
+const DEFAULT_PLATFORM: &str = "127.0.0.1:7000";
 const DEFAULT_OPERATORS: &str = "127.0.0.1:9090";
 
+/// Outages of the platform that last longer are worth a message.
+const DEFAULT_PLATFORM_TIMEOUT: &str = "10s";
+
 /// Form of a command's output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Format {
@@ -40,6 +47,34 @@
     FORMATS.iter().find(|(word, _)| *word == name).map_or(Format::Text, |(_, format)| *format)
 }
 
+/// `--platform`.
+pub(crate) fn platform_arg() -> Arg {
+    Arg::new("platform")
+        .long("platform")
+        .value_name("IP:PORT")
+        .default_value(DEFAULT_PLATFORM)
+        .value_parser(value_parser!(SocketAddr))
+        .help("Address of the platform's object API")
+}
+
+/// `--platform-timeout`.
+pub(crate) fn platform_timeout_arg() -> Arg {
+    Arg::new("platform-timeout")
+        .long("platform-timeout")
+        .value_name("DURATION")
+        .default_value(DEFAULT_PLATFORM_TIMEOUT)
+        .value_parser(|text: &str| humantime::parse_duration(text))
+        .help("Longest time for reading the platform")
+}
+
+/// The platform as the command line names it.
+pub(crate) fn platform(matches: &ArgMatches) -> Platform {
+    let address = matches.get_one::<SocketAddr>("platform").copied();
+    let timeout = matches.get_one::<Duration>("platform-timeout").copied();
+    let default = "the argument has a default";
+    Platform::new(address.expect(default), Instant::now() + timeout.expect(default))
+}
+
 /// `--operators`, repeatable.
 pub(crate) fn operators_arg() -> Arg {
     Arg::new("operators")
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -12,6 +12,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(cmd::check::command())
+        .subcommand(cmd::diff::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::report::command())
         .subcommand(cmd::stand_in::command())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One module per command.
 
 pub(crate) mod check;
+pub(crate) mod diff;
 pub(crate) mod report;
 pub(crate) mod stand_in;
 pub(crate) mod status;
@@ -17,6 +18,7 @@
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     let result = match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
+        Some(("diff", matches)) => diff::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
         Some(("stand-in", matches)) => return stand_in::run(matches),
--- a/src/cmd/report/mod.rs
+++ b/src/cmd/report/mod.rs
@@ -1,6 +1,7 @@
 //! `report`: one module per report.
 
 mod burn;
+mod cost;
 
 use std::process::ExitCode;
 
@@ -15,12 +16,14 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(burn::command())
+        .subcommand(cost::command())
 }
 
 /// Runs the report that `matches` names.
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, Failure> {
     match matches.subcommand() {
         Some(("burn", matches)) => burn::run(matches),
+        Some(("cost", matches)) => cost::run(matches),
         _ => unreachable!("clap requires one of the subcommands"),
     }
 }
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -26,6 +26,24 @@
         Instance(address: SocketAddr, message: String) {
             display("{address}: {message}")
         }
+        /// The platform cannot be used.
+        Platform(e: platform::Error) {
+            from()
+            display("{e}")
+        }
+        /// An object that others refer to does not exist.
+        Missing(object: String) {
+            display("platform: object {object} does not exist")
+        }
+        /// Records that contradict each other.
+        Records(object: String, e: accounting::Error) {
+            display("platform: object {object}: {e}")
+        }
+        /// The output cannot be written as CSV.
+        Csv(e: csv::Error) {
+            from()
+            display("the output cannot be written: {e}")
+        }
         /// The output cannot be written as JSON.
         Json(e: serde_json::Error) {
             from()
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! Entry point of the `sequoiawell` binary.
 
+mod accepted;
 mod args;
 mod cli;
 mod client;
