--- a/tests/platform_command_tests.rs
+++ b/tests/platform_command_tests.rs
@@ -214,3 +214,11 @@
     ];
     support::assert_golden(name, &run(&platform, &args).await, &[]);
 }
+
+/// Guards against usage that cannot be matched with the contract that it is booked under.
+#[test]
+fn the_head_and_the_usage_name_contracts_by_one_hash() {
+    for contract in sample("alykes").contracts.values() {
+        assert_eq!(contract_hash(contract), contracts::content_hash(&**contract));
+    }
+}
