--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -390,7 +390,7 @@
     }
 
     fn placement_view(&self, now: Instant) -> placement::View {
-        let (loads, adapters) = self.progress.from_store();
+        let (loads, adapters) = self.progress.store_load();
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let store =
             StoreView { loads_in_progress: count(loads), adapters_in_flight: count(adapters) };
--- a/components/process/instance/src/progress.rs
+++ b/components/process/instance/src/progress.rs
@@ -62,7 +62,7 @@
     }
 
     /// Loads and prefetches from the weight store, and adapter loads, in progress.
-    pub(crate) fn from_store(&self) -> (usize, usize) {
+    pub(crate) fn store_load(&self) -> (usize, usize) {
         let loads = self.loads.values().filter(|load| load.source == LoadSource::Remote).count();
         let is_remote = |(source, _): &&(LoadSource, Instant)| *source == LoadSource::Remote;
         let prefetches = self.prefetches.values().filter(is_remote).count();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -14,6 +14,7 @@
         .subcommand(cmd::serve::command())
         .subcommand(cmd::demo::command())
         .subcommand(cmd::check::command())
+        .subcommand(cmd::diff::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::report::command())
         .subcommand(cmd::stand_in::command())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod check;
 pub(crate) mod demo;
+pub(crate) mod diff;
 pub(crate) mod report;
 pub(crate) mod serve;
 pub(crate) mod stand_in;
@@ -21,6 +22,7 @@
         Some(("serve", matches)) => serve::run(matches),
         Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("diff", matches)) => diff::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
         Some(("stand-in", matches)) => return stand_in::run(matches),
