--- a/components/stand_ins/src/engine/mod.rs
+++ b/components/stand_ins/src/engine/mod.rs
@@ -31,7 +31,7 @@
 use types::prelude::*;
 
 pub use config::{EngineConfig, EngineCounters, EngineFaults};
-pub use prefix_cache::{CacheEvent, CacheEvents};
+pub use prefix_cache::{CacheEvent, CacheEventKind, CacheEvents};
 pub use text::{PREFIX_BLOCK_BYTES, chat_prompt, expected_text, prefix_hashes, prompt_hash, token};
 
 use crate::http_server;
--- a/components/stand_ins/src/engine/prefix_cache.rs
+++ b/components/stand_ins/src/engine/prefix_cache.rs
@@ -10,18 +10,28 @@
 /// Events kept; older ones drop out and show as a gap.
 const KEPT_EVENTS: usize = 4_096;
 
+/// What happened to a prefix block.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheEventKind {
+    /// The block is cached.
+    Stored,
+    /// The block is no longer cached.
+    Evicted,
+}
+
 /// One cache event.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CacheEvent {
     /// Number of the event. A missing number is an event that was lost.
     pub sequence: u64,
+    /// What happened.
+    pub kind: CacheEventKind,
     /// The replica.
     pub replica: ReplicaId,
     /// Hash of the prompt up to the end of the block.
     pub prefix: u64,
-    /// Whether the block was dropped rather than stored.
-    pub evicted: bool,
 }
 
 /// Answer of `GET /v1/cache-events`.
@@ -59,13 +69,13 @@
                     self.blocks.remove(position);
                     cached += u64::from(cached == n as u64);
                 }
-                None => self.record(now, false, block),
+                None => self.record(now, CacheEventKind::Stored, block),
             }
             self.blocks.push_back(block);
         }
         while self.blocks.len() > self.capacity {
             if let Some(block) = self.blocks.pop_front() {
-                self.record(now, true, block);
+                self.record(now, CacheEventKind::Evicted, block);
             }
         }
         cached
@@ -75,11 +85,11 @@
     pub(crate) fn drop_replica(&mut self, replica: ReplicaId, now: Instant) {
         let (gone, kept) = self.blocks.drain(..).partition::<Vec<_>, _>(|b| b.0 == replica);
         self.blocks = kept.into();
-        gone.into_iter().for_each(|block| self.record(now, true, block));
+        gone.into_iter().for_each(|block| self.record(now, CacheEventKind::Evicted, block));
     }
 
-    fn record(&mut self, now: Instant, evicted: bool, (replica, prefix): (ReplicaId, u64)) {
-        let event = CacheEvent { sequence: self.next, replica, prefix, evicted };
+    fn record(&mut self, now: Instant, kind: CacheEventKind, (replica, prefix): (ReplicaId, u64)) {
+        let event = CacheEvent { sequence: self.next, kind, replica, prefix };
         self.next += 1;
         self.events.push_back((now, event));
         if self.events.len() > KEPT_EVENTS {
