--- /dev/null
+++ b/tests/deployment/callers.rs
@@ -0,0 +1,147 @@
+//! Callers with an ordinary HTTP client.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::{Client, Response};
+use serde_json::{Value, json};
+use stand_ins::engine::{chat_prompt, expected_text};
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The whole answer to its own request.
+    Whole,
+    /// A refusal with its verdict and reason.
+    Refused { verdict: String, reason: String },
+    /// Anything else: a broken connection, a partial answer or another request's.
+    Broken(String),
+}
+
+/// A completion request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Chat {
+    pub(crate) target: &'static str,
+    pub(crate) key: &'static str,
+    pub(crate) tokens: u64,
+    pub(crate) stream: bool,
+    pub(crate) number: u64,
+    pub(crate) class: Option<&'static str>,
+}
+
+impl Chat {
+    /// A request of the foremen for a short answer.
+    pub(crate) fn new(target: &'static str, number: u64) -> Self {
+        Self { target, key: "demo-foremen", tokens: 8, stream: false, number, class: None }
+    }
+
+    /// A streamed request for a longer answer.
+    pub(crate) fn streamed(target: &'static str, number: u64, tokens: u64) -> Self {
+        Self { tokens, stream: true, ..Self::new(target, number) }
+    }
+
+    /// The same request in the batch class, which waits longer.
+    pub(crate) fn batch(self) -> Self {
+        Self { class: Some("batch"), ..self }
+    }
+
+    /// The same request with the key of the repair counter.
+    pub(crate) fn counter(self) -> Self {
+        Self { key: "demo-counter", ..self }
+    }
+
+    /// Sends the request and reads the answer.
+    pub(crate) async fn send(self, address: SocketAddr) -> Outcome {
+        let content = format!("request {} for {}", self.number, self.target);
+        let messages = json!([{ "role": "user", "content": content }]);
+        let expected = expected_text(self.target, &chat_prompt(&messages), self.tokens);
+        let body = json!({ "model": self.target, "messages": messages, "stream": self.stream,
+            "max_tokens": self.tokens });
+        let mut req = client()
+            .post(format!("http://{address}/v1/chat/completions"))
+            .bearer_auth(self.key)
+            .json(&body);
+        if let Some(class) = self.class {
+            req = req.header("x-class", class);
+        }
+        let res = match req.send().await {
+            Ok(res) => res,
+            Err(e) => return Outcome::Broken(e.to_string()),
+        };
+        let text = match self.stream && res.status().is_success() {
+            true => stream_text(res).await,
+            false => whole_text(res).await,
+        };
+        match text {
+            Ok(text) if text == expected => Outcome::Whole,
+            Ok(text) => Outcome::Broken(format!("expected {expected}, got {text}")),
+            Err(outcome) => outcome,
+        }
+    }
+}
+
+/// Books a withdrawal of its own id, with the id as idempotency key.
+pub(crate) async fn withdraw(address: SocketAddr, id: &str) -> Outcome {
+    let body = json!({ "id": id, "barn": "kalloni", "amount": 2 });
+    let req = client()
+        .post(format!("http://{address}/services/ledger/withdrawals"))
+        .bearer_auth("demo-foremen")
+        .header("idempotency-key", id)
+        .json(&body);
+    match req.send().await {
+        Ok(res) if res.status().is_success() => match res.json::<Value>().await {
+            Ok(_) => Outcome::Whole,
+            Err(e) => Outcome::Broken(e.to_string()),
+        },
+        Ok(res) => problem(res).await,
+        Err(e) => Outcome::Broken(e.to_string()),
+    }
+}
+
+fn client() -> Client {
+    Client::builder().timeout(Duration::from_secs(40)).build().expect("a client")
+}
+
+async fn whole_text(res: Response) -> Result<String, Outcome> {
+    if !res.status().is_success() {
+        return Err(problem(res).await);
+    }
+    let body: Value = res.json().await.map_err(|e| Outcome::Broken(e.to_string()))?;
+    Ok(body["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned())
+}
+
+async fn problem(res: Response) -> Outcome {
+    let status = res.status();
+    match res.json::<Value>().await {
+        Ok(document) => refusal(&document),
+        Err(e) => Outcome::Broken(format!("{status}: {e}")),
+    }
+}
+
+fn refusal(document: &Value) -> Outcome {
+    match (document["verdict"].as_str(), document["reason"].as_str()) {
+        (Some(verdict), Some(reason)) => {
+            Outcome::Refused { verdict: verdict.to_owned(), reason: reason.to_owned() }
+        }
+        _ => Outcome::Broken(format!("no problem document: {document}")),
+    }
+}
+
+async fn stream_text(res: Response) -> Result<String, Outcome> {
+    let body = res.text().await.map_err(|e| Outcome::Broken(e.to_string()))?;
+    let mut text = String::new();
+    for event in body.split("\n\n") {
+        if let Some(data) = event.strip_prefix("event: error\ndata: ") {
+            return Err(refusal(&serde_json::from_str(data).unwrap_or_default()));
+        }
+        let Some(data) = event.lines().find_map(|line| line.strip_prefix("data: ")) else {
+            continue;
+        };
+        if data == "[DONE]" {
+            return Ok(text);
+        }
+        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+        text += chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+    }
+    Err(Outcome::Broken("stream without end marker".into()))
+}
--- /dev/null
+++ b/tests/deployment/main.rs
@@ -0,0 +1,8 @@
+//! Several real `serve` processes on loopback against the stand-ins.
+//!
+//! Each test causes one fault. The invariants are checked by the stand-ins' own counters.
+
+mod callers;
+mod fault_tests;
+mod serving_tests;
+mod world;
