Write counted work and versions in a compact form

Cause: a work object of one hour at the target scale exceeded the platform's 1 MB per value. Change: WorkList names each contract and model once, VersionList holds differences; both read back to the same records. Conclusion: Run::work and Run::versions are now collected from iterators; callers that collect need no change.

--- a/components/version/accounting/src/ledger.rs
+++ b/components/version/accounting/src/ledger.rs
@@ -140,7 +140,7 @@
         let state = self.runs.entry(key.clone()).or_default();
         state.flushed_until = state.flushed_until.max(Some(millis(run.flushed_until)));
         state.closed |= run.closed;
-        for work in &run.work {
+        for work in run.work.iter() {
             let work_key = WorkKey {
                 customer: work.customer.clone(),
                 contract_version: work.contract_version.clone(),
--- a/components/version/accounting/src/lib.rs
+++ b/components/version/accounting/src/lib.rs
@@ -19,6 +19,7 @@
 //!   may be missing are split by the remaining work and flagged.
 
 pub mod ledger;
+pub mod lists;
 pub mod output;
 pub mod records;
 pub mod report;
@@ -27,6 +28,8 @@
 #[cfg(test)]
 mod ledger_tests;
 #[cfg(test)]
+mod lists_tests;
+#[cfg(test)]
 mod output_tests;
 #[cfg(test)]
 mod property_tests;
@@ -36,6 +39,7 @@
 mod test_data;
 
 pub use ledger::{Error, Ledger};
+pub use lists::{ListError, VersionList, WorkList};
 pub use records::{
     Death, FLUSH_INTERVAL, Interval, Run, UsageObject, VersionRecord, Work, WorkObject, usage_name,
     work_name,
--- a/components/version/accounting/src/records.rs
+++ b/components/version/accounting/src/records.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use crate::lists::{VersionList, WorkList};
+
 /// Time between flushes of counted work; the death of an instance loses at most this much.
 pub const FLUSH_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -48,8 +50,7 @@
 }
 
 /// Work of one instance for one model, customer and contract version in one minute.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
     /// The minute in which the work was counted.
     pub minute: Minute,
@@ -73,9 +74,9 @@
     /// Set by the last flush of a planned stop: the run counts no more work.
     pub closed: bool,
     /// Counted work.
-    pub work: Vec<Work>,
+    pub work: WorkList,
     /// Versions of the configuration that the run adopted.
-    pub versions: Vec<VersionRecord>,
+    pub versions: VersionList,
     /// Deaths of other instances that the run observed.
     pub deaths: Vec<Death>,
 }
@@ -90,8 +91,7 @@
 }
 
 /// A version of the configuration and when it was adopted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionRecord {
     /// The version.
     pub version: ConfigurationVersion,
--- a/components/version/accounting/src/test_data.rs
+++ b/components/version/accounting/src/test_data.rs
@@ -4,6 +4,7 @@
 
 use types::prelude::*;
 
+use crate::lists::VersionList;
 use crate::records::*;
 
 /// A time.
@@ -42,11 +43,12 @@
 
 /// A run that has flushed up to a time.
 pub(crate) fn run(flushed_until: u64, work: Vec<Work>) -> Run {
+    let work = work.into_iter().collect();
     Run {
         flushed_until: at(flushed_until),
         closed: false,
         work,
-        versions: Vec::new(),
+        versions: VersionList::default(),
         deaths: Vec::new(),
     }
 }
--- a/tests/platform_command_tests.rs
+++ b/tests/platform_command_tests.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use accounting::{Death, Interval, Run, UsageObject, VersionRecord, Work, WorkObject};
+use accounting::{Death, Interval, Run, UsageObject, VersionList, VersionRecord, Work, WorkObject};
 use configuration::{Head, catalogue_hash, contract_hash};
 use group::{DecisionObject, ServerRecord};
 use rstest::rstest;
@@ -173,21 +173,25 @@
     let north = Run {
         flushed_until: at(1_800),
         closed: false,
-        work: vec![
+        work: [
             work(60, "summary-akti", "foremen", hash(&before, "foremen"), 700),
             work(660, "summary-akti", "foremen", hash(&after, "foremen"), 900),
             work(1_260, "notes-akti", "buyers", hash(&after, "buyers"), 100),
             work(1_260, "notes-akti", "foremen", hash(&after, "foremen"), 200),
-        ],
-        versions: records,
+        ]
+        .into_iter()
+        .collect(),
+        versions: records.into_iter().collect(),
         deaths: vec![Death { instance: "north-2".into(), incarnation: 9, noticed_at: at(668) }],
     };
     put(address, "work/north-1-498970", &WorkObject { runs: [(4, north)].into() }).await;
     let dead = Run {
         flushed_until: at(660),
         closed: false,
-        work: vec![work(600, "tally-akti", "inspectors", hash(&after, "inspectors"), 5_000)],
-        versions: Vec::new(),
+        work: [work(600, "tally-akti", "inspectors", hash(&after, "inspectors"), 5_000)]
+            .into_iter()
+            .collect(),
+        versions: VersionList::default(),
         deaths: Vec::new(),
     };
     put(address, "work/north-2-498970", &WorkObject { runs: [(9, dead)].into() }).await;
