Share the fixed answers of an instance between tests

Cause: the tests of apply need an instance that answers too. Change: the responder moves to tests/support/instance.rs. Conclusion: no change of behaviour.

--- a/tests/operators_command_tests.rs
+++ b/tests/operators_command_tests.rs
@@ -1,34 +1,18 @@
 //! The commands that ask instances, against fixed answers and golden files.
 
 mod support;
+#[path = "support/instance.rs"]
+mod support_instance;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
 use burn::{BurnState, SeriesState};
 use rstest::rstest;
+use support_instance::{answer, serve};
 use types::status::InstanceStatus;
 
-/// Serves fixed answers to `GET /status` and `GET /burn` until the test process ends.
 fn instance(status: &InstanceStatus, burn: &BurnState) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    let status = serde_json::to_string(status).expect("JSON");
-    let burn = serde_json::to_string(burn).expect("JSON");
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("connection");
-            let mut head = [0; 4096];
-            let length = stream.read(&mut head).expect("request");
-            let body = if head[..length].starts_with(b"GET /burn") { &burn } else { &status };
-            let length = body.len();
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
-            );
-            stream.write_all(answer.as_bytes()).expect("answer");
-        }
-    });
-    address
+    serve(vec![answer("/status", status), answer("/burn", burn)])
 }
 
 fn series(customer: &str, class: &str, objective: u32, windows: [(u32, u32); 3]) -> SeriesState {
