Split cost model by model and refuse reversed periods

Cause: the report held the minutes of all models at one time, and a period that ends before it begins was read as empty or could panic. Conclusion: memory of a report grows with the minutes of one model.

--- a/components/version/accounting/src/ledger.rs
+++ b/components/version/accounting/src/ledger.rs
@@ -37,8 +37,8 @@
 pub struct Ledger {
     /// Replicas with the union of their intervals.
     pub(crate) replicas: BTreeMap<(GroupId, ReplicaId), Replica>,
-    /// Highest counter of each run, by minute and model.
-    pub(crate) work: BTreeMap<(Minute, ModelId), BTreeMap<WorkKey, u64>>,
+    /// Highest counter of each run, by model and minute.
+    pub(crate) work: BTreeMap<ModelId, WorkByMinute>,
     /// Runs of instances.
     pub(crate) runs: BTreeMap<RunKey, RunState>,
     /// Versions by number, each with the earliest time of adoption in milliseconds.
@@ -47,6 +47,9 @@
     pub(crate) contracts: BTreeMap<(CustomerId, ContractVersion), ContractTerms>,
 }
 
+/// Counted work of one model.
+pub(crate) type WorkByMinute = BTreeMap<Minute, BTreeMap<WorkKey, u64>>;
+
 /// One run of one instance.
 pub(crate) type RunKey = (InstanceId, Incarnation);
 
@@ -146,7 +149,8 @@
                 contract_version: work.contract_version.clone(),
                 run: key.clone(),
             };
-            let counters = self.work.entry((work.minute, work.model.clone())).or_default();
+            let by_minute = self.work.entry(work.model.clone()).or_default();
+            let counters = by_minute.entry(work.minute).or_default();
             let tokens = counters.entry(work_key).or_default();
             *tokens = work.tokens.max(*tokens);
         }
--- a/components/version/accounting/src/ledger_tests.rs
+++ b/components/version/accounting/src/ledger_tests.rs
@@ -142,3 +142,12 @@
         Err(Error::Contract("h1".into()))
     );
 }
+
+/// Guards against a panic on an empty or reversed period.
+#[test]
+fn a_reversed_period_is_empty() {
+    let mut ledger = ledger();
+    ledger.add_interval(&interval(1, "m", 1, 0, 60_000)).unwrap();
+    ledger.add_work("i", &object(1, run(60_000, vec![work(0, "m", "a", "h1", 7)]))).unwrap();
+    assert_eq!(report(&ledger, 120_000, 0).total_ms, 0);
+}
--- a/components/version/accounting/src/report.rs
+++ b/components/version/accounting/src/report.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use types::prelude::*;
 
-use crate::ledger::{Ledger, RunState, VersionState};
+use crate::ledger::{Ledger, Replica, RunState, VersionState};
 use crate::records::{ContractVersion, FLUSH_INTERVAL, MINUTE_MS, Minute, millis};
 use crate::split::largest_remainder;
 
@@ -33,6 +33,14 @@
     pub fn total_ms(&self) -> u64 {
         self.busy_ms + self.idle_ms
     }
+
+    fn add(&mut self, share: &Share, flagged: bool) {
+        self.tokens += share.tokens;
+        *(if share.idle { &mut self.idle_ms } else { &mut self.busy_ms }) += share.ms;
+        if flagged {
+            self.flagged_ms += share.ms;
+        }
+    }
 }
 
 /// A period in which a run may have counted work that was never flushed.
@@ -50,7 +58,7 @@
 
 /// The split of a period. Lines are sorted by customer, model and contract version, and their
 /// totals add up to `total_ms` exactly.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct CostReport {
     /// Begin of the period in milliseconds since the Unix epoch.
     pub from_ms: u64,
@@ -69,39 +77,47 @@
 
 type LineKey = (Option<CustomerId>, ModelId, Option<ContractVersion>);
 
-/// Accelerator-milliseconds by minute and model.
-type Pools = BTreeMap<(Minute, ModelId), u64>;
+/// Accelerator-milliseconds of one model by minute.
+type Pools = BTreeMap<Minute, u64>;
 
 impl Ledger {
     /// Splits the accelerator time between two times. `as_of` is the time of the report: work that
     /// a run counted between its last flush and `as_of` may be missing.
     pub fn report(&self, from: SystemTime, to: SystemTime, as_of: SystemTime) -> CostReport {
-        let period = millis(from)..millis(to);
+        let period = millis(from)..millis(to).max(millis(from));
         let gaps = self.gaps(&period, millis(as_of));
         let flagged = flagged_minutes(&gaps);
-        let pools = self.pools(&period);
+        let mut report =
+            CostReport { from_ms: period.start, to_ms: period.end, gaps, ..CostReport::default() };
         let mut lines = BTreeMap::<LineKey, CostLine>::new();
-        for ((minute, model), pool) in &pools {
-            for share in self.split(*minute, model, *pool) {
-                let key = (share.customer.clone(), model.clone(), share.contract_version.clone());
-                let line = lines.entry(key).or_insert_with(|| empty_line(&share, model));
-                line.tokens += share.tokens;
-                *(if share.idle { &mut line.idle_ms } else { &mut line.busy_ms }) += share.ms;
-                if flagged.contains(minute) {
-                    line.flagged_ms += share.ms;
+        // Model by model, since the minutes of all models at one time need much memory.
+        for (model, replicas) in self.models() {
+            let pools = pools(&replicas, &period);
+            report.total_ms += pools.values().sum::<u64>();
+            report.unmatched_tokens += self.unmatched_tokens(model, &period, &pools);
+            for (minute, pool) in pools {
+                for share in self.split(minute, model, pool) {
+                    let key =
+                        (share.customer.clone(), model.clone(), share.contract_version.clone());
+                    let line = lines.entry(key).or_insert_with(|| empty_line(&share, model));
+                    line.add(&share, flagged.contains(&minute));
                 }
             }
         }
         // A share of less than one millisecond may leave a line with nothing in it.
         lines.retain(|_, line| line.total_ms() > 0 || line.tokens > 0);
-        CostReport {
-            lines: lines.into_values().collect(),
-            total_ms: pools.values().sum(),
-            unmatched_tokens: self.unmatched_tokens(&period, &pools),
-            gaps,
-            from_ms: period.start,
-            to_ms: period.end,
+        report.lines = lines.into_values().collect();
+        report
+    }
+
+    /// Models that held accelerators or did work, each with its replicas.
+    fn models(&self) -> BTreeMap<&ModelId, Vec<&Replica>> {
+        let mut models: BTreeMap<_, Vec<_>> =
+            self.work.keys().map(|model| (model, Vec::new())).collect();
+        for replica in self.replicas.values() {
+            models.entry(&replica.model).or_default().push(replica);
         }
+        models
     }
 
     /// Begin of the first and end of the last interval; `None` without intervals.
@@ -113,23 +129,6 @@
         Some((time(from), time(to)))
     }
 
-    fn pools(&self, period: &Range<u64>) -> Pools {
-        let mut pools = Pools::new();
-        for replica in self.replicas.values() {
-            for (from, to) in &replica.pieces {
-                let (mut at, to) = ((*from).max(period.start), (*to).min(period.end));
-                while at < to {
-                    let minute = at / MINUTE_MS;
-                    let end = to.min((minute + 1) * MINUTE_MS);
-                    let pool = pools.entry((minute, replica.model.clone())).or_default();
-                    *pool += (end - at) * u64::from(replica.accelerators);
-                    at = end;
-                }
-            }
-        }
-        pools
-    }
-
     fn split(&self, minute: Minute, model: &ModelId, pool: u64) -> Vec<Share> {
         let by_work = self.split_by_work(minute, model, pool);
         by_work.or_else(|| self.split_idle(minute, model, pool)).unwrap_or_else(|| {
@@ -138,7 +137,7 @@
     }
 
     fn split_by_work(&self, minute: Minute, model: &ModelId, pool: u64) -> Option<Vec<Share>> {
-        let counters = self.work.get(&(minute, model.clone()))?;
+        let counters = self.work.get(model)?.get(&minute)?;
         let mut tokens = BTreeMap::<(&CustomerId, &ContractVersion), u64>::new();
         for (key, count) in counters {
             *tokens.entry((&key.customer, &key.contract_version)).or_default() += count;
@@ -177,12 +176,10 @@
         self.versions.values().take_while(|version| version.adopted_at <= at).last()
     }
 
-    fn unmatched_tokens(&self, period: &Range<u64>, pools: &Pools) -> u64 {
-        let minutes = period.start / MINUTE_MS..period.end.div_ceil(MINUTE_MS);
-        let unmatched = self
-            .work
-            .iter()
-            .filter(|(key, _)| minutes.contains(&key.0) && !pools.contains_key(key));
+    fn unmatched_tokens(&self, model: &ModelId, period: &Range<u64>, pools: &Pools) -> u64 {
+        let Some(by_minute) = self.work.get(model) else { return 0 };
+        let counted = by_minute.range(period.start / MINUTE_MS..period.end.div_ceil(MINUTE_MS));
+        let unmatched = counted.filter(|(minute, _)| !pools.contains_key(minute));
         unmatched.flat_map(|(_, counters)| counters.values()).sum()
     }
 
@@ -203,6 +200,23 @@
     }
 }
 
+/// The time of one model's replicas within a period.
+fn pools(replicas: &[&Replica], period: &Range<u64>) -> Pools {
+    let mut pools = Pools::new();
+    for replica in replicas {
+        for (from, to) in &replica.pieces {
+            let (mut at, to) = ((*from).max(period.start), (*to).min(period.end));
+            while at < to {
+                let minute = at / MINUTE_MS;
+                let end = to.min((minute + 1) * MINUTE_MS);
+                *pools.entry(minute).or_default() += (end - at) * u64::from(replica.accelerators);
+                at = end;
+            }
+        }
+    }
+    pools
+}
+
 /// When a run may have counted work that was never flushed.
 fn gap(run: &RunState, as_of: u64) -> Option<Range<u64>> {
     let interval = u64::try_from(FLUSH_INTERVAL.as_millis()).unwrap_or(u64::MAX);
--- a/src/cmd/report/cost.rs
+++ b/src/cmd/report/cost.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, SystemTime};
 
 use accounting::{CostReport, Interval, Ledger, UsageObject, WorkObject};
+use clap::error::ErrorKind;
 use clap::{Arg, ArgMatches, Command};
 use group::DecisionObject;
 
@@ -42,6 +43,9 @@
     let time = |name| matches.get_one::<SystemTime>(name).copied();
     let to = time("to").unwrap_or(now);
     let from = time("from").unwrap_or_else(|| to.checked_sub(DEFAULT_PERIOD).unwrap_or(to));
+    if from > to {
+        command().error(ErrorKind::ArgumentConflict, "the period ends before it begins").exit();
+    }
     let report = cmd::block_on(async { report(&args::platform(matches), from, to, now).await })??;
     let text = match args::format(matches) {
         Format::Csv => report.to_csv()?,
--- a/tests/platform_command_tests.rs
+++ b/tests/platform_command_tests.rs
@@ -106,6 +106,13 @@
     support::assert_golden("diff-unreachable", &support::run(&args), &[]);
 }
 
+/// Guards against a period that ends before it begins and is taken for one without cost.
+#[test]
+fn a_reversed_period_is_a_usage_error() {
+    let args = ["report", "cost", "--from", "2026-12-03T10:00:00Z", "--to", "2026-12-03T09:00:00Z"];
+    support::assert_golden("cost-reversed", &support::run(&args), &[]);
+}
+
 fn at(seconds: u64) -> SystemTime {
     UNIX_EPOCH + Duration::from_secs(TEN + seconds)
 }
