--- a/components/stand_ins/src/weight_store.rs
+++ b/components/stand_ins/src/weight_store.rs
@@ -6,12 +6,10 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use types::prelude::*;
 
-/// Longest time between two looks at how many loads share the store.
-const SLICE: Duration = Duration::from_millis(20);
-
 /// Adapter load time at full speed, in milliseconds.
 const ADAPTER_MILLIS: std::ops::RangeInclusive<f64> = 5.0..=14.0;
 
@@ -39,6 +37,8 @@
 pub struct WeightStore {
     cfg: WeightStoreConfig,
     state: Arc<Mutex<State>>,
+    /// Wakes loads in progress when their speed changes.
+    changed: Arc<watch::Sender<()>>,
 }
 
 #[derive(Debug)]
@@ -66,7 +66,8 @@
             replicas: BTreeMap::new(),
             max_replicas: BTreeMap::new(),
         };
-        Self { cfg, state: Arc::new(Mutex::new(state)) }
+        let changed = Arc::new(watch::Sender::new(()));
+        Self { cfg, state: Arc::new(Mutex::new(state)), changed }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -76,6 +77,7 @@
     /// Makes loads take `factor` times as long, those in progress included.
     pub fn set_slowdown(&self, factor: f64) {
         self.state().slowdown = factor.max(0.001);
+        self.changed.send_replace(());
     }
 
     /// Loads started so far, prefetches included.
@@ -101,19 +103,26 @@
         sleep_until(start_at).await;
         let _in_flight = InFlight::enter(self, |state| &mut state.loads);
         self.state().loads_started += 1;
+        let mut changed = self.changed.subscribe();
         let mut remaining = full_speed.as_secs_f64();
         while remaining > 0.0 {
-            let speed = {
-                let state = self.state();
-                let share = f64::from(self.cfg.concurrent_loads) / f64::from(state.loads.max(1));
-                share.min(1.0) / state.slowdown
-            };
-            let slept_from = Instant::now();
-            sleep(SLICE.min(Duration::from_secs_f64((remaining / speed).min(1.0)))).await;
-            remaining -= slept_from.elapsed().as_secs_f64() * speed;
+            changed.borrow_and_update();
+            let speed = self.speed();
+            let from = Instant::now();
+            let needed = Duration::from_secs_f64(remaining / speed);
+            // An error means that the speed did not change for that time.
+            let _ = timeout(needed, changed.changed()).await;
+            remaining -= from.elapsed().as_secs_f64() * speed;
         }
     }
 
+    /// Present speed of each load; 1 is full speed.
+    fn speed(&self) -> f64 {
+        let state = self.state();
+        let share = f64::from(self.cfg.concurrent_loads) / f64::from(state.loads.max(1));
+        share.min(1.0) / state.slowdown
+    }
+
     /// Waits for an adapter load.
     pub(crate) async fn load_adapter(&self) {
         let _in_flight = InFlight::enter(self, |state| &mut state.adapters);
@@ -150,6 +159,7 @@
 impl<'a> InFlight<'a> {
     fn enter(store: &'a WeightStore, count: fn(&mut State) -> &mut u32) -> Self {
         *count(&mut store.state()) += 1;
+        store.changed.send_replace(());
         Self { store, count }
     }
 }
@@ -157,5 +167,6 @@
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         *(self.count)(&mut self.store.state()) -= 1;
+        self.store.changed.send_replace(());
     }
 }
