--- /dev/null
+++ b/components/process/group/src/decide.rs
@@ -0,0 +1,220 @@
+//! Taking or refusing the decisions of the placement policy.
+
+use rand::Rng;
+use types::prelude::*;
+
+use crate::group::Authority;
+use crate::server::Progress;
+use crate::store::MAX_VALUE_BYTES;
+use crate::{Action, Decision, Group, OrderRecord, Refused, ReplicaRecord, ReplicaStage};
+
+impl Group {
+    /// Takes a decision of the placement policy, or refuses it without any effect.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        decision: Decision,
+        rng: &mut impl Rng,
+    ) -> Result<Vec<Action>, Refused> {
+        if self.authority == Authority::None || self.releasing || !self.has_recovered_once() {
+            return Err(Refused::NotReady);
+        }
+        if self.store.bytes > MAX_VALUE_BYTES {
+            return Err(Refused::TooLarge);
+        }
+        let mut actions = match decision {
+            Decision::Load { server, model, source } => {
+                self.decide_load(now, wall, &server, &model, source)?
+            }
+            Decision::Unload { replica } => self.decide_unload(now, replica)?,
+            Decision::Prefetch { server, model } => {
+                self.check_free(now, &server)?;
+                if !self.catalogue.models.contains_key(&model) {
+                    return Err(Refused::UnknownModel);
+                }
+                self.check_unrecorded(now, &server)?;
+                self.send_unrecorded(&server, OrderKind::Prefetch { model })
+            }
+            Decision::LoadAdapter { replica, adapter, evict } => {
+                self.decide_adapter(now, replica, adapter, evict)?
+            }
+            Decision::SetRole { server, role } => {
+                self.check_free(now, &server)?;
+                self.check_writable(now)?;
+                self.record_order(&server, OrderKind::SetRole { role });
+                Vec::new()
+            }
+        };
+        actions.extend(self.progress(now, rng));
+        Ok(actions)
+    }
+
+    /// Whether this process knows the record, if perhaps under an earlier fencing number.
+    fn has_recovered_once(&self) -> bool {
+        self.record.fencing > 0 && self.store.committed.fencing > 0
+    }
+
+    /// Whether a decision can be written soon. While the platform does not answer, permits serve.
+    pub(crate) fn is_writable(&self, now: Instant) -> bool {
+        self.is_valid(now) && self.is_recovered() && !self.store.is_stuck()
+    }
+
+    fn check_writable(&self, now: Instant) -> Result<(), Refused> {
+        if self.is_writable(now) { Ok(()) } else { Err(Refused::NoPermit) }
+    }
+
+    fn check_free(&self, now: Instant, server: &str) -> Result<(), Refused> {
+        if !self.record.servers.contains_key(server) {
+            return Err(Refused::Unknown);
+        }
+        if self.servers.get(server).is_some_and(|server| server.is_leaving()) {
+            return Err(Refused::Leaving);
+        }
+        if self.is_blocked(now, server) { Err(Refused::Blocked) } else { Ok(()) }
+    }
+
+    /// Orders that reserve nothing need a valid lease or a standing permit at the server: a
+    /// successor gives a server with an earlier owner's permit no order.
+    fn check_unrecorded(&self, now: Instant, server: &str) -> Result<(), Refused> {
+        let permitted =
+            self.store.committed.servers.get(server).is_some_and(|r| r.permit.is_some())
+                && self.servers.get(server).is_some_and(|server| server.own_permit);
+        if self.is_valid(now) && self.is_recovered() || permitted {
+            Ok(())
+        } else {
+            Err(Refused::NoPermit)
+        }
+    }
+
+    fn decide_load(
+        &mut self,
+        now: Instant,
+        wall: SystemTime,
+        name: &BackendServerId,
+        model: &ModelId,
+        source: LoadSource,
+    ) -> Result<Vec<Action>, Refused> {
+        self.check_free(now, name)?;
+        let declared = self.catalogue.models.get(model).ok_or(Refused::UnknownModel)?.clone();
+        let (order, replica, fencing) = if self.is_writable(now) {
+            self.reserve(name, model, declared.memory_bytes)?;
+            let ids = (self.record.next_order, self.record.next_replica, self.fencing());
+            self.record.next_order += 1;
+            self.record.next_replica += 1;
+            ids
+        } else {
+            self.use_permit(name, model, declared.memory_bytes)?
+        };
+        let record = self.record.servers.get_mut(name).ok_or(Refused::Unknown)?;
+        record.replicas.insert(
+            replica,
+            ReplicaRecord {
+                model: model.clone(),
+                version: declared.version.clone(),
+                memory_bytes: declared.memory_bytes,
+                accelerators: declared.accelerators,
+                adapter_slots: declared.adapter_slots,
+                max_batch: declared.max_batch,
+                decided_at: wall,
+                stage: ReplicaStage::Ordered,
+            },
+        );
+        let kind = OrderKind::Load {
+            replica,
+            model: model.clone(),
+            version: declared.version,
+            memory_bytes: declared.memory_bytes,
+            adapter_slots: declared.adapter_slots,
+            source,
+        };
+        record.orders.insert(order, OrderRecord { fencing, kind });
+        self.note_order(name, order);
+        Ok(Vec::new())
+    }
+
+    fn decide_unload(&mut self, now: Instant, replica: ReplicaId) -> Result<Vec<Action>, Refused> {
+        let name = self.record.server_of(replica).ok_or(Refused::Unknown)?.clone();
+        let record = self.record.servers.get_mut(&name).ok_or(Refused::Unknown)?;
+        if record.replicas.get(&replica).is_none_or(|r| r.stage != ReplicaStage::Seen) {
+            return Err(Refused::WrongPhase);
+        }
+        // Late unloads are refused only by servers that check fencing numbers.
+        let fenced = record.checks_fencing;
+        if self.is_blocked(now, &name) {
+            return Err(Refused::Blocked);
+        }
+        if !self.is_writable(now) && !fenced {
+            return Err(Refused::NoPermit);
+        }
+        self.record_order(&name, OrderKind::Unload { replica });
+        let record = self.record.servers.get_mut(&name).ok_or(Refused::Unknown)?;
+        if let Some(replica) = record.replicas.get_mut(&replica) {
+            replica.stage = ReplicaStage::Unloading;
+        }
+        Ok(Vec::new())
+    }
+
+    fn decide_adapter(
+        &mut self,
+        now: Instant,
+        replica: ReplicaId,
+        adapter: AdapterId,
+        evict: Option<AdapterId>,
+    ) -> Result<Vec<Action>, Refused> {
+        let name = self.record.server_of(replica).ok_or(Refused::Unknown)?.clone();
+        if self.is_blocked(now, &name) {
+            return Err(Refused::Blocked);
+        }
+        self.check_unrecorded(now, &name)?;
+        let (Some(record), Some(server)) =
+            (self.record.servers.get(&name), self.servers.get(&name))
+        else {
+            return Err(Refused::Unknown);
+        };
+        let reported = server.reported(replica).ok_or(Refused::WrongPhase)?;
+        let recorded = record.replicas.get(&replica).ok_or(Refused::Unknown)?;
+        if reported.phase != ReplicaPhase::Ready || recorded.stage != ReplicaStage::Seen {
+            return Err(Refused::WrongPhase);
+        }
+        let mut pool: BTreeSet<&AdapterId> = reported.adapters.iter().collect();
+        for order in &server.unrecorded {
+            if let OrderKind::LoadAdapter { replica: r, adapter, evict } = &order.kind
+                && *r == replica
+            {
+                evict.iter().for_each(|evicted| {
+                    pool.remove(evicted);
+                });
+                pool.insert(adapter);
+            }
+        }
+        evict.iter().for_each(|evicted| {
+            pool.remove(evicted);
+        });
+        if pool.len() >= recorded.adapter_slots as usize {
+            return Err(Refused::PoolFull);
+        }
+        Ok(self.send_unrecorded(&name, OrderKind::LoadAdapter { replica, adapter, evict }))
+    }
+
+    /// Records an order that is sent once the record is written.
+    fn record_order(&mut self, name: &BackendServerId, kind: OrderKind) {
+        let (order, fencing) = (self.record.next_order, self.fencing());
+        self.record.next_order += 1;
+        let ignores_fencing = self.record.servers.get(name).is_some_and(|r| !r.checks_fencing);
+        if ignores_fencing {
+            self.withdraw_permit(name);
+        }
+        if let Some(record) = self.record.servers.get_mut(name) {
+            record.orders.insert(order, OrderRecord { fencing, kind });
+        }
+        self.note_order(name, order);
+    }
+
+    fn note_order(&mut self, name: &BackendServerId, order: OrderId) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.progress.insert(order, Progress::Unsent);
+        }
+        self.store.touch();
+    }
+}
--- a/components/process/group/src/lib.rs
+++ b/components/process/group/src/lib.rs
@@ -5,18 +5,27 @@
 //! until their release is proved. Placement decides on a plain [`GroupView`] and passes a
 //! [`Decision`], which is refused if it would break an invariant.
 
+mod accounting;
 mod action;
+mod decide;
 mod decision;
 mod group;
 mod objects;
+mod orders;
+mod permits;
+mod pool;
+mod publish;
+mod reports;
+mod server;
 mod settings;
+mod store;
 mod view;
 
 pub use action::{Action, OrderResult};
 pub use decision::{Decision, Refused};
 pub use group::Group;
 pub use objects::{
-    DecisionObject, Interval, OrderRecord, Permit, PoolObject, Receipt, ReplicaRecord,
+    DecisionObject, Interval, OrderRecord, Permit, PoolObject, PoolReceipt, Receipt, ReplicaRecord,
     ReplicaStage, ServerRecord, Transfer, TransferEnd,
 };
 pub use settings::Settings;
--- a/components/process/group/src/objects.rs
+++ b/components/process/group/src/objects.rs
@@ -149,6 +149,16 @@
     pub model: ModelId,
 }
 
+/// Proof that a transfer from a group was added to a pool; kept until the group has cleared it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolReceipt {
+    /// Nonce of the transfer.
+    pub nonce: Nonce,
+    /// The donor.
+    pub group: GroupId,
+}
+
 /// An ended accelerator interval.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -181,7 +191,7 @@
     /// Transfers to groups that are not known to have arrived. Already deducted from `free`.
     pub transfers: Vec<Transfer>,
     /// Transfers from groups that were added here and may still stand in the group.
-    pub receipts: Vec<Nonce>,
+    pub receipts: Vec<PoolReceipt>,
     /// Groups that found the pool empty. Another owner returns what it does not use.
     pub wanted: BTreeSet<GroupId>,
     /// Nonce of the last write.
