--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -1,1 +1,13 @@
 //! Deadlines, fair queueing, limits and their shares.
+//!
+//! [`Admission`] decides whether a request may wait, in which order waiting requests are served,
+//! and when one has waited too long. [`shares`] divides limits that hold over all data centres.
+
+mod admission;
+mod bucket;
+mod fair_queue;
+mod request;
+pub mod shares;
+
+pub use admission::Admission;
+pub use request::{Admitted, Expired, LocalLimits, Offer, QueueKey, Ticket, Waiting};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,11 @@
 //! Entry point of the `sequoiawell` binary.
 
+mod accepted;
+mod args;
 mod cli;
+mod client;
 mod cmd;
+mod failure;
 
 use std::process::ExitCode;
 
