--- a/components/request/routing/src/prefix.rs
+++ b/components/request/routing/src/prefix.rs
@@ -1,8 +1,11 @@
 //! Hashes of prompt prefixes and what is known of the engines' prefix caches.
 
 use serde::{Deserialize, Serialize};
+use types::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::tables::SlotIndex;
+
 /// Bytes of prompt covered by one more prefix hash.
 pub const PREFIX_BLOCK_BYTES: usize = 256;
 /// Prefixes of one prompt that are considered; longer ones rarely differ in the choice.
@@ -41,3 +44,60 @@
         })
         .collect()
 }
+
+/// Prefixes remembered for one replica. At 870 replicas in a data centre this is about 4 MB.
+const MAX_PREFIXES: usize = 128;
+
+/// Prefixes that one replica's cache probably holds, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct CachedPrefixes {
+    hashes: VecDeque<u64>,
+    /// Sequence number of the latest cache event.
+    sequence: Option<u64>,
+}
+
+/// Which replica of a model probably holds a prefix; a hint, since the latest one wins.
+pub(crate) type PrefixOwners = HashMap<u64, SlotIndex>;
+
+impl CachedPrefixes {
+    pub(crate) fn learn(&mut self, hash: u64, slot: SlotIndex, owners: &mut PrefixOwners) {
+        if owners.insert(hash, slot) == Some(slot) {
+            return;
+        }
+        self.hashes.push_back(hash);
+        if self.hashes.len() > MAX_PREFIXES
+            && let Some(oldest) = self.hashes.pop_front()
+        {
+            disown(oldest, slot, owners);
+        }
+    }
+
+    pub(crate) fn event(&mut self, event: CacheEvent, slot: SlotIndex, owners: &mut PrefixOwners) {
+        match self.sequence {
+            Some(latest) if event.sequence <= latest => return,
+            // Evictions may be among the missing events, so nothing learned before is certain.
+            Some(latest) if event.sequence > latest + 1 => self.forget(slot, owners),
+            _ => {}
+        }
+        self.sequence = Some(event.sequence);
+        match event.change {
+            CacheChange::Stored(hash) => self.learn(hash, slot, owners),
+            CacheChange::Evicted(hash) => {
+                self.hashes.retain(|known| *known != hash);
+                disown(hash, slot, owners);
+            }
+        }
+    }
+
+    pub(crate) fn forget(&mut self, slot: SlotIndex, owners: &mut PrefixOwners) {
+        for hash in self.hashes.drain(..) {
+            disown(hash, slot, owners);
+        }
+    }
+}
+
+fn disown(hash: u64, slot: SlotIndex, owners: &mut PrefixOwners) {
+    if owners.get(&hash) == Some(&slot) {
+        owners.remove(&hash);
+    }
+}
--- /dev/null
+++ b/components/request/routing/tests/faults.rs
@@ -0,0 +1,230 @@
+//! Faults of routing, each by itself.
+
+mod support;
+
+use routing::*;
+use support::*;
+use types::prelude::*;
+
+/// Guards against state of a deposed owner, and against publications that overtake one another.
+#[test]
+fn older_fencing_numbers_and_sequences_are_ignored() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    assert!(router.publish(&group(2, 5, vec![server("s", vec![replica(1, &[])])]), now));
+    assert!(!router.publish(&group(1, 9, vec![]), now));
+    assert!(!router.publish(&group(2, 5, vec![]), now));
+    assert_eq!(router.ready_replicas("m"), 1);
+    assert!(router.publish(&group(3, 1, vec![]), now));
+    assert_eq!(router.ready_replicas("m"), 0);
+}
+
+/// Guards against work for a leaving server because one source lags behind another.
+#[test]
+fn any_source_excludes_a_server_at_once() {
+    let now = Instant::now();
+    let fresh = || {
+        let mut router = Router::new();
+        router.publish(&group(1, 1, vec![server("s", vec![replica(1, &[])])]), now);
+        assert_eq!(router.ready_replicas("m"), 1);
+        router
+    };
+    let mut router = fresh();
+    router.server_report("s", 1, true);
+    router.platform_list(&[listed("s", ListedRole::Engine, ListedState::Live)]);
+    router.publish(&group(1, 2, vec![server("s", vec![replica(1, &[])])]), now);
+    assert_eq!(router.ready_replicas("m"), 0, "report");
+    let restarted = ServerState { incarnation: 2, ..server("s", vec![replica(2, &[])]) };
+    router.publish(&group(1, 3, vec![restarted]), now);
+    assert_eq!(router.ready_replicas("m"), 1, "restart");
+
+    let mut router = fresh();
+    router.platform_list(&[listed("s", ListedRole::Engine, ListedState::Leaving)]);
+    assert_eq!(router.ready_replicas("m"), 0, "list");
+    let mut router = fresh();
+    let leaving = ServerState { leaving: true, ..server("s", vec![replica(1, &[])]) };
+    router.publish(&group(1, 2, vec![leaving]), now);
+    assert_eq!(router.ready_replicas("m"), 0, "publication");
+    let mut router = fresh();
+    let lost = ServerState { reachable: false, ..server("s", vec![replica(1, &[])]) };
+    router.publish(&group(1, 2, vec![lost]), now);
+    assert_eq!(router.ready_replicas("m"), 0, "unreachable");
+}
+
+/// Guards against an open circuit breaker that never lets the server back, or too early.
+#[test]
+fn excluded_server_returns_at_the_stated_time() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    router.publish(&group(1, 1, vec![server("s", vec![replica(1, &[])])]), now);
+    router.exclude_server("s", now + ms(50));
+    router.exclude_server("s", now + ms(20));
+    assert!(matches!(route(&mut router, None, now + ms(49)), Outcome::Cold(_)));
+    assert!(matches!(route(&mut router, None, now + ms(50)), Outcome::Replica(_)));
+}
+
+/// Guards against counting own requests twice or not at all while reports lag.
+#[test]
+fn lagging_load_is_corrected_by_own_requests() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let publish = |router: &mut Router, sequence, running, age, at| {
+        let replica = ReplicaState { running, ..replica(1, &[]) };
+        let server = ServerState { load_age_ms: age, ..server("s", vec![replica]) };
+        router.publish(&group(1, sequence, vec![server]), at);
+    };
+    let load = |router: &mut Router, at| match route(router, None, at) {
+        Outcome::Replica(choice) => choice.load,
+        other => panic!("{other:?}"),
+    };
+    publish(&mut router, 1, 3, 0, now);
+    router.sent(&reference(1), &[], now + ms(10));
+    router.sent(&reference(1), &[], now + ms(30));
+    assert_eq!(load(&mut router, now + ms(30)), 5);
+    // Sampled at 20 ms: only the second request is missing from the report.
+    publish(&mut router, 2, 4, 20, now + ms(40));
+    assert_eq!(load(&mut router, now + ms(40)), 5);
+    router.ended(&reference(1), now + ms(10), now + ms(50));
+    assert_eq!(load(&mut router, now + ms(50)), 4);
+    // Sampled at 45 ms: the first request had not ended by then.
+    publish(&mut router, 3, 5, 15, now + ms(60));
+    assert_eq!(load(&mut router, now + ms(60)), 4);
+    assert!(!router.has_room("m"), "four of four run");
+    router.ended(&reference(1), now + ms(30), now + ms(61));
+    assert!(router.has_room("m"));
+}
+
+/// Guards against needless adapter loads, and against queueing behind a full holder.
+#[test]
+fn replica_with_the_adapter_is_preferred_while_it_has_room() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let replicas = |running| {
+        let with = ReplicaState { running, ..replica(1, &["a"]) };
+        vec![server("s", vec![with]), server("t", vec![replica(2, &[]), replica(3, &[])])]
+    };
+    router.publish(&group(1, 1, replicas(3)), now);
+    for _ in 0..20 {
+        let Outcome::Replica(choice) = route(&mut router, Some("a"), now) else { panic!() };
+        assert_eq!((choice.replica.replica, choice.load_adapter), (1, false));
+    }
+    router.publish(&group(1, 2, replicas(4)), now);
+    let Outcome::Replica(choice) = route(&mut router, Some("a"), now) else { panic!() };
+    assert!(choice.replica.replica != 1 && choice.load_adapter);
+    let Outcome::Replica(choice) = route(&mut router, Some("b"), now) else { panic!() };
+    assert!(choice.load_adapter);
+}
+
+/// Guards against ignoring a replica that has the prompt's prefix, and against trusting what a
+/// gap in the events may have made untrue.
+#[test]
+fn prefix_affinity_follows_sends_and_events_and_ends_at_a_gap() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let replicas = (1..=40).map(|n| replica(n, &[])).collect();
+    router.publish(&group(1, 1, vec![server("s", replicas)]), now);
+    let prefix = prefix_hashes(&[7; 4 * PREFIX_BLOCK_BYTES]);
+    let hits = |router: &mut Router, wanted: ReplicaId| {
+        let mut hit = |seed| match route_with(router, None, &prefix, seed, now) {
+            Outcome::Replica(choice) => choice.replica.replica == wanted,
+            other => panic!("{other:?}"),
+        };
+        (0..50).filter(|seed| hit(*seed)).count()
+    };
+    router.sent(&reference(9), &prefix, now);
+    router.ended(&reference(9), now, now);
+    assert_eq!(hits(&mut router, 9), 50);
+    let event = |sequence, change| CacheEvent { sequence, change };
+    router.cache_events(&reference(5), &[event(1, CacheChange::Stored(prefix[3]))]);
+    assert_eq!(hits(&mut router, 5), 50);
+    router.cache_events(&reference(5), &[event(7, CacheChange::Stored(1))]);
+    assert!(hits(&mut router, 5) < 25);
+}
+
+/// Guards against all instances sending to the one replica that an old report shows as idle.
+#[test]
+fn instances_with_the_same_lagging_report_do_not_herd() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let running = |n| if n == 7 { 0 } else { 2 };
+    let replicas = (1..=40).map(|n| ReplicaState { running: running(n), ..replica(n, &[]) });
+    router.publish(&group(1, 1, vec![server("s", replicas.collect())]), now);
+    let to_idle = |seed| match route_with(&mut router, None, &[], seed, now) {
+        Outcome::Replica(choice) => choice.replica.replica == 7,
+        other => panic!("{other:?}"),
+    };
+    let herd = (0..400).map(to_idle).filter(|idle| *idle).count();
+    assert!((1..=40).contains(&herd), "{herd} of 400 to one of 40");
+}
+
+/// Guards against a flood of demands, and against one that is lost because it came too soon.
+#[test]
+fn demand_for_a_cold_model_is_coalesced() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let cold = |router: &mut Router, at| match route(router, Some("a"), at) {
+        Outcome::Cold(demand) => demand.is_some(),
+        other => panic!("{other:?}"),
+    };
+    let sent = (0..250).filter(|n| cold(&mut router, now + ms(*n))).count();
+    assert_eq!(sent, 1, "held back until due_demands");
+    assert_eq!(router.due_demands(now + ms(250)).len(), 1);
+    assert!(router.due_demands(now + ms(349)).is_empty());
+    assert!(router.due_demands(now + ms(350)).is_empty());
+    assert!(cold(&mut router, now + ms(351)));
+    assert_eq!(router.next_demand_at(), Some(now + ms(451)));
+}
+
+/// Guards against using old summaries, and against sending a whole burst to one data centre.
+#[test]
+fn other_data_centres_are_used_only_while_summaries_are_fresh_and_free() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let free = vec![("m".into(), 2)];
+    router.summary(DataCentreSummary { data_centre: "d2".into(), free }, now);
+    let elsewhere = |router: &mut Router, at| match route(router, None, at) {
+        Outcome::DataCentre(_) => 1,
+        _ => 0,
+    };
+    assert_eq!(elsewhere(&mut router, now + ms(5_000)), 0);
+    assert_eq!((0..5).map(|_| elsewhere(&mut router, now)).sum::<i32>(), 2);
+    router.publish(&group(1, 1, vec![server("s", vec![replica(1, &[])])]), now);
+    assert!(matches!(route(&mut router, None, now), Outcome::Replica(_)));
+}
+
+/// Guards against all calls of a plain service going to one server, or to a leaving one.
+#[test]
+fn plain_service_calls_go_to_the_less_busy_live_server() {
+    let now = Instant::now();
+    let mut router = Router::new();
+    let ledger = || ListedRole::Service("ledger".into());
+    router.platform_list(&[
+        listed("a", ledger(), ListedState::Live),
+        listed("b", ledger(), ListedState::Live),
+        listed("c", ledger(), ListedState::Leaving),
+    ]);
+    for _ in 0..10 {
+        let choice = router.route_service("ledger", &[], now, &mut rng(3)).unwrap();
+        router.service_sent(&choice.server);
+    }
+    let exclude = ["a".into()];
+    assert_eq!(&*router.route_service("ledger", &exclude, now, &mut rng(1)).unwrap().server, "b");
+    (0..5).for_each(|_| router.service_ended("a"));
+    assert_eq!(&*router.route_service("ledger", &[], now, &mut rng(1)).unwrap().server, "a");
+}
+
+fn route(router: &mut Router, adapter: Option<&str>, now: Instant) -> Outcome {
+    route_with(router, adapter, &[], 1, now)
+}
+
+fn listed(name: &str, role: ListedRole, state: ListedState) -> ListedInstance {
+    ListedInstance {
+        name: name.into(),
+        role,
+        data_centre: "d".into(),
+        group: "g".into(),
+        address: "127.0.0.1:2".into(),
+        state,
+        checks_fencing: true,
+    }
+}
