--- /dev/null
+++ b/components/process/instance/src/cache_stream.rs
@@ -0,0 +1,44 @@
+//! Cache events of one backend server.
+
+use backend_server::{CacheEventKind, CacheEvents};
+use routing::{CacheChange, CacheEvent};
+use types::prelude::*;
+
+/// Numbers a server's events per replica, as routing expects them.
+#[derive(Debug, Default)]
+pub(crate) struct CacheStream {
+    /// Where to read on.
+    position: u64,
+    /// Number of the last event of each replica.
+    last: HashMap<ReplicaId, u64>,
+}
+
+impl CacheStream {
+    /// Where to read on.
+    pub(crate) fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Takes events. A missing event may have concerned any replica, so that the numbers of all
+    /// replicas then have a gap.
+    pub(crate) fn take(&mut self, events: CacheEvents) -> BTreeMap<ReplicaId, Vec<CacheEvent>> {
+        let mut by_replica: BTreeMap<ReplicaId, Vec<CacheEvent>> = BTreeMap::new();
+        let mut expected = self.position;
+        for event in events.events {
+            if event.sequence != expected {
+                self.last.values_mut().for_each(|last| *last += 1);
+            }
+            expected = event.sequence + 1;
+            let last = self.last.entry(event.replica).or_default();
+            *last += 1;
+            let change = match event.kind {
+                CacheEventKind::Stored => CacheChange::Stored(event.prefix),
+                CacheEventKind::Evicted => CacheChange::Evicted(event.prefix),
+            };
+            let event_of_replica = CacheEvent { sequence: *last, change };
+            by_replica.entry(event.replica).or_default().push(event_of_replica);
+        }
+        self.position = events.next.max(expected);
+        by_replica
+    }
+}
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
-use backend_server::{CacheEventKind, CacheEvents, OrderReply, SendError};
+use backend_server::{CacheEvents, OrderReply, SendError};
 use group::OrderResult;
 use idempotency::range_of;
 use membership::SummaryBody;
 use rand_chacha::ChaCha8Rng;
-use routing::{CacheChange, CacheEvent, DataCentreSummary};
+use routing::DataCentreSummary;
 use types::object::CallPriority;
 use types::prelude::*;
 
+use crate::cache_stream::CacheStream;
 use crate::directory::{key_group, limits_group};
 use crate::event::{Caller, Event};
 use crate::instance::{Drain, Instance};
@@ -126,16 +127,7 @@
         server: BackendServerId,
         events: CacheEvents,
     ) {
-        self.cache_positions.insert(server, events.next);
-        let mut by_replica: BTreeMap<ReplicaId, Vec<CacheEvent>> = BTreeMap::new();
-        for event in events.events {
-            let change = match event.kind {
-                CacheEventKind::Stored => CacheChange::Stored(event.prefix),
-                CacheEventKind::Evicted => CacheChange::Evicted(event.prefix),
-            };
-            let event_of_replica = CacheEvent { sequence: event.sequence, change };
-            by_replica.entry(event.replica).or_default().push(event_of_replica);
-        }
+        let by_replica = self.cache_streams.entry(server).or_default().take(events);
         for (replica, events) in by_replica {
             let replica = ReplicaRef { group: group.clone(), replica };
             self.requests.router.cache_events(&replica, &events);
@@ -413,7 +405,7 @@
     }
 
     fn read_cache_events(&self, group: &GroupId, server: &BackendServerId) {
-        let since = self.cache_positions.get(server).copied().unwrap_or_default();
+        let since = self.cache_streams.get(server).map_or(0, CacheStream::position);
         let listed = self.directory.engines(group, &self.cx.data_centre);
         let Some(entry) = listed.into_iter().find(|l| l.name == *server) else { return };
         let (client, group, server) = (self.cx.client.clone(), group.clone(), server.clone());
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -12,6 +12,7 @@
 use types::prelude::*;
 
 use crate::bookings::Bookings;
+use crate::cache_stream::CacheStream;
 use crate::context::Context;
 use crate::demand::DemandRouting;
 use crate::directory::Directory;
@@ -75,8 +76,8 @@
     pub(crate) callers_address: Box<str>,
     /// The task that watches the configuration's head.
     pub(crate) head_watch: Option<AbortHandle>,
-    /// Cache events are read from this position on, by server.
-    pub(crate) cache_positions: HashMap<BackendServerId, u64>,
+    /// Cache events read from the servers of owned groups.
+    pub(crate) cache_streams: HashMap<BackendServerId, CacheStream>,
     pub(crate) list_at: Instant,
     pub(crate) arrivals_at: Instant,
 }
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod attempt_ends;
 mod bookings;
+mod cache_stream;
 mod context;
 mod control;
 mod demand;
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -195,7 +195,7 @@
         wall: SystemTime,
         rng: &mut impl Rng,
     ) {
-        let actions = self.group.on_order_result(now, wall, server, order, result, rng);
+        let actions = self.group.on_order_result(now, server, order, result, rng);
         self.act(actions, now);
         if let Some(poll) = self.polls.get_mut(server) {
             poll.at = poll.at.min(now + BUSY_POLL_INTERVAL);
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -118,7 +118,7 @@
                 return;
             }
             Call::Completion { path, target, stream, prompt, body } => {
-                let prefixes = routing::prefix_hashes(&prompt);
+                let prefixes = routing::prefix_hashes(&target, &prompt);
                 Job::Completion(CompletionJob {
                     path,
                     target,
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -248,7 +248,7 @@
         drain: Drain::Serving,
         callers_address,
         head_watch: None,
-        cache_positions: HashMap::new(),
+        cache_streams: HashMap::new(),
         list_at: now,
         arrivals_at: now,
         cx,
--- a/components/process/instance/src/usage.rs
+++ b/components/process/instance/src/usage.rs
@@ -158,7 +158,7 @@
             flushed_until: wall,
             closed,
             work: work.collect(),
-            versions: self.versions.clone(),
+            versions: self.versions.iter().cloned().collect(),
             deaths: self.deaths.clone(),
         }
     }
@@ -169,13 +169,13 @@
 pub(crate) fn write_intervals(
     cx: &Context,
     group: &GroupId,
-    closed: Vec<group::Interval>,
+    closed: &[group::Interval],
     open: Vec<group::Interval>,
     wall: SystemTime,
 ) {
     let replicas: Vec<ReplicaId> = closed.iter().map(|i| i.replica).collect();
     let intervals: Vec<Interval> =
-        closed.into_iter().chain(open).map(|i| interval(group, i)).collect();
+        closed.iter().cloned().chain(open).map(|i| interval(group, i)).collect();
     if intervals.is_empty() {
         return;
     }
--- a/components/request/routing/benches/routing.rs
+++ b/components/request/routing/benches/routing.rs
@@ -128,7 +128,7 @@
         // 500 prompts that recur, so that prefixes are found.
         prompt[0] = (round % 250) as u8;
         prompt[1] = (round / 7 % 2) as u8;
-        let prefix = prefix_hashes(&prompt);
+        let prefix = prefix_hashes(&Target::parse("model"), &prompt);
         let at = now + Duration::from_micros(round as u64);
         let (time, outcome) = load.decide(&prefix, at);
         if round >= WARM_UP {
--- a/components/request/routing/src/prefix.rs
+++ b/components/request/routing/src/prefix.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::tables::SlotIndex;
 
@@ -31,16 +31,18 @@
     Evicted(u64),
 }
 
-/// Hashes of the prompt's prefixes by whole blocks, shortest first. Each hash covers everything
-/// before it.
-pub fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
-    let mut seed = 0;
+/// Hashes of the prompt's prefixes by whole blocks, shortest first, as engines name them in cache
+/// events: `xxh3_64` over the target, a line feed and the first `n * PREFIX_BLOCK_BYTES` bytes.
+pub fn prefix_hashes(target: &Target, prompt: &[u8]) -> Vec<u64> {
+    let mut hasher = Xxh3Default::new();
+    hasher.update(target.to_string().as_bytes());
+    hasher.update(b"\n");
     prompt
         .chunks_exact(PREFIX_BLOCK_BYTES)
         .take(MAX_PREFIX_BLOCKS)
         .map(|block| {
-            seed = xxh3_64_with_seed(block, seed);
-            seed
+            hasher.update(block);
+            hasher.digest()
         })
         .collect()
 }
--- a/components/request/routing/tests/faults.rs
+++ b/components/request/routing/tests/faults.rs
@@ -123,7 +123,7 @@
     let mut router = Router::new();
     let replicas = (1..=40).map(|n| replica(n, &[])).collect();
     router.publish(&group(1, 1, vec![server("s", replicas)]), now);
-    let prefix = prefix_hashes(&[7; 4 * PREFIX_BLOCK_BYTES]);
+    let prefix = prefix_hashes(&Target::parse("m"), &[7; 4 * PREFIX_BLOCK_BYTES]);
     let hits = |router: &mut Router, wanted: ReplicaId| {
         let mut hit = |seed| match route_with(router, None, &prefix, seed, now) {
             Outcome::Replica(choice) => choice.replica.replica == wanted,
--- a/src/cmd/demo/judge.rs
+++ b/src/cmd/demo/judge.rs
@@ -88,7 +88,8 @@
     for (id, outcomes) in by_id {
         let count = ran.get(id).copied().unwrap_or_default();
         let answered = outcomes.iter().any(|o| matches!(o, Outcome::Whole { .. }));
-        let not_run = |o: &&Outcome| matches!(o, Outcome::Refused { verdict, .. } if verdict == "not_run");
+        let not_run =
+            |o: &&Outcome| matches!(o, Outcome::Refused { verdict, .. } if verdict == "not_run");
         if count > 1 || (answered && count != 1) {
             tally.faults.push(format!("{id} ran {count} times"));
         }
--- a/src/cmd/demo/load.rs
+++ b/src/cmd/demo/load.rs
@@ -103,13 +103,7 @@
     names.choose(rng).copied().unwrap_or_default()
 }
 
-fn completion(
-    n: usize,
-    key: &'static str,
-    target: &str,
-    stream: bool,
-    after: u64,
-) -> Planned {
+fn completion(n: usize, key: &'static str, target: &str, stream: bool, after: u64) -> Planned {
     let messages = json!([{ "role": "user", "content": format!("request {n} for {target}") }]);
     let expected = expected_text(target, &chat_prompt(&messages), ANSWER_TOKENS);
     let how = if stream { "streamed" } else { "whole" };
--- a/src/cmd/demo/world.rs
+++ b/src/cmd/demo/world.rs
@@ -118,7 +118,8 @@
         for entry in self.entries {
             let name = entry.callers;
             let ended = entry.thread.join();
-            ended.map_err(|_| Failure::Instance(name, "the instance's thread panicked".into()))??;
+            ended
+                .map_err(|_| Failure::Instance(name, "the instance's thread panicked".into()))??;
         }
         self.platform.stop();
         Ok(())
@@ -138,7 +139,10 @@
             if Instant::now() >= deadline {
                 let what = answers.iter().map(|(_, answer)| format!("{answer:?}"));
                 let what = what.collect::<Vec<_>>().join("; ");
-                return Err(Failure::Instance(self.entries[0].operators, format!("not ready: {what}")));
+                return Err(Failure::Instance(
+                    self.entries[0].operators,
+                    format!("not ready: {what}"),
+                ));
             }
             tokio::time::sleep(START_POLL).await;
         }
--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -119,7 +119,8 @@
     world.platform.change_faults(|faults| faults.outage = true);
     tokio::time::sleep(Duration::from_secs(4)).await;
     for instance in 0..3 {
-        let chat = Chat::new("summary", 10 + instance as u64).send(world.instances[instance].callers);
+        let chat =
+            Chat::new("summary", 10 + instance as u64).send(world.instances[instance].callers);
         assert_eq!(chat.await, Outcome::Whole, "{}", world.logs());
     }
     let withdrawal = withdraw(world.instances[0].callers, "outage").await;
--- a/tests/deployment/world.rs
+++ b/tests/deployment/world.rs
@@ -127,7 +127,8 @@
         }
         let mut world = Self { platform, store, engines, ledger, instances: Vec::new(), dir };
         world.apply("samples/demo");
-        for (name, data_centre) in [("entry-1", "north"), ("entry-2", "north"), ("entry-3", "south")]
+        for (name, data_centre) in
+            [("entry-1", "north"), ("entry-2", "north"), ("entry-3", "south")]
         {
             world.add(name, data_centre);
         }
@@ -243,7 +244,8 @@
 
     /// Checks what must always hold, by the stand-ins' counters.
     pub(crate) fn assert_invariants(&self) {
-        let limits: BTreeMap<&str, u32> = BTreeMap::from([("summary", 2), ("tally", 2), ("quotes", 1)]);
+        let limits: BTreeMap<&str, u32> =
+            BTreeMap::from([("summary", 2), ("tally", 2), ("quotes", 1)]);
         for (model, highest) in self.store.max_replicas() {
             let limit = limits.get(&*model).copied().unwrap_or_default();
             assert!(highest <= limit, "{highest} replicas of {model}\n{}", self.logs());
