--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -159,7 +159,7 @@
         let own = self.cx.data_centre.clone();
         let actions = self.membership.on_list(now, &list);
         self.directory.update(list, &own);
-        self.requests.router.platform_list(&self.directory.of_data_centre(&own));
+        self.requests.router.platform_list(&self.directory.routable(&own));
         self.ownership.set_groups(now, self.directory.candidate_groups(&own));
         self.on_membership_actions(actions, now);
         self.on_members_changed(now);
--- a/components/process/instance/src/directory.rs
+++ b/components/process/instance/src/directory.rs
@@ -19,6 +19,13 @@
     format!("limits/{data_centre}").into()
 }
 
+fn service(listed: &ListedInstance) -> Option<&ServiceId> {
+    match &listed.role {
+        ListedRole::Service(name) => Some(name),
+        ListedRole::Entry | ListedRole::Engine => None,
+    }
+}
+
 /// The platform's list, sorted for use.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
@@ -48,9 +55,16 @@
         &self.list
     }
 
-    /// Entries of a data centre.
-    pub(crate) fn of_data_centre(&self, data_centre: &str) -> Vec<ListedInstance> {
-        self.list.iter().filter(|l| *l.data_centre == *data_centre).cloned().collect()
+    /// Entries that requests of a data centre may be routed to: its own, and plain services of
+    /// others that it has none of itself.
+    pub(crate) fn routable(&self, data_centre: &str) -> Vec<ListedInstance> {
+        let is_own = |l: &&ListedInstance| *l.data_centre == *data_centre;
+        let own_services: HashSet<&ServiceId> =
+            self.list.iter().filter(is_own).filter_map(service).collect();
+        let is_wanted = |l: &&ListedInstance| {
+            is_own(l) || service(l).is_some_and(|name| !own_services.contains(name))
+        };
+        self.list.iter().filter(is_wanted).cloned().collect()
     }
 
     /// Engines of a group of the own data centre.
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -33,4 +33,9 @@
 mod start;
 mod usage;
 
+#[cfg(test)]
+mod demand_tests;
+#[cfg(test)]
+mod progress_tests;
+
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/operators.rs
+++ b/components/process/instance/src/operators.rs
@@ -1,9 +1,11 @@
 //! Answers on the operators' address.
 
+use burn::{Alert, BurnReport, BurnState};
 use bytes::Bytes;
 use front::{OperatorReply, OperatorRequest};
 use http::StatusCode;
 use serde::Serialize;
+use telemetry::{BudgetLabels, BurnLabels, Metrics};
 use types::prelude::*;
 use types::status::InstanceStatus;
 
@@ -32,15 +34,15 @@
 pub(crate) fn reply(
     request: OperatorRequest,
     status: &Status,
-    metrics: &telemetry::Metrics,
-    burn: &burn::BurnState,
+    metrics: &Metrics,
+    burn: &BurnState,
 ) -> OperatorReply {
     match request {
         OperatorRequest::Ready if status.summary.ready => text(StatusCode::OK, "ready\n".into()),
         OperatorRequest::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         OperatorRequest::Status => json(status),
         OperatorRequest::Burn => json(burn),
-        OperatorRequest::Metrics => match metrics.encode() {
+        OperatorRequest::Metrics => match encode(metrics, burn) {
             Ok(body) => OperatorReply {
                 status: StatusCode::OK,
                 content_type: "application/openmetrics-text; version=1.0.0; charset=utf-8",
@@ -51,6 +53,37 @@
     }
 }
 
+/// Service-level figures are worked out when they are asked for, so that they cost nothing between.
+fn encode(metrics: &Metrics, burn: &BurnState) -> Result<String, std::fmt::Error> {
+    const THOUSANDTHS: f64 = 1_000.0;
+    // Series of customers and classes that are gone must not stay at their last value.
+    metrics.burn_rate.clear();
+    metrics.budget_left.clear();
+    metrics.alert.clear();
+    for row in BurnReport::new(burn).rows {
+        let (customer, class) = (row.customer.to_string(), row.class.to_string());
+        for window in &row.windows {
+            let labels = BurnLabels {
+                customer: customer.clone(),
+                class: class.clone(),
+                window: window.window.to_owned(),
+            };
+            let rate = window.burn_rate_milli as f64 / THOUSANDTHS;
+            metrics.burn_rate.get_or_create(&labels).set(rate);
+        }
+        let labels = BudgetLabels { customer, class };
+        let left = row.budget_left as f64 / f64::from(WHOLE_BASIS_POINTS);
+        metrics.budget_left.get_or_create(&labels).set(left);
+        let alert = match row.alert {
+            Alert::None => 0,
+            Alert::Ticket => 1,
+            Alert::Page => 2,
+        };
+        metrics.alert.get_or_create(&labels).set(alert);
+    }
+    metrics.encode()
+}
+
 fn text(status: StatusCode, body: String) -> OperatorReply {
     OperatorReply { status, content_type: "text/plain; charset=utf-8", body: body.into() }
 }
--- a/components/process/telemetry/src/lib.rs
+++ b/components/process/telemetry/src/lib.rs
@@ -7,4 +7,4 @@
 mod metrics_tests;
 
 pub use log::{LogFormat, init_log};
-pub use metrics::{LoadSourceLabel, Metrics, OutcomeLabels};
+pub use metrics::{BudgetLabels, BurnLabels, LoadSourceLabel, Metrics, OutcomeLabels, SourceValue};
--- a/components/process/telemetry/src/metrics.rs
+++ b/components/process/telemetry/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of one instance.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -25,6 +27,26 @@
     pub outcome: String,
 }
 
+/// Labels of a burn rate.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BurnLabels {
+    /// The customer.
+    pub customer: String,
+    /// The urgency class.
+    pub class: String,
+    /// The window: `5m`, `1h` or `6h`.
+    pub window: String,
+}
+
+/// Labels of an error budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BudgetLabels {
+    /// The customer.
+    pub customer: String,
+    /// The urgency class.
+    pub class: String,
+}
+
 /// Where a model was loaded from.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LoadSourceLabel {
@@ -71,6 +93,12 @@
     pub running: Gauge,
     /// Retries of idempotent requests.
     pub retries: Counter,
+    /// Burn rate of the error budget; 1 uses it up exactly by the end of the window.
+    pub burn_rate: Family<BurnLabels, Gauge<f64, AtomicU64>>,
+    /// Part of the error budget of 6 hours that is left; negative if more was used.
+    pub budget_left: Family<BudgetLabels, Gauge<f64, AtomicU64>>,
+    /// Alert state: 0 none, 1 ticket, 2 page.
+    pub alert: Family<BudgetLabels, Gauge>,
     /// Configuration version in force.
     pub configuration_version: Gauge,
     /// Groups that this instance owns.
@@ -101,6 +129,9 @@
             queued: Gauge::default(),
             running: Gauge::default(),
             retries: Counter::default(),
+            burn_rate: Family::default(),
+            budget_left: Family::default(),
+            alert: Family::default(),
             configuration_version: Gauge::default(),
             owned_groups: Gauge::default(),
             platform_calls: Counter::default(),
@@ -124,6 +155,21 @@
         registry.register("queued_requests", "Requests waiting", m.queued.clone());
         registry.register("running_requests", "Requests running", m.running.clone());
         registry.register("retries", "Retries of idempotent requests", m.retries.clone());
+        registry.register(
+            "burn_rate",
+            "Burn rate of the error budget; 1 uses it up by the end of the window",
+            m.burn_rate.clone(),
+        );
+        registry.register(
+            "error_budget_left",
+            "Part of the error budget of 6 hours that is left",
+            m.budget_left.clone(),
+        );
+        registry.register(
+            "service_level_alert",
+            "Alert state: 0 none, 1 ticket, 2 page",
+            m.alert.clone(),
+        );
         registry.register(
             "configuration_version",
             "Configuration version in force",
