--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -24,8 +24,15 @@
 /// Time for the pool to give allowance: two writes and a read take some milliseconds, and more if
 /// an answer is lost.
 const ALLOWANCE_TIME: Duration = Duration::from_millis(1_000);
+/// Time until a group that was just gained can take decisions: two platform calls and a report.
+const RECOVERY_MS: u64 = 200;
 /// Time after which the pool may have allowance again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(5);
+/// Time between looks for allowance to return.
+const RETURN_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without demand after which allowance is returned. Getting it again costs a cold start three
+/// platform calls, some 10 ms.
+const RETURN_AFTER: Duration = Duration::from_secs(3);
 /// Time between choices of the models that permits cover. Each change costs a write.
 const PERMIT_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -68,7 +75,10 @@
     asked_at: HashMap<ModelId, Instant>,
     /// Requests by model since the permits were last set.
     asked_for: HashMap<ModelId, u32>,
+    /// When each model was last asked for.
+    last_asked: HashMap<ModelId, Instant>,
     permits_at: Instant,
+    returns_at: Instant,
     publish_at: Instant,
     tick_at: Instant,
     wants: Vec<GroupWants>,
@@ -92,7 +102,9 @@
             progress: Progress::default(),
             asked_at: HashMap::new(),
             asked_for: HashMap::new(),
+            last_asked: HashMap::new(),
             permits_at: now,
+            returns_at: now + RETURN_INTERVAL,
             publish_at: now + REPUBLISH_INTERVAL,
             tick_at: now,
             wants: Vec::new(),
@@ -224,6 +236,12 @@
         rng: &mut impl Rng,
     ) -> DemandReply {
         let target = demand.target.clone();
+        if self.group.view(now).servers.is_empty() {
+            // Recovery has not finished, so that nobody can say more than that it takes a while.
+            return DemandReply::ReadyIn { ms: RECOVERY_MS };
+        }
+        *self.asked_for.entry(target.model.clone()).or_default() += 1;
+        self.last_asked.insert(target.model.clone(), now);
         let is_asking = self.ask_for_allowance(&target.model, now, rng);
         self.place(&Event::Demand(demand), now, wall, rng);
         let mut view = self.placement_view(now);
@@ -254,6 +272,24 @@
         now < asked_at + ALLOWANCE_TIME
     }
 
+    /// Returns allowance for models that nobody asked for lately, so that other groups can use it.
+    fn return_allowances(&mut self, now: Instant, rng: &mut impl Rng) {
+        self.last_asked.retain(|_, at| now < *at + RETURN_AFTER);
+        let view = self.group.view(now);
+        if !view.writable {
+            return;
+        }
+        let unused = view
+            .allowance_left
+            .iter()
+            .filter(|(model, left)| **left > 0 && !self.last_asked.contains_key(*model));
+        let unused: Vec<(ModelId, u32)> = unused.map(|(m, left)| (m.clone(), *left)).collect();
+        for (model, count) in unused {
+            let actions = self.group.return_allowance(now, &model, count, rng);
+            self.act(actions, now);
+        }
+    }
+
     /// Sets the permits to the models that were asked for most.
     fn set_permits(&mut self, now: Instant) {
         self.permits_at = now + PERMIT_INTERVAL;
@@ -288,6 +324,10 @@
         if self.permits_at <= now {
             self.set_permits(now);
         }
+        if self.returns_at <= now {
+            self.returns_at = now + RETURN_INTERVAL;
+            self.return_allowances(now, rng);
+        }
         if self.publish_at <= now {
             self.publish_at = now + REPUBLISH_INTERVAL;
             if let Some(state) = self.group.publish(now) {
--- a/components/process/ownership/src/ownership.rs
+++ b/components/process/ownership/src/ownership.rs
@@ -14,6 +14,8 @@
 const CANDIDATES: u32 = 3;
 /// Delay of all later ranks.
 const LAST_RESORT_DELAY: Duration = Duration::from_secs(30);
+/// Instances of a data centre for which `claim_every` and `look_every` are set.
+const FULL_DATA_CENTRE: f64 = 40.0;
 
 /// Lease and groups of one instance.
 #[derive(Debug)]
@@ -351,7 +353,7 @@
                 break;
             }
             if not_urgent {
-                self.look_slot = now + self.cfg.look_every;
+                self.look_slot = now + self.pace(self.cfg.look_every);
             }
             self.begin(now, &group, rng, actions);
         }
@@ -369,10 +371,17 @@
             return;
         };
         let Step::Queued { condition, fencing } = claim.step else { return };
-        self.claim_slot = now + self.cfg.claim_every.mul_f64(rng.random_range(0.5..1.5));
+        self.claim_slot = now + self.pace(self.cfg.claim_every).mul_f64(rng.random_range(0.5..1.5));
         self.write_claim(&group, condition, fencing, rng, actions);
     }
 
+    /// A time between calls of a full data centre, shortened in proportion to the live instances,
+    /// so that the data centre's calls a second stay the same.
+    fn pace(&self, full: Duration) -> Duration {
+        let part = self.live.len().max(1) as f64 / FULL_DATA_CENTRE;
+        full.mul_f64(part.min(1.0))
+    }
+
     /// Adds a call to the actions and returns its number.
     pub(crate) fn call(&mut self, request: ObjectCall, actions: &mut Vec<Action>) -> CallId {
         self.last_call += 1;
--- a/components/process/telemetry/src/log.rs
+++ b/components/process/telemetry/src/log.rs
@@ -1,6 +1,6 @@
 //! Log set-up.
 
-use std::io;
+use std::io::{self, IsTerminal};
 
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::filter::ParseError;
@@ -21,6 +21,7 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
+        .with_ansi(io::stderr().is_terminal())
         .with_writer(io::stderr);
     // A second set-up happens in tests and in the demo; the first one stays in force.
     let _ = match format {
--- a/src/cmd/demo/caller.rs
+++ b/src/cmd/demo/caller.rs
@@ -123,7 +123,7 @@
         if let Some(data) = event.strip_prefix("event: error\ndata: ") {
             return problem(StatusCode::BAD_GATEWAY, data);
         }
-        match event.strip_prefix("data: ") {
+        match event.lines().find_map(|line| line.strip_prefix("data: ")) {
             Some("[DONE]") => return Outcome::Whole { text: content },
             Some(data) => {
                 let chunk: Value = serde_json::from_str(data).unwrap_or_default();
--- a/src/cmd/demo/mod.rs
+++ b/src/cmd/demo/mod.rs
@@ -64,7 +64,7 @@
         let burn = merged_burn(&world).await?;
         cmd::print(describe(&results, &tally))?;
         cmd::print(format!("\n{}", BurnReport::new(&burn)))?;
-        world.stop()?;
+        world.stop().await?;
         Ok(cmd::exit_code(tally.faults.is_empty()))
     })?
 }
--- a/src/cmd/demo/world.rs
+++ b/src/cmd/demo/world.rs
@@ -111,13 +111,15 @@
     }
 
     /// Stops the instances as planned, then the stand-ins.
-    pub(super) fn stop(self) -> Result<(), Failure> {
+    pub(super) async fn stop(self) -> Result<(), Failure> {
         for entry in &self.entries {
             entry.stop.send_replace(true);
         }
         for entry in self.entries {
             let name = entry.callers;
-            let ended = entry.thread.join();
+            // The stand-ins go on meanwhile, because the instances hand over through the platform.
+            let ended = tokio::task::spawn_blocking(|| entry.thread.join()).await;
+            let ended = ended.map_err(|e| Failure::Instance(name, e.to_string()))?;
             ended
                 .map_err(|_| Failure::Instance(name, "the instance's thread panicked".into()))??;
         }
