--- a/components/process/instance/src/context.rs
+++ b/components/process/instance/src/context.rs
@@ -35,6 +35,17 @@
     pub(crate) events: mpsc::UnboundedSender<Event>,
 }
 
+fn describe(answer: &ObjectAnswer) -> &'static str {
+    match answer {
+        ObjectAnswer::Found { .. } => "found",
+        ObjectAnswer::Missing => "missing",
+        ObjectAnswer::Written { .. } => "written",
+        ObjectAnswer::Conflict => "conflict",
+        ObjectAnswer::Failed => "failed",
+        ObjectAnswer::Lost => "answer lost",
+    }
+}
+
 impl Context {
     /// Runs `work` as a task and passes its event to the loop.
     pub(crate) fn spawn(&self, work: impl Future<Output = Event> + 'static) {
@@ -58,6 +69,8 @@
         self.spawn(async move {
             metrics.platform_calls.inc();
             let answer = platform.call(&request, limits).await;
+            let (key, what) = (request.key(), describe(&answer));
+            tracing::trace!("platform: {}/{}: {what}", key.kind, key.name);
             if matches!(answer, ObjectAnswer::Failed | ObjectAnswer::Lost) {
                 metrics.platform_failures.inc();
             }
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -230,6 +230,7 @@
     fn is_ready(&self, now: Instant) -> bool {
         self.drain == Drain::Serving
             && self.follower.current().version > 0
+            && self.shares.has_grant(now)
             && self.follower.is_started(now)
     }
 
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -26,6 +26,8 @@
 const ALLOWANCE_TIME: Duration = Duration::from_millis(1_000);
 /// Time until a group that was just gained can take decisions: two platform calls and a report.
 const RECOVERY_MS: u64 = 200;
+/// Longest time that recovery is waited for before demand is refused.
+const RECOVERY_TIME: Duration = Duration::from_secs(5);
 /// Time after which the pool may have allowance again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_secs(5);
 /// Time between looks for allowance to return.
@@ -79,6 +81,8 @@
     last_asked: HashMap<ModelId, Instant>,
     permits_at: Instant,
     returns_at: Instant,
+    /// Until then a group that takes no decisions is taken for one that is being recovered.
+    recovering_until: Instant,
     publish_at: Instant,
     tick_at: Instant,
     wants: Vec<GroupWants>,
@@ -105,6 +109,7 @@
             last_asked: HashMap::new(),
             permits_at: now,
             returns_at: now + RETURN_INTERVAL,
+            recovering_until: now,
             publish_at: now + REPUBLISH_INTERVAL,
             tick_at: now,
             wants: Vec::new(),
@@ -132,6 +137,7 @@
         now: Instant,
         rng: &mut impl Rng,
     ) {
+        self.recovering_until = now + RECOVERY_TIME;
         let actions = self.group.on_gained(now, fencing, lease_until, rng);
         self.act(actions, now);
         self.polls.values_mut().for_each(|poll| poll.at = now);
@@ -236,7 +242,8 @@
         rng: &mut impl Rng,
     ) -> DemandReply {
         let target = demand.target.clone();
-        if self.group.view(now).servers.is_empty() {
+        let view = self.group.view(now);
+        if view.servers.is_empty() || (!view.writable && now < self.recovering_until) {
             // Recovery has not finished, so that nobody can say more than that it takes a while.
             return DemandReply::ReadyIn { ms: RECOVERY_MS };
         }
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -95,6 +95,11 @@
         applied
     }
 
+    /// Whether limits were granted; without them every request would be refused.
+    pub(crate) fn has_grant(&self, now: Instant) -> bool {
+        self.grantee.ends_at().is_some_and(|ends_at| now < ends_at)
+    }
+
     /// Sets what this instance may use.
     pub(crate) fn apply(&self, requests: &mut Requests, cfg: &Configuration, now: Instant) {
         for (customer, contract) in &cfg.contracts {
