--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -63,6 +63,8 @@
     progress: Progress,
     /// When allowance for a model was first asked for without success.
     asked_at: HashMap<ModelId, Instant>,
+    /// The latest demand for each model whose allowance is on its way.
+    deferred: HashMap<ModelId, placement::Demand>,
     /// Requests by model since the permits were last set.
     asked_for: HashMap<ModelId, u32>,
     /// When each model was last asked for.
@@ -93,6 +95,7 @@
             polls: Polls::default(),
             progress: Progress::default(),
             asked_at: HashMap::new(),
+            deferred: HashMap::new(),
             asked_for: HashMap::new(),
             last_asked: HashMap::new(),
             permits_at: now,
@@ -155,6 +158,7 @@
     ) {
         let actions = self.group.on_answer(now, call, answer, rng);
         self.act(actions, now);
+        self.place_deferred(now, wall, rng);
         self.place(&Event::Tick, now, wall, rng);
     }
 
@@ -225,7 +229,11 @@
         *self.asked_for.entry(target.model.clone()).or_default() += 1;
         self.last_asked.insert(target.model.clone(), now);
         let is_asking = self.ask_for_allowance(&target.model, now, rng);
-        self.place(&Event::Demand(demand), now, wall, rng);
+        if is_asking {
+            self.deferred.insert(target.model.clone(), demand);
+        } else {
+            self.place(&Event::Demand(demand), now, wall, rng);
+        }
         let mut view = self.placement_view(now);
         if is_asking {
             // The allowance is on its way; the answer should say when the load can end.
@@ -272,6 +280,22 @@
         }
     }
 
+    /// Passes demand on whose allowance has arrived.
+    fn place_deferred(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
+        if self.deferred.is_empty() {
+            return;
+        }
+        let left = self.group.view(now).allowance_left;
+        let has_left = |model: &ModelId| left.get(model).is_some_and(|left| *left > 0);
+        let ready: Vec<ModelId> = self.deferred.keys().filter(|m| has_left(m)).cloned().collect();
+        for demand in
+            ready.iter().filter_map(|model| self.deferred.remove(model)).collect::<Vec<_>>()
+        {
+            self.place(&Event::Demand(demand), now, wall, rng);
+        }
+        self.deferred.retain(|_, demand| now < demand.deadline);
+    }
+
     /// Sets the permits to the models that were asked for most.
     fn set_permits(&mut self, now: Instant) {
         self.permits_at = now + PERMIT_INTERVAL;
