--- a/components/process/instance/src/attempt.rs
+++ b/components/process/instance/src/attempt.rs
@@ -8,24 +8,17 @@
 
 use admission::Ticket;
 use backend_server::{
-    ATTEMPT_HEADER, BackendClient, Connection, PRIORITY_HEADER, REPLICA_HEADER, SendError,
-    TokenEvent, TokenStream, VERDICT_HEADER,
+    ATTEMPT_HEADER, BackendClient, Connection, SendError, TokenStream, VERDICT_HEADER,
 };
 use bytes::Bytes;
 use dispatch::{
     Answered, CallResult, Permit, Progress, Queued, Request, RetryBudget, Sent, StreamEvent,
 };
-use front::{CLASS_HEADER, DEADLINE_HEADER, FORWARDED_HEADER, Reply, StreamItem};
-use http::{Method, Response};
-use http_body_util::Full;
-use tokio::sync::mpsc;
+use http::Response;
 use types::prelude::*;
 
-use crate::message::remaining_ms;
 use crate::pending::{CompletionJob, ReplySlot, ServiceJob};
 
-/// Stream chunks that wait for a slow caller before the engine is read no further.
-const STREAM_BUFFER: usize = 32;
 /// Time for an engine to take a cancellation; nothing waits for it.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -84,10 +77,10 @@
 }
 
 /// Facts gathered while an attempt runs.
-struct Record {
+pub(crate) struct Record {
     sent_at: Instant,
     first_token_at: Option<Instant>,
-    tokens: u64,
+    pub(crate) tokens: u64,
 }
 
 impl Attempt {
@@ -193,149 +186,6 @@
         request.send(self.server.clone(), self.attempt.clone(), &mut budget, Instant::now())
     }
 
-    fn completion_request(
-        &self,
-        job: &CompletionJob,
-        deadline: Instant,
-    ) -> Result<http::Request<Full<Bytes>>, http::Error> {
-        let req = http::Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{}{}", self.address, job.path))
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .header(ATTEMPT_HEADER, &*self.attempt)
-            .header(PRIORITY_HEADER, u16::from(self.priority));
-        let req = match (&self.forward, &self.replica) {
-            (Some(forward), _) => req
-                .header(http::header::AUTHORIZATION, job.authorization.expose())
-                .header(FORWARDED_HEADER, &*forward.by)
-                .header(CLASS_HEADER, &*forward.class)
-                .header(DEADLINE_HEADER, remaining_ms(deadline, Instant::now())),
-            (None, Some(replica)) => req.header(REPLICA_HEADER, replica.replica),
-            (None, None) => req,
-        };
-        req.body(Full::new(job.body.clone()))
-    }
-
-    fn service_request(&self, job: &ServiceJob) -> Result<http::Request<Full<Bytes>>, http::Error> {
-        let mut req = http::Request::builder()
-            .method(job.method.clone())
-            .uri(format!("http://{}{}", self.address, job.path))
-            .header(ATTEMPT_HEADER, &*self.attempt);
-        if let Some(content_type) = &job.content_type {
-            req = req.header(http::header::CONTENT_TYPE, &**content_type);
-        }
-        req.body(Full::new(job.body.clone()))
-    }
-
-    /// Passes a stream on, resuming it where it breaks.
-    async fn stream(
-        self,
-        mut record: Record,
-        mut request: Request<Sent>,
-        mut stream: TokenStream,
-        mut echoed: AttemptId,
-        mut reply: ReplySlot,
-    ) -> AttemptEnd {
-        let deadline = request.terms().complete_by;
-        loop {
-            let event = tokio::select! {
-                event = stream.next(deadline) => event,
-                () = reply.closed() => {
-                    self.cancel();
-                    let result = AttemptResult::Abandoned(request);
-                    return self.end(record, result, None, CallResult::Void);
-                }
-            };
-            let (event, data) = match event {
-                Ok(TokenEvent::Chunk { sequence, data }) => {
-                    (StreamEvent::Part(sequence), Some(data))
-                }
-                Ok(TokenEvent::End) => (StreamEvent::End, None),
-                Err(SendError::DeadlinePassed) => {
-                    self.cancel();
-                    let result = AttemptResult::Failed(request, Reason::DeadlinePassed);
-                    return self.end(record, result, Some(reply), CallResult::Void);
-                }
-                Err(e) => {
-                    tracing::info!("dispatch: stream from {} broke: {e}", self.server);
-                    (StreamEvent::Broken, None)
-                }
-            };
-            match request.accept(&echoed, event) {
-                Progress::Discard => {}
-                Progress::Forward => {
-                    record.first_token();
-                    record.tokens += 1;
-                    let Some(item) = data.map(StreamItem::Chunk) else { continue };
-                    reply = match forward(reply, item, deadline).await {
-                        Ok(reply) => reply,
-                        Err(Undelivered::CallerGone) => {
-                            self.cancel();
-                            let result = AttemptResult::Abandoned(request);
-                            return self.end(record, result, None, CallResult::Void);
-                        }
-                        Err(Undelivered::DeadlinePassed(reply)) => {
-                            self.cancel();
-                            let result = AttemptResult::Failed(request, Reason::DeadlinePassed);
-                            return self.end(record, result, Some(reply), CallResult::Void);
-                        }
-                    };
-                }
-                Progress::Complete => {
-                    return self.finish_stream(record, request, reply, deadline).await;
-                }
-                Progress::Broken => match self.resume(&mut request, deadline).await {
-                    Some((resumed, attempt)) => {
-                        stream = resumed;
-                        echoed = attempt;
-                    }
-                    None => {
-                        let result = AttemptResult::Failed(request, Reason::BackendFailed);
-                        return self.end(record, result, Some(reply), CallResult::Bad);
-                    }
-                },
-            }
-        }
-    }
-
-    async fn finish_stream(
-        self,
-        record: Record,
-        request: Request<Sent>,
-        reply: ReplySlot,
-        deadline: Instant,
-    ) -> AttemptEnd {
-        match request.finish() {
-            Ok(request) => {
-                // A caller that has gone away at the very end has got everything but the marker.
-                let _ = forward(reply, StreamItem::End, deadline).await;
-                self.end(record, AttemptResult::Answered(request, None), None, CallResult::Good)
-            }
-            Err(request) => {
-                let result = AttemptResult::Failed(request, Reason::BackendFailed);
-                self.end(record, result, Some(reply), CallResult::Bad)
-            }
-        }
-    }
-
-    async fn resume(
-        &self,
-        request: &mut Request<Sent>,
-        deadline: Instant,
-    ) -> Option<(TokenStream, AttemptId)> {
-        let resume = request.resume(Instant::now())?;
-        let stream =
-            self.client.resume(&self.address, &resume.attempt, resume.from, deadline).await;
-        match stream {
-            Ok(Some(stream)) => Some((stream, resume.attempt)),
-            Ok(None) => None,
-            Err(e) => {
-                tracing::info!("dispatch: stream from {} not resumed: {e}", self.server);
-                None
-            }
-        }
-    }
-
     /// Ends the attempt with a whole answer, if it is the answer to this attempt.
     fn whole(
         self,
@@ -380,7 +230,7 @@
     }
 
     /// Asks the engine to stop; the answer does not matter.
-    fn cancel(&self) {
+    pub(crate) fn cancel(&self) {
         let (client, address) = (self.client.clone(), self.address.clone());
         let attempt = self.attempt.clone();
         tokio::task::spawn_local(async move {
@@ -391,7 +241,7 @@
         });
     }
 
-    fn end(
+    pub(crate) fn end(
         self,
         record: Record,
         result: AttemptResult,
@@ -418,39 +268,11 @@
         Self { sent_at: Instant::now(), first_token_at: None, tokens: 0 }
     }
 
-    fn first_token(&mut self) {
+    pub(crate) fn first_token(&mut self) {
         self.first_token_at.get_or_insert_with(Instant::now);
     }
 }
 
-/// Why a part was not passed on.
-enum Undelivered {
-    CallerGone,
-    /// The caller reads too slowly.
-    DeadlinePassed(ReplySlot),
-}
-
-/// Passes one item on; the first one begins the stream.
-async fn forward(
-    reply: ReplySlot,
-    item: StreamItem,
-    deadline: Instant,
-) -> Result<ReplySlot, Undelivered> {
-    let tx = match reply {
-        ReplySlot::Streaming(tx) => tx,
-        ReplySlot::Unused(reply) => {
-            let (tx, rx) = mpsc::channel(STREAM_BUFFER);
-            reply.send(Reply::Stream(rx)).map_err(|_| Undelivered::CallerGone)?;
-            tx
-        }
-    };
-    match tokio::time::timeout_at(deadline.into(), tx.send(item)).await {
-        Ok(Ok(())) => Ok(ReplySlot::Streaming(tx)),
-        Ok(Err(_)) => Err(Undelivered::CallerGone),
-        Err(_) => Err(Undelivered::DeadlinePassed(ReplySlot::Streaming(tx))),
-    }
-}
-
 /// Whether the backend server states that it did not start the request.
 fn is_not_started<B>(res: &Response<B>) -> bool {
     !res.status().is_success()
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -5,8 +5,11 @@
 //! The modules stand by life span: [`pending`] and [`attempt`] for a request, [`context`] for
 //! connections, and the rest for the process.
 
+mod allowances;
 mod attempt;
 mod attempt_ends;
+mod attempt_request;
+mod attempt_stream;
 mod bookings;
 mod cache_stream;
 mod context;
@@ -27,12 +30,15 @@
 mod owned_group;
 mod peers;
 mod pending;
+mod periodic;
 mod polls;
 mod progress;
+mod pump;
 mod requests;
 mod shares;
 mod start;
 mod usage;
+mod wanted;
 
 #[cfg(test)]
 mod demand_tests;
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -8,6 +8,7 @@
 use types::object::{CallId, ObjectAnswer, ObjectCall};
 use types::prelude::*;
 
+use crate::allowances::Asked;
 use crate::group_view::{LastUsed, placement_view};
 use crate::message::DemandReply;
 use crate::polls::Polls;
@@ -17,22 +18,10 @@
 const PUBLISH_DELAY: Duration = Duration::from_millis(5);
 /// Time after which the state is published again for instances that missed it.
 const REPUBLISH_INTERVAL: Duration = Duration::from_secs(5);
-/// Time for the pool to give allowance: two writes and a read take some milliseconds, and more if
-/// an answer is lost.
-const ALLOWANCE_TIME: Duration = Duration::from_millis(1_000);
 /// Time until a group that was just gained can take decisions: two platform calls and a report.
 const RECOVERY_MS: u64 = 200;
 /// Longest time that recovery is waited for before demand is refused.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
-/// Time after which the pool may have allowance again.
-const ASK_AGAIN_AFTER: Duration = Duration::from_secs(5);
-/// Time between looks for allowance to return.
-const RETURN_INTERVAL: Duration = Duration::from_secs(1);
-/// Time without demand after which allowance is returned. Getting it again costs a cold start three
-/// platform calls, some 10 ms.
-const RETURN_AFTER: Duration = Duration::from_secs(3);
-/// Time between choices of the models that permits cover. Each change costs a write.
-const PERMIT_INTERVAL: Duration = Duration::from_secs(60);
 
 /// What an owned group wants from the loop.
 #[derive(Debug)]
@@ -61,16 +50,8 @@
     used: LastUsed,
     polls: Polls,
     progress: Progress,
-    /// When allowance for a model was first asked for without success.
-    asked_at: HashMap<ModelId, Instant>,
-    /// The latest demand for each model whose allowance is on its way.
-    deferred: HashMap<ModelId, placement::Demand>,
-    /// Requests by model since the permits were last set.
-    asked_for: HashMap<ModelId, u32>,
-    /// When each model was last asked for.
-    last_asked: HashMap<ModelId, Instant>,
-    permits_at: Instant,
-    returns_at: Instant,
+    /// What was asked for, and when allowance and permits are looked at.
+    pub(crate) asked: Asked,
     /// Until then a group that takes no decisions is taken for one that is being recovered.
     recovering_until: Instant,
     publish_at: Instant,
@@ -94,12 +75,7 @@
             used: LastUsed::default(),
             polls: Polls::default(),
             progress: Progress::default(),
-            asked_at: HashMap::new(),
-            deferred: HashMap::new(),
-            asked_for: HashMap::new(),
-            last_asked: HashMap::new(),
-            permits_at: now,
-            returns_at: now + RETURN_INTERVAL,
+            asked: Asked::new(now),
             recovering_until: now,
             publish_at: now + REPUBLISH_INTERVAL,
             tick_at: now,
@@ -207,7 +183,7 @@
         wall: SystemTime,
         rng: &mut impl Rng,
     ) {
-        *self.asked_for.entry(arrival.model.clone()).or_default() += arrival.count;
+        *self.asked.asked_for.entry(arrival.model.clone()).or_default() += arrival.count;
         self.place(&Event::Arrived(arrival), now, wall, rng);
     }
 
@@ -226,11 +202,11 @@
             // Recovery has not finished, so that nobody can say more than that it takes a while.
             return DemandReply::ReadyIn { ms: RECOVERY_MS };
         }
-        *self.asked_for.entry(target.model.clone()).or_default() += 1;
-        self.last_asked.insert(target.model.clone(), now);
+        *self.asked.asked_for.entry(target.model.clone()).or_default() += 1;
+        self.asked.last_asked.insert(target.model.clone(), now);
         let is_asking = self.ask_for_allowance(&target.model, now, rng);
         if is_asking {
-            self.deferred.insert(target.model.clone(), demand);
+            self.asked.deferred.insert(target.model.clone(), demand);
         } else {
             self.place(&Event::Demand(demand), now, wall, rng);
         }
@@ -245,70 +221,6 @@
         }
     }
 
-    /// Asks the pool for allowance if none is left. Returns true while the answer is waited for.
-    fn ask_for_allowance(&mut self, model: &ModelId, now: Instant, rng: &mut impl Rng) -> bool {
-        let view = self.group.view(now);
-        let has_allowance = view.allowance_left.get(model).is_some_and(|left| *left > 0);
-        if has_allowance || !view.writable {
-            self.asked_at.remove(model);
-            return false;
-        }
-        let actions = self.group.request_allowance(now, model, 1, rng);
-        self.act(actions, now);
-        let asked_at = *self.asked_at.entry(model.clone()).or_insert(now);
-        if now >= asked_at + ASK_AGAIN_AFTER {
-            self.asked_at.insert(model.clone(), now);
-        }
-        now < asked_at + ALLOWANCE_TIME
-    }
-
-    /// Returns allowance for models that nobody asked for lately, so that other groups can use it.
-    fn return_allowances(&mut self, now: Instant, rng: &mut impl Rng) {
-        self.last_asked.retain(|_, at| now < *at + RETURN_AFTER);
-        let view = self.group.view(now);
-        if !view.writable {
-            return;
-        }
-        let unused = view
-            .allowance_left
-            .iter()
-            .filter(|(model, left)| **left > 0 && !self.last_asked.contains_key(*model));
-        let unused: Vec<(ModelId, u32)> = unused.map(|(m, left)| (m.clone(), *left)).collect();
-        for (model, count) in unused {
-            let actions = self.group.return_allowance(now, &model, count, rng);
-            self.act(actions, now);
-        }
-    }
-
-    /// Passes demand on whose allowance has arrived.
-    fn place_deferred(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
-        if self.deferred.is_empty() {
-            return;
-        }
-        let left = self.group.view(now).allowance_left;
-        let has_left = |model: &ModelId| left.get(model).is_some_and(|left| *left > 0);
-        let ready: Vec<ModelId> = self.deferred.keys().filter(|m| has_left(m)).cloned().collect();
-        for demand in
-            ready.iter().filter_map(|model| self.deferred.remove(model)).collect::<Vec<_>>()
-        {
-            self.place(&Event::Demand(demand), now, wall, rng);
-        }
-        self.deferred.retain(|_, demand| now < demand.deadline);
-    }
-
-    /// Sets the permits to the models that were asked for most.
-    fn set_permits(&mut self, now: Instant) {
-        self.permits_at = now + PERMIT_INTERVAL;
-        let mut models: Vec<(u32, ModelId)> =
-            self.asked_for.iter().map(|(model, count)| (*count, model.clone())).collect();
-        models.sort_unstable_by(|a, b| b.cmp(a));
-        self.group.set_permit_models(models.into_iter().map(|(_, model)| model).collect());
-        self.asked_for.retain(|_, count| {
-            *count /= 2;
-            *count > 0
-        });
-    }
-
     /// Polls servers, publishes and lets placement look at idle replicas.
     pub(crate) fn on_timer(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
         if self.group.next_timer().is_some_and(|at| at <= now) {
@@ -323,11 +235,10 @@
             self.place(&Event::Tick, now, wall, rng);
             self.tick_at = self.placement.next_wakeup(now);
         }
-        if self.permits_at <= now {
+        if self.asked.permits_at <= now {
             self.set_permits(now);
         }
-        if self.returns_at <= now {
-            self.returns_at = now + RETURN_INTERVAL;
+        if self.asked.returns_at <= now {
             self.return_allowances(now, rng);
         }
         if self.publish_at <= now {
@@ -341,7 +252,7 @@
     /// When `on_timer` is due.
     pub(crate) fn next_timer(&self) -> Instant {
         let due = [self.polls.next(), self.group.next_timer()];
-        let own = [self.publish_at, self.tick_at, self.permits_at, self.returns_at];
+        let own = [self.publish_at, self.tick_at, self.asked.permits_at, self.asked.returns_at];
         due.into_iter().flatten().chain(own).min().unwrap_or(self.tick_at)
     }
 
@@ -367,7 +278,13 @@
     }
 
     /// Lets placement decide and carries its decisions out.
-    fn place(&mut self, event: &Event, now: Instant, wall: SystemTime, rng: &mut impl Rng) {
+    pub(crate) fn place(
+        &mut self,
+        event: &Event,
+        now: Instant,
+        wall: SystemTime,
+        rng: &mut impl Rng,
+    ) {
         let mut decisions = Vec::new();
         let view = self.placement_view(now);
         self.placement.handle(event, &view, now, rng, &mut decisions);
--- /dev/null
+++ b/components/process/instance/src/periodic.rs
@@ -0,0 +1,90 @@
+//! What is done at intervals: limit shares, booking and summaries.
+
+use membership::SummaryBody;
+use routing::DataCentreSummary;
+use types::prelude::*;
+
+use crate::directory::{key_group, limits_group};
+use crate::event::Event;
+use crate::instance::{Drain, Instance};
+use crate::message::{PeerMessage, PeerReply};
+
+/// Time for the holder of the limits to answer.
+const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Instance {
+    /// Asks for grants and reads the standing share when due.
+    pub(crate) fn share_timers(&mut self, now: Instant) {
+        if let Some(fencing) = self.shares.wants_holding(now) {
+            let data_centres = self.directory.data_centres().clone();
+            let nonces = (self.nonce(), self.nonce());
+            crate::shares::read_holding(&self.cx, fencing, data_centres, nonces);
+        }
+        let group = limits_group(&self.cx.data_centre);
+        let Some(owner) = self.ownership.owner_hint(&group).cloned() else { return };
+        let own = self.owned.get(&group).copied();
+        let Some(fencing) = own.or_else(|| self.announced.get(&group).copied()) else { return };
+        let cfg = self.follower.current().clone();
+        let Some(request) = self.shares.due_request(&self.requests, &cfg, fencing, now) else {
+            return;
+        };
+        if owner == self.cx.instance {
+            let grant = self.shares.grant(&request, now);
+            return self.on_event(Event::Share(grant), now);
+        }
+        let Some(address) = self.address_of(&owner) else { return };
+        let exchange = self.cx.exchange(address, PeerMessage::Share(request), now + SHARE_TIMEOUT);
+        self.cx.spawn(async move {
+            match exchange.await {
+                Some(PeerReply::Share(grant)) => Event::Share(grant),
+                _ => Event::Share(None),
+            }
+        });
+    }
+
+    /// Writes counted work and accelerator intervals when due.
+    pub(crate) fn booking_timers(&mut self, now: Instant) {
+        let closing = self.drain != Drain::Serving && self.requests.is_idle();
+        if self.bookings.usage.next_timer() > now && !(closing && self.bookings.usage.may_close()) {
+            return;
+        }
+        let wall = SystemTime::now();
+        self.bookings.usage.flush(&self.cx, closing, now, wall);
+        for group in self.owned.keys() {
+            if let Some(owned) = self.groups.get(group) {
+                let closed = owned.group.closed_intervals();
+                let open = owned.group.open_intervals(wall);
+                crate::usage::write_intervals(&self.cx, group, closed, open, wall);
+            }
+        }
+    }
+
+    /// What other data centres are told.
+    pub(crate) fn summary_body(&self) -> SummaryBody {
+        let owners = self.directory.candidate_groups(&self.cx.data_centre);
+        let key_ranges = (0..idempotency::KEY_RANGES).map(key_group).filter_map(|group| {
+            let owner = owners.contains(&group).then(|| self.ownership.owner_hint(&group))??;
+            Some((group, owner.clone()))
+        });
+        SummaryBody {
+            models_ready: self.demand.ready_models(),
+            memory_free: 0,
+            key_ranges: key_ranges.collect(),
+            entry_points: vec![self.callers_address.clone()],
+        }
+    }
+
+    /// Takes what is known of another data centre.
+    pub(crate) fn on_summary_changed(&mut self, data_centre: &DataCentreId, now: Instant) {
+        let Some(body) = self.membership.summary(now, data_centre).and_then(|s| s.body.clone())
+        else {
+            return;
+        };
+        if let Some(entry_point) = body.entry_points.first() {
+            self.requests.entry_points.insert(data_centre.clone(), entry_point.clone());
+        }
+        let free = body.models_ready.iter().map(|model| (model.clone(), 1)).collect();
+        let summary = DataCentreSummary { data_centre: data_centre.clone(), free };
+        self.requests.router.summary(summary, now);
+    }
+}
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -5,26 +5,18 @@
 use std::sync::Arc;
 
 use admission::{Admission, Admitted, Expired, LocalLimits, Offer, QueueKey, Ticket};
-use dispatch::{AttemptIds, Breakers, Queued, Request, RetryBudget, Terms};
+use dispatch::{AttemptIds, Breakers, Request, RetryBudget, Terms};
 use front::{Arrival, Call, Problem, Reply};
 use idempotency::{EntryState, Fingerprint, KeyHash};
-use routing::{Outcome, RouteRequest, Router};
+use routing::Router;
 use types::prelude::*;
 
-use crate::attempt::{Attempt, Forward};
 use crate::context::Context;
-use crate::event::Event;
 use crate::expected::ExpectedReady;
 use crate::finished::Finished;
 use crate::message::ArrivalCount;
 use crate::pending::{CompletionJob, Job, Pending, ReplySlot, ServiceJob, Stage};
 
-/// How soon a request is looked at again whose adapter is being loaded: an adapter takes 5 to 14 ms.
-const ADAPTER_RECHECK: Duration = Duration::from_millis(10);
-/// How soon a request is looked at again that found no usable backend server.
-const NO_SERVER_RECHECK: Duration = Duration::from_millis(50);
-/// Least time between two demands for more replicas of a model that has ready ones.
-const MORE_REPLICAS_INTERVAL: Duration = Duration::from_millis(500);
 /// Bytes of a request body that count as one token of work.
 const BYTES_PER_TOKEN: usize = 4;
 /// Tokens that an answer is expected to have.
@@ -58,10 +50,10 @@
     pub(super) breakers: Breakers,
     pub(super) budget: Rc<RefCell<RetryBudget>>,
     cfg: Arc<Configuration>,
-    attempts: AttemptIds,
+    pub(super) attempts: AttemptIds,
     next_ticket: Ticket,
     /// When a model with ready replicas may ask for more.
-    more_replicas_at: HashMap<ModelId, Instant>,
+    pub(super) more_replicas_at: HashMap<ModelId, Instant>,
 }
 
 impl Requests {
@@ -185,26 +177,6 @@
         }
     }
 
-    /// Starts as many waiting requests of a queue as there is room for.
-    pub(crate) fn pump(&mut self, cx: &Context, queue: &QueueKey, now: Instant) {
-        match queue {
-            QueueKey::Model(model) => self.pump_model(cx, queue, model, now),
-            QueueKey::Service(_) => {
-                while let Some(admitted) = self.admission.next(queue, now) {
-                    self.start(cx, admitted, now);
-                }
-            }
-        }
-    }
-
-    /// Starts what can be started in every queue.
-    pub(crate) fn pump_all(&mut self, cx: &Context, now: Instant) {
-        let queues: Vec<QueueKey> = self.admission.queues().cloned().collect();
-        for queue in queues {
-            self.pump(cx, &queue, now);
-        }
-    }
-
     /// Refuses requests whose deadline has passed and sends held-back demand.
     pub(crate) fn on_timer(&mut self, cx: &Context, now: Instant) {
         for expired in self.admission.expire(now) {
@@ -325,262 +297,6 @@
         counted.remaining_ms = counted.remaining_ms.min(remaining_ms);
     }
 
-    fn pump_model(&mut self, cx: &Context, queue: &QueueKey, model: &ModelId, now: Instant) {
-        loop {
-            let Some(waiting) = self.admission.waiting(queue) else { return };
-            if self.router.ready_replicas(model) == 0 {
-                let target = Target { model: model.clone(), adapter: None };
-                let request = RouteRequest {
-                    target: &target,
-                    prefix: &[],
-                    exclude: &[],
-                    waiting: waiting.count,
-                    earliest_deadline: waiting.earliest_deadline,
-                    worth_milli: waiting.worth_milli,
-                };
-                match self.router.route(&request, now, &mut *cx.rng.borrow_mut()) {
-                    Outcome::Cold(demand) => {
-                        if let Some(demand) = demand {
-                            self.want_target(&demand);
-                        }
-                        return;
-                    }
-                    // Each request is forwarded, or waits here if it cannot be.
-                    Outcome::DataCentre(_) | Outcome::Replica(_) => {}
-                }
-            } else if !self.router.has_room(model) {
-                self.want_more_replicas(model, &waiting, now);
-                return;
-            }
-            let Some(admitted) = self.admission.next(queue, now) else { return };
-            self.start(cx, admitted, now);
-        }
-    }
-
-    fn want_target(&mut self, demand: &routing::Demand) {
-        let target = Target { model: demand.model.clone(), adapter: demand.adapter.clone() };
-        let waiting = u32::try_from(demand.waiting).unwrap_or(u32::MAX);
-        let worth = demand.worth_milli / u64::from(waiting.max(1));
-        self.wanted.push(Wanted::Target {
-            target,
-            waiting,
-            worth_milli: u32::try_from(worth).unwrap_or(u32::MAX),
-            deadline: demand.earliest_deadline,
-        });
-    }
-
-    fn want_more_replicas(&mut self, model: &ModelId, waiting: &admission::Waiting, now: Instant) {
-        if self.more_replicas_at.get(model).is_some_and(|at| now < *at) {
-            return;
-        }
-        self.more_replicas_at.insert(model.clone(), now + MORE_REPLICAS_INTERVAL);
-        self.want_target(&routing::Demand {
-            model: model.clone(),
-            adapter: None,
-            waiting: waiting.count,
-            earliest_deadline: waiting.earliest_deadline,
-            worth_milli: waiting.worth_milli,
-        });
-    }
-
-    /// Starts a request that `Admission::next` returned.
-    fn start(&mut self, cx: &Context, admitted: Admitted, now: Instant) {
-        let ticket = admitted.ticket;
-        let Some(pending) = self.pending.get_mut(&ticket) else {
-            self.admission.finish(ticket);
-            return;
-        };
-        let Some(request) = pending.take_queued() else { return };
-        match pending.job.clone() {
-            Job::Completion(job) => self.start_completion(cx, ticket, request, job, now),
-            Job::Service(job) => self.start_call(cx, ticket, request, job, now),
-        }
-    }
-
-    fn start_completion(
-        &mut self,
-        cx: &Context,
-        ticket: Ticket,
-        request: Request<Queued>,
-        job: CompletionJob,
-        now: Instant,
-    ) {
-        let Some(pending) = self.pending.get(&ticket) else { return };
-        let route = RouteRequest {
-            target: &job.target,
-            prefix: &job.prefixes,
-            exclude: &pending.excluded,
-            waiting: 1,
-            earliest_deadline: pending.admitted.first_token_by,
-            worth_milli: pending.admitted.worth_milli.into(),
-        };
-        let outcome = self.router.route(&route, now, &mut *cx.rng.borrow_mut());
-        let choice = match outcome {
-            Outcome::Replica(choice) if choice.load_adapter => {
-                self.wanted.push(Wanted::Target {
-                    target: job.target,
-                    waiting: 1,
-                    worth_milli: pending.admitted.worth_milli,
-                    deadline: pending.admitted.first_token_by,
-                });
-                return self.requeue(ticket, request, now + ADAPTER_RECHECK, now);
-            }
-            Outcome::Replica(choice) => choice,
-            Outcome::Cold(demand) => {
-                if let Some(demand) = demand {
-                    self.want_target(&demand);
-                }
-                return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
-            }
-            Outcome::DataCentre(data_centre) => {
-                return self.forward(cx, ticket, request, job, &data_centre, now);
-            }
-        };
-        let Some(permit) = self.breakers.admit(&choice.server, now) else {
-            return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
-        };
-        let Some(pending) = self.pending.get_mut(&ticket) else { return };
-        let Some(reply) = pending.reply.take() else { return };
-        let attempt = Attempt {
-            ticket,
-            client: cx.client.clone(),
-            budget: Rc::clone(&self.budget),
-            server: choice.server,
-            address: choice.address,
-            attempt: self.attempts.issue(),
-            permit,
-            replica: Some(choice.replica.clone()),
-            priority: pending.admitted.priority,
-            forward: None,
-        };
-        self.router.sent(&choice.replica, &job.prefixes, now);
-        cx.spawn(
-            async move { Event::Attempt(Box::new(attempt.complete(request, job, reply).await)) },
-        );
-    }
-
-    /// Sends a request to an instance of a data centre that has the model ready.
-    fn forward(
-        &mut self,
-        cx: &Context,
-        ticket: Ticket,
-        request: Request<Queued>,
-        job: CompletionJob,
-        data_centre: &DataCentreId,
-        now: Instant,
-    ) {
-        let entry_point = self.entry_points.get(data_centre).cloned();
-        let Some(pending) = self.pending.get_mut(&ticket) else { return };
-        let permitted = entry_point.filter(|_| !pending.is_local).and_then(|address| {
-            let permit = self.breakers.admit(&address, now)?;
-            Some((address, permit))
-        });
-        let Some((address, permit)) = permitted else {
-            pending.is_local = true;
-            self.want_locally(job.target, &self.pending[&ticket].admitted.clone(), now);
-            return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
-        };
-        let Some(reply) = pending.reply.take() else { return };
-        // A failed forward is followed by attempts in this data centre.
-        pending.is_local = true;
-        let forward = Forward { by: cx.instance.clone(), class: pending.admitted.class.clone() };
-        let attempt = Attempt {
-            ticket,
-            client: cx.client.clone(),
-            budget: Rc::clone(&self.budget),
-            server: address.clone(),
-            address,
-            attempt: self.attempts.issue(),
-            permit,
-            replica: None,
-            priority: pending.admitted.priority,
-            forward: Some(forward),
-        };
-        tracing::debug!("dispatch: {} forwarded to {data_centre}", pending.id);
-        cx.spawn(
-            async move { Event::Attempt(Box::new(attempt.complete(request, job, reply).await)) },
-        );
-    }
-
-    /// Asks the own data centre for a target although another one has it ready.
-    fn want_locally(&mut self, target: Target, admitted: &Admitted, now: Instant) {
-        if self.more_replicas_at.get(&target.model).is_some_and(|at| now < *at) {
-            return;
-        }
-        self.more_replicas_at.insert(target.model.clone(), now + MORE_REPLICAS_INTERVAL);
-        self.wanted.push(Wanted::Target {
-            target,
-            waiting: 1,
-            worth_milli: admitted.worth_milli,
-            deadline: admitted.first_token_by,
-        });
-    }
-
-    fn start_call(
-        &mut self,
-        cx: &Context,
-        ticket: Ticket,
-        request: Request<Queued>,
-        job: ServiceJob,
-        now: Instant,
-    ) {
-        let Some(pending) = self.pending.get_mut(&ticket) else { return };
-        if let Some((key, fingerprint)) = job.key.clone().filter(|_| !job.claimed) {
-            let decide_by = pending.admitted.first_token_by;
-            pending.stage = Stage::Claiming(request);
-            self.wanted.push(Wanted::Key { ticket, key, fingerprint, decide_by });
-            return;
-        }
-        let excluded = &pending.excluded_servers;
-        let rng = &mut *cx.rng.borrow_mut();
-        let choice = self.router.route_service(&job.service, excluded, now, rng);
-        let permitted = choice.and_then(|choice| {
-            let permit = self.breakers.admit(&choice.server, now)?;
-            Some((choice, permit))
-        });
-        let Some((choice, permit)) = permitted else {
-            pending.excluded_servers.clear();
-            return self.requeue(ticket, request, now + NO_SERVER_RECHECK, now);
-        };
-        let Some(reply) = pending.reply.take() else { return };
-        let attempt = Attempt {
-            ticket,
-            client: cx.client.clone(),
-            budget: Rc::clone(&self.budget),
-            server: choice.server.clone(),
-            address: choice.address,
-            attempt: self.attempts.issue(),
-            permit,
-            replica: None,
-            priority: pending.admitted.priority,
-            forward: None,
-        };
-        self.router.service_sent(&choice.server);
-        cx.spawn(async move { Event::Attempt(Box::new(attempt.call(request, job, reply).await)) });
-    }
-
-    /// Puts a request back into its queue, or refuses it if its deadline forbids the wait.
-    pub(super) fn requeue(
-        &mut self,
-        ticket: Ticket,
-        request: Request<Queued>,
-        not_before: Instant,
-        now: Instant,
-    ) {
-        match self.admission.requeue(ticket, request.verdict(), not_before, now) {
-            Ok(()) => {
-                if let Some(pending) = self.pending.get_mut(&ticket) {
-                    pending.stage = Stage::Waiting(request);
-                }
-            }
-            Err(refusal) => {
-                let refusal = request.refuse(refusal.reason);
-                self.admission.finish(ticket);
-                self.end_refused(ticket, refusal, "the deadline leaves no time to wait", now);
-            }
-        }
-    }
-
     /// Ends a request that still has its reply with a refusal. Admission has dropped it already.
     pub(super) fn end_refused(
         &mut self,
