Lay out the benchmark of slopes

Cause: the control overhead of one instance at the target scale has to be measured. Change: a fleet in virtual time around ownership, group, membership and configuration, with the real call budget and message encoding; calibration of real connections on loopback.

--- a/benches/slopes.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Placeholder.
-
-fn main() {}
--- /dev/null
+++ b/benches/slopes/calibration.rs
@@ -0,0 +1,117 @@
+//! What the simulation leaves out: processor time and memory of real connections on loopback.
+
+use std::time::{Duration, Instant};
+
+use peer::{Frame, Incoming, PeerClient};
+use platform::{Call, Client, ClientConfig, Rate, Rates};
+use serde::{Deserialize, Serialize};
+use stand_ins::platform::{Platform, PlatformConfig};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use types::object::{Condition, ObjectKey};
+
+use crate::process_usage::{processor_time, resident_bytes};
+
+/// Exchanges and calls that are measured.
+const REPEATS: u32 = 8_000;
+/// Exchanges or calls at one time.
+const AT_ONCE: u32 = 8;
+/// Bytes of one message or value.
+const PAYLOAD_BYTES: usize = 1_500;
+/// Other instances of one data centre at the target scale.
+const PEERS: usize = 39;
+
+/// Costs of both ends together. An instance receives as many messages as it sends on average, so
+/// that both ends of one exchange are what one sent message costs an instance. For platform calls
+/// and reports this is too much, because the other end runs elsewhere.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Costs {
+    /// Processor seconds of one exchange between instances.
+    pub(crate) exchange: f64,
+    /// Processor seconds of one call to the platform or a backend server.
+    pub(crate) call: f64,
+    /// Memory of the connections to all other instances of a data centre.
+    pub(crate) connections_bytes: u64,
+}
+
+/// Measures the costs.
+pub(crate) async fn measure() -> Costs {
+    let call = platform_call().await;
+    let connections_bytes = connections().await;
+    Costs { exchange: exchange().await, call, connections_bytes }
+}
+
+fn deadline() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+/// Starts a server that answers every message.
+async fn answering_server() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback is available");
+    let address = listener.local_addr().expect("a bound address").to_string();
+    let (tx, mut rx) = mpsc::channel::<Incoming>(64);
+    tokio::spawn(async move {
+        let _ = peer::serve(listener, tx, std::future::pending()).await;
+    });
+    tokio::spawn(async move {
+        while let Some(Incoming { reply, .. }) = rx.recv().await {
+            let answer = Frame::encode("instance-000", 1, &()).expect("units encode");
+            let _ = reply.send(answer);
+        }
+    });
+    address
+}
+
+fn frame() -> Frame {
+    let payload = vec![7_u8; PAYLOAD_BYTES];
+    Frame { instance: "instance-001".into(), incarnation: 1, payload }
+}
+
+async fn exchange() -> f64 {
+    let address = answering_server().await;
+    let client = PeerClient::new();
+    let warm = client.exchange(&address, frame(), deadline()).await;
+    assert!(warm.is_ok(), "exchange failed: {:?}", warm.err());
+    let began = processor_time();
+    for _ in 0..REPEATS / AT_ONCE {
+        let exchanges = (0..AT_ONCE).map(|_| client.exchange(&address, frame(), deadline()));
+        futures_util::future::join_all(exchanges).await;
+    }
+    (processor_time() - began).as_secs_f64() / f64::from(REPEATS)
+}
+
+async fn connections() -> u64 {
+    let mut addresses = Vec::new();
+    for _ in 0..PEERS {
+        addresses.push(answering_server().await);
+    }
+    let client = PeerClient::new();
+    let before = resident_bytes();
+    for address in &addresses {
+        for _ in 0..3 {
+            let sent = client.exchange(address, frame(), deadline()).await;
+            assert!(sent.is_ok(), "exchange failed: {:?}", sent.err());
+        }
+    }
+    resident_bytes().saturating_sub(before)
+}
+
+async fn platform_call() -> f64 {
+    let platform = Platform::start(PlatformConfig::default()).await.expect("loopback is available");
+    let rate = Rate { per_second: 1e9, burst: 1e9 };
+    let client = Client::new(&ClientConfig {
+        address: platform.address(),
+        instance: "instance-001".into(),
+        rates: Rates { reads: rate, writes: rate },
+        seed: 1,
+    });
+    let key = ObjectKey::new("group", "g");
+    let value = "x".repeat(PAYLOAD_BYTES);
+    client.write(&key, Condition::Absent, &value, Call::by(deadline())).await;
+    let began = processor_time();
+    for _ in 0..REPEATS / AT_ONCE {
+        let reads = (0..AT_ONCE).map(|_| client.get::<String>(&key, Call::by(deadline())));
+        futures_util::future::join_all(reads).await;
+    }
+    (processor_time() - began).as_secs_f64() / f64::from(REPEATS)
+}
--- /dev/null
+++ b/benches/slopes/fleet_changes.rs
@@ -0,0 +1,100 @@
+//! What changes in a fleet by itself: models, adapters, load figures and the configuration.
+
+use std::sync::Arc;
+
+use configuration::{Applied, Apply, ApplyAction, Proposal};
+use rand::Rng;
+use types::prelude::*;
+
+use crate::event::Event;
+use crate::fleet::{Fleet, MIN_SLEEP, PLATFORM, WATCH_TIME};
+use crate::scale::{adapter_name, customer_name, customers};
+
+impl Fleet {
+    pub(crate) fn random_adapter(&mut self) -> AdapterId {
+        adapter_name(self.rng.random_range(0..self.scale.adapters.max(1)))
+    }
+
+    /// Changes one model or adapter somewhere. 20% of them become active or idle within an hour;
+    /// a model has several replicas.
+    pub(crate) fn churn(&mut self, is_model: bool) {
+        let now = self.now;
+        let total = if is_model { self.scale.replicas } else { self.scale.adapters };
+        let per_second = (total as f64 * 0.2 / 3_600.0).max(0.001);
+        let again = now + Duration::from_secs_f64(1.0 / per_second);
+        self.schedule(again, None, Event::Churn { is_model });
+        let node = self.rng.random_range(0..self.scale.instances);
+        let adapter = (!is_model).then(|| self.random_adapter());
+        self.with_node(node, |n| n.churn(adapter, now));
+    }
+
+    /// Gives every server new load figures once a second.
+    pub(crate) fn change_load_figures(&mut self) {
+        for server in &mut self.servers {
+            server.set_running(self.rng.random_range(0..24));
+        }
+        self.schedule(self.now + Duration::from_secs(1), None, Event::Traffic);
+    }
+
+    /// Applies a configuration that differs from the last in one contract.
+    pub(crate) fn change_configuration(&mut self) {
+        let per_second = self.scale.changes_per_day as f64 / 86_400.0;
+        if !self.accepted.is_empty() {
+            let again = self.now + Duration::from_secs_f64(1.0 / per_second);
+            self.schedule(again, None, Event::Change);
+            let customer = customer_name(self.rng.random_range(0..customers()));
+            if let Some(contract) = self.contracts.get_mut(&customer) {
+                let contract = Arc::make_mut(contract);
+                contract.limits.requests_per_second += 1;
+            }
+        }
+        if self.apply.is_some() {
+            self.not_applied.push("a change was due while another was being applied".into());
+            return;
+        }
+        let proposal = Proposal {
+            contracts: self.contracts.clone(),
+            catalogue: self.catalogue.clone(),
+            based_on: None,
+        };
+        let mut apply = Apply::new(proposal, self.now + Duration::from_secs(60));
+        let actions = apply.start(self.now, &mut self.rng);
+        self.on_apply(apply, actions);
+    }
+
+    pub(crate) fn on_apply(&mut self, apply: Apply, actions: Vec<ApplyAction>) {
+        let now = self.now;
+        for action in actions {
+            match action {
+                ApplyAction::Call { call, request } => {
+                    let answer = self.platform.execute(self.micros(), &request);
+                    self.schedule(now + PLATFORM, None, Event::ApplyAnswer { call, answer });
+                }
+                ApplyAction::Done(Applied::Accepted { version }) => {
+                    self.applied += 1;
+                    self.accepted.insert(version, now);
+                    self.wake_watches();
+                    return;
+                }
+                ApplyAction::Done(other) => {
+                    self.not_applied.push(format!("{other:?}").into());
+                    return;
+                }
+            }
+        }
+        let at = apply.next_timer().max(now + MIN_SLEEP);
+        self.apply = Some(apply);
+        self.schedule(at, None, Event::ApplyTimer);
+    }
+
+    pub(crate) fn wake_watches(&mut self) {
+        for node in 0..self.scale.instances {
+            let Some(until) = self.watching[node] else { continue };
+            if until < self.now {
+                self.watching[node] = Some(self.now + WATCH_TIME);
+                self.platform.reads.count(self.micros());
+            }
+            self.schedule(self.now + PLATFORM, Some(node), Event::HeadChanged { node });
+        }
+    }
+}
--- /dev/null
+++ b/benches/slopes/fleet_effects.rs
@@ -0,0 +1,148 @@
+//! What instances ask for: platform calls, messages, reports and orders.
+
+use peer::Frame;
+use platform::Admission;
+use types::object::{ObjectAnswer, ObjectCall};
+use types::prelude::*;
+
+use crate::event::{Event, PlatformCall};
+use crate::fleet::{Fleet, MIN_SLEEP, PLATFORM, WATCH_TIME};
+use crate::message::Message;
+use crate::node::Effect;
+use crate::server_model::Later;
+
+/// One way between two instances, or to a backend server.
+const NETWORK: Duration = Duration::from_millis(1);
+/// Time after which an instance gives up a platform call.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Load time from the weight store. Shorter than in reality, so that a fleet is loaded soon.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+/// Load time of an adapter.
+const ADAPTER_TIME: Duration = Duration::from_millis(10);
+/// Time of an unload.
+const UNLOAD_TIME: Duration = Duration::from_millis(100);
+/// Bytes of the heads of one HTTP request and its answer.
+const HTTP_HEAD_BYTES: u64 = 300;
+/// Bytes of a frame around its payload: the fields, the gRPC prefix and the HTTP/2 frame heads of
+/// a request and its answer with compressed headers.
+const FRAME_HEAD_BYTES: u64 = 100;
+
+impl Fleet {
+    pub(crate) fn effect(&mut self, node: usize, effect: Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Call { caller, call, priority, request } => {
+                let deadline = now + PLATFORM_TIMEOUT;
+                self.admit(node, PlatformCall { caller, call, priority, request, deadline });
+            }
+            Effect::Send { address, message } => self.send(node, &address, &message),
+            Effect::StartWatch => {
+                self.watching[node] = Some(now + WATCH_TIME);
+                self.platform.reads.count(self.micros());
+                self.schedule(now + PLATFORM, Some(node), Event::HeadChanged { node });
+            }
+            Effect::StopWatch => self.watching[node] = None,
+            Effect::ReadList => {
+                self.platform.reads.count(self.micros());
+                let bytes = self.list_encoded.len() as u64 + HTTP_HEAD_BYTES;
+                self.traffic[node].add("instance list", bytes);
+                self.traffic[node].platform_calls += 1;
+                self.schedule(now + PLATFORM, Some(node), Event::List { node });
+            }
+            Effect::ReadReport { group, server } => {
+                let Some(model) = self.by_server.get(&server).map(|n| &self.servers[*n]) else {
+                    return;
+                };
+                let encoded = model.encoded().to_vec();
+                self.traffic[node].reports += 1;
+                self.traffic[node].add("reports", encoded.len() as u64 + HTTP_HEAD_BYTES);
+                let report = Event::Report { node, group, requested: now, encoded };
+                self.schedule(now + NETWORK * 2, Some(node), report);
+            }
+            Effect::SendOrder { group, server, order } => {
+                self.traffic[node].add("orders", HTTP_HEAD_BYTES + 200);
+                let arrives = Event::OrderArrives { node, group, server, order };
+                self.schedule(now + NETWORK, None, arrives);
+            }
+            Effect::Adopted(version) => {
+                if let Some(accepted) = self.accepted.get(&version) {
+                    self.slowest_adoption = self.slowest_adoption.max(now - *accepted);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn micros(&self) -> u64 {
+        (self.now - self.start).as_micros() as u64
+    }
+
+    /// Sends a platform call as soon as the instance's budget allows.
+    pub(crate) fn admit(&mut self, n: usize, call: PlatformCall) {
+        let now = self.now;
+        let is_write = matches!(call.request, ObjectCall::Write { .. });
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        match node.budget.admit(now, is_write, call.priority) {
+            Admission::Wait(at) if at >= call.deadline => {
+                let PlatformCall { caller, call, .. } = call;
+                let answer = ObjectAnswer::Failed;
+                let failed = Event::Answer { node: n, caller, call, answer };
+                self.schedule(now + MIN_SLEEP, Some(n), failed);
+            }
+            Admission::Wait(at) => self.schedule(at, Some(n), Event::Admit { node: n, call }),
+            Admission::Go => {
+                let PlatformCall { caller, call, request, .. } = call;
+                let answer = self.platform.execute(self.micros(), &request);
+                let sent = match &request {
+                    ObjectCall::Write { value, .. } => value.len(),
+                    ObjectCall::Read { .. } => 0,
+                };
+                let received = match &answer {
+                    ObjectAnswer::Found { value, .. } => value.len(),
+                    _ => 0,
+                };
+                let bytes = (sent + received) as u64 + HTTP_HEAD_BYTES;
+                self.traffic[n].add("platform objects", bytes);
+                self.traffic[n].platform_calls += 1;
+                self.schedule(
+                    now + PLATFORM,
+                    Some(n),
+                    Event::Answer { node: n, caller, call, answer },
+                );
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, from: usize, address: &str, message: &Message) {
+        let Some(node) = &self.nodes[from] else { return };
+        let Ok(frame) = Frame::encode(&node.id.name, node.incarnation(), message) else { return };
+        let bytes = (frame.payload.len() + frame.instance.len()) as u64 + FRAME_HEAD_BYTES;
+        self.traffic[from].messages += 1;
+        self.traffic[from].add(message.kind(), bytes);
+        let Some(to) = self.by_address.get(address).copied() else { return };
+        self.schedule(self.now + NETWORK, Some(to), Event::Deliver { to, frame });
+    }
+
+    pub(crate) fn take_order(
+        &mut self,
+        node: usize,
+        group: GroupId,
+        server: BackendServerId,
+        order: Order,
+    ) {
+        let Some(index) = self.by_server.get(&server).copied() else { return };
+        let count = self.scale.adapters_per_replica();
+        let adapters = (0..count).map(|_| self.random_adapter()).collect();
+        let (result, later) = self.servers[index].take(&order, adapters);
+        if let Some(later) = later {
+            let time = match later {
+                Later::Loaded { .. } => LOAD_TIME,
+                Later::Unloaded { .. } => UNLOAD_TIME,
+                Later::AdapterLoaded { .. } => ADAPTER_TIME,
+            };
+            self.schedule(self.now + time, None, Event::ServerChange { server: index, later });
+        }
+        let order = order.order;
+        let answered = Event::OrderResult { node, group, server, order, result };
+        self.schedule(self.now + NETWORK, Some(node), answered);
+    }
+}
--- /dev/null
+++ b/benches/slopes/node_actions.rs
@@ -0,0 +1,193 @@
+//! What a simulated instance does with the actions of its components.
+
+use std::sync::Arc;
+
+use group::Group;
+use rand_chacha::ChaCha8Rng;
+use types::object::CallPriority;
+use types::prelude::*;
+
+use crate::message::Message;
+use crate::node::{Caller, Effect, Node};
+use crate::owned_group::{Due, OwnedGroup};
+
+impl Node {
+    pub(crate) fn members_changed(&mut self, now: Instant) {
+        let live: BTreeSet<InstanceId> = self.membership.live().into_keys().collect();
+        self.ownership.set_members(now, live.clone());
+        let actions = self.follower.set_members(now, live, &mut self.rng);
+        self.configuration_actions(actions, now);
+    }
+
+    pub(crate) fn broadcast(&mut self, message: &Message) {
+        for (instance, address) in self.membership.live() {
+            if instance != self.id.name {
+                self.effects.push(Effect::Send { address, message: message.clone() });
+            }
+        }
+    }
+
+    pub(crate) fn address_of(&self, instance: &str) -> Option<Box<str>> {
+        let listed = || self.list.iter().find(|l| *l.name == *instance).map(|l| l.address.clone());
+        self.membership.address(instance).map(Into::into).or_else(listed)
+    }
+
+    pub(crate) fn send(&mut self, to: &str, message: Message) {
+        if let Some(address) = self.address_of(to) {
+            self.effects.push(Effect::Send { address, message });
+        }
+    }
+
+    pub(crate) fn ownership_actions(&mut self, actions: Vec<ownership::Action>, now: Instant) {
+        use ownership::Action;
+        for action in actions {
+            match action {
+                Action::Call { call, priority, request } => {
+                    let caller = Caller::Ownership;
+                    self.effects.push(Effect::Call { caller, call, priority, request });
+                }
+                Action::LeaseExtended { until } => {
+                    self.groups.values_mut().for_each(|owned| owned.group.set_lease(until));
+                }
+                Action::Gained { group, fencing } => self.gained(&group, fencing, now),
+                Action::Lapsed { group } => {
+                    if let Some(owned) = self.groups.get_mut(&group) {
+                        owned.group.on_lapsed(now);
+                    }
+                }
+                Action::Lost { group } => {
+                    self.owned.remove(&group);
+                    if let Some(owned) = self.groups.get_mut(&group) {
+                        owned.group.on_lost(now);
+                    }
+                }
+                Action::Release { .. } => {}
+                Action::Announce(message) => self.broadcast(&Message::Announcement(message)),
+                Action::SendHandover { to, handover } => {
+                    self.send(&to, Message::Handover(handover));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn gained(&mut self, group: &GroupId, fencing: FencingNumber, now: Instant) {
+        self.owned.insert(group.clone());
+        let Some(wanted) = self.id.wanted.get(group).cloned() else { return };
+        let name = self.id.name.clone();
+        let cfg = self.follower.current().clone();
+        self.groups.entry(group.clone()).or_insert_with(|| {
+            let mut pure = Group::new(group::Settings::new(group.clone(), name));
+            pure.set_catalogue(cfg.version, cfg.catalogue.clone());
+            OwnedGroup::new(pure, wanted, now)
+        });
+        let until = self.ownership.lease_until(now).unwrap_or(now);
+        self.with_group(group, now, |owned, rng| {
+            let actions = owned.group.on_gained(now, fencing, until, rng);
+            Due { actions, ..Due::default() }
+        });
+        self.set_group_list(group, now);
+    }
+
+    pub(crate) fn membership_actions(&mut self, actions: Vec<membership::Action>, now: Instant) {
+        use membership::Action;
+        let mut is_changed = false;
+        for action in actions {
+            match action {
+                Action::SendHeartbeat { address, heartbeat } => {
+                    let message = Message::Heartbeat(heartbeat);
+                    self.effects.push(Effect::Send { address, message });
+                }
+                Action::SendSummary { address, summary } => {
+                    let message = Message::Summary(summary);
+                    self.effects.push(Effect::Send { address, message });
+                }
+                Action::MemberChanged { .. } => is_changed = true,
+                Action::PeerVersion { instance, version } => {
+                    let rng = &mut self.rng;
+                    let actions = self.follower.on_peer_version(now, &instance, version, rng);
+                    self.configuration_actions(actions, now);
+                }
+                Action::SummaryChanged { .. } => {}
+            }
+        }
+        if is_changed {
+            self.members_changed(now);
+        }
+    }
+
+    pub(crate) fn configuration_actions(
+        &mut self,
+        actions: Vec<configuration::Action>,
+        now: Instant,
+    ) {
+        use configuration::Action;
+        for action in actions {
+            match action {
+                Action::Call { call, request } => {
+                    let (caller, priority) = (Caller::Configuration, CallPriority::Ordinary);
+                    self.effects.push(Effect::Call { caller, call, priority, request });
+                }
+                Action::StartWatch => self.effects.push(Effect::StartWatch),
+                Action::StopWatch => self.effects.push(Effect::StopWatch),
+                Action::Send { to, message } => self.send(&to, Message::Configuration(message)),
+                Action::Adopted(cfg) => {
+                    for owned in self.groups.values_mut() {
+                        owned.group.set_catalogue(cfg.version, cfg.catalogue.clone());
+                    }
+                    self.membership.set_configuration(cfg.version);
+                    self.effects.push(Effect::Adopted(cfg.version));
+                }
+            }
+        }
+        let _ = now;
+    }
+
+    pub(crate) fn with_group(
+        &mut self,
+        group: &GroupId,
+        now: Instant,
+        act: impl FnOnce(&mut OwnedGroup, &mut ChaCha8Rng) -> Due,
+    ) {
+        let Some(owned) = self.groups.get_mut(group) else { return };
+        let due = act(owned, &mut self.rng);
+        if due.publish
+            && let Some(state) = owned.group.publish(now)
+        {
+            let state = Arc::new(state);
+            self.broadcast(&Message::GroupState(state.clone()));
+            self.take_state(Arc::unwrap_or_clone(state));
+        }
+        for server in due.polls {
+            self.effects.push(Effect::ReadReport { group: group.clone(), server });
+        }
+        for action in due.actions {
+            self.group_action(group, action, now);
+        }
+    }
+
+    pub(crate) fn group_action(&mut self, group: &GroupId, action: group::Action, now: Instant) {
+        use group::Action;
+        match action {
+            Action::Call { call, request } => {
+                let (caller, priority) = (Caller::Group(group.clone()), CallPriority::Ordinary);
+                self.effects.push(Effect::Call { caller, call, priority, request });
+            }
+            Action::SendOrder { server, order, .. } => {
+                self.effects.push(Effect::SendOrder { group: group.clone(), server, order });
+            }
+            Action::ReadReport { server, .. } => {
+                self.effects.push(Effect::ReadReport { group: group.clone(), server });
+            }
+            Action::RaiseFencing | Action::Superseded => {
+                let actions = self.ownership.raise_fencing(now, group, &mut self.rng);
+                self.ownership_actions(actions, now);
+            }
+            Action::Released => {}
+            Action::Publish => {
+                if let Some(owned) = self.groups.get_mut(group) {
+                    owned.publish_soon(now);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/benches/slopes/platform_model.rs
@@ -0,0 +1,90 @@
+//! The platform in virtual time: objects, versions and call rates.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use types::object::{Condition, ObjectAnswer, ObjectCall, ObjectKey};
+use types::prelude::ObjectVersion;
+
+/// Longest value that the platform takes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Microseconds of virtual time in one second.
+const SECOND: u64 = 1_000_000;
+
+/// Highest number of calls in any one second.
+#[derive(Debug, Default)]
+pub(crate) struct Meter {
+    recent: VecDeque<u64>,
+    pub(crate) max_per_second: usize,
+    pub(crate) total: u64,
+}
+
+impl Meter {
+    pub(crate) fn count(&mut self, at: u64) {
+        while self.recent.front().is_some_and(|first| first + SECOND <= at) {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(at);
+        self.total += 1;
+        self.max_per_second = self.max_per_second.max(self.recent.len());
+    }
+
+    /// Starts a new measurement; calls of the last second still count.
+    pub(crate) fn reset(&mut self) {
+        self.max_per_second = 0;
+        self.total = 0;
+    }
+}
+
+/// The platform.
+#[derive(Debug, Default)]
+pub(crate) struct PlatformModel {
+    objects: BTreeMap<ObjectKey, (ObjectVersion, Vec<u8>)>,
+    version: ObjectVersion,
+    pub(crate) reads: Meter,
+    pub(crate) writes: Meter,
+    /// Longest value by kind, refused ones included.
+    pub(crate) longest: BTreeMap<&'static str, usize>,
+    pub(crate) refused_too_long: u64,
+}
+
+impl PlatformModel {
+    /// Executes and counts a call.
+    pub(crate) fn execute(&mut self, at: u64, call: &ObjectCall) -> ObjectAnswer {
+        match call {
+            ObjectCall::Read { key } => {
+                self.reads.count(at);
+                match self.objects.get(key) {
+                    Some((version, value)) => {
+                        ObjectAnswer::Found { version: *version, value: value.clone() }
+                    }
+                    None => ObjectAnswer::Missing,
+                }
+            }
+            ObjectCall::Write { key, condition, value } => {
+                self.writes.count(at);
+                let longest = self.longest.entry(key.kind).or_default();
+                *longest = value.len().max(*longest);
+                if value.len() > MAX_VALUE_BYTES {
+                    self.refused_too_long += 1;
+                    return ObjectAnswer::Failed;
+                }
+                self.write(key, *condition, value)
+            }
+        }
+    }
+
+    fn write(&mut self, key: &ObjectKey, condition: Condition, value: &[u8]) -> ObjectAnswer {
+        let present = self.objects.get(key).map(|(version, _)| *version);
+        let holds = match condition {
+            Condition::Absent => present.is_none(),
+            Condition::Version(version) => present == Some(version),
+        };
+        if !holds {
+            return ObjectAnswer::Conflict;
+        }
+        self.version += 1;
+        self.objects.insert(key.clone(), (self.version, value.to_vec()));
+        ObjectAnswer::Written { version: self.version }
+    }
+}
--- /dev/null
+++ b/benches/slopes/run.rs
@@ -0,0 +1,159 @@
+//! One run: a fleet is started and loaded, then measured, then one data centre is restarted.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use platform::Rates;
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::{Fleet, Traffic};
+use crate::process_usage::{processor_time, resident_bytes};
+use crate::scale::Scale;
+
+/// Reads a second that the platform handles.
+pub(crate) const PLATFORM_READS: u32 = 2_000;
+/// Writes a second that the platform handles.
+pub(crate) const PLATFORM_WRITES: u32 = 400;
+/// Virtual time within which the instances of a fleet start for the first time.
+const FIRST_START: Duration = Duration::from_secs(10);
+/// Longest virtual time until all replicas are loaded.
+const LOAD_LIMIT: Duration = Duration::from_secs(900);
+/// Virtual time between the begin of changes and the begin of the measurement.
+const SETTLE: Duration = Duration::from_secs(20);
+/// Virtual time that is measured.
+const WINDOW: Duration = Duration::from_secs(30);
+/// Virtual time within which all instances of a data centre start again.
+const RESTART: Duration = Duration::from_millis(500);
+/// Longest virtual time until all groups of a restarted data centre are owned.
+const RESTART_LIMIT: Duration = Duration::from_secs(120);
+
+/// Figures of one run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Measured {
+    pub(crate) scale: Scale,
+    /// Virtual seconds until all replicas were loaded; `None` if not all were.
+    pub(crate) loaded_after: Option<f64>,
+    pub(crate) ready_replicas: usize,
+    pub(crate) up_to_date: usize,
+    /// Processor time of the simulation per virtual second and instance, as part of a core.
+    pub(crate) processor: f64,
+    /// Busiest instance's part of the time of all instances, times their number.
+    pub(crate) busiest: f64,
+    /// Resident memory of the simulation per instance.
+    pub(crate) memory_bytes: u64,
+    /// Resident memory before the fleet was built.
+    pub(crate) base_bytes: u64,
+    /// Per instance and second.
+    pub(crate) messages: f64,
+    pub(crate) platform_calls: f64,
+    pub(crate) reports: f64,
+    pub(crate) bytes: f64,
+    pub(crate) busiest_bytes: f64,
+    /// Bytes per instance and second by kind.
+    pub(crate) bytes_by_kind: BTreeMap<String, f64>,
+    /// Highest number of calls of the whole fleet in any one second.
+    pub(crate) max_reads: usize,
+    pub(crate) max_writes: usize,
+    pub(crate) slowest_adoption_ms: u64,
+    pub(crate) applied: u64,
+    pub(crate) not_applied: Vec<Box<str>>,
+    pub(crate) longest_values: BTreeMap<String, usize>,
+    pub(crate) refused_too_long: u64,
+    pub(crate) restart: Option<Restart>,
+    /// Real seconds of the run.
+    pub(crate) took: f64,
+}
+
+/// Figures of the restart of one data centre.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Restart {
+    pub(crate) instances: usize,
+    pub(crate) max_reads: usize,
+    pub(crate) max_writes: usize,
+    /// Virtual seconds until all groups are owned; `None` if they are not.
+    pub(crate) owned_after: Option<f64>,
+    /// Virtual seconds until all instances run the newest configuration.
+    pub(crate) up_to_date_after: Option<f64>,
+}
+
+/// Runs one fleet.
+pub(crate) fn measure(scale: Scale, seed: u64) -> Measured {
+    let began = Instant::now();
+    let base_bytes = resident_bytes();
+    let mut fleet = Fleet::new(scale, seed);
+    fleet.begin();
+    fleet.run(Duration::from_secs(5));
+    fleet.start_instances(None, FIRST_START);
+    let loaded = fleet.run_until(LOAD_LIMIT, |fleet| fleet.ready_replicas() >= scale.replicas);
+    let instances = u32::try_from(scale.instances).unwrap_or(u32::MAX);
+    fleet.set_rates(Rates::share(PLATFORM_READS, PLATFORM_WRITES, instances));
+    fleet.begin_changes();
+    fleet.run(SETTLE);
+    fleet.reset_counters();
+    let processor_before = processor_time();
+    fleet.run(WINDOW);
+    let processor = processor_time() - processor_before;
+    let memory = resident_bytes().saturating_sub(base_bytes);
+    let count = scale.instances as f64;
+    let per_second = |total: u64| total as f64 / count / WINDOW.as_secs_f64();
+    let sum = |of: fn(&Traffic) -> u64| fleet.traffic.iter().map(of).sum::<u64>();
+    let busy: f64 = fleet.traffic.iter().map(|t| t.busy.as_secs_f64()).sum();
+    let most = fleet.traffic.iter().map(|t| t.busy.as_secs_f64()).fold(0.0, f64::max);
+    let busiest_bytes = fleet.traffic.iter().map(Traffic::all_bytes).max().unwrap_or(0);
+    let mut bytes_by_kind = BTreeMap::new();
+    for (kind, bytes) in fleet.traffic.iter().flat_map(|t| &t.bytes) {
+        *bytes_by_kind.entry((*kind).to_owned()).or_default() += per_second(*bytes);
+    }
+    let longest = fleet.platform.longest.iter().map(|(kind, n)| ((*kind).to_owned(), *n));
+    let mut measured = Measured {
+        scale,
+        loaded_after: loaded.map(|time| time.as_secs_f64()),
+        ready_replicas: fleet.ready_replicas(),
+        up_to_date: fleet.up_to_date(),
+        processor: processor.as_secs_f64() / WINDOW.as_secs_f64() / count,
+        busiest: most * count / busy.max(f64::MIN_POSITIVE),
+        memory_bytes: memory / scale.instances as u64,
+        base_bytes,
+        messages: per_second(sum(|t| t.messages)),
+        platform_calls: per_second(sum(|t| t.platform_calls)),
+        reports: per_second(sum(|t| t.reports)),
+        bytes: per_second(sum(Traffic::all_bytes)),
+        busiest_bytes: busiest_bytes as f64 / WINDOW.as_secs_f64(),
+        bytes_by_kind,
+        max_reads: fleet.platform.reads.max_per_second,
+        max_writes: fleet.platform.writes.max_per_second,
+        slowest_adoption_ms: fleet.slowest_adoption.as_millis() as u64,
+        applied: fleet.applied,
+        not_applied: fleet.not_applied.clone(),
+        longest_values: longest.collect(),
+        refused_too_long: fleet.platform.refused_too_long,
+        restart: None,
+        took: 0.0,
+    };
+    if scale == Scale::TARGET {
+        measured.restart = Some(restart(&mut fleet));
+    }
+    measured.took = began.elapsed().as_secs_f64();
+    measured
+}
+
+/// Restarts all instances of the first data centre at once.
+fn restart(fleet: &mut Fleet) -> Restart {
+    let scale = fleet.scale;
+    fleet.reset_counters();
+    fleet.kill(0);
+    fleet.run(Duration::from_secs(2));
+    fleet.start_instances(Some(0), RESTART);
+    let groups = fleet.candidate_groups(0);
+    let up_to_date = fleet.run_until(RESTART_LIMIT, |f| f.up_to_date() == scale.instances);
+    let owned = fleet.run_until(RESTART_LIMIT, |f| f.owned_groups(0) == groups);
+    fleet.run(WINDOW);
+    let seconds = |time: Duration| time.as_secs_f64();
+    Restart {
+        instances: (0..scale.instances).filter(|n| scale.data_centre(*n) == 0).count(),
+        max_reads: fleet.platform.reads.max_per_second,
+        max_writes: fleet.platform.writes.max_per_second,
+        owned_after: owned.map(|time| seconds(time + up_to_date.unwrap_or(RESTART_LIMIT))),
+        up_to_date_after: up_to_date.map(seconds),
+    }
+}
--- /dev/null
+++ b/benches/slopes/scale.rs
@@ -0,0 +1,147 @@
+//! Sizes of a simulated fleet, and the configuration and servers that belong to them.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use types::prelude::*;
+
+/// Accelerator memory of one backend server with eight accelerators.
+pub(crate) const SERVER_MEMORY: u64 = 640_000_000_000;
+
+/// Replicas that are loaded on one backend server.
+const REPLICAS_PER_SERVER: usize = 4;
+
+/// Accelerator memory of one replica. Four fit, with room for a standing permit.
+const REPLICA_MEMORY: u64 = 100_000_000_000;
+
+/// Customers of a fleet.
+const CUSTOMERS: usize = 400;
+
+/// Size of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Scale {
+    pub(crate) instances: usize,
+    pub(crate) data_centres: usize,
+    pub(crate) replicas: usize,
+    pub(crate) models: usize,
+    pub(crate) adapters: usize,
+    pub(crate) changes_per_day: usize,
+}
+
+impl Scale {
+    /// The target scale.
+    pub(crate) const TARGET: Self = Self {
+        instances: 360,
+        data_centres: 9,
+        replicas: 7_800,
+        models: 1_100,
+        adapters: 54_000,
+        changes_per_day: 22_000,
+    };
+
+    /// A fleet of `instances` with servers, replicas and adapters in proportion.
+    pub(crate) fn of_instances(instances: usize, data_centres: usize) -> Self {
+        let part = |total: usize| total * instances / Self::TARGET.instances;
+        Self {
+            instances,
+            data_centres,
+            replicas: part(Self::TARGET.replicas),
+            models: part(Self::TARGET.models),
+            adapters: part(Self::TARGET.adapters),
+            changes_per_day: Self::TARGET.changes_per_day,
+        }
+    }
+
+    pub(crate) fn servers(&self) -> usize {
+        self.replicas.div_ceil(REPLICAS_PER_SERVER).max(self.instances)
+    }
+
+    /// Adapters in the pool of each replica if all adapters are spread over all replicas.
+    pub(crate) fn adapters_per_replica(&self) -> usize {
+        self.adapters / self.replicas.max(1)
+    }
+
+    pub(crate) fn data_centre(&self, instance: usize) -> usize {
+        instance * self.data_centres / self.instances
+    }
+
+    /// Model of replica `n`.
+    pub(crate) fn model_of(&self, n: usize) -> ModelId {
+        model_name(n % self.models)
+    }
+
+    /// The catalogue: each adapter belongs to one model.
+    pub(crate) fn catalogue(&self) -> Catalogue {
+        let per_model = self.adapters / self.models;
+        let replicas = self.replicas.div_ceil(self.models) as u32;
+        let time = |ms| Duration::from_millis(ms);
+        let model = |n: usize| Model {
+            version: "v1".into(),
+            memory_bytes: REPLICA_MEMORY,
+            accelerators: 2,
+            max_replicas: replicas + 2,
+            adapter_slots: self.adapters_per_replica() as u32 + 1,
+            max_batch: 32,
+            load_time: LoadTime { memory: time(2_000), disk: time(8_000), remote: time(20_000) },
+            adapters: (0..per_model).map(|a| adapter_name(n * per_model + a)).collect(),
+        };
+        Catalogue {
+            models: (0..self.models).map(|n| (model_name(n), model(n))).collect(),
+            services: BTreeMap::new(),
+            deployment: Deployment::default(),
+        }
+    }
+
+    /// Contracts that divide the models and adapters between the customers.
+    pub(crate) fn contracts(&self, catalogue: &Catalogue) -> BTreeMap<CustomerId, Arc<Contract>> {
+        let contract = |n: usize| {
+            let models: BTreeSet<ModelId> =
+                catalogue.models.keys().skip(n).step_by(CUSTOMERS).cloned().collect();
+            let adapters = models.iter().map(|m| (m.clone(), catalogue.models[m].adapters.clone()));
+            let share = WHOLE_BASIS_POINTS / CUSTOMERS as u32;
+            Contract {
+                customer: customer_name(n),
+                key_hashes: BTreeSet::from([format!("{n:064x}").into()]),
+                adapters: adapters.collect(),
+                models,
+                classes: BTreeMap::from([("interactive".into(), interactive())]),
+                default_class: "interactive".into(),
+                capacity_share: share,
+                cost_share: share,
+                limits: Limits {
+                    requests_per_second: 100,
+                    concurrent_requests: 200,
+                    queued_requests: 200,
+                },
+                services: BTreeSet::new(),
+            }
+        };
+        (0..CUSTOMERS).map(|n| (customer_name(n), Arc::new(contract(n)))).collect()
+    }
+}
+
+fn interactive() -> UrgencyClass {
+    UrgencyClass {
+        first_token: Duration::from_millis(1_500),
+        completion: Duration::from_secs(30),
+        objective: 9_500,
+        priority: 9,
+        worth_milli: 100,
+    }
+}
+
+fn model_name(n: usize) -> ModelId {
+    format!("model-{n:04}").into()
+}
+
+pub(crate) fn adapter_name(n: usize) -> AdapterId {
+    format!("adapter-{n:05}").into()
+}
+
+pub(crate) fn customer_name(n: usize) -> CustomerId {
+    format!("customer-{n:03}").into()
+}
+
+pub(crate) fn customers() -> usize {
+    CUSTOMERS
+}
--- /dev/null
+++ b/benches/slopes/server_model.rs
@@ -0,0 +1,157 @@
+//! Backend servers in virtual time: they carry out orders and report.
+
+use group::OrderResult;
+use types::prelude::*;
+
+use crate::scale::SERVER_MEMORY;
+
+/// Order outcomes in a report.
+const KEPT_OUTCOMES: usize = 16;
+
+/// One backend server.
+#[derive(Debug)]
+pub(crate) struct ServerModel {
+    report: ServerReport,
+    /// Encoded report; encoding is the server's work and is done once per change.
+    encoded: Vec<u8>,
+}
+
+/// A change that an order brings about later.
+#[derive(Clone, Debug)]
+pub(crate) enum Later {
+    Loaded { order: OrderId, replica: ReplicaId, adapters: Vec<AdapterId> },
+    Unloaded { order: OrderId, replica: ReplicaId },
+    AdapterLoaded { order: OrderId, replica: ReplicaId, adapter: AdapterId },
+}
+
+impl ServerModel {
+    pub(crate) fn new(server: BackendServerId) -> Self {
+        let report = ServerReport {
+            server,
+            incarnation: 1,
+            checks_fencing: true,
+            highest_fencing: 0,
+            memory_total: SERVER_MEMORY,
+            memory_used: 0,
+            role: ServerRole::Mixed,
+            leaving: false,
+            replicas: Vec::new(),
+            outcomes: Vec::new(),
+            cached_in_memory: Vec::new(),
+            cached_on_disk: Vec::new(),
+            load_age_ms: 200,
+        };
+        let mut model = Self { report, encoded: Vec::new() };
+        model.encode();
+        model
+    }
+
+    fn encode(&mut self) {
+        self.encoded = serde_json::to_vec(&self.report).expect("reports serialise");
+    }
+
+    pub(crate) fn encoded(&self) -> &[u8] {
+        &self.encoded
+    }
+
+    pub(crate) fn replicas(&self) -> &[ReplicaReport] {
+        &self.report.replicas
+    }
+
+    /// Changes the load figures, as traffic does between two reports.
+    pub(crate) fn set_running(&mut self, running: u32) {
+        self.report.replicas.iter_mut().for_each(|replica| replica.running = running);
+        self.encode();
+    }
+
+    /// Takes an order. Returns the result and the change that follows, if it takes time.
+    pub(crate) fn take(
+        &mut self,
+        order: &Order,
+        adapters: Vec<AdapterId>,
+    ) -> (OrderResult, Option<Later>) {
+        if order.fencing < self.report.highest_fencing {
+            return (OrderResult::StaleFencing, None);
+        }
+        self.report.highest_fencing = order.fencing;
+        let number = order.order;
+        let later = match order.kind.clone() {
+            OrderKind::Seal => None,
+            OrderKind::Load { replica, model, version, memory_bytes, .. } => {
+                if self.report.memory_used + memory_bytes > self.report.memory_total {
+                    panic!("memory of {} overcommitted", self.report.server);
+                }
+                self.report.memory_used += memory_bytes;
+                let phase = ReplicaPhase::Loading;
+                let (adapters_now, running, queued) = (Vec::new(), 0, 0);
+                self.report.replicas.push(ReplicaReport {
+                    replica,
+                    model,
+                    version,
+                    phase,
+                    memory_bytes,
+                    adapters: adapters_now,
+                    running,
+                    queued,
+                });
+                Some(Later::Loaded { order: number, replica, adapters })
+            }
+            OrderKind::Unload { replica } => {
+                if let Some(found) = self.replica(replica) {
+                    found.phase = ReplicaPhase::Unloading;
+                }
+                Some(Later::Unloaded { order: number, replica })
+            }
+            OrderKind::LoadAdapter { replica, adapter, evict } => {
+                if let Some(found) = self.replica(replica) {
+                    found.adapters.retain(|present| Some(present) != evict.as_ref());
+                }
+                Some(Later::AdapterLoaded { order: number, replica, adapter })
+            }
+            OrderKind::Prefetch { .. } | OrderKind::SetRole { .. } => {
+                self.outcome(number);
+                None
+            }
+        };
+        self.encode();
+        (OrderResult::Accepted, later)
+    }
+
+    fn replica(&mut self, replica: ReplicaId) -> Option<&mut ReplicaReport> {
+        self.report.replicas.iter_mut().find(|found| found.replica == replica)
+    }
+
+    fn outcome(&mut self, order: OrderId) {
+        self.report.outcomes.push(OrderOutcome { order, succeeded: true });
+        if self.report.outcomes.len() > KEPT_OUTCOMES {
+            self.report.outcomes.remove(0);
+        }
+    }
+
+    /// Brings a change about.
+    pub(crate) fn apply(&mut self, later: Later) {
+        let order = match later {
+            Later::Loaded { order, replica, adapters } => {
+                if let Some(found) = self.replica(replica) {
+                    found.phase = ReplicaPhase::Ready;
+                    found.adapters = adapters;
+                }
+                order
+            }
+            Later::Unloaded { order, replica } => {
+                let memory = self.replica(replica).map_or(0, |found| found.memory_bytes);
+                self.report.memory_used -= memory;
+                self.report.replicas.retain(|found| found.replica != replica);
+                order
+            }
+            Later::AdapterLoaded { order, replica, adapter } => {
+                if let Some(found) = self.replica(replica) {
+                    found.adapters.push(adapter);
+                }
+                order
+            }
+        };
+        self.outcome(order);
+        self.encode();
+    }
+}
