--- a/components/request/idempotency/src/record.rs
+++ b/components/request/idempotency/src/record.rs
@@ -1,12 +1,24 @@
 //! Stored form of records.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
 use crate::key::{Fingerprint, KeyHash};
 
-/// Longest answer that is recorded; a repeat of a call with a longer one gets `may_have_run`.
-pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Longest entry in its stored form. A repeat of a call with a longer answer gets `may_have_run`.
+pub const MAX_ENTRY_BYTES: usize = 128 * 1024;
+
+/// Identifies one claim; no two claims of a range share one, and later ones are greater.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimId {
+    /// Fencing number of the owner that took the claim.
+    pub fencing: FencingNumber,
+    /// Number of the claim under that owner.
+    pub number: u64,
+}
 
 /// A recorded answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,14 +39,15 @@
     /// Claimed; the call may be running.
     Claimed,
     /// The call finished with this answer.
-    Finished(Answer),
+    Finished(Arc<Answer>),
     /// The call ended, and nobody knows whether it ran; or its answer is too long to record.
     Unknown,
     /// The call certainly did not run; the key is free again.
     Released,
 }
 
-/// One stored entry. A later entry of the same key replaces an earlier one.
+/// One stored entry. A later entry of the same key replaces an earlier one, and all entries of one
+/// claim expire at the same time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Entry {
@@ -42,6 +55,8 @@
     pub key: KeyHash,
     /// Fingerprint of the call.
     pub fingerprint: Fingerprint,
+    /// The claim.
+    pub claim: ClaimId,
     /// State of the key.
     pub state: EntryState,
     /// The entry may be dropped after this time.
@@ -66,6 +81,14 @@
     pub entries: Vec<Entry>,
 }
 
+impl Entry {
+    /// Length of the stored form.
+    pub(crate) fn stored_bytes(&self) -> usize {
+        // Serialising plain data to memory cannot fail; a failure would count as too long.
+        serde_json::to_vec(self).map_or(usize::MAX, |bytes| bytes.len())
+    }
+}
+
 /// Name of a segment's object within the kind `idempotency`. Names sort by number.
 pub fn segment_name(range: u32, number: u64) -> Box<str> {
     format!("{range:04}-{number:012}").into()
