--- a/components/request/idempotency/src/log.rs
+++ b/components/request/idempotency/src/log.rs
@@ -5,8 +5,9 @@
 use crate::api::{Condition, Write};
 use crate::record::{Entry, Segment};
 
-/// A segment is sealed with the write that reaches this length.
-pub const SEGMENT_TARGET_BYTES: usize = 64 * 1024;
+/// A segment is sealed with the write that reaches this length. Each write repeats the segment, so
+/// that a longer one costs more bytes a claim, and a shorter one more reads in a recovery.
+pub const SEGMENT_TARGET_BYTES: usize = 16 * 1024;
 /// Length that no segment exceeds. The platform takes values of up to 1 MB; the rest is room for
 /// the segment's own fields.
 pub const MAX_SEGMENT_BYTES: usize = 900 * 1024;
@@ -41,18 +42,22 @@
 }
 
 impl Log {
-    /// Takes all stored segments, sorted by number.
-    pub(crate) fn new(stored: Vec<(ObjectVersion, Segment)>) -> Self {
+    /// Takes all stored segments, sorted by number, and passes on their entries, oldest first.
+    pub(crate) fn new(stored: Vec<(ObjectVersion, Segment)>, mut each: impl FnMut(Entry)) -> Self {
         let mut log = Self::default();
         for (version, segment) in stored {
-            log.active.number = segment.number;
-            log.active.version = Some(version);
-            log.active.bytes = segment.entries.iter().map(Entry::stored_bytes).sum();
-            log.active.entries = segment.entries;
-            log.bytes += log.active.bytes;
+            let bytes = segment.entries.iter().map(Entry::stored_bytes).sum();
+            log.bytes += bytes;
             if segment.sealed {
-                log.seal(version);
+                let expires_at = latest_expiry(&segment.entries);
+                segment.entries.into_iter().for_each(&mut each);
+                log.sealed.insert(segment.number, Sealed { version, bytes, expires_at });
+                log.active = Active { number: segment.number + 1, ..Active::default() };
+                continue;
             }
+            segment.entries.iter().cloned().for_each(&mut each);
+            let entries = segment.entries;
+            log.active = Active { number: segment.number, version: Some(version), entries, bytes };
         }
         log
     }
@@ -127,9 +132,13 @@
 
     fn seal(&mut self, version: ObjectVersion) {
         let active = std::mem::take(&mut self.active);
-        let latest = active.entries.iter().map(|entry| entry.expires_at).max();
-        let expires_at = latest.unwrap_or(SystemTime::UNIX_EPOCH);
+        let expires_at = latest_expiry(&active.entries);
         self.active.number = active.number + 1;
         self.sealed.insert(active.number, Sealed { version, bytes: active.bytes, expires_at });
     }
 }
+
+fn latest_expiry(entries: &[Entry]) -> SystemTime {
+    let latest = entries.iter().map(|entry| entry.expires_at).max();
+    latest.unwrap_or(SystemTime::UNIX_EPOCH)
+}
--- a/components/request/idempotency/src/range.rs
+++ b/components/request/idempotency/src/range.rs
@@ -10,8 +10,8 @@
 use crate::state::{Outstanding, Phase, Sent};
 use crate::table::{Standing, Table};
 
-/// Time for which a key is kept, unless the call's own deadline is later.
-pub const RETENTION: Duration = Duration::from_secs(3_600);
+/// Time for which a key is kept after the call's own deadline.
+pub const RETENTION: Duration = Duration::from_secs(900);
 /// Shortest time between two writes of one range; claims and outcomes in between share a write.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which claims are refused at once after the platform could not be reached.
@@ -19,7 +19,7 @@
 /// Time between two reads of an unresolved write, or two recoveries.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Stored length at which a range takes no more claims, which bounds the owner's memory.
-pub const MAX_RANGE_BYTES: usize = 64 * 1024 * 1024;
+pub const MAX_RANGE_BYTES: usize = 32 * 1024 * 1024;
 
 /// The records of one range on the instance that owns it.
 ///
@@ -89,10 +89,7 @@
             return self.depose();
         }
         self.table = Table::default();
-        for entry in stored.iter().flat_map(|(_, segment)| &segment.entries) {
-            self.table.apply(entry.clone());
-        }
-        self.log = Log::new(stored);
+        self.log = Log::new(stored, |entry| self.table.apply(entry));
         self.phase = Phase::Adopting;
         // An update that was stored in spite of a lost answer must not be stored again, after a
         // later claim of the same key.
--- a/components/request/idempotency/src/record.rs
+++ b/components/request/idempotency/src/record.rs
@@ -1,5 +1,6 @@
 //! Stored form of records.
 
+use std::io::{Result, Write};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -84,8 +85,23 @@
 impl Entry {
     /// Length of the stored form.
     pub(crate) fn stored_bytes(&self) -> usize {
-        // Serialising plain data to memory cannot fail; a failure would count as too long.
-        serde_json::to_vec(self).map_or(usize::MAX, |bytes| bytes.len())
+        let mut length = Length(0);
+        // Serialising plain data cannot fail; a failure would count as too long.
+        serde_json::to_writer(&mut length, self).map_or(usize::MAX, |()| length.0)
+    }
+}
+
+/// Counts what is written to it.
+struct Length(usize);
+
+impl Write for Length {
+    fn write(&mut self, bytes: &[u8]) -> Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> Result<()> {
+        Ok(())
     }
 }
 
--- a/components/request/idempotency/src/table.rs
+++ b/components/request/idempotency/src/table.rs
@@ -29,9 +29,11 @@
             return;
         }
         let expires = (entry.expires_at, entry.key.clone());
-        if let Some(old) = self.records.insert(entry.key.clone(), entry) {
-            self.expiry.remove(&(old.expires_at, old.key));
-        }
+        match self.records.insert(entry.key.clone(), entry) {
+            Some(old) if old.expires_at == expires.0 => return,
+            Some(old) => self.expiry.remove(&(old.expires_at, old.key)),
+            None => false,
+        };
         self.expiry.insert(expires);
     }
 
