--- /dev/null
+++ b/components/request/admission/benches/queue.rs
@@ -0,0 +1,151 @@
+//! Time of queue operations against queue length and adapters, and size of share messages.
+
+use std::error::Error;
+use std::sync::Arc;
+
+use admission::shares::{Grantee, Holder, Holding};
+use admission::{Admission, LocalLimits, Offer, QueueKey};
+use types::prelude::*;
+
+const QUEUED: [u64; 3] = [1_000, 10_000, 100_000];
+const ADAPTERS: [usize; 2] = [5_400, 54_000];
+const CUSTOMERS: [usize; 3] = [10, 100, 1_000];
+const MODELS: usize = 1_100;
+const QUEUE_CUSTOMERS: usize = 20;
+const ROUNDS: u64 = 200_000;
+const INSTANCES: usize = 40;
+const ROOMY: LocalLimits =
+    LocalLimits { rate_milli: 1_000_000_000_000, concurrent: 1_000_000, queued: 1_000_000 };
+const LIMITS: Limits =
+    Limits { requests_per_second: 1_000, concurrent_requests: 400, queued_requests: 2_000 };
+
+fn main() -> Result<(), Box<dyn Error>> {
+    for adapters in ADAPTERS {
+        let cfg = configuration(adapters);
+        for queued in QUEUED {
+            let time = measure_queue(&cfg, adapters, queued);
+            println!(
+                "{queued} queued, {adapters} adapters: {:.2} us for offer, next, finish, expire",
+                time.as_secs_f64() * 1e6 / ROUNDS as f64
+            );
+        }
+    }
+    for customers in CUSTOMERS {
+        measure_shares(customers)?;
+    }
+    Ok(())
+}
+
+fn model(index: usize) -> ModelId {
+    format!("model-{}", index % MODELS).into()
+}
+
+fn configuration(adapters: usize) -> Arc<Configuration> {
+    let mut by_model: BTreeMap<ModelId, BTreeSet<AdapterId>> = BTreeMap::new();
+    for index in 0..adapters {
+        by_model.entry(model(index)).or_default().insert(format!("adapter-{index}").into());
+    }
+    let class = UrgencyClass {
+        first_token: Duration::from_secs(600),
+        completion: Duration::from_secs(900),
+        objective: 9_500,
+        priority: 1,
+        worth_milli: 1,
+    };
+    let contract = |index: usize| {
+        let customer: CustomerId = format!("customer-{index}").into();
+        let contract = Contract {
+            customer: customer.clone(),
+            key_hashes: BTreeSet::new(),
+            models: (0..MODELS).map(model).collect(),
+            adapters: by_model.clone(),
+            classes: BTreeMap::from([("batch".into(), class.clone())]),
+            default_class: "batch".into(),
+            capacity_share: WHOLE_BASIS_POINTS / QUEUE_CUSTOMERS as u32,
+            cost_share: WHOLE_BASIS_POINTS / QUEUE_CUSTOMERS as u32,
+            limits: LIMITS,
+            services: BTreeSet::new(),
+        };
+        (customer, Arc::new(contract))
+    };
+    let contracts = (0..QUEUE_CUSTOMERS).map(contract).collect();
+    Arc::new(Configuration { version: 1, contracts, catalogue: Arc::default() })
+}
+
+/// Keeps `queued` requests waiting, most of them for one model, while others come and go.
+fn measure_queue(cfg: &Arc<Configuration>, adapters: usize, queued: u64) -> Duration {
+    let start = Instant::now();
+    let mut admission = Admission::new(cfg.clone());
+    for customer in cfg.contracts.keys() {
+        admission.set_limits(customer, ROOMY, start);
+    }
+    let offer = |ticket: u64, now: Instant| {
+        // Every other request is for model 0, to which one adapter in `MODELS` belongs.
+        let spread = ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+        let step = if ticket.is_multiple_of(2) { MODELS } else { 1 };
+        let index = spread as usize % (adapters / step) * step;
+        Offer {
+            ticket,
+            customer: format!("customer-{}", spread as usize % QUEUE_CUSTOMERS).into(),
+            class: None,
+            queue: QueueKey::Model(model(index)),
+            adapter: Some(format!("adapter-{index}").into()),
+            complete_by: None,
+            earliest_first_token: now,
+            work: 100 + spread as u32 % 1_000,
+        }
+    };
+    for ticket in 0..queued {
+        let now = start + Duration::from_micros(ticket);
+        admission.offer(offer(ticket, now), now).expect("limits are roomy");
+    }
+    let offers: Vec<Offer> = (queued..queued + ROUNDS)
+        .map(|ticket| offer(ticket, start + Duration::from_micros(ticket)))
+        .collect();
+    let began = Instant::now();
+    for offer in offers {
+        let (now, queue) = (offer.earliest_first_token, offer.queue.clone());
+        admission.offer(offer, now).expect("limits are roomy");
+        let next = admission.next(&queue, now).expect("a request waits");
+        admission.finish(next.ticket);
+        assert!(admission.expire(now).is_empty());
+    }
+    began.elapsed()
+}
+
+/// Prints the size of a request and a grant and the holder's time for one grant.
+fn measure_shares(customers: usize) -> Result<(), Box<dyn Error>> {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 9), now);
+    let mut grantees: Vec<Grantee> = (0..INSTANCES)
+        .map(|index| {
+            let mut grantee = Grantee::new(&format!("instance-{index}"), 1);
+            for customer in 0..customers {
+                let need = LocalLimits { rate_milli: 500, concurrent: 1, queued: 1 };
+                grantee.want(&format!("customer-{customer}"), need, &LIMITS);
+            }
+            grantee
+        })
+        .collect();
+    let (mut request_bytes, mut grant_bytes, mut time) = (0, 0, Duration::ZERO);
+    const RENEWALS: u32 = 3;
+    for renewal in 0..RENEWALS {
+        let now = now + renewal * Duration::from_secs(5);
+        for grantee in &mut grantees {
+            let request = grantee.request(1, now);
+            let began = Instant::now();
+            let grant = holder.grant(&request, now).ok_or("another holder is meant")?;
+            time += began.elapsed();
+            request_bytes = postcard::to_stdvec(&request)?.len();
+            grant_bytes = postcard::to_stdvec(&grant)?.len();
+            grantee.apply(grant);
+        }
+    }
+    let grants = f64::from(RENEWALS) * INSTANCES as f64;
+    println!(
+        "{customers} customers, {INSTANCES} instances: request {request_bytes} bytes, \
+         grant {grant_bytes} bytes, {:.0} us a grant",
+        time.as_secs_f64() * 1e6 / grants
+    );
+    Ok(())
+}
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -223,7 +223,8 @@
     /// The parts of one customer's limits that `grant` is to have.
     fn resize(&self, customer: &str, grant: &Grant, may_add: bool) -> Parts {
         let grantable = self.holding.parts(customer).minus(self.withheld.parts(customer));
-        let own = grant.parts.get(customer).cloned().unwrap_or_default().intersection(&grantable);
+        let own = grant.parts.get(customer).map(|own| own.intersection(&grantable));
+        let own = own.unwrap_or_default();
         let target = self.target(customer, grant, grantable.length());
         let length = own.length();
         if !may_add || length == target {
@@ -257,10 +258,7 @@
     fn in_use(&self, customer: &str) -> Parts {
         let granted = self.grants.values().map(|grant| &grant.parts);
         let retired = self.retired.iter().map(|retired| &retired.parts);
-        granted
-            .chain(retired)
-            .filter_map(|parts| parts.get(customer))
-            .fold(Parts::none(), |all, parts| all.union(parts))
+        Parts::union_all(granted.chain(retired).filter_map(|parts| parts.get(customer)))
     }
 
     /// Keeps what `new` takes away from the instance until the instance cannot use it any more.
--- a/components/request/admission/src/shares/parts.rs
+++ b/components/request/admission/src/shares/parts.rs
@@ -55,7 +55,12 @@
     /// Points in either set.
     #[must_use]
     pub fn union(&self, other: &Self) -> Self {
-        let mut all: Vec<_> = self.intervals.iter().chain(&other.intervals).copied().collect();
+        Self::union_all([self, other])
+    }
+
+    /// Points in any of the sets.
+    pub fn union_all<'a>(sets: impl IntoIterator<Item = &'a Self>) -> Self {
+        let mut all: Vec<_> = sets.into_iter().flat_map(|set| &set.intervals).copied().collect();
         all.sort_unstable();
         let mut intervals: Vec<(u64, u64)> = Vec::with_capacity(all.len());
         for (from, to) in all {
