Let data centres ask each other for shares and keep idle customers out of messages

Cause: unmet() was never filled, nothing decided what a donor gives, and messages grew with all customers of the configuration. Change: unmet() is computed, donation() gives at most half of what is not wanted; customers that an instance does not list get nothing there, and held parts are sent only to a new holder. Conclusion: traffic follows the customers active on an instance.

--- a/components/request/admission/src/shares/grantee.rs
+++ b/components/request/admission/src/shares/grantee.rs
@@ -37,8 +37,9 @@
         }
     }
 
-    /// Sets the units of use that the instance expects to need. Every customer of the
-    /// configuration is to be given, with zero if need be, to get a part of what nobody wants.
+    /// Sets the units of use that the instance expects to need. A customer that was active lately
+    /// is to be given even with no need, to get a part of what nobody wants. For any other, the
+    /// first request has to wait for a grant.
     pub fn want(&mut self, customer: &str, need: LocalLimits, limits: &Limits) {
         let length = |units: u64, limit: u64| match limit {
             0 => 0,
@@ -50,7 +51,8 @@
         self.wanted.insert(customer.into(), wanted);
     }
 
-    /// Stops asking for a customer that the configuration no longer names.
+    /// Stops asking for a customer that was not active lately. Messages and the holder's work
+    /// grow with the customers that are asked for.
     pub fn forget(&mut self, customer: &str) {
         self.wanted.remove(customer);
     }
@@ -59,6 +61,8 @@
     pub fn request(&mut self, holder: FencingNumber, now: Instant) -> ShareRequest {
         self.requests += 1;
         self.sent_at = Some(now);
+        let is_other = self.fencing != holder && self.is_valid(now);
+        let held = if is_other { self.parts.clone() } else { BTreeMap::new() };
         ShareRequest {
             instance: self.instance.clone(),
             incarnation: self.incarnation,
@@ -66,7 +70,7 @@
             request: self.requests,
             applied: self.applied,
             fencing: self.fencing,
-            held: if self.is_valid(now) { self.parts.clone() } else { BTreeMap::new() },
+            held,
             wanted: self.wanted.clone(),
         }
     }
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -31,9 +31,9 @@
     pub applied: u64,
     /// Fencing number of the holder that gave this grant.
     pub fencing: FencingNumber,
-    /// Parts that it holds now; empty once its grant has ended.
+    /// Parts that it still holds from an earlier holder.
     pub held: BTreeMap<CustomerId, Parts>,
-    /// Length of the parts that it wants.
+    /// Length of the parts that it wants. A customer that is not listed gets nothing.
     pub wanted: BTreeMap<CustomerId, u64>,
 }
 
@@ -68,7 +68,6 @@
     withheld: Holding,
     grants: BTreeMap<InstanceId, Grant>,
     retired: Vec<Retired>,
-    unmet: BTreeMap<CustomerId, u64>,
     serial: u64,
     /// Grants of the predecessor may be in use until then.
     predecessor_until: Instant,
@@ -104,7 +103,6 @@
             withheld: Holding::default(),
             grants: BTreeMap::new(),
             retired: Vec::new(),
-            unmet: BTreeMap::new(),
             serial: 0,
             predecessor_until: now + wait,
         }
@@ -159,7 +157,11 @@
         let may_add = now >= self.predecessor_until;
         for customer in customers {
             let parts = self.resize(&customer, &grant, may_add);
-            grant.parts.insert(customer, parts);
+            if parts.is_empty() {
+                grant.parts.remove(&customer);
+            } else {
+                grant.parts.insert(customer, parts);
+            }
         }
         if let Some(previous) = previous {
             self.retire(&request.instance, previous, &grant);
@@ -178,9 +180,36 @@
     }
 
     /// Customers of whose limits more is wanted than the data centre holds, with the length that
-    /// is missing.
-    pub fn unmet(&self) -> &BTreeMap<CustomerId, u64> {
-        &self.unmet
+    /// is missing. To be asked of other data centres.
+    pub fn unmet(&self) -> BTreeMap<CustomerId, u64> {
+        let mut wanted: BTreeMap<&CustomerId, u64> = BTreeMap::new();
+        for (customer, length) in self.grants.values().flat_map(|grant| &grant.wanted) {
+            *wanted.entry(customer).or_default() += length;
+        }
+        let missing = wanted.into_iter().map(|(customer, length)| {
+            (customer.clone(), length.saturating_sub(self.grantable(customer).length()))
+        });
+        missing.filter(|(_, length)| *length > 0).collect()
+    }
+
+    /// What this data centre can give to one with these unmet wants: at most half of what its own
+    /// instances do not want, and preferably parts that none of them holds.
+    pub fn donation(&self, unmet: &BTreeMap<CustomerId, u64>) -> Holding {
+        let mut donation = Holding::default();
+        for (customer, missing) in unmet {
+            let grantable = self.grantable(customer);
+            let wants = self.grants.values().filter_map(|grant| grant.wanted.get(customer));
+            let spare = grantable.length().saturating_sub(wants.sum());
+            let free = grantable.minus(&self.in_use(customer));
+            let length = (spare / 2).min(*missing);
+            let from_free = free.take(length.min(free.length()));
+            let rest = grantable.minus(&free).take(length - from_free.length());
+            let parts = from_free.union(&rest);
+            if !parts.is_empty() {
+                donation.by_customer.insert(customer.clone(), parts);
+            }
+        }
+        donation
     }
 
     /// What the instance may hold before this request is answered.
@@ -222,7 +251,7 @@
 
     /// The parts of one customer's limits that `grant` is to have.
     fn resize(&self, customer: &str, grant: &Grant, may_add: bool) -> Parts {
-        let grantable = self.holding.parts(customer).minus(self.withheld.parts(customer));
+        let grantable = self.grantable(customer);
         let own = grant.parts.get(customer).map(|own| own.intersection(&grantable));
         let own = own.unwrap_or_default();
         let target = self.target(customer, grant, grantable.length());
@@ -241,9 +270,9 @@
     /// nobody wants, so that an unexpected first request does not have to wait. Half of that
     /// stays with the holder for sudden wants.
     fn target(&self, customer: &str, grant: &Grant, total: u64) -> u64 {
-        let want = |grant: &Grant| grant.wanted.get(customer).copied().unwrap_or(0);
-        let mut wants: Vec<u64> = self.grants.values().map(want).collect();
-        wants.push(want(grant));
+        let want = |grant: &Grant| grant.wanted.get(customer).copied();
+        let Some(own) = want(grant) else { return 0 };
+        let mut wants: Vec<u64> = self.grants.values().filter_map(want).chain([own]).collect();
         wants.sort_unstable();
         let mut left = total;
         let mut level = 0;
@@ -252,7 +281,11 @@
             level = wanted.min(even);
             left -= level;
         }
-        want(grant).min(level) + left / (2 * wants.len() as u64)
+        own.min(level) + left / (2 * wants.len() as u64)
+    }
+
+    fn grantable(&self, customer: &str) -> Parts {
+        self.holding.parts(customer).minus(self.withheld.parts(customer))
     }
 
     fn in_use(&self, customer: &str) -> Parts {
--- a/components/request/admission/tests/shares.rs
+++ b/components/request/admission/tests/shares.rs
@@ -107,6 +107,10 @@
     let mut holder = Holder::new(1, Holding::even(0, 1), now);
     let mut a = wanting("a", LocalLimits { concurrent: 7, ..NEED });
     renew(&mut holder, &mut a, 1, now);
+    let missing = BTreeMap::from([("c0".into(), WHOLE / 2), ("c1".into(), WHOLE)]);
+    let wanted = holder.donation(&missing);
+    assert!(wanted.parts("c0").is_empty(), "all of it is wanted here");
+    assert_eq!(wanted.parts("c1").length(), WHOLE / 2, "half of what nobody wants");
     let donation = Holding::of_customer("c0", Parts::even(1, 2));
     holder.withhold(&donation);
     assert!(!holder.is_free(&donation, now));
@@ -114,6 +118,9 @@
     assert!(!holder.is_free(&donation, now + ms(1)), "the grant may not have arrived");
     renew(&mut holder, &mut a, 1, now + ms(2));
     assert!(holder.is_free(&donation, now + ms(2)));
+    assert_eq!(holder.unmet(), BTreeMap::from([("c0".into(), WHOLE / 2)]));
+    a.forget("c0");
+    assert_eq!(renew(&mut holder, &mut a, 1, now + ms(3)), 0, "not asked for");
 }
 
 fn ms(n: u64) -> Duration {
