--- a/components/request/admission/tests/queue.rs
+++ b/components/request/admission/tests/queue.rs
@@ -98,6 +98,22 @@
     assert!(admission.offer(offer(6, 0, now), at).is_ok());
 }
 
+/// Guards against refusing the first request after a share was away, and against serving while it
+/// is away.
+#[test]
+fn tokens_are_kept_but_not_used_while_the_share_is_away() {
+    let now = Instant::now();
+    let one = LocalLimits { rate_milli: 100, concurrent: 1, queued: 5 };
+    let mut admission = admission(&[10_000], one, now);
+    admission.set_limits("c0", LocalLimits { rate_milli: 0, ..one }, now);
+    let refusal = admission.offer(offer(1, 0, now), now).unwrap_err();
+    assert_eq!((refusal.reason, refusal.retry_at), (Reason::LimitReached, None));
+    admission.set_limits("c0", one, now + ms(9_000));
+    admission.offer(offer(2, 0, now + ms(9_000)), now + ms(9_000)).unwrap();
+    let refusal = admission.offer(offer(3, 0, now + ms(9_000)), now + ms(9_000)).unwrap_err();
+    assert_eq!(refusal.retry_at, Some(now + ms(19_000)), "no token was earned meanwhile");
+}
+
 /// Guards against a customer at its own limit that later makes up for the time and starves others.
 #[test]
 fn customer_held_back_by_its_limit_saves_no_credit() {
