placement: skip searches that cannot find anything

Change: gap bin edges without powf, activity cached per slot, claims and covered models gathered once per call, a rest after a prefetch search without a find, an event for a changed view instead of a full tick.

--- a/benches/policy/baseline.rs
+++ b/benches/policy/baseline.rs
@@ -149,7 +149,7 @@
                     None => self.queue.push((d.target.model.clone(), d.deadline)),
                 }
             }
-            Event::Tick => self.unload_idle(view, now, out),
+            Event::Tick | Event::ViewChanged => self.unload_idle(view, now, out),
             Event::Arrived(_) => return,
             _ => {}
         }
@@ -161,8 +161,16 @@
             .collect();
         let free = view.servers.iter().map(|s| s.memory_free).collect();
         let mut shadow = Shadow { view, free, unloading, store_open: true };
+        // A demand changes nothing for the models that could not be started before.
+        let only = match event {
+            Event::Demand(d) => Some(&d.target.model),
+            _ => None,
+        };
         let mut queue = std::mem::take(&mut self.queue);
         queue.retain(|(m, deadline)| {
+            if only.is_some_and(|o| o != m) {
+                return true;
+            }
             let waits = *deadline > now && self.try_start(m, &mut shadow, now, out);
             if !waits {
                 self.claims.remove(m);
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -292,8 +292,7 @@
                 }
                 if v.running == 0 {
                     self.extra.get_mut(&replica).expect("ready").idle_since = Some(self.now);
-                    // The owner learns from the next report; a tick stands for it.
-                    self.tell(Event::Tick, policy);
+                    self.tell(Event::ViewChanged, policy);
                 }
             }
             Due::Load { server, replica, source, started, store } => {
@@ -315,7 +314,7 @@
                 *self.view.allowance_left.get_mut(&v.model).expect("known") += 1;
                 let e = self.extra.remove(&replica).expect("unloading");
                 self.outcome.idle(e.idle_since, self.now, self.site.model(e.model).accelerators);
-                self.tell(Event::Tick, policy);
+                self.tell(Event::ViewChanged, policy);
             }
             Due::Adapter { server, replica, adapter, started } => {
                 self.view.store.adapters_in_flight -= 1;
--- a/components/process/placement/src/ahead.rs
+++ b/components/process/placement/src/ahead.rs
@@ -11,6 +11,8 @@
 
 /// Models looked at for a prefetch in one tick, which bounds the cost of a tick.
 const PREFETCH_SCAN: usize = 16;
+/// Rest after all models were looked at in vain.
+const PREFETCH_REST: Duration = Duration::from_secs(30);
 /// Copies in host memory wanted of a model with recent use, so that one of them is likely to be
 /// on a server with room.
 const COPIES_IN_USE: usize = 3;
@@ -28,6 +30,10 @@
 pub(crate) struct PrefetchState {
     names: Vec<ModelId>,
     next: usize,
+    /// Models looked at since one was last prefetched.
+    looked_at: usize,
+    /// No search before this time: all models were looked at and none needed a prefetch.
+    rest_until: Option<Instant>,
     /// Next time at which a model may be prefetched again.
     pause: HashMap<ModelId, Instant>,
     /// Checkpoints that a server held when its prefetch started.
@@ -73,12 +79,21 @@
     ) {
         // One place at the store stays free for demand.
         let places = self.settings.store_concurrent_loads.saturating_sub(1).max(1);
+        if self.prefetch.rest_until.is_some_and(|t| t > now) {
+            return;
+        }
+        if self.prefetch.looked_at >= self.prefetch.names.len() {
+            self.prefetch.looked_at = 0;
+            self.prefetch.rest_until = Some(now + PREFETCH_REST);
+            return;
+        }
         for _ in 0..PREFETCH_SCAN.min(self.prefetch.names.len()) {
             let store = self.store_in_progress(view) < places
                 && self.source_open(view, LoadSource::Remote, now)
                 && self.pending.is_empty();
             let name = self.prefetch.names[self.prefetch.next].clone();
             self.prefetch.next = (self.prefetch.next + 1) % self.prefetch.names.len();
+            self.prefetch.looked_at += 1;
             let paused = self.prefetch.pause.get(&name).is_some_and(|&t| t > now);
             if !paused && !self.outstanding.prefetches(&name) {
                 self.prefetch_model(&name, view, store, now, rng, out);
@@ -110,6 +125,7 @@
         if source == LoadSource::Remote {
             self.store.started(now);
         }
+        self.prefetch.looked_at = 0;
         self.prefetch.pause.insert(name.clone(), now + PREFETCH_PAUSE);
         self.prefetch.held.insert(server.server.clone(), server.cached_in_memory.len());
         let server = server.server.clone();
--- a/components/process/placement/src/clock.rs
+++ b/components/process/placement/src/clock.rs
@@ -43,6 +43,8 @@
     bursts: Box<[f32; SLOTS_PER_DAY]>,
     day: Box<[u32; SLOTS_PER_DAY]>,
     first_day: u32,
+    /// The slot of the last call of `relative` and its result.
+    relative: Option<(SlotOfDay, f32)>,
 }
 
 /// Part of a slot's figure that a new day replaces.
@@ -54,6 +56,7 @@
             bursts: Box::new([0.0; SLOTS_PER_DAY]),
             day: Box::new([first_day; SLOTS_PER_DAY]),
             first_day,
+            relative: None,
         }
     }
 
@@ -69,7 +72,18 @@
 
     /// Activity of the coming half hour relative to that at a typical arrival, at most one; one
     /// while less than a day was seen.
-    pub(crate) fn relative(&self, at: SlotOfDay) -> f32 {
+    pub(crate) fn relative(&mut self, at: SlotOfDay) -> f32 {
+        match self.relative {
+            Some((slot, known)) if slot == at => known,
+            _ => {
+                let known = self.compute_relative(at);
+                self.relative = Some((at, known));
+                known
+            }
+        }
+    }
+
+    fn compute_relative(&self, at: SlotOfDay) -> f32 {
         if at.day <= self.first_day {
             return 1.0;
         }
--- a/components/process/placement/src/event.rs
+++ b/components/process/placement/src/event.rs
@@ -17,6 +17,9 @@
     AdapterEnded(AdapterEnded),
     /// The caller could not carry out a decision, for example because the order was refused.
     Rejected(Decision),
+    /// The view has changed: a replica became idle, memory was released, or a server came or
+    /// left.
+    ViewChanged,
     /// Time has passed. Expected about once a second and at `Placement::next_wakeup`.
     Tick,
 }
--- a/components/process/placement/src/history.rs
+++ b/components/process/placement/src/history.rs
@@ -30,9 +30,10 @@
 }
 
 impl Gaps {
-    /// Start of a bin in seconds.
+    /// Start of a bin in seconds; two bins an octave.
     fn edge(bin: usize) -> f32 {
-        BURST_GAP.as_secs_f32() * 2f32.powf(bin as f32 / 2.0)
+        let octave = BURST_GAP.as_secs() as f32 * (1u64 << (bin / 2)) as f32;
+        if bin.is_multiple_of(2) { octave } else { octave * std::f32::consts::SQRT_2 }
     }
 
     pub(crate) fn add(&mut self, gap: Duration) {
--- a/components/process/placement/src/outstanding.rs
+++ b/components/process/placement/src/outstanding.rs
@@ -36,10 +36,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outstanding {
     issued: Vec<Issued>,
+    /// Number of loads and unloads in `issued` that the view does not show yet; mostly zero, which
+    /// saves the search through `issued`.
+    unseen: usize,
 }
 
 impl Outstanding {
     pub(crate) fn add(&mut self, server: &ServerView, what: What, now: Instant, ready_at: Instant) {
+        self.unseen += usize::from(!matches!(what, What::Prefetch { .. }));
         self.issued.push(Issued {
             server: server.server.clone(),
             what,
@@ -59,6 +63,12 @@
                 i.keep(&view.servers[at], now)
             }
         });
+        self.count_unseen();
+    }
+
+    fn count_unseen(&mut self) {
+        let unseen = |i: &&Issued| !i.seen && !matches!(i.what, What::Prefetch { .. });
+        self.unseen = self.issued.iter().filter(unseen).count();
     }
 
     /// Drops the load of a model on a server once its outcome was reported.
@@ -82,10 +92,13 @@
         match decision {
             Decision::Load { server, model, .. } => self.load_ended(server, model),
             Decision::Prefetch { server, model, .. } => self.prefetch_ended(server, model),
-            Decision::Unload { server, replica } => self.issued.retain(|i| {
-                !(i.server == *server
-                    && matches!(i.what, What::Unload { replica: r } if r == *replica))
-            }),
+            Decision::Unload { server, replica } => {
+                self.issued.retain(|i| {
+                    !(i.server == *server
+                        && matches!(i.what, What::Unload { replica: r } if r == *replica))
+                });
+                self.count_unseen();
+            }
             Decision::LoadAdapter { .. } | Decision::Unreachable { .. } => {}
         }
     }
@@ -103,7 +116,8 @@
     }
 
     fn unseen(&self, server: &str) -> impl Iterator<Item = &Issued> {
-        self.issued.iter().filter(move |i| !i.seen && &*i.server == server)
+        let searched = if self.unseen == 0 { &[][..] } else { &self.issued[..] };
+        searched.iter().filter(move |i| !i.seen && &*i.server == server)
     }
 
     /// Loads of a model in progress.
@@ -115,6 +129,9 @@
 
     /// Loads of a model that the view does not show yet, so that its allowance still counts them.
     pub(crate) fn unseen_loads_of(&self, model: &str) -> u32 {
+        if self.unseen == 0 {
+            return 0;
+        }
         self.loads_of(model).filter(|i| !i.seen).count() as u32
     }
 
@@ -184,7 +201,7 @@
 }
 
 /// Position of a server, looked for at `hint` first.
-fn position(view: &View, server: &str, hint: usize) -> Option<usize> {
+pub(crate) fn position(view: &View, server: &str, hint: usize) -> Option<usize> {
     if view.servers.get(hint).is_some_and(|s| &*s.server == server) {
         return Some(hint);
     }
--- a/components/process/placement/src/pending.rs
+++ b/components/process/placement/src/pending.rs
@@ -26,6 +26,8 @@
     pub(crate) server: BackendServerId,
     pub(crate) memory: u64,
     pub(crate) until: Instant,
+    /// Position of the server in the view when the memory was claimed.
+    pub(crate) hint: usize,
 }
 
 impl Pending {
--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -96,7 +96,7 @@
         }
         self.outstanding.resolve(view, now);
         match event {
-            Event::Arrived(_) => {}
+            Event::Arrived(_) | Event::ViewChanged => {}
             Event::Demand(d) => self.demand(d, view, now, out),
             Event::LoadEnded(e) => self.load_ended(e, now),
             Event::PrefetchEnded(e) => {
--- a/components/process/placement/src/start.rs
+++ b/components/process/placement/src/start.rs
@@ -4,7 +4,7 @@
 
 use crate::estimate::UNLOAD;
 use crate::event::Decision;
-use crate::outstanding::What;
+use crate::outstanding::{What, position};
 use crate::pending::Claim;
 use crate::placement::Placement;
 use crate::view::{ReplicaView, ServerView, View};
@@ -70,18 +70,32 @@
     /// Drops demand that has lapsed or that a replica covers, and claims that came to nothing.
     fn drop_settled(&mut self, view: &View, now: Instant) {
         let Self { pending, outstanding, catalogue, .. } = self;
+        if pending.is_empty() {
+            return;
+        }
+        let mut covered: HashSet<&str> = HashSet::new();
+        for s in view.servers.iter().filter(|s| !s.leaving) {
+            for r in &s.replicas {
+                let batch = catalogue.models.get(&r.model).map_or(1, |m| m.max_batch.max(1));
+                let covers = match r.phase {
+                    ReplicaPhase::Loading => true,
+                    ReplicaPhase::Ready => r.running + r.queued < batch,
+                    ReplicaPhase::Unloading => false,
+                };
+                if covers {
+                    covered.insert(&r.model);
+                }
+            }
+        }
         pending.retain(|name, p| {
-            let batch = catalogue.models.get(name).map_or(1, |m| m.max_batch.max(1));
-            let covered = view.replicas_of(name).any(|(s, r)| match r.phase {
-                ReplicaPhase::Loading => !s.leaving,
-                ReplicaPhase::Ready => !s.leaving && r.running + r.queued < batch,
-                ReplicaPhase::Unloading => false,
-            });
-            if covered || p.last_deadline <= now || outstanding.loads_of(name).next().is_some() {
+            if covered.contains(&**name)
+                || p.last_deadline <= now
+                || outstanding.loads_of(name).next().is_some()
+            {
                 return false;
             }
             p.claim.take_if(|c| {
-                let server = view.server(&c.server);
+                let server = position(view, &c.server, c.hint).map(|i| &view.servers[i]);
                 c.until <= now || server.is_none_or(|s| s.leaving)
             });
             true
@@ -98,7 +112,7 @@
             .collect();
         for name in claimed {
             let Some(claim) = self.pending[&name].claim.clone() else { continue };
-            let Some(index) = view.servers.iter().position(|s| s.server == claim.server) else {
+            let Some(index) = position(view, &claim.server, claim.hint) else {
                 continue;
             };
             let server = &view.servers[index];
@@ -115,18 +129,25 @@
 
     /// What each usable server can offer.
     pub(crate) fn rooms<'a>(&self, view: &'a View, now: Instant) -> Vec<Room<'a>> {
+        let mut claimed: HashMap<&str, u64> = HashMap::new();
+        for c in self.pending.values().filter_map(|p| p.claim.as_ref()) {
+            *claimed.entry(&c.server).or_insert(0) += c.memory;
+        }
         let usable = view.servers.iter().enumerate().filter(|(_, s)| s.usable());
-        let rooms = usable.map(|(index, server)| self.room(index, server, now));
+        let rooms = usable.map(|(index, s)| {
+            let claimed = claimed.get(&*s.server).copied().unwrap_or(0);
+            self.room(index, s, claimed, now)
+        });
         rooms.filter(|r| r.free > 0 || !r.idle.is_empty()).collect()
     }
 
-    fn room<'a>(&self, index: usize, server: &'a ServerView, now: Instant) -> Room<'a> {
-        let claimed: u64 = self
-            .pending
-            .values()
-            .filter_map(|p| p.claim.as_ref().filter(|c| c.server == server.server))
-            .map(|c| c.memory)
-            .sum();
+    fn room<'a>(
+        &self,
+        index: usize,
+        server: &'a ServerView,
+        claimed: u64,
+        now: Instant,
+    ) -> Room<'a> {
         let leaving = |r: &&ReplicaView| {
             r.phase == ReplicaPhase::Unloading
                 || self.outstanding.unloads(&server.server, r.replica)
@@ -200,7 +221,8 @@
         let memory = self.catalogue.models[&c.model].memory_bytes;
         let until = now + CLAIM_LIMIT;
         let pending = self.pending.get_mut(&c.model).expect("the choice is for pending demand");
-        pending.claim = Some(Claim { server: server.server.clone(), memory, until });
+        pending.claim =
+            Some(Claim { server: server.server.clone(), memory, until, hint: c.server });
     }
 
     /// Whether a load from this source may start now.
