placement: look up copies once per pending model and second

Change: pending demand remembers its copies for a second; repeated demand is not estimated anew; kept replicas are looked at again only after part of their idle time; losses are computed for candidate servers only.

--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -91,7 +91,7 @@
         }
     }
     let jobs: Vec<(usize, &str)> =
-        (0..cases.len()).rev().flat_map(|c| POLICIES.map(|p| (c, p))).collect();
+        [2, 3, 0, 1].into_iter().flat_map(|c| POLICIES.map(|p| (c, p))).collect();
     let (jobs, results) = (Mutex::new(jobs.into_iter()), Mutex::new(HashMap::new()));
     std::thread::scope(|s| {
         for _ in 0..THREADS {
--- a/components/process/placement/src/idle.rs
+++ b/components/process/placement/src/idle.rs
@@ -9,6 +9,8 @@
 /// A replica that became ready is kept this long for the requests that it was loaded for, which
 /// the instances send once they see it as ready.
 pub(crate) const FRESH: Duration = Duration::from_secs(2);
+/// A kept replica is looked at again after its idle time divided by this.
+const RECHECK_PART: u32 = 8;
 /// Time ahead for which the loss of unloading a replica is estimated.
 const LOSS_HORIZON: Duration = Duration::from_secs(300);
 
@@ -17,6 +19,7 @@
     pub(crate) fn unload_idle(&mut self, view: &View, now: Instant, out: &mut Vec<Decision>) {
         self.fresh.retain(|_, until| *until > now);
         self.loaded_ahead.retain(|_, until| *until > now);
+        self.kept.retain(|_, (_, until)| *until > now);
         let at = self.clock.slot(now);
         let active = self.activity.relative(at);
         for server in view.servers.iter().filter(|s| s.usable()) {
@@ -24,7 +27,7 @@
                 if self.is_fresh(r, now)
                     || self.loaded_ahead.contains_key(&r.model)
                     || self.outstanding.unloads(&server.server, r.replica)
-                    || self.worth_keeping(server, r, active, now)
+                    || self.kept(server, r, active, now)
                 {
                     continue;
                 }
@@ -33,6 +36,21 @@
         }
     }
 
+    /// Whether an idle replica is kept for now; the verdict is looked at again only after some
+    /// part of its idle time.
+    fn kept(&mut self, server: &ServerView, r: &ReplicaView, active: f32, now: Instant) -> bool {
+        let known = self.kept.get(&r.replica);
+        if known.is_some_and(|&(used, until)| used == r.last_used && until > now) {
+            return true;
+        }
+        let keep = self.worth_keeping(server, r, active, now);
+        if keep {
+            let idle = now.saturating_duration_since(r.last_used);
+            self.kept.insert(r.replica, (r.last_used, now + idle / RECHECK_PART));
+        }
+        keep
+    }
+
     /// Whether a replica has just become ready and has served nothing yet.
     pub(crate) fn is_fresh(&self, r: &ReplicaView, now: Instant) -> bool {
         // `last_used` later than the end of the load means that a request has run.
--- a/components/process/placement/src/pending.rs
+++ b/components/process/placement/src/pending.rs
@@ -3,10 +3,14 @@
 use types::prelude::*;
 
 use crate::event::Demand;
+use crate::view::View;
 
 /// Slack below which demand is as urgent as it gets.
 const LEAST_SLACK: Duration = Duration::from_secs(1);
 
+/// Copies are looked up again after this time; the load itself always checks.
+const COPIES_RECENT: Duration = Duration::from_secs(1);
+
 /// The demand of all instances for one model.
 #[derive(Clone, Debug)]
 pub(crate) struct Pending {
@@ -18,6 +22,9 @@
     pub(crate) last_deadline: Instant,
     /// Server where memory is being freed for this load.
     pub(crate) claim: Option<Claim>,
+    /// Nearest copy for each server of the view, looked up again after `copies_until`.
+    pub(crate) copies: Vec<LoadSource>,
+    copies_until: Instant,
 }
 
 /// Memory on a server that is being freed for one load.
@@ -31,12 +38,14 @@
 }
 
 impl Pending {
-    pub(crate) fn new(demand: &Demand) -> Self {
+    pub(crate) fn new(demand: &Demand, now: Instant) -> Self {
         let mut p = Self {
             waiting: BTreeMap::new(),
             deadline: demand.deadline,
             last_deadline: demand.deadline,
             claim: None,
+            copies: Vec::new(),
+            copies_until: now,
         };
         p.merge(demand);
         p
@@ -49,6 +58,19 @@
         self.last_deadline = self.last_deadline.max(demand.deadline);
     }
 
+    /// Looks up the nearest copies if they are not known or not recent.
+    pub(crate) fn find_copies(&mut self, model: &str, view: &View, now: Instant) {
+        if self.copies.len() != view.servers.len() || self.copies_until <= now {
+            self.copies = view.servers.iter().map(|s| s.nearest_copy(model)).collect();
+            self.copies_until = now + COPIES_RECENT;
+        }
+    }
+
+    /// Makes the next search look up the copies again.
+    pub(crate) fn forget_copies(&mut self) {
+        self.copies.clear();
+    }
+
     /// Worth of all waiting requests, in thousandths.
     pub(crate) fn worth(&self) -> f32 {
         self.waiting.values().map(|&(n, worth)| n as f32 * worth as f32).sum()
--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -40,6 +40,8 @@
     pub(crate) loaded_ahead: HashMap<ModelId, Instant>,
     /// Models that became ready for waiting demand, kept until the time stored here.
     pub(crate) fresh: HashMap<ModelId, Instant>,
+    /// Idle replicas that are kept: their last use and when to look at them again.
+    pub(crate) kept: HashMap<ReplicaId, (Instant, Instant)>,
     pub(crate) prefetch: crate::ahead::PrefetchState,
 }
 
@@ -66,6 +68,7 @@
             adapters: AdapterQueue::default(),
             loaded_ahead: HashMap::new(),
             fresh: HashMap::new(),
+            kept: HashMap::new(),
             prefetch: Default::default(),
         };
         placement.configure(catalogue, settings);
@@ -264,6 +267,16 @@
             }
             return;
         }
+        if let Some(p) = self.pending.get_mut(&d.target.model) {
+            // The queue was taken into account when the demand came first; from then on only the
+            // load itself counts.
+            let nearest = p.copies.iter().min().copied().unwrap_or(LoadSource::Memory);
+            let expected = now + self.estimates.load(model, nearest);
+            if expected > d.deadline {
+                return out.push(unreachable(d, Some(expected)));
+            }
+            return p.merge(d);
+        }
         let expected = self.expected_ready(view, &d.target, now);
         if ready.is_empty() && expected.is_none_or(|t| t > d.deadline) {
             return out.push(unreachable(d, expected));
@@ -273,12 +286,7 @@
         if loading || self.allowance(view, &d.target.model) == 0 {
             return;
         }
-        match self.pending.get_mut(&d.target.model) {
-            Some(p) => p.merge(d),
-            None => {
-                self.pending.insert(d.target.model.clone(), Pending::new(d));
-            }
-        }
+        self.pending.insert(d.target.model.clone(), Pending::new(d, now));
     }
 
     fn load_ended(&mut self, e: &LoadEnded, now: Instant) {
--- a/components/process/placement/src/start.rs
+++ b/components/process/placement/src/start.rs
@@ -19,7 +19,6 @@
 struct Choice {
     model: ModelId,
     server: usize,
-    source: LoadSource,
     /// Replicas to unload first.
     victims: Vec<ReplicaId>,
     /// Worth served for each second of loading.
@@ -32,24 +31,8 @@
     pub(crate) server: &'a ServerView,
     /// Memory that can be used at once.
     pub(crate) free: u64,
-    /// Idle replicas with the loss that unloading them is expected to cause, least loss first.
-    pub(crate) idle: Vec<(f32, &'a ReplicaView)>,
-}
-
-impl Room<'_> {
-    /// Idle replicas to unload so that `memory` fits, and the loss; `None` if it cannot fit.
-    pub(crate) fn victims(&self, memory: u64) -> Option<(Vec<ReplicaId>, f32)> {
-        let (mut free, mut loss, mut victims) = (self.free, 0.0, Vec::new());
-        for (l, r) in &self.idle {
-            if free >= memory {
-                break;
-            }
-            free += r.memory_bytes;
-            loss += l;
-            victims.push(r.replica);
-        }
-        (free >= memory).then_some((victims, loss))
-    }
+    /// Idle replicas that may be unloaded.
+    pub(crate) idle: Vec<&'a ReplicaView>,
 }
 
 impl Placement {
@@ -61,6 +44,12 @@
         }
         self.start_claimed(view, now, out);
         let mut rooms = self.rooms(view, now);
+        if rooms.is_empty() {
+            return;
+        }
+        for (name, p) in &mut self.pending {
+            p.find_copies(name, view, now);
+        }
         while let Some(choice) = self.best_choice(view, &rooms, now) {
             self.carry_out(choice, view, now, out);
             rooms = self.rooms(view, now);
@@ -156,16 +145,38 @@
         let unseen = self.outstanding.unseen_memory(&server.server);
         let now_free = server.memory_free.saturating_sub(unseen);
         let later_free = (server.memory_free + coming).saturating_sub(unseen + claimed);
-        let mut idle: Vec<_> = server
+        let idle = server
             .replicas
             .iter()
             .filter(|r| r.idle() && !leaving(r) && !self.is_fresh(r, now))
-            .map(|r| (self.loss_of_unload(r, server, now), r))
             .collect();
-        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
         Room { index, server, free: now_free.min(later_free), idle }
     }
 
+    /// Idle replicas to unload so that `memory` fits, least loss first, and the loss; `None` if
+    /// it cannot fit.
+    fn victims(&self, room: &Room<'_>, memory: u64, now: Instant) -> Option<(Vec<ReplicaId>, f32)> {
+        let (mut free, mut loss, mut victims) = (room.free, 0.0, Vec::new());
+        if free + room.idle.iter().map(|r| r.memory_bytes).sum::<u64>() < memory {
+            return None;
+        }
+        if free < memory {
+            let judge = |r: &&ReplicaView| {
+                (self.loss_of_unload(r, room.server, now), r.replica, r.memory_bytes)
+            };
+            let mut idle: Vec<_> = room.idle.iter().map(judge).collect();
+            idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+            for (l, replica, bytes) in idle {
+                if free < memory {
+                    free += bytes;
+                    loss += l;
+                    victims.push(replica);
+                }
+            }
+        }
+        Some((victims, loss))
+    }
+
     /// The choice that serves the most worth for each second of loading.
     fn best_choice(&self, view: &View, rooms: &[Room<'_>], now: Instant) -> Option<Choice> {
         if rooms.is_empty() {
@@ -180,17 +191,22 @@
             }
             let urgency = p.urgency(now);
             let patient = p.deadline.saturating_duration_since(now) > PATIENT_SLACK;
-            for room in rooms {
-                let source = room.server.nearest_copy(name);
-                if source == LoadSource::Remote && !store_open {
-                    continue;
-                }
-                let mut time = self.estimates.load(model, source);
+            // Nearest copies first, so that the others need no closer look.
+            let mut options: Vec<_> = rooms
+                .iter()
+                .map(|room| (p.copies.get(room.index).copied().unwrap_or(LoadSource::Remote), room))
+                .filter(|(source, _)| *source != LoadSource::Remote || store_open)
+                .map(|(source, room)| (self.estimates.load(model, source), room))
+                .collect();
+            options.sort_by_key(|(time, ..)| *time);
+            for (mut time, room) in options {
                 let bound = urgency / time.as_secs_f32().max(0.01);
                 if best.as_ref().is_some_and(|b| bound <= b.rate) {
-                    continue;
+                    break;
                 }
-                let Some((victims, loss)) = room.victims(model.memory_bytes) else { continue };
+                let Some((victims, loss)) = self.victims(room, model.memory_bytes, now) else {
+                    continue;
+                };
                 if patient && loss > p.worth() {
                     continue;
                 }
@@ -201,7 +217,7 @@
                 let rate = urgency / (time.as_secs_f32().max(0.01) * (1.0 + loss / (loss + 1e4)));
                 if best.as_ref().is_none_or(|b| rate > b.rate) {
                     let model = name.clone();
-                    best = Some(Choice { model, server: room.index, source, victims, rate });
+                    best = Some(Choice { model, server: room.index, victims, rate });
                 }
             }
         }
@@ -211,7 +227,16 @@
     fn carry_out(&mut self, c: Choice, view: &View, now: Instant, out: &mut Vec<Decision>) {
         let server = &view.servers[c.server];
         if c.victims.is_empty() {
-            self.load(&c.model, server, c.source, now, out);
+            let source = server.nearest_copy(&c.model);
+            if !self.source_open(view, source, now) {
+                // The copy has gone since it was looked up.
+                if let Some(p) = self.pending.get_mut(&c.model) {
+                    p.forget_copies();
+                    p.find_copies(&c.model, view, now);
+                }
+                return;
+            }
+            self.load(&c.model, server, source, now, out);
             self.pending.remove(&c.model);
             return;
         }
