--- a/components/process/instance/src/attempt_ends.rs
+++ b/components/process/instance/src/attempt_ends.rs
@@ -1,16 +1,18 @@
 //! What follows when an attempt or a claim of an idempotency key ends.
 
+use std::sync::Arc;
+
 use admission::Ticket;
 use bytes::Bytes;
 use dispatch::{CallResult, Permit, Queued, Request, Sent};
 use http::{Response, StatusCode};
-use idempotency::{Answer, EntryState, MAX_ANSWER_BYTES};
+use idempotency::{Answer, EntryState};
 use types::prelude::*;
 
 use crate::attempt::{AttemptEnd, AttemptResult};
 use crate::context::Context;
 use crate::finished::Finished;
-use crate::message::ClaimAnswer;
+use crate::message::{ClaimAnswer, FinishMessage};
 use crate::pending::{Job, ReplySlot, Stage};
 use crate::requests::{Requests, Wanted};
 
@@ -69,16 +71,16 @@
         }
         let Some(request) = pending.take_queued() else { return };
         match answer {
-            Some(ClaimAnswer::Granted) => {
+            Some(ClaimAnswer::Granted(claim)) => {
                 if let Job::Service(job) = &mut pending.job {
-                    job.claimed = true;
+                    job.claim = Some(claim);
                 }
                 self.requeue(ticket, request, now, now);
                 self.pump_all(cx, now);
             }
             Some(ClaimAnswer::Recorded(answer)) => {
                 self.admission.finish(ticket);
-                self.replay(ticket, answer, now);
+                self.replay(ticket, &answer, now);
             }
             Some(ClaimAnswer::Refused { verdict, reason }) => {
                 self.admission.finish(ticket);
@@ -165,22 +167,22 @@
         let Some(res) = whole else { return };
         let content_type = content_type(&res).to_owned();
         if let Job::Service(job) = &pending.job
-            && let Some((key, fingerprint)) = job.key.clone()
+            && let (Some((key, _)), Some(claim)) = (job.key.clone(), job.claim)
         {
             let state = recorded(res.status(), &content_type, res.body());
-            self.wanted.push(Wanted::KeyEnded { key, fingerprint, state });
+            self.wanted.push(Wanted::KeyEnded(FinishMessage { key, claim, state }));
         }
         if let Some(reply) = reply {
             reply.answer(res.status(), &content_type, res.into_body());
         }
     }
 
-    fn replay(&mut self, ticket: Ticket, answer: Answer, now: Instant) {
+    fn replay(&mut self, ticket: Ticket, answer: &Answer, now: Instant) {
         let Some(mut pending) = self.pending.remove(&ticket) else { return };
         self.finished.push(Finished::of(&pending, None, Some(now), 0, now));
         if let Some(reply) = pending.reply.take() {
             let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-            reply.answer(status, &answer.content_type, String::from(answer.body).into());
+            reply.answer(status, &answer.content_type, String::from(answer.body.clone()).into());
         }
     }
 }
@@ -203,15 +205,15 @@
 
 /// The record of an answer. After a server error nobody knows whether the call ran.
 fn recorded(status: StatusCode, content_type: &str, body: &Bytes) -> EntryState {
-    if status.is_server_error() || body.len() > MAX_ANSWER_BYTES {
+    if status.is_server_error() {
         return EntryState::Unknown;
     }
     match std::str::from_utf8(body) {
-        Ok(body) => EntryState::Finished(Answer {
+        Ok(body) => EntryState::Finished(Arc::new(Answer {
             status: status.as_u16(),
             content_type: content_type.into(),
             body: body.into(),
-        }),
+        })),
         Err(_) => EntryState::Unknown,
     }
 }
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -184,6 +184,7 @@
             Event::Claim { ticket, answer } => {
                 self.requests.on_claim(&self.cx, ticket, answer, now);
             }
+            Event::KeyEnded { message, retries } => self.send_finish(message, retries, now),
             Event::Share(grant) => {
                 self.shares.on_grant(grant, now);
                 let cfg = self.follower.current().clone();
@@ -192,9 +193,7 @@
             }
             Event::Holding { fencing, holding } => self.shares.on_holding(fencing, holding, now),
             Event::Segments { range, stored } => {
-                if !self.keys.on_segments(range, stored, SystemTime::now()) {
-                    self.keys.lost(range);
-                }
+                self.keys.on_segments(range, stored, now, SystemTime::now());
             }
             Event::SegmentDeleted { range, number, gone } => {
                 self.keys.on_deleted(range, number, gone);
@@ -239,6 +238,13 @@
             self.requests.expected.drop_old(now);
         }
         self.keys.on_timer(&self.cx, now, SystemTime::now());
+        for range in self.keys.deposed() {
+            self.keys.lost(range);
+            let rng = self.cx.rng.clone();
+            let group = crate::directory::key_group(range);
+            let actions = self.ownership.raise_fencing(now, &group, &mut *rng.borrow_mut());
+            self.on_ownership_actions(actions, now);
+        }
         self.share_timers(now);
         self.booking_timers(now);
         self.settle(now);
--- a/components/process/instance/src/keys.rs
+++ b/components/process/instance/src/keys.rs
@@ -116,11 +116,12 @@
         }
     }
 
-    /// A granted call has ended.
-    pub(crate) fn finish(&mut self, message: FinishMessage) {
+    /// A granted call has ended. Returns false if the claim is not open here.
+    pub(crate) fn finish(&mut self, message: FinishMessage) -> bool {
         if let Some(owned) = self.ranges.get_mut(&range_of(&message.key)) {
-            owned.range.finish(&message.key, &message.fingerprint, message.state);
+            return owned.range.finish(&message.key, message.claim, message.state);
         }
+        false
     }
 
     /// Refuses claims that were not stored in time and makes due platform calls.
@@ -155,16 +156,24 @@
         owned.tell_all(decisions, &mut self.decided);
     }
 
-    /// Takes the stored segments of a range; returns false if the range has another owner.
+    /// Takes the stored segments of a range.
     pub(crate) fn on_segments(
         &mut self,
         range: u32,
         stored: Option<Vec<(ObjectVersion, Segment)>>,
+        now: Instant,
         wall: SystemTime,
-    ) -> bool {
-        let Some(owned) = self.ranges.get_mut(&range) else { return true };
+    ) {
+        let Some(owned) = self.ranges.get_mut(&range) else { return };
         owned.call = None;
-        stored.is_none_or(|stored| owned.range.recover(stored, wall))
+        let decisions = owned.range.recover(stored.ok_or(()), now, wall);
+        owned.tell_all(decisions, &mut self.decided);
+    }
+
+    /// Whether another owner was seen to have written the records of a range.
+    pub(crate) fn deposed(&self) -> Vec<u32> {
+        let ranges = self.ranges.iter().filter(|(_, owned)| owned.range.is_deposed());
+        ranges.map(|(range, _)| *range).collect()
     }
 
     /// Takes the outcome of the deletion of a segment.
@@ -180,7 +189,8 @@
     fn tell_all(&mut self, decisions: Vec<Decision>, decided: &mut Vec<(Ticket, ClaimAnswer)>) {
         for decision in decisions {
             let (token, answer) = match decision {
-                Decision::Granted(token) => (token, ClaimAnswer::Granted),
+                Decision::Granted(token, claim) => (token, ClaimAnswer::Granted(claim)),
+                Decision::Recorded(token, answer) => (token, ClaimAnswer::Recorded(answer)),
                 Decision::Refused(token, refusal) => (token, refused(&refusal)),
             };
             if let Some(claimant) = self.claimants.remove(&token) {
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -4,7 +4,7 @@
 
 use admission::shares::{ShareGrant, ShareRequest};
 use configuration::ConfigurationMessage;
-use idempotency::{Answer, EntryState, Fingerprint, KeyHash};
+use idempotency::{Answer, ClaimId, EntryState, Fingerprint, KeyHash};
 use membership::{Heartbeat, Summary};
 use ownership::{Announcement, Handover};
 use routing::CacheEvent;
@@ -40,7 +40,7 @@
     Demand(DemandMessage),
     /// Asks for an idempotency key; answered by `PeerReply::Claim`.
     Claim(ClaimMessage),
-    /// Tells how a granted call ended.
+    /// Tells how a granted call ended; answered by `Taken` or `NotOwner`.
     Finish(FinishMessage),
     /// Asks for a part of the limits; answered by `PeerReply::Share`.
     Share(ShareRequest),
@@ -115,9 +115,9 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) enum ClaimAnswer {
     /// The key is recorded; the call may be dispatched once.
-    Granted,
+    Granted(ClaimId),
     /// The call finished earlier.
-    Recorded(Answer),
+    Recorded(Arc<Answer>),
     /// The call may not be dispatched.
     Refused {
         /// Whether the earlier call may have run.
@@ -132,7 +132,7 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct FinishMessage {
     pub(crate) key: KeyHash,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) claim: ClaimId,
     pub(crate) state: EntryState,
 }
 
--- a/components/process/instance/src/peers.rs
+++ b/components/process/instance/src/peers.rs
@@ -26,6 +26,10 @@
                 Some(reply) => PeerReply::Demand(reply),
                 None => PeerReply::NotOwner,
             },
+            PeerMessage::Finish(message) => match self.keys.finish(message) {
+                true => PeerReply::Taken,
+                false => PeerReply::NotOwner,
+            },
             PeerMessage::Share(request) => PeerReply::Share(self.shares.grant(&request, now)),
             other => {
                 self.on_one_way(&from, other, now);
@@ -67,8 +71,10 @@
                 self.requests.router.cache_events(&replica, &events);
             }
             PeerMessage::Arrivals(counts) => self.on_arrival_counts(counts, now),
-            PeerMessage::Finish(message) => self.keys.finish(message),
-            PeerMessage::Claim(_) | PeerMessage::Demand(_) | PeerMessage::Share(_) => {}
+            PeerMessage::Claim(_)
+            | PeerMessage::Finish(_)
+            | PeerMessage::Demand(_)
+            | PeerMessage::Share(_) => {}
         }
     }
 
--- a/components/process/instance/src/pending.rs
+++ b/components/process/instance/src/pending.rs
@@ -5,7 +5,7 @@
 use dispatch::{Queued, Request};
 use front::{Problem, Reply, Secret, StreamItem};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use idempotency::{Fingerprint, KeyHash};
+use idempotency::{ClaimId, Fingerprint, KeyHash};
 use tokio::sync::{mpsc, oneshot};
 use types::prelude::*;
 
@@ -73,8 +73,8 @@
     pub(crate) idempotent: bool,
     /// Key to record before the call is dispatched.
     pub(crate) key: Option<(KeyHash, Fingerprint)>,
-    /// Set once the key is recorded for this call.
-    pub(crate) claimed: bool,
+    /// The claim, once the key is recorded for this call.
+    pub(crate) claim: Option<ClaimId>,
 }
 
 /// Where the answer goes.
--- a/components/process/instance/src/pump.rs
+++ b/components/process/instance/src/pump.rs
@@ -241,7 +241,7 @@
         now: Instant,
     ) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
-        if let Some((key, fingerprint)) = job.key.clone().filter(|_| !job.claimed) {
+        if let Some((key, fingerprint)) = job.key.clone().filter(|_| job.claim.is_none()) {
             let decide_by = pending.admitted.first_token_by;
             pending.stage = Stage::Claiming(request);
             self.wanted.push(Wanted::Key { ticket, key, fingerprint, decide_by });
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::expected::ExpectedReady;
 use crate::finished::Finished;
-use crate::message::ArrivalCount;
+use crate::message::{ArrivalCount, FinishMessage};
 use crate::pending::{CompletionJob, Job, Pending, ReplySlot, ServiceJob, Stage};
 
 /// Bytes of a request body that count as one token of work.
@@ -30,7 +30,7 @@
     /// An idempotency key must be recorded before `decide_by`.
     Key { ticket: Ticket, key: KeyHash, fingerprint: Fingerprint, decide_by: Instant },
     /// A recorded call has ended.
-    KeyEnded { key: KeyHash, fingerprint: Fingerprint, state: EntryState },
+    KeyEnded(FinishMessage),
 }
 
 /// All requests of this instance that have no answer yet.
@@ -135,7 +135,7 @@
                     body,
                     idempotent,
                     key,
-                    claimed: false,
+                    claim: None,
                 })
             }
         };
@@ -317,12 +317,12 @@
     /// Frees or closes the idempotency key of a call that ended without an answer.
     fn end_key(&mut self, pending: &Pending, verdict: Verdict) {
         let Job::Service(job) = &pending.job else { return };
-        let Some((key, fingerprint)) = job.key.clone().filter(|_| job.claimed) else { return };
+        let (Some((key, _)), Some(claim)) = (job.key.clone(), job.claim) else { return };
         let state = match verdict {
             Verdict::NotRun => EntryState::Released,
             Verdict::MayHaveRun => EntryState::Unknown,
         };
-        self.wanted.push(Wanted::KeyEnded { key, fingerprint, state });
+        self.wanted.push(Wanted::KeyEnded(FinishMessage { key, claim, state }));
     }
 }
 
--- a/components/process/instance/src/wanted.rs
+++ b/components/process/instance/src/wanted.rs
@@ -18,6 +18,10 @@
 const CLAIM_ANSWER_TIME: Duration = Duration::from_millis(50);
 /// Longest time that a claim waits for the platform.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay before the end of a recorded call is told again.
+const FINISH_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Repeats cover the takeover of a key range, which takes about 10 s.
+const MAX_FINISH_RETRIES: u32 = 30;
 
 impl Instance {
     /// Answers demand as the owner of a group; `None` if this instance does not own it.
@@ -122,14 +126,7 @@
                 let message = ClaimMessage { key, fingerprint, decide_within_ms: within };
                 self.send_claim(ticket, message, decide_by, now);
             }
-            Wanted::KeyEnded { key, fingerprint, state } => {
-                let message = FinishMessage { key, fingerprint, state };
-                if self.keys.owns(&message.key) {
-                    self.keys.finish(message);
-                } else if let Some(owner) = self.key_owner(range_of(&message.key), now) {
-                    self.send(&owner, PeerMessage::Finish(message));
-                }
-            }
+            Wanted::KeyEnded(message) => self.send_finish(message, 0, now),
         }
     }
 
@@ -194,4 +191,36 @@
             Event::Claim { ticket, answer }
         });
     }
+
+    /// Tells the owner of a key range how a recorded call ended. Without it, repeats of the call
+    /// get no answer until the record expires, so that it is repeated for a while.
+    pub(crate) fn send_finish(&mut self, message: FinishMessage, retries: u32, now: Instant) {
+        let range = range_of(&message.key);
+        if self.keys.owns(&message.key) {
+            self.keys.finish(message);
+            return;
+        }
+        if retries >= MAX_FINISH_RETRIES {
+            tracing::warn!("idempotency: the end of a call was not recorded; range {range}");
+            return;
+        }
+        let owner = self.key_owner(range, now);
+        let address = owner.and_then(|owner| self.address_of(&owner));
+        let exchange = address.map(|address| {
+            let finish = PeerMessage::Finish(message.clone());
+            self.cx.exchange(address, finish, now + DEMAND_TIMEOUT)
+        });
+        let events = self.cx.events.clone();
+        tokio::task::spawn_local(async move {
+            let answer = match exchange {
+                Some(exchange) => exchange.await,
+                None => None,
+            };
+            if !matches!(answer, Some(PeerReply::Taken)) {
+                tokio::time::sleep(FINISH_RETRY_DELAY).await;
+                // The loop is gone only when the process stops.
+                let _ = events.send(Event::KeyEnded { message, retries: retries + 1 });
+            }
+        });
+    }
 }
