--- a/components/process/instance/src/allowances.rs
+++ b/components/process/instance/src/allowances.rs
@@ -57,6 +57,12 @@
         rng: &mut impl Rng,
     ) -> bool {
         let view = self.group.view(now);
+        let is_unloading =
+            |r: &group::ReplicaView| r.model == *model && r.phase == ReplicaPhase::Unloading;
+        if view.writable && view.servers.values().any(|s| s.replicas.values().any(is_unloading)) {
+            // Its allowance comes back with the proof of the unload.
+            return true;
+        }
         let has_allowance = view.allowance_left.get(model).is_some_and(|left| *left > 0);
         if has_allowance || !view.writable {
             self.asked.asked_at.remove(model);
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -69,13 +69,7 @@
                     }
                 }
                 membership::Action::PeerVersion { instance, version } => {
-                    let rng = self.cx.rng.clone();
-                    let actions = self.follower.on_peer_version(
-                        now,
-                        &instance,
-                        version,
-                        &mut *rng.borrow_mut(),
-                    );
+                    let actions = self.follower.on_peer_version(now, &instance, version);
                     self.on_configuration_actions(actions, now);
                 }
                 membership::Action::SummaryChanged { data_centre } => {
@@ -118,8 +112,7 @@
         message: ConfigurationMessage,
         now: Instant,
     ) {
-        let rng = self.cx.rng.clone();
-        let actions = self.follower.on_message(now, from, message, &mut *rng.borrow_mut());
+        let actions = self.follower.on_message(now, from, message);
         self.on_configuration_actions(actions, now);
     }
 
--- a/components/process/instance/src/demand.rs
+++ b/components/process/instance/src/demand.rs
@@ -52,6 +52,12 @@
         self.refused.insert((model.clone(), group.clone()), now + REFUSED_FOR);
     }
 
+    /// The group to ask for an adapter of a loaded model: one that holds the model.
+    pub(crate) fn holder(&self, model: &ModelId, order: &[GroupId]) -> Option<GroupId> {
+        let held = self.holders.get(model)?;
+        order.iter().find(|group| held.contains(*group)).cloned()
+    }
+
     /// The group to ask: one that holds the model, otherwise the first of `order` that has not
     /// refused it lately. All instances ask the same group, so that a burst causes one load.
     pub(crate) fn group_for(
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -122,8 +122,7 @@
     }
 
     fn begin(&mut self, now: Instant) {
-        let rng = self.cx.rng.clone();
-        let actions = self.follower.start(now, &[], &mut *rng.borrow_mut());
+        let actions = self.follower.start(now, &[]);
         self.on_configuration_actions(actions, now);
         self.read_list();
         tracing::info!("instance: {} started in {}", self.cx.instance, self.cx.data_centre);
@@ -162,8 +161,7 @@
             },
             Event::List(list) => self.on_list(list, now),
             Event::HeadChanged => {
-                let rng = self.cx.rng.clone();
-                let actions = self.follower.on_head_changed(now, &mut *rng.borrow_mut());
+                let actions = self.follower.on_head_changed();
                 self.on_configuration_actions(actions, now);
             }
             Event::Report { group, server, requested, result } => {
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -198,6 +198,10 @@
 
     /// A target is expected at `ready_at`, or never: refuses requests that cannot wait so long.
     pub(crate) fn on_expected(&mut self, target: &Target, ready_at: Option<Instant>, now: Instant) {
+        if self.router.ready_replicas(&target.model) > 0 {
+            // The demand was for one more replica or for an adapter; requests wait for their turn.
+            return;
+        }
         self.expected.set(target.model.clone(), ready_at, now);
         let too_late = |p: &Pending| {
             matches!(p.stage, Stage::Waiting(_))
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -234,7 +234,7 @@
     Instance {
         ownership: Ownership::new(lease, now, rng),
         membership: Membership::new(members, now, rng),
-        follower: Follower::new(configuration::Settings::new(cx.instance.clone()), now),
+        follower: Follower::new(configuration::Settings::new(cx.instance.clone())),
         requests: Requests::new(&cx.instance, cx.incarnation),
         groups: BTreeMap::new(),
         owned: BTreeMap::new(),
--- a/components/process/instance/src/wanted.rs
+++ b/components/process/instance/src/wanted.rs
@@ -139,7 +139,12 @@
         now: Instant,
     ) {
         let order = self.directory.groups_for(&target.model);
-        let Some(group) = self.demand.group_for(&target.model, &order, now) else {
+        let holder = match target.adapter {
+            Some(_) => self.demand.holder(&target.model, &order),
+            None => None,
+        };
+        let group = holder.or_else(|| self.demand.group_for(&target.model, &order, now));
+        let Some(group) = group else {
             return self.requests.on_expected(&target, None, now);
         };
         let message = DemandMessage {
