--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -63,6 +63,9 @@
                 membership::Action::MemberChanged { instance, incarnation, state } => {
                     members_changed = true;
                     tracing::info!("membership: {instance} is {state:?}");
+                    if state == MemberState::Live && instance != self.cx.instance {
+                        self.send_states(&instance);
+                    }
                     if state == MemberState::Failed {
                         let wall = SystemTime::now();
                         self.bookings.usage.died(instance, incarnation, wall);
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -13,6 +13,7 @@
 use crate::instance::Instance;
 use crate::message::PeerMessage;
 use crate::owned_group::{GroupWants, OwnedGroup};
+use crate::publication::{GroupLoads, Publication};
 
 /// Time for a backend server to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -122,6 +123,24 @@
     pub(crate) fn on_group_state(&mut self, state: &GroupState, now: Instant) {
         if self.requests.router.publish(state, now) {
             self.demand.publish(state);
+            self.received.whole(state);
+            self.requests.pump_all(&self.cx, now);
+        }
+    }
+
+    /// Sends the states of owned groups to an instance that has just appeared.
+    pub(crate) fn send_states(&self, to: &str) {
+        for owned in self.owned.keys().filter_map(|group| self.groups.get(group)) {
+            if let Some(state) = owned.publisher.last() {
+                self.send(to, PeerMessage::GroupState(Arc::clone(state)));
+            }
+        }
+    }
+
+    /// Takes changed loads of a group.
+    pub(crate) fn on_group_loads(&mut self, loads: &GroupLoads, now: Instant) {
+        let Some(state) = self.received.loads(loads) else { return };
+        if self.requests.router.publish(state, now) {
             self.requests.pump_all(&self.cx, now);
         }
     }
@@ -151,10 +170,14 @@
                     self.on_ownership_actions(actions, now);
                 }
                 GroupWants::Released => self.released(group, now),
-                GroupWants::Publish(state) => {
+                GroupWants::Publish(Publication::Whole(state)) => {
                     self.broadcast(&PeerMessage::GroupState(Arc::clone(&state)));
                     self.on_group_state(&state, now);
                 }
+                GroupWants::Publish(Publication::Loads(loads)) => {
+                    self.broadcast(&PeerMessage::GroupLoads(Arc::clone(&loads)));
+                    self.on_group_loads(&loads, now);
+                }
             }
         }
     }
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -19,6 +19,7 @@
 use crate::event::{Caller, Event};
 use crate::keys::KeyRanges;
 use crate::owned_group::OwnedGroup;
+use crate::publication::Received;
 use crate::requests::Requests;
 use crate::shares::Shares;
 
@@ -67,6 +68,8 @@
     pub(crate) announced: HashMap<GroupId, FencingNumber>,
     pub(crate) directory: Directory,
     pub(crate) demand: DemandRouting,
+    /// States of groups as published.
+    pub(crate) received: Received,
     pub(crate) keys: KeyRanges,
     pub(crate) shares: Shares,
     pub(crate) bookings: Bookings,
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -33,6 +33,7 @@
 mod periodic;
 mod polls;
 mod progress;
+mod publication;
 mod pump;
 mod requests;
 mod shares;
@@ -44,5 +45,7 @@
 mod demand_tests;
 #[cfg(test)]
 mod progress_tests;
+#[cfg(test)]
+mod publication_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+use crate::publication::GroupLoads;
+
 /// A message to another instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -27,6 +29,8 @@
     Configuration(ConfigurationMessage),
     /// State of a group, from its owner.
     GroupState(Arc<GroupState>),
+    /// Changed loads of a group, from its owner.
+    GroupLoads(Arc<GroupLoads>),
     /// Cache events of a replica, from the owner of its group.
     CacheEvents {
         /// The replica.
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -13,11 +13,12 @@
 use crate::message::DemandReply;
 use crate::polls::Polls;
 use crate::progress::Progress;
+use crate::publication::{Publication, Publisher};
 
 /// How long changes are gathered before they are published.
 const PUBLISH_DELAY: Duration = Duration::from_millis(5);
 /// Time after which the state is published again for instances that missed it.
-const REPUBLISH_INTERVAL: Duration = Duration::from_secs(5);
+const REPUBLISH_INTERVAL: Duration = Duration::from_secs(20);
 /// Time until a group that was just gained can take decisions: two platform calls and a report.
 const RECOVERY_MS: u64 = 200;
 /// Longest time that recovery is waited for before demand is refused.
@@ -38,8 +39,8 @@
     Superseded,
     /// The hand-over can go on.
     Released,
-    /// The state is to be published.
-    Publish(Arc<GroupState>),
+    /// The state, or a part of it, is to be published.
+    Publish(Publication),
 }
 
 /// State of an owned group. Lives as long as the process; ownership may come and go.
@@ -54,7 +55,10 @@
     pub(crate) asked: Asked,
     /// Until then a group that takes no decisions is taken for one that is being recovered.
     recovering_until: Instant,
+    pub(crate) publisher: Publisher,
     publish_at: Instant,
+    /// When the whole state is published in any case.
+    republish_at: Instant,
     tick_at: Instant,
     wants: Vec<GroupWants>,
 }
@@ -77,7 +81,9 @@
             progress: Progress::default(),
             asked: Asked::new(now),
             recovering_until: now,
+            publisher: Publisher::default(),
             publish_at: now + REPUBLISH_INTERVAL,
+            republish_at: now,
             tick_at: now,
             wants: Vec::new(),
         }
@@ -243,9 +249,7 @@
         }
         if self.publish_at <= now {
             self.publish_at = now + REPUBLISH_INTERVAL;
-            if let Some(state) = self.group.publish(now) {
-                self.wants.push(GroupWants::Publish(Arc::new(state)));
-            }
+            self.publish(now);
         }
     }
 
@@ -256,6 +260,17 @@
         due.into_iter().flatten().chain(own).min().unwrap_or(self.tick_at)
     }
 
+    fn publish(&mut self, now: Instant) {
+        let Some(state) = self.group.publish(now) else { return };
+        let publication = if self.republish_at <= now {
+            self.republish_at = now + REPUBLISH_INTERVAL;
+            Some(self.publisher.whole(state))
+        } else {
+            self.publisher.publish(state)
+        };
+        self.wants.extend(publication.map(GroupWants::Publish));
+    }
+
     /// Passes the group's actions on.
     pub(crate) fn act(&mut self, actions: Vec<Action>, now: Instant) {
         for action in actions {
--- a/components/process/instance/src/peers.rs
+++ b/components/process/instance/src/peers.rs
@@ -67,6 +67,7 @@
                 self.on_configuration_message(from, message, now);
             }
             PeerMessage::GroupState(state) => self.on_group_state(&state, now),
+            PeerMessage::GroupLoads(loads) => self.on_group_loads(&loads, now),
             PeerMessage::CacheEvents { replica, events } => {
                 self.requests.router.cache_events(&replica, &events);
             }
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -29,6 +29,7 @@
 use crate::directory::Directory;
 use crate::instance::{Drain, Inputs, Instance};
 use crate::keys::KeyRanges;
+use crate::publication::Received;
 use crate::requests::Requests;
 use crate::shares::Shares;
 
@@ -241,6 +242,7 @@
         announced: HashMap::new(),
         directory: Directory::default(),
         demand: DemandRouting::default(),
+        received: Received::default(),
         keys: KeyRanges::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
         bookings: Bookings::new(now),
