--- a/components/request/admission/benches/queue.rs
+++ b/components/request/admission/benches/queue.rs
@@ -127,25 +127,29 @@
             grantee
         })
         .collect();
-    let (mut request_bytes, mut grant_bytes, mut time) = (0, 0, Duration::ZERO);
-    const RENEWALS: u32 = 3;
+    let (mut request_bytes, mut grant_bytes) = (0, 0);
+    let (mut first, mut steady) = (Duration::ZERO, Duration::ZERO);
+    const RENEWALS: u32 = 12;
     for renewal in 0..RENEWALS {
         let now = now + renewal * Duration::from_secs(5);
         for grantee in &mut grantees {
             let request = grantee.request(1, now);
             let began = Instant::now();
             let grant = holder.grant(&request, now).ok_or("another holder is meant")?;
-            time += began.elapsed();
+            // Shares settle while instances confirm what was taken away from them.
+            let time = if renewal < RENEWALS / 2 { &mut first } else { &mut steady };
+            *time += began.elapsed();
             request_bytes = postcard::to_stdvec(&request)?.len();
             grant_bytes = postcard::to_stdvec(&grant)?.len();
             grantee.apply(grant);
         }
     }
-    let grants = f64::from(RENEWALS) * INSTANCES as f64;
+    let grants = f64::from(RENEWALS / 2) * INSTANCES as f64;
     println!(
         "{customers} customers, {INSTANCES} instances: request {request_bytes} bytes, \
-         grant {grant_bytes} bytes, {:.0} us a grant",
-        time.as_secs_f64() * 1e6 / grants
+         grant {grant_bytes} bytes, {:.0} us a grant at first, {:.0} us later",
+        first.as_secs_f64() * 1e6 / grants,
+        steady.as_secs_f64() * 1e6 / grants
     );
     Ok(())
 }
--- a/components/request/admission/src/shares.rs
+++ b/components/request/admission/src/shares.rs
@@ -9,6 +9,7 @@
 mod holder;
 mod parts;
 mod standing;
+mod wants;
 
 pub use grantee::Grantee;
 pub use holder::{GRANT_MARGIN, GRANT_TERM, Holder, RENEW_INTERVAL, ShareGrant, ShareRequest};
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -5,6 +5,7 @@
 
 use super::parts::Parts;
 use super::standing::Holding;
+use super::wants::{Wants, level};
 
 /// Validity of a grant. With a renewal every 5 s it outlasts the takeover of a dead holder's group
 /// (about 10 s), so that instances keep their shares meanwhile.
@@ -67,6 +68,8 @@
     holding: Holding,
     withheld: Holding,
     grants: BTreeMap<InstanceId, Grant>,
+    /// What the instances in `grants` want.
+    wants: Wants,
     retired: Vec<Retired>,
     serial: u64,
     /// Grants of the predecessor may be in use until then.
@@ -102,6 +105,7 @@
             holding,
             withheld: Holding::default(),
             grants: BTreeMap::new(),
+            wants: Wants::default(),
             retired: Vec::new(),
             serial: 0,
             predecessor_until: now + wait,
@@ -154,6 +158,7 @@
         };
         let customers: BTreeSet<CustomerId> =
             grant.parts.keys().chain(grant.wanted.keys()).cloned().collect();
+        self.wants.add(&grant.wanted);
         let may_add = now >= self.predecessor_until;
         for customer in customers {
             let parts = self.resize(&customer, &grant, may_add);
@@ -182,12 +187,8 @@
     /// Customers of whose limits more is wanted than the data centre holds, with the length that
     /// is missing. To be asked of other data centres.
     pub fn unmet(&self) -> BTreeMap<CustomerId, u64> {
-        let mut wanted: BTreeMap<&CustomerId, u64> = BTreeMap::new();
-        for (customer, length) in self.grants.values().flat_map(|grant| &grant.wanted) {
-            *wanted.entry(customer).or_default() += length;
-        }
-        let missing = wanted.into_iter().map(|(customer, length)| {
-            (customer.clone(), length.saturating_sub(self.grantable(customer).length()))
+        let missing = self.wants.totals().map(|(customer, total)| {
+            (customer.clone(), total.saturating_sub(self.grantable(customer).length()))
         });
         missing.filter(|(_, length)| *length > 0).collect()
     }
@@ -198,8 +199,7 @@
         let mut donation = Holding::default();
         for (customer, missing) in unmet {
             let grantable = self.grantable(customer);
-            let wants = self.grants.values().filter_map(|grant| grant.wanted.get(customer));
-            let spare = grantable.length().saturating_sub(wants.sum());
+            let spare = grantable.length().saturating_sub(self.wants.total(customer));
             let free = grantable.minus(&self.in_use(customer));
             let length = (spare / 2).min(*missing);
             let from_free = free.take(length.min(free.length()));
@@ -215,6 +215,7 @@
     /// What the instance may hold before this request is answered.
     fn previous(&mut self, request: &ShareRequest, now: Instant) -> Option<Grant> {
         if let Some(previous) = self.grants.remove(&request.instance) {
+            self.wants.remove(&previous.wanted);
             if previous.incarnation != request.incarnation {
                 // The earlier process may only be paused, so its parts stay in use to their end.
                 self.retire_all(&request.instance, previous);
@@ -270,18 +271,13 @@
     /// nobody wants, so that an unexpected first request does not have to wait. Half of that
     /// stays with the holder for sudden wants.
     fn target(&self, customer: &str, grant: &Grant, total: u64) -> u64 {
-        let want = |grant: &Grant| grant.wanted.get(customer).copied();
-        let Some(own) = want(grant) else { return 0 };
-        let mut wants: Vec<u64> = self.grants.values().filter_map(want).chain([own]).collect();
-        wants.sort_unstable();
-        let mut left = total;
-        let mut level = 0;
-        for (index, &wanted) in wants.iter().enumerate() {
-            let even = left / (wants.len() - index) as u64;
-            level = wanted.min(even);
-            left -= level;
+        let Some(own) = grant.wanted.get(customer).copied() else { return 0 };
+        if self.wants.total(customer) > total {
+            let others = self.grants.values().filter_map(|grant| grant.wanted.get(customer));
+            return own.min(level(others.copied().chain([own]).collect(), total));
         }
-        own.min(level) + left / (2 * wants.len() as u64)
+        let left = total - self.wants.total(customer);
+        own + left / (2 * self.wants.instances(customer).max(1))
     }
 
     fn grantable(&self, customer: &str) -> Parts {
@@ -326,6 +322,13 @@
 
     fn drop_ended(&mut self, now: Instant) {
         self.retired.retain(|retired| retired.until > now);
-        self.grants.retain(|_, grant| grant.ends_at > now);
+        let wants = &mut self.wants;
+        self.grants.retain(|_, grant| {
+            let ended = grant.ends_at <= now;
+            if ended {
+                wants.remove(&grant.wanted);
+            }
+            !ended
+        });
     }
 }
