--- a/components/request/admission/tests/shares.rs
+++ b/components/request/admission/tests/shares.rs
@@ -31,6 +31,24 @@
     }
 }
 
+/// Guards against parts that are lost or added twice when a process dies between the steps of a
+/// move and the next one repeats them.
+#[test]
+fn move_that_is_repeated_after_a_crash_neither_loses_nor_creates_parts() {
+    let donor = StandingShare::new("d1", Holding::even(0, 2), 1);
+    let receiver = StandingShare::new("d2", Holding::even(1, 2), 2);
+    let donor = donor.give("d2", &Holding::of_customer("c0", Parts::even(0, 4)), 3).unwrap();
+    assert_eq!(donor.holding.parts("c0"), &Parts::even(1, 4));
+    let received = receiver.receive(&donor.given[0], 4).unwrap();
+    assert_eq!(received.holding.parts("c0").length(), WHOLE / 4 * 3);
+    assert_eq!(received.holding.parts("c1"), &Parts::even(1, 2));
+    assert!(received.receive(&donor.given[0], 5).is_none(), "repeated");
+    assert!(received.forget(&donor, 6).is_none(), "the donor may still offer it");
+    assert!(donor.clear(&receiver, 7).is_none(), "not received");
+    let cleared = donor.clear(&received, 8).unwrap();
+    assert!(received.forget(&cleared, 9).unwrap().received.is_empty());
+}
+
 /// Guards against handing a grant that was shrunk to others while its first holder may use it.
 #[test]
 fn lost_grant_keeps_the_parts_taken_away_until_the_old_grant_has_ended() {
--- a/components/request/dispatch/tests/faults.rs
+++ b/components/request/dispatch/tests/faults.rs
@@ -55,6 +55,16 @@
     assert!(!req.mark_not_started("a"));
 }
 
+/// Guards against passing on the answer of another request or of an earlier attempt.
+#[test]
+fn crossed_answer_is_discarded() {
+    let now = Instant::now();
+    let mut req = sent(true, &mut RetryBudget::new(), now);
+    assert_eq!(req.accept("other", StreamEvent::Part(0)), Progress::Discard);
+    assert_eq!(req.accept("other", StreamEvent::Whole), Progress::Discard);
+    assert_eq!(req.accept("a", StreamEvent::Whole), Progress::Complete);
+}
+
 /// Guards against a second run of a request that must run at most once.
 #[test]
 fn request_that_is_not_idempotent_is_not_repeatable() {
