--- a/components/request/routing/tests/properties.rs
+++ b/components/request/routing/tests/properties.rs
@@ -23,10 +23,7 @@
     let replica = move |slot: u64| {
         (0..3u8, 0..6u32, any::<bool>()).prop_map(move |(phase, running, adapter)| {
             let pool: &[&str] = if adapter { &["a"] } else { &[] };
-            let phase = match phase {
-                0 => ReplicaPhase::Loading,
-                _ => ReplicaPhase::Ready,
-            };
+            let phase = if phase == 0 { ReplicaPhase::Loading } else { ReplicaPhase::Ready };
             ReplicaState { phase, running, ..replica(10 * index as u64 + slot, pool) }
         })
     };
@@ -113,17 +110,12 @@
                         router.publish(&group(fencing, sequence, servers.clone()), now), newer);
                     if newer {
                         // A replica that was unpublished in between starts without own requests.
-                        let known = |r: ReplicaId| {
-                            let of = |all: &[ServerState]| {
-                                all.iter().any(|s| s.replicas.iter().any(|x| x.replica == r))
-                            };
-                            of(&model.servers) && of(&servers)
+                        let of = |all: &[ServerState], replica: ReplicaId| {
+                            all.iter().flat_map(|s| &s.replicas).any(|r| r.replica == replica)
                         };
-                        let own: Vec<Own> =
-                            model.own.iter().copied().filter(|(r, ..)| known(*r)).collect();
-                        model.own = own;
+                        let before = std::mem::replace(&mut model.servers, servers);
+                        model.own.retain(|(r, ..)| of(&before, *r) && of(&model.servers, *r));
                         model.latest = (fencing, sequence);
-                        model.servers = servers;
                         model.published_at = Some(now);
                     }
                 }
