--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -138,7 +138,11 @@
             let _ = arrival.reply.send(Reply::Refused(problem));
             return;
         }
-        self.requests.on_arrival(&self.cx, arrival, now);
+        let cfg = self.follower.current().clone();
+        match self.shares.take_in(arrival, &cfg, now) {
+            Some(arrival) => self.requests.on_arrival(&self.cx, arrival, now),
+            None => self.share_timers(now),
+        }
         self.settle(now);
     }
 
@@ -190,6 +194,7 @@
                 self.shares.on_grant(grant, now);
                 let cfg = self.follower.current().clone();
                 self.shares.apply(&mut self.requests, &cfg, now);
+                self.offer_held(now);
                 self.requests.pump_all(&self.cx, now);
             }
             Event::Holding { fencing, holding } => self.shares.on_holding(fencing, holding, now),
@@ -290,6 +295,9 @@
     fn is_drained(&self) -> bool {
         let Drain::Draining { hand_over_by } = self.drain else { return false };
         let handed_over = self.ownership.is_handed_over() || Instant::now() >= hand_over_by;
-        handed_over && self.requests.is_idle() && self.bookings.is_closed(hand_over_by)
+        handed_over
+            && self.requests.is_idle()
+            && !self.shares.is_holding_requests()
+            && self.bookings.is_closed(hand_over_by)
     }
 }
--- a/components/process/instance/src/keys.rs
+++ b/components/process/instance/src/keys.rs
@@ -2,8 +2,8 @@
 
 use admission::Ticket;
 use idempotency::{
-    Action, Claim, ClaimReply, Decision, KeyHash, KeyRange, Segment, Token, Write, WriteResult,
-    range_of, segment_name,
+    Action, Claim, ClaimReply, Decision, KeyHash, KeyRange, RETENTION, Segment, Token, Write,
+    WriteResult, range_of, segment_name,
 };
 use platform::{Call, WriteOutcome};
 use rand::Rng;
@@ -15,8 +15,6 @@
 use crate::event::{Caller, Event};
 use crate::message::{ClaimAnswer, ClaimMessage, FinishMessage};
 
-/// How long records are kept. A caller that repeats a call after a day gets it run again.
-const RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Time for the platform to list or delete segments.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 const KIND: &str = "idempotency";
--- a/components/process/instance/src/periodic.rs
+++ b/components/process/instance/src/periodic.rs
@@ -8,13 +8,12 @@
 use crate::event::Event;
 use crate::instance::{Drain, Instance};
 use crate::message::{PeerMessage, PeerReply};
-
-/// Time for the holder of the limits to answer.
-const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::shares::SHARE_TIMEOUT;
 
 impl Instance {
     /// Asks for grants and reads the standing share when due.
     pub(crate) fn share_timers(&mut self, now: Instant) {
+        self.offer_held(now);
         if let Some(fencing) = self.shares.wants_holding(now) {
             let data_centres = self.directory.data_centres().clone();
             let nonces = (self.nonce(), self.nonce());
@@ -42,6 +41,14 @@
         });
     }
 
+    /// Offers requests that waited for a grant.
+    pub(crate) fn offer_held(&mut self, now: Instant) {
+        let cfg = self.follower.current().clone();
+        for arrival in self.shares.release(&cfg, now) {
+            self.requests.on_arrival(&self.cx, arrival, now);
+        }
+    }
+
     /// Writes counted work and accelerator intervals when due.
     pub(crate) fn booking_timers(&mut self, now: Instant) {
         let closing = self.drain != Drain::Serving && self.requests.is_idle();
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -3,6 +3,7 @@
 
 use admission::LocalLimits;
 use admission::shares::{Grantee, Holder, Holding, ShareGrant, ShareRequest, StandingShare};
+use front::Arrival;
 use platform::{Call, Client, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use types::object::{Condition, ObjectKey};
@@ -14,6 +15,8 @@
 
 /// Time for the platform to read and write the share objects.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for the holder to answer.
+pub(crate) const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between attempts to get a first grant, or to read the share object.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 const KIND: &str = "share";
@@ -29,14 +32,35 @@
     nonce: Nonce,
 }
 
+/// How long a customer counts as active after its last request. Messages and the holder's work grow
+/// with the active customers.
+const ACTIVE_TIME: Duration = Duration::from_secs(300);
+/// Longest time that the first request of a customer waits for a grant, which takes some 2 ms.
+const HOLD_TIME: Duration = Duration::from_secs(1);
+/// Requests that wait for a grant at one time.
+const MAX_HELD: usize = 1024;
+
+/// A request whose customer has no share on this instance yet.
+struct Held {
+    arrival: Arrival,
+    until: Instant,
+}
+
 /// Limit shares of one instance.
 pub(crate) struct Shares {
     grantee: Grantee,
     holder: Option<Holder>,
     /// Fencing number under which the group is held; the holder follows once the share is read.
-    held: Option<FencingNumber>,
+    held_under: Option<FencingNumber>,
     is_reading: bool,
-    retry_at: Instant,
+    read_at: Instant,
+    /// When the holder is asked next.
+    ask_at: Instant,
+    /// An answer is waited for until then.
+    in_flight: Option<Instant>,
+    /// Until when each customer counts as active.
+    active: HashMap<CustomerId, Instant>,
+    waiting: Vec<Held>,
 }
 
 impl Shares {
@@ -45,22 +69,26 @@
         Self {
             grantee: Grantee::new(instance, incarnation),
             holder: None,
-            held: None,
+            held_under: None,
             is_reading: false,
-            retry_at: now,
+            read_at: now,
+            ask_at: now,
+            in_flight: None,
+            active: HashMap::new(),
+            waiting: Vec::new(),
         }
     }
 
     /// The instance holds the data centre's limits from now on.
     pub(crate) fn gained(&mut self, fencing: FencingNumber, now: Instant) {
-        self.held = Some(fencing);
+        self.held_under = Some(fencing);
         self.holder = None;
-        self.retry_at = now;
+        self.read_at = now;
     }
 
     /// The instance holds the limits no longer.
     pub(crate) fn lost(&mut self) {
-        self.held = None;
+        self.held_under = None;
         self.holder = None;
     }
 
@@ -72,12 +100,12 @@
         now: Instant,
     ) {
         self.is_reading = false;
-        if self.held != Some(fencing) {
+        if self.held_under != Some(fencing) {
             return;
         }
         match holding {
             Some(holding) => self.holder = Some(Holder::new(fencing, holding, now)),
-            None => self.retry_at = now + RETRY_INTERVAL,
+            None => self.read_at = now + RETRY_INTERVAL,
         }
     }
 
@@ -87,12 +115,13 @@
     }
 
     /// Applies a grant, or notes that there was none.
-    pub(crate) fn on_grant(&mut self, grant: Option<ShareGrant>, now: Instant) -> bool {
+    pub(crate) fn on_grant(&mut self, grant: Option<ShareGrant>, now: Instant) {
+        self.in_flight = None;
         let applied = grant.is_some_and(|grant| self.grantee.apply(grant));
-        if !applied {
-            self.retry_at = now + RETRY_INTERVAL;
-        }
-        applied
+        self.ask_at = match self.grantee.renew_at().filter(|_| applied) {
+            Some(renew_at) => renew_at,
+            None => now + RETRY_INTERVAL,
+        };
     }
 
     /// Whether limits were granted; without them every request would be refused.
@@ -100,6 +129,47 @@
         self.grantee.ends_at().is_some_and(|ends_at| now < ends_at)
     }
 
+    /// Takes a request in. The first one of a customer without a share waits for a grant.
+    pub(crate) fn take_in(
+        &mut self,
+        arrival: Arrival,
+        cfg: &Configuration,
+        now: Instant,
+    ) -> Option<Arrival> {
+        let Some(contract) = cfg.contracts.get(&arrival.customer) else { return Some(arrival) };
+        self.active.insert(arrival.customer.clone(), now + ACTIVE_TIME);
+        let limits = self.grantee.limits(&arrival.customer, &contract.limits, now);
+        if limits != LocalLimits::default() || self.waiting.len() >= MAX_HELD {
+            return Some(arrival);
+        }
+        self.ask_at = now;
+        self.waiting.push(Held { arrival, until: now + HOLD_TIME });
+        None
+    }
+
+    /// Requests that need not wait any longer, because their customer has a share or because they
+    /// have waited long enough.
+    pub(crate) fn release(&mut self, cfg: &Configuration, now: Instant) -> Vec<Arrival> {
+        let grantee = &self.grantee;
+        let has_share = |arrival: &Arrival| {
+            let contract = cfg.contracts.get(&arrival.customer);
+            contract.is_none_or(|contract| {
+                let limits = grantee.limits(&arrival.customer, &contract.limits, now);
+                limits != LocalLimits::default()
+            })
+        };
+        let (ready, waiting): (Vec<Held>, Vec<Held>) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|held| held.until <= now || has_share(&held.arrival));
+        self.waiting = waiting;
+        ready.into_iter().map(|held| held.arrival).collect()
+    }
+
+    /// Whether requests wait for a grant.
+    pub(crate) fn is_holding_requests(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Sets what this instance may use.
     pub(crate) fn apply(&self, requests: &mut Requests, cfg: &Configuration, now: Instant) {
         for (customer, contract) in &cfg.contracts {
@@ -110,12 +180,12 @@
 
     /// Whether the share object has to be read now.
     pub(crate) fn wants_holding(&mut self, now: Instant) -> Option<FencingNumber> {
-        let wanted = self.held.is_some() && self.holder.is_none();
-        if !wanted || self.is_reading || now < self.retry_at {
+        let wanted = self.held_under.is_some() && self.holder.is_none();
+        if !wanted || self.is_reading || now < self.read_at {
             return None;
         }
         self.is_reading = true;
-        self.held
+        self.held_under
     }
 
     /// The request to send to the holder now, if one is due.
@@ -126,25 +196,41 @@
         holder: FencingNumber,
         now: Instant,
     ) -> Option<ShareRequest> {
-        if now < self.next_timer() {
+        if now < self.ask_at || self.in_flight.is_some_and(|until| now < until) {
             return None;
         }
-        for (customer, contract) in &cfg.contracts {
+        self.drop_inactive(now);
+        for customer in self.active.keys() {
+            let Some(contract) = cfg.contracts.get(customer) else { continue };
             let (waiting, running) = requests.admission.load(customer);
-            let need =
-                LocalLimits { rate_milli: 0, concurrent: running + waiting, queued: waiting };
+            let held = self.waiting.iter().filter(|h| h.arrival.customer == *customer).count();
+            let queued = waiting + held as u64;
+            let need = LocalLimits { rate_milli: 0, concurrent: running + queued, queued };
             self.grantee.want(customer, need, &contract.limits);
         }
-        self.retry_at = now + RETRY_INTERVAL;
+        self.in_flight = Some(now + SHARE_TIMEOUT);
+        self.ask_at = now + RETRY_INTERVAL;
         Some(self.grantee.request(holder, now))
     }
 
+    fn drop_inactive(&mut self, now: Instant) {
+        let inactive: Vec<CustomerId> = self
+            .active
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(c, _)| c.clone())
+            .collect();
+        for customer in inactive {
+            self.active.remove(&customer);
+            self.grantee.forget(&customer);
+        }
+    }
+
     /// When something is due.
     pub(crate) fn next_timer(&self) -> Instant {
-        match self.grantee.ends_at().and(self.grantee.renew_at()) {
-            Some(renew_at) => renew_at.max(self.retry_at),
-            None => self.retry_at,
-        }
+        let ask = self.in_flight.map_or(self.ask_at, |until| until.max(self.ask_at));
+        let held = self.waiting.iter().map(|held| held.until).min();
+        held.map_or(ask, |until| until.min(ask))
     }
 }
 
