--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -61,6 +61,8 @@
     /// Until when each customer counts as active.
     active: HashMap<CustomerId, Instant>,
     waiting: Vec<Held>,
+    /// Customers for which admission has limits.
+    limited: HashSet<CustomerId>,
 }
 
 impl Shares {
@@ -76,6 +78,7 @@
             in_flight: None,
             active: HashMap::new(),
             waiting: Vec::new(),
+            limited: HashSet::new(),
         }
     }
 
@@ -171,11 +174,16 @@
     }
 
     /// Sets what this instance may use.
-    pub(crate) fn apply(&self, requests: &mut Requests, cfg: &Configuration, now: Instant) {
+    pub(crate) fn apply(&mut self, requests: &mut Requests, cfg: &Configuration, now: Instant) {
         for (customer, contract) in &cfg.contracts {
             let limits = self.grantee.limits(customer, &contract.limits, now);
-            requests.set_limits(customer, limits, now);
+            // The first limits that admission gets also fill the customer's token bucket.
+            if limits != LocalLimits::default() || self.limited.contains(customer) {
+                requests.set_limits(customer, limits, now);
+                self.limited.insert(customer.clone());
+            }
         }
+        self.limited.retain(|customer| cfg.contracts.contains_key(customer));
     }
 
     /// Whether the share object has to be read now.
