Test groups against fake servers under pairs of faults

Cause: the decision object had no tests. Found and fixed on the way: - raising the fencing number was asked for again at once after each success (endless loop); it now waits for the order timeout; - an unload sent after a lapse took an order number that a successor gave out as well; such unloads now take numbers that were set aside; - a late 409 for an order from before a raised fencing number ended the ownership; only a 409 for the present number does now; - an accepted adapter load was forgotten before a report showed it, and the pool was overfilled; it now counts until its outcome is shown.

--- a/components/process/group/src/decide.rs
+++ b/components/process/group/src/decide.rs
@@ -42,7 +42,7 @@
             Decision::SetRole { server, role } => {
                 self.check_free(now, &server)?;
                 self.check_writable(now)?;
-                self.record_order(&server, OrderKind::SetRole { role });
+                self.record_order(now, &server, OrderKind::SetRole { role });
                 Vec::new()
             }
         };
@@ -147,7 +147,7 @@
         if !self.is_writable(now) && !fenced {
             return Err(Refused::NoPermit);
         }
-        self.record_order(&name, OrderKind::Unload { replica });
+        self.record_order(now, &name, OrderKind::Unload { replica });
         let record = self.record.servers.get_mut(&name).ok_or(Refused::Unknown)?;
         if let Some(replica) = record.replicas.get_mut(&replica) {
             replica.stage = ReplicaStage::Unloading;
@@ -198,9 +198,17 @@
     }
 
     /// Records an order that is sent once the record is written.
-    fn record_order(&mut self, name: &BackendServerId, kind: OrderKind) {
-        let (order, fencing) = (self.record.next_order, self.fencing());
-        self.record.next_order += 1;
+    fn record_order(&mut self, now: Instant, name: &BackendServerId, kind: OrderKind) {
+        // Numbers that are not written yet may be given out by a successor as well. An unload after
+        // a lapse is sent without a write, so it takes a number that was set aside.
+        let order = if self.is_writable(now) {
+            self.record.next_order += 1;
+            self.record.next_order - 1
+        } else {
+            self.next_unrecorded += 1;
+            self.next_unrecorded
+        };
+        let fencing = self.fencing();
         let ignores_fencing = self.record.servers.get(name).is_some_and(|r| !r.checks_fencing);
         if ignores_fencing {
             self.withdraw_permit(name);
--- a/components/process/group/src/group.rs
+++ b/components/process/group/src/group.rs
@@ -46,6 +46,8 @@
     pub(crate) releasing: bool,
     pub(crate) raise_at: Option<Instant>,
     pub(crate) next_unrecorded: OrderId,
+    /// Unrecorded orders under the present fencing number have higher numbers.
+    pub(crate) unrecorded_from: OrderId,
     pub(crate) sequence: u64,
     /// Wall clock of the last event that carried it; for accounting only.
     pub(crate) last_wall: Option<SystemTime>,
@@ -69,6 +71,7 @@
             releasing: false,
             raise_at: None,
             next_unrecorded: 0,
+            unrecorded_from: 0,
             sequence: 0,
             last_wall: None,
             last_call: 0,
@@ -99,7 +102,8 @@
     ) -> Vec<Action> {
         self.authority = Authority::Owner { fencing, lease_until };
         self.releasing = false;
-        self.raise_at = None;
+        // The new fencing number needs time to resolve orders before a higher one is asked for.
+        self.raise_at = Some(now + self.cfg.order_timeout);
         self.permit_at = Some(now + PERMIT_EVERY);
         for server in self.servers.values_mut() {
             server.sealed = false;
@@ -324,6 +328,7 @@
         self.record.fencing = fencing;
         self.record.next_order += 1;
         self.next_unrecorded = self.record.next_order;
+        self.unrecorded_from = self.record.next_order;
         self.record.next_order += UNRECORDED_ORDERS;
         for (name, record) in &mut self.record.servers {
             let Some(server) = self.servers.get(name) else { continue };
--- a/components/process/group/src/orders.rs
+++ b/components/process/group/src/orders.rs
@@ -67,7 +67,11 @@
             .and_then(|committed| committed.permit.as_ref())
             .is_some_and(|permit| permit.covers_order(id));
         let written = committed.is_some_and(|committed| committed.orders.contains_key(&id));
-        let fenced_unload = record.checks_fencing && matches!(order.kind, OrderKind::Unload { .. });
+        // A number that is neither written nor set aside may be given out by a successor, too.
+        let set_aside = (self.unrecorded_from + 1..=self.next_unrecorded).contains(&id);
+        let fenced_unload = record.checks_fencing
+            && (written || set_aside)
+            && matches!(order.kind, OrderKind::Unload { .. });
         let allowed = if self.is_valid(now) {
             self.is_recovered() && (written || permitted)
         } else {
@@ -162,12 +166,16 @@
         if matches!(result, OrderResult::Accepted | OrderResult::Lost) {
             actions.push(Action::ReadReport { server: name.clone(), address });
         }
+        let recorded = self.record.servers.get(&name).and_then(|record| record.orders.get(&id));
+        // A late order from before a raised fencing number is refused, too.
+        let current =
+            recorded.map_or(id > self.unrecorded_from, |order| order.fencing == self.fencing());
         if let Some(restarted) = restarted {
             self.apply_recorded_result(now, &name, id, result, restarted);
         } else {
             self.apply_unrecorded_result(now, &name, id, result);
         }
-        if result == OrderResult::StaleFencing {
+        if result == OrderResult::StaleFencing && current {
             tracing::warn!("group: a backend server has seen a higher fencing number");
             self.lose_authority();
             actions.push(Action::Superseded);
@@ -205,13 +213,12 @@
         id: OrderId,
         result: OrderResult,
     ) {
-        let checks = self.record.servers.get(name).is_some_and(|record| record.checks_fencing);
         let until = now + self.cfg.order_timeout;
         let Some(server) = self.servers.get_mut(name) else { return };
         match result {
-            // The outcome ends the order at a server that ignores fencing numbers.
-            OrderResult::Accepted if !checks => {}
-            OrderResult::Lost => {}
+            // The outcome in a report ends the order; until then an adapter takes its place in
+            // the pool.
+            OrderResult::Accepted | OrderResult::Lost => {}
             _ => {
                 server.unrecorded.retain(|order| order.order != id);
                 return;
--- /dev/null
+++ b/components/process/group/tests/world/mod.rs
@@ -0,0 +1,553 @@
+//! Owners of two groups, their servers and the platform in virtual time.
+
+#[path = "../../../types/tests/fakes/platform.rs"]
+pub(crate) mod platform;
+pub(crate) mod server;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use group::{Action, Decision, DecisionObject, Group, OrderResult, PoolObject, Settings};
+use platform::FakePlatform;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use server::FakeServer;
+use types::object::{ObjectAnswer, decode};
+use types::prelude::*;
+
+pub(crate) const DECLARED: u32 = 3;
+const LEASE: Duration = Duration::from_secs(9);
+
+pub(crate) fn secs(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn is_recorded(kind: &OrderKind) -> bool {
+    matches!(kind, OrderKind::Load { .. } | OrderKind::Unload { .. } | OrderKind::SetRole { .. })
+}
+
+/// One instance's machine for one group.
+pub(crate) struct Owner {
+    pub(crate) machine: Group,
+    pub(crate) group: usize,
+    owns: bool,
+    renewed: Instant,
+    dead: bool,
+    paused_until: Instant,
+    platform_away: bool,
+    released: bool,
+}
+
+enum Event {
+    Deliver { owner: usize, server: usize, order: Order, incarnation: u64 },
+    Result { owner: usize, server: usize, order: OrderId, result: OrderResult },
+    Snapshot { owner: usize, server: usize, requested: Instant },
+    Report { owner: usize, requested: Instant, report: Box<ServerReport> },
+    Answer { owner: usize, call: u64, answer: ObjectAnswer },
+    Poll,
+}
+
+pub(crate) struct World {
+    pub(crate) start: Instant,
+    pub(crate) now: Instant,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) platform: FakePlatform,
+    pub(crate) servers: Vec<FakeServer>,
+    pub(crate) owners: Vec<Owner>,
+    events: BTreeMap<(Instant, u64), Event>,
+    next_event: u64,
+    fencing: [u64; 2],
+    /// Time until an order is sent after the check of the lease: part of all orders and bound.
+    pub(crate) late: (f64, Duration),
+    pub(crate) lost_results: f64,
+    /// Lets a late order reach a later incarnation of the server.
+    pub(crate) late_survives_restart: bool,
+    pub(crate) busy: bool,
+    sent: BTreeSet<(usize, OrderId)>,
+    written: BTreeSet<(usize, OrderId)>,
+    history_seen: usize,
+    pub(crate) loads_delivered: usize,
+}
+
+impl World {
+    /// Two instances for each of two groups; each group has servers of both kinds.
+    pub(crate) fn new(seed: u64) -> Self {
+        let start = Instant::now();
+        let servers = (0..2).flat_map(|g| {
+            [("checks", true), ("also", true), ("ignores", false)]
+                .map(|(name, checks)| FakeServer::new(&format!("{name}{g}"), g, checks))
+        });
+        let owners = (0..4).map(|n| Owner {
+            machine: Group::new(Settings::new(format!("g{}", n / 2), format!("i{n}"))),
+            group: n / 2,
+            owns: false,
+            renewed: start,
+            dead: false,
+            paused_until: start,
+            platform_away: false,
+            released: false,
+        });
+        let mut world = Self {
+            start,
+            now: start,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            platform: FakePlatform::new(),
+            servers: servers.collect(),
+            owners: owners.collect(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            fencing: [0; 2],
+            late: (0.0, Duration::ZERO),
+            lost_results: 0.0,
+            late_survives_restart: false,
+            busy: true,
+            sent: BTreeSet::new(),
+            written: BTreeSet::new(),
+            history_seen: 0,
+            loads_delivered: 0,
+        };
+        let model = |n: u32| Model {
+            version: "1".into(),
+            memory_bytes: 25 + u64::from(n) * 10,
+            accelerators: 1,
+            max_replicas: DECLARED,
+            adapter_slots: 2,
+            max_batch: 4,
+            load_time: LoadTime { memory: secs(1.0), disk: secs(2.0), remote: secs(4.0) },
+            adapters: BTreeSet::new(),
+        };
+        let models = (0..3).map(|n| (format!("m{n}").into(), model(n))).collect();
+        let catalogue = Arc::new(Catalogue { models, ..Default::default() });
+        for owner in &mut world.owners {
+            owner.machine.set_catalogue(1, catalogue.clone());
+            owner.machine.set_permit_models((0..3).map(|n| format!("m{n}").into()).collect());
+        }
+        world.push(start, Event::Poll);
+        world.gain(0);
+        world.gain(2);
+        world
+    }
+
+    /// A world in which nothing is decided but by the test.
+    pub(crate) fn idle(seed: u64) -> Self {
+        let mut world = Self::new(seed);
+        world.busy = false;
+        world.run_until(1.0);
+        world
+    }
+
+    /// Moves allowance from the pool to the group.
+    pub(crate) fn allot(&mut self, owner: usize, model: &str, count: u32) {
+        self.request(owner, model, count);
+        self.run_for(3.0);
+        let view = self.owners[owner].machine.view(self.now);
+        assert_eq!(view.allowance_left.get(model), Some(&count));
+    }
+
+    pub(crate) fn run_for(&mut self, seconds: f64) {
+        self.run_until((self.now - self.start).as_secs_f64() + seconds);
+    }
+
+    /// Lets the other instance take over wherever the owner cannot go on.
+    pub(crate) fn replace_failed_owners(&mut self) {
+        for group in 0..2 {
+            let owner = self.owner_of(group);
+            let it = &self.owners[owner];
+            if it.dead || it.platform_away || it.released || it.paused_until > self.now {
+                self.take_over(owner);
+            }
+        }
+    }
+
+    pub(crate) fn end_faults(&mut self) {
+        self.platform.faults.latency_ms = 2..8;
+        self.platform.faults.lost = 0.0;
+        self.late = (0.0, Duration::ZERO);
+        self.lost_results = 0.0;
+        for server in &mut self.servers {
+            server.loads_fail = false;
+            server.load_time = secs(2.0);
+        }
+    }
+
+    fn push(&mut self, at: Instant, event: Event) {
+        self.next_event += 1;
+        self.events.insert((at, self.next_event), event);
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + (self.now - self.start)
+    }
+
+    fn is_awake(&self, owner: usize) -> bool {
+        !self.owners[owner].dead && self.owners[owner].paused_until <= self.now
+    }
+
+    fn lease_end(&self, owner: usize) -> Instant {
+        self.owners[owner].renewed + LEASE
+    }
+
+    /// The instance gets the group. The caller makes sure that the other's lease has ended.
+    pub(crate) fn gain(&mut self, owner: usize) {
+        let group = self.owners[owner].group;
+        self.fencing[group] += 1;
+        for other in 0..self.owners.len() {
+            if other != owner && self.owners[other].group == group {
+                self.owners[other].owns = false;
+            }
+        }
+        let (now, until) = (self.now, self.now + LEASE);
+        let it = &mut self.owners[owner];
+        (it.owns, it.renewed, it.released) = (true, now, false);
+        let fencing = self.fencing[group];
+        let actions = self.owners[owner].machine.on_gained(now, fencing, until, &mut self.rng);
+        self.run_actions(owner, actions);
+    }
+
+    /// The other instance of the group takes over if the lease has ended; true if it did.
+    pub(crate) fn take_over(&mut self, owner: usize) -> bool {
+        let successor = owner ^ 1;
+        let ended = self.now >= self.lease_end(owner) + secs(1.0) || self.owners[owner].released;
+        let ended = ended && !self.owners[successor].platform_away;
+        if self.owners[owner].owns && ended && self.is_awake(successor) && !self.is_absent() {
+            self.gain(successor);
+            return true;
+        }
+        false
+    }
+
+    pub(crate) fn kill(&mut self, owner: usize) {
+        self.owners[owner].dead = true;
+    }
+
+    pub(crate) fn pause(&mut self, owner: usize, time: Duration) {
+        self.owners[owner].paused_until = self.now + time;
+    }
+
+    /// Cuts an instance off from the platform for good, but not from its servers.
+    pub(crate) fn cut_off(&mut self, owner: usize) {
+        self.owners[owner].platform_away = true;
+        self.platform.faults.cut_off.push((owner, self.now..self.now + secs(1e6)));
+    }
+
+    pub(crate) fn release(&mut self, owner: usize) {
+        let actions = self.owners[owner].machine.release(self.now, &mut self.rng);
+        self.run_actions(owner, actions);
+    }
+
+    fn is_absent(&self) -> bool {
+        self.platform.faults.absent.iter().any(|when| when.contains(&self.now))
+    }
+
+    pub(crate) fn owner_of(&self, group: usize) -> usize {
+        (0..4).find(|n| self.owners[*n].group == group && self.owners[*n].owns).expect("an owner")
+    }
+
+    pub(crate) fn decide(&mut self, owner: usize, decision: Decision) -> bool {
+        let (now, wall) = (self.now, self.wall());
+        match self.owners[owner].machine.decide(now, wall, decision, &mut self.rng) {
+            Ok(actions) => {
+                self.run_actions(owner, actions);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    pub(crate) fn load(&mut self, owner: usize, server: &str, model: &str) -> bool {
+        let source = LoadSource::Remote;
+        self.decide(owner, Decision::Load { server: server.into(), model: model.into(), source })
+    }
+
+    pub(crate) fn request(&mut self, owner: usize, model: &str, count: u32) {
+        let now = self.now;
+        let actions =
+            self.owners[owner].machine.request_allowance(now, model, count, &mut self.rng);
+        self.run_actions(owner, actions);
+    }
+
+    fn run_actions(&mut self, owner: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call { call, request } => {
+                    self.platform.submit(self.now, owner, call, request, &mut self.rng);
+                }
+                Action::SendOrder { server, order, .. } => self.send(owner, &server, order),
+                Action::ReadReport { server, .. } => {
+                    if let Some(server) = self.servers.iter().position(|s| s.name == server) {
+                        self.ask_report(owner, server);
+                    }
+                }
+                Action::RaiseFencing if self.owners[owner].owns => self.gain(owner),
+                Action::Released => self.owners[owner].released = true,
+                Action::RaiseFencing | Action::Superseded | Action::Publish => {}
+            }
+        }
+    }
+
+    fn send(&mut self, owner: usize, server: &str, order: Order) {
+        let group = self.owners[owner].group;
+        let Some(index) = self.servers.iter().position(|s| *s.name == *server) else { return };
+        assert!(self.sent.insert((group, order.order)), "order {} sent twice", order.order);
+        self.read_history();
+        let recorded = is_recorded(&order.kind);
+        let lapsed = self.now >= self.lease_end(owner);
+        let fenced_unload = lapsed && matches!(order.kind, OrderKind::Unload { .. });
+        if recorded && !(fenced_unload && self.servers[index].checks) {
+            let written = self.written.contains(&(group, order.order));
+            assert!(written, "order {order:?} was sent before it was recorded");
+        }
+        // Orders that reserve nothing are not recorded, so that a successor cannot count them.
+        let same = |event: &Event| match event {
+            Event::Deliver { server, order, incarnation, .. } => {
+                *server == index
+                    && *incarnation == self.servers[index].incarnation
+                    && is_recorded(&order.kind)
+            }
+            _ => false,
+        };
+        let undelivered = recorded && self.events.values().any(same);
+        let checks = self.servers[index].checks;
+        assert!(checks || !undelivered, "two outstanding orders at {server}");
+        let incarnation = self.servers[index].incarnation;
+        let late = self.late.0 > 0.0 && self.rng.random_bool(self.late.0);
+        let bound = if late { self.late.1 } else { secs(0.01) };
+        let at = self.now + bound.mul_f64(self.rng.random_range(0.1..1.0));
+        if at - self.now > secs(2.0) {
+            let result = OrderResult::Lost;
+            let lost = Event::Result { owner, server: index, order: order.order, result };
+            self.push(self.now + secs(2.0), lost);
+        }
+        self.push(at, Event::Deliver { owner, server: index, order, incarnation });
+    }
+
+    /// Order numbers that any value of a decision object allowed.
+    fn read_history(&mut self) {
+        for (_, key, value) in &self.platform.history[self.history_seen..] {
+            if key.kind != "decision" {
+                continue;
+            }
+            let object: DecisionObject = decode(value).expect("a decision object");
+            let group = usize::from(&*key.name != "g0");
+            for server in object.servers.values() {
+                self.written.extend(server.orders.keys().map(|id| (group, *id)));
+                if let Some(permit) = &server.permit {
+                    let loads = u64::from(permit.loads);
+                    assert!(server.checks_fencing || loads == 1);
+                    assert!(server.checks_fencing || server.orders.is_empty());
+                    self.written.extend((0..loads).map(|n| (group, permit.first_order + n)));
+                }
+            }
+        }
+        self.history_seen = self.platform.history.len();
+    }
+
+    fn ask_report(&mut self, owner: usize, server: usize) {
+        let delay = secs(self.rng.random_range(0.001..0.01));
+        self.push(self.now + delay, Event::Snapshot { owner, server, requested: self.now });
+    }
+
+    fn poll(&mut self) {
+        for owner in 0..self.owners.len() {
+            let group = self.owners[owner].group;
+            if !self.is_awake(owner) {
+                continue;
+            }
+            let it = &mut self.owners[owner];
+            let away = it.platform_away
+                || self.platform.faults.absent.iter().any(|w| w.contains(&self.now));
+            if it.owns && !away {
+                if self.now >= it.renewed + LEASE {
+                    // Like `ownership`: after a lapse the group is claimed again.
+                    self.gain(owner);
+                } else if !it.released {
+                    it.renewed = self.now;
+                    it.machine.set_lease(self.now + LEASE);
+                }
+            }
+            for server in 0..self.servers.len() {
+                if self.servers[server].group == group {
+                    self.ask_report(owner, server);
+                }
+            }
+            let listed = self.servers.iter().filter(|s| s.alive).map(|s| ListedInstance {
+                name: s.name.clone(),
+                role: ListedRole::Engine,
+                data_centre: "dc".into(),
+                group: format!("g{}", s.group).into(),
+                address: "127.0.0.1:1".into(),
+                state: ListedState::Live,
+                checks_fencing: s.checks,
+            });
+            let listed: Vec<_> = listed.collect();
+            let (now, wall) = (self.now, self.wall());
+            let machine = &mut self.owners[owner].machine;
+            let actions = machine.on_server_list(now, wall, &listed, &mut self.rng);
+            self.run_actions(owner, actions);
+            if self.busy {
+                self.act(owner);
+            }
+        }
+    }
+
+    /// A random policy.
+    fn act(&mut self, owner: usize) {
+        let group = self.owners[owner].group;
+        let model: ModelId = format!("m{}", self.rng.random_range(0..3)).into();
+        let names = ["checks", "also", "ignores"];
+        let server = format!("{}{group}", names[self.rng.random_range(0..3)]);
+        let view = self.owners[owner].machine.view(self.now);
+        let replicas = view.servers.values().flat_map(|s| s.replicas.keys().copied());
+        let replicas: Vec<ReplicaId> = replicas.collect();
+        let replica =
+            (!replicas.is_empty()).then(|| replicas[self.rng.random_range(0..replicas.len())]);
+        let now = self.now;
+        match (self.rng.random_range(0..10), replica) {
+            (0..4, _) => {
+                if !self.load(owner, &server, &model) {
+                    self.request(owner, &model, 1);
+                }
+            }
+            (4..6, Some(replica)) => {
+                self.decide(owner, Decision::Unload { replica });
+            }
+            (6..8, Some(replica)) => {
+                let adapter: AdapterId = format!("a{}", self.rng.random_range(0..3)).into();
+                self.decide(owner, Decision::LoadAdapter { replica, adapter, evict: None });
+            }
+            (8, _) => {
+                let role = ServerRole::Prefill;
+                self.decide(owner, Decision::SetRole { server: server.into(), role });
+            }
+            _ => {
+                let machine = &mut self.owners[owner].machine;
+                let actions = machine.return_allowance(now, &model, 1, &mut self.rng);
+                self.run_actions(owner, actions);
+            }
+        }
+    }
+
+    pub(crate) fn run_until(&mut self, seconds: f64) {
+        let end = self.start + secs(seconds);
+        while self.now < end {
+            let timers = (0..self.owners.len()).filter(|n| !self.owners[*n].dead).filter_map(|n| {
+                let at = self.owners[n].machine.next_timer()?;
+                Some(at.max(self.owners[n].paused_until))
+            });
+            let events = self.events.keys().next().map(|(at, _)| *at);
+            let next = timers.chain(events).chain(self.platform.next()).min().unwrap_or(end);
+            self.now = next.max(self.now).min(end);
+            for (owner, call, answer) in self.platform.step(self.now) {
+                self.push(self.now, Event::Answer { owner, call, answer });
+            }
+            while let Some(entry) = self.events.first_entry().filter(|e| e.key().0 <= self.now) {
+                let event = entry.remove();
+                self.handle(event);
+            }
+            for owner in 0..self.owners.len() {
+                let due = self.owners[owner].machine.next_timer().is_some_and(|at| at <= self.now);
+                if due && self.is_awake(owner) {
+                    let actions = self.owners[owner].machine.on_timer(self.now, &mut self.rng);
+                    self.run_actions(owner, actions);
+                }
+            }
+            self.check();
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (now, wall) = (self.now, self.wall());
+        match event {
+            Event::Poll => {
+                self.push(now + secs(0.25), Event::Poll);
+                self.poll();
+            }
+            Event::Deliver { owner, server, order, incarnation } => {
+                let it = &mut self.servers[server];
+                let same = it.incarnation == incarnation || self.late_survives_restart;
+                let result = match it.alive && same {
+                    true => it.deliver(now, &order),
+                    false => OrderResult::Lost,
+                };
+                let load = matches!(order.kind, OrderKind::Load { .. });
+                self.loads_delivered += usize::from(load && result == OrderResult::Accepted);
+                let lost = self.lost_results > 0.0 && self.rng.random_bool(self.lost_results);
+                let result = if lost { OrderResult::Lost } else { result };
+                self.push(
+                    now + secs(0.002),
+                    Event::Result { owner, server, order: order.order, result },
+                );
+            }
+            Event::Snapshot { owner, server, requested } if self.servers[server].alive => {
+                let report = Box::new(self.servers[server].report(now));
+                self.push(now + secs(0.003), Event::Report { owner, requested, report });
+            }
+            Event::Snapshot { .. } => {}
+            Event::Result { owner, .. }
+            | Event::Report { owner, .. }
+            | Event::Answer { owner, .. }
+                if !self.is_awake(owner) =>
+            {
+                if !self.owners[owner].dead {
+                    self.push(self.owners[owner].paused_until, event);
+                }
+            }
+            Event::Result { owner, server, order, result } => {
+                let name = self.servers[server].name.clone();
+                let machine = &mut self.owners[owner].machine;
+                let actions = machine.on_order_result(now, &name, order, result, &mut self.rng);
+                self.run_actions(owner, actions);
+            }
+            Event::Report { owner, requested, report } => {
+                let machine = &mut self.owners[owner].machine;
+                let actions = machine.on_report(now, wall, requested, &report, &mut self.rng);
+                self.run_actions(owner, actions);
+            }
+            Event::Answer { owner, call, answer } => {
+                let machine = &mut self.owners[owner].machine;
+                let actions = machine.on_answer(now, call, answer, &mut self.rng);
+                self.run_actions(owner, actions);
+            }
+        }
+    }
+
+    /// Replicas of a model on all servers, as the servers count them.
+    pub(crate) fn loaded(&self, model: &str) -> usize {
+        let servers = self.servers.iter().filter(|server| server.alive);
+        servers.flat_map(|s| s.loaded.values()).filter(|loaded| &*loaded.model == model).count()
+    }
+
+    fn check(&mut self) {
+        for server in &mut self.servers {
+            server.advance(self.now);
+        }
+        for model in ["m0", "m1", "m2"] {
+            let loaded = self.loaded(model);
+            assert!(loaded <= DECLARED as usize, "{loaded} replicas of {model}");
+        }
+    }
+
+    /// Allowances in all objects, each transfer counted once.
+    pub(crate) fn allowances(&self, model: &str) -> i64 {
+        let mut sum = 0;
+        let mut transfers = BTreeMap::new();
+        let mut received = BTreeSet::new();
+        for (key, (_, value)) in &self.platform.objects {
+            if key.kind == "pool" && &*key.name == model {
+                let pool: PoolObject = decode(value).expect("a pool");
+                sum += pool.free;
+                transfers.extend(pool.transfers.iter().map(|t| (t.nonce, i64::from(t.count))));
+                received.extend(pool.receipts.iter().map(|receipt| receipt.nonce));
+            } else if key.kind == "decision" {
+                let object: DecisionObject = decode(value).expect("a decision object");
+                sum += object.allowances.get(model).copied().map_or(0, i64::from);
+                let own = object.transfers.iter().filter(|t| &*t.model == model);
+                transfers.extend(own.map(|t| (t.nonce, i64::from(t.count))));
+                received.extend(object.receipts.iter().map(|receipt| receipt.nonce));
+            }
+        }
+        transfers.retain(|nonce, _| !received.contains(nonce));
+        sum + transfers.values().sum::<i64>()
+    }
+}
--- a/components/process/ownership/tests/ownership.rs
+++ b/components/process/ownership/tests/ownership.rs
@@ -230,8 +230,14 @@
     }
 }
 
+/// A part of `PROPTEST_CASES`, as one case simulates minutes of several instances.
+fn cases() -> ProptestConfig {
+    let default = ProptestConfig::default();
+    ProptestConfig { cases: default.cases / 3, failure_persistence: None, ..default }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(cases())]
 
     /// Guards against two owners at one time, a fencing number that is used twice, and groups that
     /// stay without an owner, under every pair of faults.
