Add the command apply

Cause: operators put a directory into effect as a new version and want to know where it is in effect. Texts of differences use the keys of the files.

--- a/components/version/contracts/src/diff.rs
+++ b/components/version/contracts/src/diff.rs
@@ -148,21 +148,30 @@
 
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = file_path(&self.path);
+        let text = |value| readable(&self.path, value);
         match (&self.old, &self.new) {
-            (Some(old), Some(new)) => write!(
-                f,
-                "~ {}: {} -> {}",
-                self.path,
-                readable(&self.path, old),
-                readable(&self.path, new)
-            ),
-            (None, Some(new)) => write!(f, "+ {}: {}", self.path, readable(&self.path, new)),
-            (Some(old), None) => write!(f, "- {}: {}", self.path, readable(&self.path, old)),
-            (None, None) => write!(f, "  {}", self.path),
+            (Some(old), Some(new)) => write!(f, "~ {path}: {} -> {}", text(old), text(new)),
+            (None, Some(new)) => write!(f, "+ {path}: {}", text(new)),
+            (Some(old), None) => write!(f, "- {path}: {}", text(old)),
+            (None, None) => f.write_str(&path),
         }
     }
 }
 
+/// The path with the keys of the files, which carry units in their values.
+fn file_path(path: &str) -> String {
+    let (parents, key) = path.rsplit_once('.').map_or(("", path), |(parents, key)| (parents, key));
+    let key = match key {
+        "key_hashes" => "keys",
+        "memory_bytes" => "memory",
+        "worth_milli" => "worth",
+        "idle_second_cost_milli" => "idle_second_cost",
+        key => key,
+    };
+    if parents.is_empty() { key.into() } else { format!("{parents}.{key}") }
+}
+
 /// Writes a value as the files do.
 fn readable(path: &str, value: &Value) -> String {
     let key = path.rsplit('.').next().unwrap_or_default();
@@ -173,7 +182,8 @@
             humantime::format_duration(Duration::new(secs, nanos)).to_string()
         }
         Value::Object(o) => {
-            let parts: Vec<_> = o.iter().map(|(k, v)| format!("{k} {}", readable(k, v))).collect();
+            let parts: Vec<_> =
+                o.iter().map(|(k, v)| format!("{} {}", file_path(k), readable(k, v))).collect();
             parts.join(", ")
         }
         Value::Array(a) => {
--- a/components/version/contracts/src/diff_tests.rs
+++ b/components/version/contracts/src/diff_tests.rs
@@ -35,12 +35,12 @@
     let mut lines = text.lines().map(|l| l.split(" (").next().unwrap());
     let expected = [
         "~ catalogue",
-        "    ~ models.tally.memory_bytes: 40GiB -> 48GiB",
+        "    ~ models.tally.memory: 40GiB -> 48GiB",
         "~ contract a",
         "    ~ capacity_share: 60% -> 55.5%",
-        "    + classes.batch: completion 20s, first_token 2s, objective 95%, priority 10, worth_milli 1.500",
+        "    + classes.batch: completion 20s, first_token 2s, objective 95%, priority 10, worth 1.500",
         "    ~ classes.interactive.first_token: 1s 500ms -> 2s",
-        "    ~ classes.interactive.worth_milli: 0.250 -> 1.500",
+        "    ~ classes.interactive.worth: 0.250 -> 1.500",
         "    - models: tally",
         "    + models: quote",
         "- contract b",
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -13,6 +13,7 @@
         .arg_required_else_help(true)
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
+        .subcommand(cmd::apply::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::report::command())
         .subcommand(cmd::stand_in::command())
--- /dev/null
+++ b/src/cmd/apply/mod.rs
@@ -0,0 +1,113 @@
+//! `apply`: puts a directory into effect.
+
+mod outcome;
+mod wait;
+
+use std::collections::VecDeque;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use configuration::{Applied, Apply, ApplyAction, Proposal};
+use platform::Call;
+use types::ids::ConfigurationVersion;
+
+use crate::accepted::Platform;
+use crate::args;
+use crate::cmd;
+use crate::failure::Failure;
+use outcome::Outcome;
+
+/// Time after which `--wait` gives up: several times the 4 s within which a version takes effect.
+const DEFAULT_WAIT: &str = "30s";
+
+/// Time for writing the new version.
+const APPLY_TIME: Duration = Duration::from_secs(20);
+
+/// Time for one platform call; lost answers are then resolved by another one.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
+/// Describes the command.
+pub(crate) fn command() -> Command {
+    Command::new("apply")
+        .about("Checks a directory and puts it into effect as a new configuration version")
+        .arg(args::path_arg("DIR", "A directory of contracts and the catalogue"))
+        .arg(
+            Arg::new("based-on")
+                .long("based-on")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Version that the directory is based on; any other accepted version is a conflict"),
+        )
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Wait until the version is in effect everywhere, and list the instances that are behind"),
+        )
+        .arg(
+            Arg::new("timeout")
+                .long("timeout")
+                .value_name("DURATION")
+                .default_value(DEFAULT_WAIT)
+                .value_parser(|text: &str| humantime::parse_duration(text))
+                .help("Longest time to wait"),
+        )
+        .arg(args::platform_arg())
+        .arg(args::platform_timeout_arg())
+        .arg(args::operators_arg())
+        .arg(args::format_arg(&["text", "json"]))
+}
+
+/// Runs the command. Mistakes in the directory are found before anything is sent.
+pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, Failure> {
+    let proposed = contracts::read_directory(&args::path(matches))?;
+    let based_on = matches.get_one::<ConfigurationVersion>("based-on").copied();
+    let timeout = matches.get_one::<Duration>("timeout").copied().unwrap_or_default();
+    let operators = args::operators(matches);
+    let outcome = cmd::block_on(async {
+        let platform = args::platform(matches);
+        let accepted = platform.accepted().await?;
+        let proposal = Proposal {
+            contracts: proposed.contracts.clone(),
+            catalogue: proposed.catalogue.clone(),
+            // Without the option, what `diff` shows must still be what is replaced.
+            based_on: Some(based_on.unwrap_or(accepted.version)),
+        };
+        let applied = drive(&platform, proposal).await;
+        let mut outcome = Outcome::new(applied, &accepted, &proposed, &platform).await;
+        if let (true, Some(version)) = (matches.get_flag("wait"), outcome.version()) {
+            let platform = args::platform(matches);
+            let deadline = Instant::now() + timeout;
+            outcome.waited =
+                Some(wait::until_in_effect(version, &operators, &platform, deadline).await);
+        }
+        Ok::<_, Failure>(outcome)
+    })??;
+    match args::format(matches) {
+        args::Format::Json => cmd::print_json(&outcome.to_json())?,
+        _ => cmd::print(outcome.to_string())?,
+    }
+    Ok(cmd::exit_code(outcome.is_success()))
+}
+
+/// Puts a proposal into effect: executes the actions of [`Apply`] until it is done.
+pub(crate) async fn drive(platform: &Platform, proposal: Proposal) -> Applied {
+    let mut rng = rand::rng();
+    let mut apply = Apply::new(proposal, Instant::now() + APPLY_TIME);
+    let mut actions = VecDeque::from(apply.start());
+    loop {
+        match actions.pop_front() {
+            Some(ApplyAction::Done(applied)) => return applied,
+            Some(ApplyAction::Call { call, request }) => {
+                let limits = Call::by(Instant::now() + CALL_TIME);
+                let answer = platform.client.call(&request, limits).await;
+                actions.extend(apply.on_answer(Instant::now(), call, answer, &mut rng));
+            }
+            None => {
+                tokio::time::sleep_until(apply.next_timer().into()).await;
+                actions.extend(apply.on_timer(Instant::now()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/apply/outcome.rs
@@ -0,0 +1,151 @@
+//! How `apply` ended, as text and JSON.
+
+use std::fmt;
+
+use configuration::{Applied, Change, Conflict};
+use contracts::{Diff, diff};
+use serde_json::{Value, json};
+use types::contract::Configuration;
+use types::ids::ConfigurationVersion;
+
+use super::wait::Waited;
+use crate::accepted::Platform;
+
+/// How `apply` ended.
+pub(super) struct Outcome {
+    applied: Applied,
+    /// The change that was proposed.
+    ours: Diff,
+    /// The change that was accepted instead, if its values could be read.
+    theirs: Option<Diff>,
+    /// Where the version is in effect; `None` if that was not asked for.
+    pub(super) waited: Option<Waited>,
+}
+
+impl Outcome {
+    /// Collects what an operator needs to know. After a conflict the other change is read too.
+    pub(super) async fn new(
+        applied: Applied,
+        before: &Configuration,
+        proposed: &Configuration,
+        platform: &Platform,
+    ) -> Self {
+        let theirs = match &applied {
+            Applied::Conflict(conflict) if conflict.base == before.version => {
+                platform.accepted().await.ok().map(|now| diff(before, &now))
+            }
+            _ => None,
+        };
+        Self { applied, ours: diff(before, proposed), theirs, waited: None }
+    }
+
+    /// The version that holds the proposal; `None` if none does.
+    pub(super) fn version(&self) -> Option<ConfigurationVersion> {
+        match self.applied {
+            Applied::Accepted { version } | Applied::Unchanged { version } => Some(version),
+            _ => None,
+        }
+    }
+
+    /// Whether the proposal is accepted and, if that was asked for, in effect everywhere.
+    pub(super) fn is_success(&self) -> bool {
+        self.version().is_some() && self.waited.as_ref().is_none_or(|w| w.behind.is_empty())
+    }
+
+    /// The outcome as JSON.
+    pub(super) fn to_json(&self) -> Value {
+        let mut json = match &self.applied {
+            Applied::Accepted { version } => json!({ "outcome": "accepted", "version": version }),
+            Applied::Unchanged { version } => json!({ "outcome": "unchanged", "version": version }),
+            Applied::Conflict(conflict) => json!({
+                "outcome": "conflict",
+                "based_on": conflict.base,
+                "accepted_version": conflict.accepted,
+                "theirs": self.theirs.as_ref().map(|diff| &diff.objects),
+                "their_objects": conflict.theirs.keys().collect::<Vec<_>>(),
+            }),
+            Applied::NotApplied => json!({ "outcome": "not_applied" }),
+            Applied::Unknown { nonce } => json!({ "outcome": "unknown", "nonce": nonce }),
+        };
+        json["changes"] = json!(self.ours.objects);
+        if let Some(waited) = &self.waited {
+            json["in_effect"] = json!(waited.in_effect);
+            json["behind"] = json!(waited.behind);
+        }
+        json
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.applied {
+            Applied::Accepted { version } => {
+                write!(f, "accepted as version {version}:\n{}", self.ours)?
+            }
+            Applied::Unchanged { version } => {
+                writeln!(f, "version {version} has the same content; nothing was written")?;
+            }
+            Applied::Conflict(conflict) => self.write_conflict(f, conflict)?,
+            Applied::NotApplied => {
+                writeln!(
+                    f,
+                    "not applied: the platform did not answer in time; nothing was written"
+                )?;
+            }
+            Applied::Unknown { nonce } => writeln!(
+                f,
+                "unknown: the platform did not answer after the write was sent (nonce {nonce}); \
+                 once it answers, `diff` without differences means that the change was accepted"
+            )?,
+        }
+        self.waited.as_ref().map_or(Ok(()), |waited| write_waited(f, waited))
+    }
+}
+
+impl Outcome {
+    fn write_conflict(&self, f: &mut fmt::Formatter<'_>, conflict: &Conflict) -> fmt::Result {
+        let (base, accepted) = (conflict.base, conflict.accepted);
+        writeln!(
+            f,
+            "conflict: the change is based on version {base}, but version {accepted} is accepted"
+        )?;
+        writeln!(f, "nothing of the change is in effect")?;
+        match &self.theirs {
+            Some(diff) => {
+                write!(f, "accepted since version {base}:\n{diff}refused:\n{}", self.ours)
+            }
+            // The platform keeps the present head only.
+            None if conflict.theirs.is_empty() => write!(
+                f,
+                "the content of version {base} is not known any more; \
+                 your directory against version {accepted}:\n{}",
+                self.ours
+            ),
+            None => {
+                writeln!(f, "accepted since version {base}:")?;
+                conflict
+                    .theirs
+                    .iter()
+                    .try_for_each(|(object, change)| write_change(f, object, change))?;
+                write!(f, "refused:\n{}", self.ours)
+            }
+        }
+    }
+}
+
+fn write_change(f: &mut fmt::Formatter<'_>, object: &str, change: &Change) -> fmt::Result {
+    match change {
+        Change::Added(hash) => writeln!(f, "+ {object} ({})", short(hash)),
+        Change::Changed(hash) => writeln!(f, "~ {object} ({})", short(hash)),
+        Change::Removed => writeln!(f, "- {object}"),
+    }
+}
+
+fn write_waited(f: &mut fmt::Formatter<'_>, waited: &Waited) -> fmt::Result {
+    writeln!(f, "instances with the version in effect: {}", waited.in_effect.len())?;
+    waited.behind.iter().try_for_each(|behind| writeln!(f, "behind: {behind}"))
+}
+
+fn short(hash: &str) -> &str {
+    hash.get(..8).unwrap_or(hash)
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! One module per command.
 
+pub(crate) mod apply;
 pub(crate) mod check;
 pub(crate) mod diff;
 pub(crate) mod report;
@@ -19,6 +20,7 @@
     let result = match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
         Some(("diff", matches)) => diff::run(matches),
+        Some(("apply", matches)) => apply::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
         Some(("stand-in", matches)) => return stand_in::run(matches),
