--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,6 +15,7 @@
         .subcommand(cmd::demo::command())
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
+        .subcommand(cmd::apply::command())
         .subcommand(cmd::status::command())
         .subcommand(cmd::report::command())
         .subcommand(cmd::stand_in::command())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! One module per command.
 
+pub(crate) mod apply;
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod diff;
@@ -23,6 +24,7 @@
         Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("diff", matches)) => diff::run(matches),
+        Some(("apply", matches)) => apply::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
         Some(("stand-in", matches)) => return stand_in::run(matches),
