--- a/components/process/membership/src/lib.rs
+++ b/components/process/membership/src/lib.rs
@@ -7,6 +7,8 @@
 mod membership;
 mod message;
 mod settings;
+mod summaries;
+mod table;
 
 pub use membership::Membership;
 pub use message::{Action, Heartbeat, MemberState, Rumour, Summary, SummaryBody};
