--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -44,6 +44,11 @@
                     self.broadcast(&PeerMessage::Announcement(announcement));
                 }
                 ownership::Action::SendHandover { to, handover } => {
+                    if handover.group == limits_group(&self.cx.data_centre)
+                        && let Some(state) = self.shares.to_hand_over.take()
+                    {
+                        self.send(&to, PeerMessage::ShareState(state));
+                    }
                     self.send(&to, PeerMessage::Handover(handover));
                 }
             }
@@ -153,6 +158,8 @@
     pub(crate) fn on_list(&mut self, list: Option<Vec<ListedInstance>>, now: Instant) {
         let Some(list) = list else { return };
         let own = self.cx.data_centre.clone();
+        let is_own = |l: &&ListedInstance| l.role == ListedRole::Entry && l.data_centre == own;
+        self.shares.set_listed(list.iter().filter(is_own).map(|l| l.name.clone()).collect());
         let actions = self.membership.on_list(now, &list);
         self.directory.update(list, &own);
         self.requests.router.platform_list(&self.directory.routable(&own));
@@ -278,7 +285,7 @@
         if let Some(range) = key_range(group) {
             self.keys.lost(range);
         } else if *group == limits_group(&self.cx.data_centre) {
-            self.shares.lost();
+            self.shares.lapsed();
         } else if let Some(owned) = self.groups.get_mut(group) {
             owned.group.on_lapsed(now);
         }
@@ -304,6 +311,9 @@
                 owned.act(actions, now);
             });
         } else {
+            if group == limits_group(&self.cx.data_centre) {
+                self.shares.to_hand_over = self.shares.hand_over(now);
+            }
             self.released(&group, now);
         }
     }
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use admission::shares::{ShareGrant, ShareRequest};
+use admission::shares::{HolderState, ShareGrant, ShareRequest};
 use configuration::ConfigurationMessage;
 use idempotency::{Answer, ClaimId, EntryState, Fingerprint, KeyHash};
 use membership::{Heartbeat, Summary};
@@ -46,6 +46,8 @@
     Claim(ClaimMessage),
     /// Tells how a granted call ended; answered by `Taken` or `NotOwner`.
     Finish(FinishMessage),
+    /// Grants of a holder of the limits that stops as planned, to its successor.
+    ShareState(HolderState),
     /// Asks for a part of the limits; answered by `PeerReply::Share`.
     Share(ShareRequest),
 }
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -319,6 +319,10 @@
             placement::Decision::Load { server, model, source } => {
                 Decision::Load { server, model, source }
             }
+            // What is unloaded while the platform is away can perhaps not be loaded again.
+            placement::Decision::Unload { .. } if !self.group.view(now).writable => {
+                return self.reject(decision, now, rng);
+            }
             placement::Decision::Unload { replica, .. } => Decision::Unload { replica },
             placement::Decision::Prefetch { server, model, .. } => {
                 Decision::Prefetch { server, model }
@@ -339,13 +343,18 @@
             }
             Err(refused) => {
                 tracing::debug!("placement: {} refused: {refused}", describe(&decision));
-                let event = Event::Rejected(decision);
-                let view = self.placement_view(now);
-                self.placement.handle(&event, &view, now, rng, &mut Vec::new());
+                self.reject(decision, now, rng);
             }
         }
     }
 
+    /// Tells placement that a decision was not carried out.
+    fn reject(&mut self, decision: placement::Decision, now: Instant, rng: &mut impl Rng) {
+        let event = Event::Rejected(decision);
+        let view = self.placement_view(now);
+        self.placement.handle(&event, &view, now, rng, &mut Vec::new());
+    }
+
     fn replica_ids(&self, now: Instant) -> BTreeSet<ReplicaId> {
         let view = self.group.view(now);
         view.servers.values().flat_map(|s| s.replicas.keys().copied()).collect()
--- a/components/process/instance/src/peers.rs
+++ b/components/process/instance/src/peers.rs
@@ -30,7 +30,10 @@
                 true => PeerReply::Taken,
                 false => PeerReply::NotOwner,
             },
-            PeerMessage::Share(request) => PeerReply::Share(self.shares.grant(&request, now)),
+            PeerMessage::Share(request) => {
+                let is_away = self.cx.platform.is_failing();
+                PeerReply::Share(self.shares.grant(&request, is_away, now))
+            }
             other => {
                 self.on_one_way(&from, other, now);
                 PeerReply::Taken
@@ -71,6 +74,7 @@
             PeerMessage::CacheEvents { replica, events } => {
                 self.requests.router.cache_events(&replica, &events);
             }
+            PeerMessage::ShareState(state) => self.shares.on_handed_over(state),
             PeerMessage::Arrivals(counts) => self.on_arrival_counts(counts, now),
             PeerMessage::Claim(_)
             | PeerMessage::Finish(_)
--- a/components/process/instance/src/periodic.rs
+++ b/components/process/instance/src/periodic.rs
@@ -28,7 +28,8 @@
             return;
         };
         if owner == self.cx.instance {
-            let grant = self.shares.grant(&request, now);
+            let is_away = self.cx.platform.is_failing();
+            let grant = self.shares.grant(&request, is_away, now);
             return self.on_event(Event::Share(grant), now);
         }
         let Some(address) = self.address_of(&owner) else { return };
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -2,7 +2,9 @@
 //! `limits/DATA_CENTRE`.
 
 use admission::LocalLimits;
-use admission::shares::{Grantee, Holder, Holding, ShareGrant, ShareRequest, StandingShare};
+use admission::shares::{
+    Grantee, Holder, HolderState, Holding, ShareGrant, ShareRequest, StandingShare,
+};
 use front::Arrival;
 use platform::{Call, Client, WriteOutcome};
 use serde::{Deserialize, Serialize};
@@ -61,6 +63,12 @@
     /// Until when each customer counts as active.
     active: HashMap<CustomerId, Instant>,
     waiting: Vec<Held>,
+    /// Instances of the data centre in the platform's list.
+    listed: BTreeSet<InstanceId>,
+    /// State of a predecessor that stops as planned.
+    handed_over: Option<HolderState>,
+    /// State that this instance hands over.
+    pub(crate) to_hand_over: Option<HolderState>,
     /// Customers for which admission has limits.
     limited: HashSet<CustomerId>,
 }
@@ -78,6 +86,9 @@
             in_flight: None,
             active: HashMap::new(),
             waiting: Vec::new(),
+            listed: BTreeSet::new(),
+            handed_over: None,
+            to_hand_over: None,
             limited: HashSet::new(),
         }
     }
@@ -106,15 +117,56 @@
         if self.held_under != Some(fencing) {
             return;
         }
-        match holding {
-            Some(holding) => self.holder = Some(Holder::new(fencing, holding, now)),
-            None => self.read_at = now + RETRY_INTERVAL,
+        // Only the state of the direct predecessor names all grants.
+        let state = self.handed_over.take().filter(|state| state.fencing + 1 == fencing);
+        match (holding, state) {
+            (Some(holding), Some(state)) => {
+                self.holder = Some(Holder::succeed(fencing, holding, state, now));
+            }
+            (Some(holding), None) => {
+                let mut holder = Holder::new(fencing, holding, now);
+                holder.set_listed(self.listed.clone());
+                self.holder = Some(holder);
+            }
+            (None, _) => self.read_at = now + RETRY_INTERVAL,
+        }
+    }
+
+    /// Answers a request. While the platform is away, grants last longer.
+    pub(crate) fn grant(
+        &mut self,
+        request: &ShareRequest,
+        platform_is_away: bool,
+        now: Instant,
+    ) -> Option<ShareGrant> {
+        let holder = self.holder.as_mut()?;
+        holder.set_outage(platform_is_away);
+        holder.grant(request, now)
+    }
+
+    /// The lease lapsed: another holder may exist.
+    pub(crate) fn lapsed(&mut self) {
+        if let Some(holder) = &mut self.holder {
+            holder.lapse();
         }
     }
 
-    /// Answers another instance's request.
-    pub(crate) fn grant(&mut self, request: &ShareRequest, now: Instant) -> Option<ShareGrant> {
-        self.holder.as_mut()?.grant(request, now)
+    /// Takes the instances of the data centre in the platform's list.
+    pub(crate) fn set_listed(&mut self, listed: BTreeSet<InstanceId>) {
+        if let Some(holder) = &mut self.holder {
+            holder.set_listed(listed.clone());
+        }
+        self.listed = listed;
+    }
+
+    /// Ends the grants at a planned stop; the state goes to the successor.
+    pub(crate) fn hand_over(&mut self, now: Instant) -> Option<HolderState> {
+        self.holder.take().map(|holder| holder.hand_over(now))
+    }
+
+    /// Takes the state of a predecessor that stops as planned.
+    pub(crate) fn on_handed_over(&mut self, state: HolderState) {
+        self.handed_over = Some(state);
     }
 
     /// Applies a grant, or notes that there was none.
--- a/components/process/telemetry/src/log.rs
+++ b/components/process/telemetry/src/log.rs
@@ -5,6 +5,9 @@
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::filter::ParseError;
 
+/// Libraries log each frame of a connection at `debug`; that hides what the components say.
+const LIBRARIES: &str = "h2=warn,hyper=warn,hyper_util=warn,tonic=warn,tower=warn";
+
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogFormat {
@@ -17,7 +20,7 @@
 
 /// Writes logs of `level` and above to standard error. Does nothing if a log is already set up.
 pub fn init_log(level: &str, format: LogFormat) -> Result<(), ParseError> {
-    let filter = EnvFilter::try_new(level)?;
+    let filter = EnvFilter::try_new(format!("{level},{LIBRARIES}"))?;
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
--- a/components/request/admission/src/shares.rs
+++ b/components/request/admission/src/shares.rs
@@ -6,12 +6,16 @@
 //! and a changed limit needs no change of shares.
 
 mod grantee;
+mod hand_over;
 mod holder;
 mod parts;
 mod standing;
 mod wants;
 
 pub use grantee::Grantee;
-pub use holder::{GRANT_MARGIN, GRANT_TERM, Holder, RENEW_INTERVAL, ShareGrant, ShareRequest};
+pub use hand_over::{HolderState, PartsInUse};
+pub use holder::{
+    GRANT_MARGIN, GRANT_TERM, Holder, OUTAGE_TERM, RENEW_INTERVAL, ShareGrant, ShareRequest,
+};
 pub use parts::{Parts, WHOLE};
 pub use standing::{Holding, StandingShare, Transfer};
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -12,6 +12,9 @@
 pub const GRANT_TERM: Duration = Duration::from_secs(20);
 /// Time by which the holder waits longer than the grantee uses a grant.
 pub const GRANT_MARGIN: Duration = Duration::from_secs(2);
+/// Validity of a grant given while the platform is away. Nobody can take over then, so that the
+/// death of the holder would otherwise end the service of its data centre after `GRANT_TERM`.
+pub const OUTAGE_TERM: Duration = Duration::from_secs(4 * 3600);
 /// Interval at which a grantee asks again.
 pub const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -64,35 +67,44 @@
 /// retired (no longer granted, but perhaps still in use by an instance that missed the change).
 #[derive(Debug)]
 pub struct Holder {
-    fencing: FencingNumber,
+    pub(super) fencing: FencingNumber,
     holding: Holding,
     withheld: Holding,
-    grants: BTreeMap<InstanceId, Grant>,
+    pub(super) grants: BTreeMap<InstanceId, Grant>,
     /// What the instances in `grants` want.
     wants: Wants,
-    retired: Vec<Retired>,
+    pub(super) retired: Vec<Retired>,
     serial: u64,
-    /// Grants of the predecessor may be in use until then.
-    predecessor_until: Instant,
+    /// Ordinary grants of the predecessor may be in use until then.
+    pub(super) predecessor_until: Instant,
+    /// Grants that the predecessor gave while the platform was away may be in use until then, by
+    /// listed instances that have not asked this holder.
+    pub(super) outage_until: Instant,
+    /// Instances in the platform's list; `None` before it is known.
+    listed: Option<BTreeSet<InstanceId>>,
+    /// Instances that have asked this holder, and so told what they hold.
+    asked: BTreeSet<InstanceId>,
+    is_outage: bool,
+    is_lapsed: bool,
 }
 
 #[derive(Debug)]
-struct Grant {
-    incarnation: Incarnation,
-    serial: u64,
-    parts: BTreeMap<CustomerId, Parts>,
-    wanted: BTreeMap<CustomerId, u64>,
-    ends_at: Instant,
+pub(super) struct Grant {
+    pub(super) incarnation: Incarnation,
+    pub(super) serial: u64,
+    pub(super) parts: BTreeMap<CustomerId, Parts>,
+    pub(super) wanted: BTreeMap<CustomerId, u64>,
+    pub(super) ends_at: Instant,
 }
 
 #[derive(Debug)]
-struct Retired {
-    instance: InstanceId,
-    incarnation: Incarnation,
+pub(super) struct Retired {
+    pub(super) instance: InstanceId,
+    pub(super) incarnation: Incarnation,
     /// Serial number of the grant that took the parts away.
-    replaced_by: u64,
-    parts: BTreeMap<CustomerId, Parts>,
-    until: Instant,
+    pub(super) replaced_by: u64,
+    pub(super) parts: BTreeMap<CustomerId, Parts>,
+    pub(super) until: Instant,
 }
 
 impl Holder {
@@ -109,9 +121,49 @@
             retired: Vec::new(),
             serial: 0,
             predecessor_until: now + wait,
+            outage_until: now + if fencing <= 1 { wait } else { OUTAGE_TERM + GRANT_MARGIN },
+            listed: None,
+            asked: BTreeSet::new(),
+            is_outage: false,
+            is_lapsed: false,
         }
     }
 
+    /// Sets whether the platform is away. Grants to listed instances then last `OUTAGE_TERM`.
+    pub fn set_outage(&mut self, is_outage: bool) {
+        self.is_outage = is_outage;
+    }
+
+    /// The lease of the holder lapsed, so that another one may exist: from now on only what
+    /// instances hold is confirmed.
+    pub fn lapse(&mut self) {
+        self.is_lapsed = true;
+    }
+
+    /// Sets the instances of the data centre in the platform's list. From the first call on, parts
+    /// that the predecessor may have granted during an outage are free only once every listed
+    /// instance has asked this holder or `OUTAGE_TERM` has passed.
+    pub fn set_listed(&mut self, listed: BTreeSet<InstanceId>) {
+        self.listed = Some(listed);
+    }
+
+    /// Whether no grant of the predecessor can be in use unknown to this holder.
+    fn knows_all_grants(&self, now: Instant) -> bool {
+        let all_asked = self.listed.as_ref().is_none_or(|listed| listed.is_subset(&self.asked));
+        now >= self.predecessor_until && (all_asked || now >= self.outage_until)
+    }
+
+    /// When the last grant of the predecessor has certainly ended.
+    fn predecessor_end(&self) -> Instant {
+        if self.listed.is_some() { self.outage_until } else { self.predecessor_until }
+    }
+
+    /// Validity of a grant to an instance.
+    fn term(&self, instance: &InstanceId) -> Duration {
+        let is_listed = self.listed.as_ref().is_some_and(|listed| listed.contains(instance));
+        if self.is_outage && is_listed { OUTAGE_TERM } else { GRANT_TERM }
+    }
+
     /// Replaces the data centre's holding after `share/DATA_CENTRE` was written.
     pub fn set_holding(&mut self, holding: Holding) {
         self.withheld = self.withheld.intersection(&holding);
@@ -134,7 +186,7 @@
     pub fn is_free(&self, parts: &Holding, now: Instant) -> bool {
         let granted = self.grants.values().filter(|g| g.ends_at > now).map(|g| &g.parts);
         let retired = self.retired.iter().filter(|r| r.until > now).map(|r| &r.parts);
-        now >= self.predecessor_until
+        self.knows_all_grants(now)
             && granted
                 .chain(retired)
                 .flatten()
@@ -148,18 +200,20 @@
         }
         self.drop_ended(now);
         let previous = self.previous(request, now);
+        self.asked.insert(request.instance.clone());
+        let term = self.term(&request.instance);
         self.serial += 1;
         let mut grant = Grant {
             incarnation: request.incarnation,
             serial: self.serial,
             parts: previous.as_ref().map(|p| p.parts.clone()).unwrap_or_default(),
             wanted: request.wanted.clone(),
-            ends_at: now + GRANT_TERM + GRANT_MARGIN,
+            ends_at: now + term + GRANT_MARGIN,
         };
         let customers: BTreeSet<CustomerId> =
             grant.parts.keys().chain(grant.wanted.keys()).cloned().collect();
         self.wants.add(&grant.wanted);
-        let may_add = now >= self.predecessor_until;
+        let may_add = self.knows_all_grants(now) && !self.is_lapsed;
         for customer in customers {
             let parts = self.resize(&customer, &grant, may_add);
             if parts.is_empty() {
@@ -178,7 +232,7 @@
             serial: grant.serial,
             fencing: self.fencing,
             parts: grant.parts.clone(),
-            term_ms: GRANT_TERM.as_millis() as u64,
+            term_ms: term.as_millis() as u64,
         };
         self.grants.insert(request.instance.clone(), grant);
         Some(reply)
@@ -231,13 +285,13 @@
             }
             return Some(previous);
         }
-        let confirmable = request.fencing < self.fencing && now < self.predecessor_until;
+        let confirmable = request.fencing < self.fencing && !self.knows_all_grants(now);
         confirmable.then(|| Grant {
             incarnation: request.incarnation,
             serial: 0,
             parts: self.confirmed(request),
             wanted: BTreeMap::new(),
-            ends_at: self.predecessor_until,
+            ends_at: self.predecessor_end(),
         })
     }
 
@@ -320,7 +374,7 @@
         });
     }
 
-    fn drop_ended(&mut self, now: Instant) {
+    pub(super) fn drop_ended(&mut self, now: Instant) {
         self.retired.retain(|retired| retired.until > now);
         let wants = &mut self.wants;
         self.grants.retain(|_, grant| {
--- a/components/request/admission/tests/shares.rs
+++ b/components/request/admission/tests/shares.rs
@@ -96,6 +96,70 @@
     assert!(renew(&mut new, &mut b, 2, later) >= 3);
 }
 
+/// Guards against an end of service 20 s after the holder dies while the platform is away, when
+/// nobody can take over.
+#[test]
+fn grants_given_during_an_outage_outlast_the_holder() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    holder.set_listed(BTreeSet::from(["a".into()]));
+    let (mut a, mut unlisted) = (wanting("a", NEED), wanting("b", NEED));
+    holder.set_outage(true);
+    let held = renew(&mut holder, &mut a, 1, now);
+    renew(&mut holder, &mut unlisted, 1, now);
+    let later = now + Duration::from_secs(3_600);
+    assert_eq!(a.limits("c0", &LIMITS, later).concurrent, held);
+    assert_eq!(unlisted.limits("c0", &LIMITS, later).concurrent, 0, "nobody would account for it");
+}
+
+/// Guards against handing out parts that an instance, cut off since an outage, still uses.
+#[test]
+fn new_holder_waits_for_every_listed_instance_after_an_outage() {
+    let now = Instant::now();
+    let listed: BTreeSet<InstanceId> = ["a", "b"].map(Into::into).into();
+    let mut old = Holder::new(1, Holding::even(0, 1), now);
+    old.set_listed(listed.clone());
+    old.set_outage(true);
+    let (mut a, mut b) = (wanting("a", LocalLimits { concurrent: 7, ..NEED }), wanting("b", NEED));
+    assert_eq!(renew(&mut old, &mut a, 1, now), 7);
+    let takeover = now + Duration::from_secs(60);
+    let mut new = Holder::new(2, Holding::even(0, 1), takeover);
+    new.set_listed(listed);
+    let later = takeover + GRANT_TERM + GRANT_MARGIN;
+    assert_eq!(renew(&mut new, &mut b, 2, later), 0, "a may still use everything");
+    // Now that both have asked, a is reduced to its fair part, which it confirms when it asks again.
+    assert_eq!(renew(&mut new, &mut a, 2, later), 4);
+    assert_eq!(renew(&mut new, &mut b, 2, later), 0, "a has not confirmed");
+    assert_eq!(renew(&mut new, &mut a, 2, later), 4);
+    assert_eq!(renew(&mut new, &mut b, 2, later), 3);
+}
+
+/// Guards against a holder whose lease lapsed and that hands out what its successor also grants.
+#[test]
+fn lapsed_holder_only_confirms() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", NEED), wanting("b", NEED));
+    let held = renew(&mut holder, &mut a, 1, now);
+    holder.lapse();
+    assert_eq!(renew(&mut holder, &mut a, 1, now + ms(1)), held);
+    assert_eq!(renew(&mut holder, &mut b, 1, now + ms(1)), 0);
+}
+
+/// Guards against 22 s without new shares after a planned stop, and against grants in excess.
+#[test]
+fn successor_of_a_planned_stop_grants_at_once_what_is_free() {
+    let now = Instant::now();
+    let mut old = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", NEED), wanting("b", NEED));
+    let held = renew(&mut old, &mut a, 1, now);
+    let state = old.hand_over(now + ms(10));
+    let mut new = Holder::succeed(2, Holding::even(0, 1), state, now + ms(20));
+    let first = renew(&mut new, &mut b, 2, now + ms(20));
+    assert!(first > 0 && first + held <= 7, "{first} beside {held}");
+    assert!(renew(&mut new, &mut a, 2, now + ms(30)) + first <= 7);
+}
+
 /// Guards against a late grant that overwrites a newer one.
 #[test]
 fn late_grant_is_ignored() {
--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -23,6 +23,8 @@
         })
         .await;
     world.instances[owner].kill();
+    // The platform notices the death and drops the instance from its list.
+    world.platform.unlist_instance(&world.instances[owner].name);
     world
         .wait_for("the other instance owns the group", async |world| {
             world.owner("north-1") == Some(other)
@@ -74,7 +76,7 @@
     let chat = Chat::new("summary", 2).send(world.instances[south].callers).await;
     assert_eq!(chat, Outcome::Whole, "{}", world.logs());
     world.platform.change_faults(|faults| faults.cut.clear());
-    world.apply("samples/demo-amended");
+    world.apply("samples/demo-amended").await;
     world
         .wait_for("the south follows", async |world| {
             let status = world.status(south).await;
--- a/tests/deployment/serving_tests.rs
+++ b/tests/deployment/serving_tests.rs
@@ -92,7 +92,7 @@
     for stream in streams {
         assert_eq!(stream.await.expect("stream"), Outcome::Whole, "{}", world.logs());
     }
-    assert!(world.instances[owner].wait().success(), "{}", world.logs());
+    assert!(world.instances[owner].wait().await.success(), "{}", world.logs());
     world.assert_invariants();
 }
 
@@ -102,7 +102,7 @@
 async fn an_accepted_change_is_in_effect_everywhere_within_4_seconds() {
     let world = World::start("change").await;
     let before = world.status(0).await.expect("status")["configuration_version"].as_u64();
-    world.apply("samples/demo-amended");
+    world.apply("samples/demo-amended").await;
     let accepted_at = Instant::now();
     world
         .wait_for("the new version on every instance", async |world| {
--- a/tests/deployment/world.rs
+++ b/tests/deployment/world.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -20,6 +21,8 @@
 pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
 /// Accelerator memory of an engine: three models of the sample fit.
 const ENGINE_MEMORY: u64 = 80 << 30;
+/// Port before the first one of a deployment.
+const FIRST_PORT: u16 = 7_000;
 
 /// One entry instance as a child process.
 pub(crate) struct Instance {
@@ -53,14 +56,14 @@
         self.signal(Signal::TERM);
     }
 
-    pub(crate) fn wait(&mut self) -> ExitStatus {
+    pub(crate) async fn wait(&mut self) -> ExitStatus {
         let deadline = Instant::now() + PATIENCE;
         loop {
             if let Some(status) = self.child.try_wait().expect("wait") {
                 return status;
             }
             assert!(Instant::now() < deadline, "{} does not end", self.name);
-            std::thread::sleep(Duration::from_millis(20));
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 }
@@ -81,6 +84,9 @@
     pub(crate) ledger: Service,
     pub(crate) instances: Vec<Instance>,
     dir: PathBuf,
+    /// Loopback address of this deployment; each has its own, so that ports cannot collide.
+    ip: Ipv4Addr,
+    next_port: u16,
 }
 
 impl World {
@@ -125,8 +131,17 @@
                 checks_fencing: false,
             });
         }
-        let mut world = Self { platform, store, engines, ledger, instances: Vec::new(), dir };
-        world.apply("samples/demo");
+        let mut world = Self {
+            platform,
+            store,
+            engines,
+            ledger,
+            instances: Vec::new(),
+            dir,
+            ip: own_ip(),
+            next_port: FIRST_PORT,
+        };
+        world.apply("samples/demo").await;
         for (name, data_centre) in
             [("entry-1", "north"), ("entry-2", "north"), ("entry-3", "south")]
         {
@@ -138,7 +153,10 @@
 
     /// Starts an instance and lists it.
     pub(crate) fn add(&mut self, name: &str, data_centre: &'static str) {
-        let [callers, operators, peers] = free_addresses();
+        let [callers, operators, peers] = std::array::from_fn(|_| {
+            self.next_port += 1;
+            SocketAddr::from((self.ip, self.next_port))
+        });
         let settings = format!(
             "[instance]\nname = {name}\ndata_centre = {data_centre}\n\
              [callers]\naddress = {callers}\n[operators]\naddress = {operators}\n\
@@ -173,14 +191,14 @@
         self.instances.push(Instance { name, data_centre, callers, operators, child });
     }
 
-    /// Applies a directory of contracts with the command. The command runs on a thread, because it
-    /// talks to the stand-in that this thread serves.
-    pub(crate) fn apply(&self, dir: &str) {
+    /// Applies a directory of contracts with the command. Another thread waits for the command,
+    /// because it talks to the stand-in that this thread serves.
+    pub(crate) async fn apply(&self, dir: &str) {
         let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(dir);
         let mut command = Command::new(env!("CARGO_BIN_EXE_sequoiawell"));
         command.arg("apply").arg(path).arg("--platform").arg(self.platform.address().to_string());
-        let output = std::thread::spawn(move || command.output().expect("apply"));
-        let output = output.join().expect("apply");
+        let output = tokio::task::spawn_blocking(move || command.output().expect("apply")).await;
+        let output = output.expect("apply");
         let text = String::from_utf8_lossy(&output.stderr);
         assert!(output.status.success(), "apply failed: {text}");
     }
@@ -273,9 +291,10 @@
     }
 }
 
-/// Addresses that were free a moment ago.
-fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("an address"))
+/// A loopback address that no other deployment of this or another test process uses.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 1 + (high ^ number) % 250, low, 1 + number)
 }
