--- a/components/process/instance/src/allowances.rs
+++ b/components/process/instance/src/allowances.rs
@@ -52,17 +52,23 @@
     /// Asks the pool for allowance if none is left. Returns true while the answer is waited for.
     pub(crate) fn ask_for_allowance(
         &mut self,
-        model: &ModelId,
+        target: &Target,
         now: Instant,
         rng: &mut impl Rng,
     ) -> bool {
+        let model = &target.model;
         let view = self.group.view(now);
-        let is_unloading =
-            |r: &group::ReplicaView| r.model == *model && r.phase == ReplicaPhase::Unloading;
-        if view.writable && view.servers.values().any(|s| s.replicas.values().any(is_unloading)) {
+        let has = |phase: ReplicaPhase| {
+            let mut replicas = view.servers.values().flat_map(|s| s.replicas.values());
+            replicas.any(|r| r.model == *model && r.phase == phase)
+        };
+        if view.writable && has(ReplicaPhase::Unloading) {
             // Its allowance comes back with the proof of the unload.
             return true;
         }
+        if has(ReplicaPhase::Loading) || (target.adapter.is_some() && has(ReplicaPhase::Ready)) {
+            return false;
+        }
         let has_allowance = view.allowance_left.get(model).is_some_and(|left| *left > 0);
         if has_allowance || !view.writable {
             self.asked.asked_at.remove(model);
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -343,9 +343,9 @@
         if *data_centre == self.cx.data_centre {
             return self.ownership.owner_hint(&group).cloned();
         }
-        let summary = self.membership.summary(now, data_centre)?;
-        let ranges = &summary.body.as_ref()?.key_ranges;
-        ranges.iter().find(|(name, _)| *name == group).map(|(_, owner)| owner.clone())
+        let body = self.membership.summary(now, data_centre).and_then(|s| s.body.as_ref());
+        let named = body.and_then(|b| b.key_ranges.iter().find(|(name, _)| *name == group));
+        named.map(|(_, owner)| owner.clone()).or_else(|| self.key_owners.get(range, now))
     }
 
     /// Draws a nonce.
--- a/components/process/instance/src/event.rs
+++ b/components/process/instance/src/event.rs
@@ -9,7 +9,7 @@
 use types::prelude::*;
 
 use crate::attempt::AttemptEnd;
-use crate::message::{ClaimAnswer, DemandReply, FinishMessage};
+use crate::message::{ClaimAnswer, ClaimMessage, DemandReply, FinishMessage};
 
 /// Result of a task.
 pub(crate) enum Event {
@@ -36,6 +36,8 @@
     Demand { target: Target, group: GroupId, reply: Option<DemandReply> },
     /// The owner of a key range answered a claim, or could not be reached.
     Claim { ticket: Ticket, answer: Option<ClaimAnswer> },
+    /// The owner of a key range was read from the platform for a claim.
+    KeyOwner { range: u32, owner: Option<InstanceId>, claim: (Ticket, ClaimMessage, Instant) },
     /// The end of a recorded call is to be told to the owner of its key range again.
     KeyEnded { message: FinishMessage, retries: u32 },
     /// The holder of the limits answered.
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -17,6 +17,7 @@
 use crate::demand::DemandRouting;
 use crate::directory::Directory;
 use crate::event::{Caller, Event};
+use crate::key_owners::KeyOwners;
 use crate::keys::KeyRanges;
 use crate::owned_group::OwnedGroup;
 use crate::publication::Received;
@@ -71,6 +72,8 @@
     /// States of groups as published.
     pub(crate) received: Received,
     pub(crate) keys: KeyRanges,
+    /// Owners of key ranges of other data centres, as read from the platform.
+    pub(crate) key_owners: KeyOwners,
     pub(crate) shares: Shares,
     pub(crate) bookings: Bookings,
     pub(crate) key_table: watch::Sender<Arc<KeyTable>>,
@@ -189,6 +192,9 @@
             Event::Claim { ticket, answer } => {
                 self.requests.on_claim(&self.cx, ticket, answer, now);
             }
+            Event::KeyOwner { range, owner, claim } => {
+                self.on_key_owner(range, owner, claim, now);
+            }
             Event::KeyEnded { message, retries } => self.send_finish(message, retries, now),
             Event::Share(grant) => {
                 self.shares.on_grant(grant, now);
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -23,6 +23,7 @@
 mod group_view;
 mod groups;
 mod instance;
+mod key_owners;
 mod keys;
 mod message;
 mod models;
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -210,7 +210,7 @@
         }
         *self.asked.asked_for.entry(target.model.clone()).or_default() += 1;
         self.asked.last_asked.insert(target.model.clone(), now);
-        let is_asking = self.ask_for_allowance(&target.model, now, rng);
+        let is_asking = self.ask_for_allowance(&target, now, rng);
         if is_asking {
             self.asked.deferred.insert(target.model.clone(), demand);
         } else {
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -17,6 +17,9 @@
 use crate::message::{ArrivalCount, FinishMessage};
 use crate::pending::{CompletionJob, Job, Pending, ReplySlot, ServiceJob, Stage};
 
+/// Time within which a model without capacity is not expected to get any. Requests that can wait
+/// longer go on waiting.
+const NO_CAPACITY_TIME: Duration = Duration::from_secs(5);
 /// Bytes of a request body that count as one token of work.
 const BYTES_PER_TOKEN: usize = 4;
 /// Tokens that an answer is expected to have.
@@ -206,7 +209,7 @@
         let too_late = |p: &Pending| {
             matches!(p.stage, Stage::Waiting(_))
                 && p.admitted.queue == QueueKey::Model(target.model.clone())
-                && ready_at.is_none_or(|at| at > p.admitted.first_token_by)
+                && ready_at.unwrap_or(now + NO_CAPACITY_TIME) > p.admitted.first_token_by
         };
         let tickets: Vec<Ticket> =
             self.pending.iter().filter(|(_, p)| too_late(p)).map(|(t, _)| *t).collect();
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -28,6 +28,7 @@
 use crate::demand::DemandRouting;
 use crate::directory::Directory;
 use crate::instance::{Drain, Inputs, Instance};
+use crate::key_owners::KeyOwners;
 use crate::keys::KeyRanges;
 use crate::publication::Received;
 use crate::requests::Requests;
@@ -244,6 +245,7 @@
         demand: DemandRouting::default(),
         received: Received::default(),
         keys: KeyRanges::default(),
+        key_owners: KeyOwners::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
         bookings: Bookings::new(now),
         key_table,
--- a/components/process/instance/src/wanted.rs
+++ b/components/process/instance/src/wanted.rs
@@ -1,8 +1,12 @@
 //! Demand, arrivals and claims of idempotency keys: sent to the owners, and taken as an owner.
 
 use idempotency::range_of;
+use ownership::GroupObject;
+use platform::Call;
+use types::object::ObjectKey;
 use types::prelude::*;
 
+use crate::directory::key_group;
 use crate::event::Event;
 use crate::instance::Instance;
 use crate::keys::Claimant;
@@ -182,9 +186,10 @@
             let wall = SystemTime::now();
             return self.keys.claim(message, Claimant::Own(ticket), now, wall);
         }
-        let owner = self.key_owner(range_of(&message.key), now);
+        let range = range_of(&message.key);
+        let owner = self.key_owner(range, now);
         let Some(address) = owner.and_then(|owner| self.address_of(&owner)) else {
-            return self.requests.on_claim(&self.cx, ticket, None, now);
+            return self.look_up_key_owner(ticket, message, decide_by, now);
         };
         let deadline = decide_by + CLAIM_ANSWER_TIME;
         let exchange = self.cx.exchange(address, PeerMessage::Claim(message), deadline);
@@ -197,6 +202,39 @@
         });
     }
 
+    /// Reads the owner of a key range from the platform, because no summary has named it yet.
+    fn look_up_key_owner(
+        &mut self,
+        ticket: admission::Ticket,
+        message: ClaimMessage,
+        decide_by: Instant,
+        now: Instant,
+    ) {
+        let range = range_of(&message.key);
+        if self.key_owners.was_read(range, now) {
+            return self.requests.on_claim(&self.cx, ticket, None, now);
+        }
+        let client = self.cx.platform.clone();
+        self.cx.spawn(async move {
+            let key = ObjectKey::new("group", key_group(range));
+            let object = client.get::<GroupObject>(&key, Call::by(decide_by)).await;
+            let owner = object.ok().flatten().and_then(|object| object.value.owner);
+            Event::KeyOwner { range, owner, claim: (ticket, message, decide_by) }
+        });
+    }
+
+    /// Takes the owner of a key range as read from the platform.
+    pub(crate) fn on_key_owner(
+        &mut self,
+        range: u32,
+        owner: Option<InstanceId>,
+        (ticket, message, decide_by): (admission::Ticket, ClaimMessage, Instant),
+        now: Instant,
+    ) {
+        self.key_owners.set(range, owner, now);
+        self.send_claim(ticket, message, decide_by, now);
+    }
+
     /// Tells the owner of a key range how a recorded call ended. Without it, repeats of the call
     /// get no answer until the record expires, so that it is repeated for a while.
     pub(crate) fn send_finish(&mut self, message: FinishMessage, retries: u32, now: Instant) {
--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -118,12 +118,13 @@
     for instance in 0..3 {
         served_in_the_end(&world, instance, Chat::new("summary", instance as u64).batch()).await;
     }
+    // In use up to the outage, so that no replica is unloaded as idle before it.
+    served_everywhere(&world, 10).await;
     world.platform.change_faults(|faults| faults.outage = true);
-    tokio::time::sleep(Duration::from_secs(4)).await;
-    for instance in 0..3 {
-        let chat =
-            Chat::new("summary", 10 + instance as u64).send(world.instances[instance].callers);
-        assert_eq!(chat.await, Outcome::Whole, "{}", world.logs());
+    // Past the lapse of every lease.
+    for round in 1..=20 {
+        served_everywhere(&world, 10 + 10 * round).await;
+        tokio::time::sleep(Duration::from_millis(250)).await;
     }
     let withdrawal = withdraw(world.instances[0].callers, "outage").await;
     let refused =
@@ -186,6 +187,14 @@
     world.assert_invariants();
 }
 
+/// Sends one request to each instance; all must be answered.
+async fn served_everywhere(world: &World, number: u64) {
+    for (instance, n) in world.instances.iter().zip(number..) {
+        let outcome = Chat::new("summary", n).send(instance.callers).await;
+        assert_eq!(outcome, Outcome::Whole, "{} {}", instance.name, world.logs());
+    }
+}
+
 /// Repeats a request until it is answered. Refusals on the way must say that it did not run.
 async fn served_in_the_end(world: &World, instance: usize, chat: Chat) {
     let address = world.instances[instance].callers;
