--- a/components/version/configuration/src/lib.rs
+++ b/components/version/configuration/src/lib.rs
@@ -8,6 +8,8 @@
 mod follower;
 mod head;
 mod message;
+mod objects;
+mod update;
 
 pub use apply::{Applied, Apply, ApplyAction, Change, Conflict, Proposal};
 pub use follower::{Follower, Settings};
