Test that merged burn states keep the newest objective

Cause: a trial copy that took the objective of whichever state came last passed all tests. Change: a test merges states of two versions in both orders. Conclusion: no change of behaviour.

--- a/components/process/burn/src/state_tests.rs
+++ b/components/process/burn/src/state_tests.rs
@@ -71,3 +71,17 @@
         0
     );
 }
+
+/// Guards against an instance that is behind and brings back an old objective.
+#[test]
+fn the_objective_of_the_highest_version_counts_in_any_order() {
+    let state = |version, objective| {
+        let mut state = state(&[(1, 0, true)]);
+        (state.series[0].version, state.series[0].objective) = (version, objective);
+        state
+    };
+    let (old, new) = (state(3, 9_900), state(4, 9_000));
+    for sum in [merged(&[&old, &new]), merged(&[&new, &old])] {
+        assert_eq!((sum.series[0].version, sum.series[0].objective), (4, 9_000));
+    }
+}
