Tell lost work from work that is not written yet

Cause: a live instance that has not flushed was reported as one that may have lost work. Change: a gap says whether the death of the run was noticed, and the text differs. Conclusion: only noticed deaths read as losses.

--- a/components/version/accounting/src/output.rs
+++ b/components/version/accounting/src/output.rs
@@ -81,9 +81,10 @@
             let length = seconds(gap.to_ms - gap.from_ms);
             let at = format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(gap.from_ms));
             let (instance, incarnation) = (&gap.instance, gap.incarnation);
+            let what = if gap.died { "died and lost up to" } else { "has not written up to" };
             writeln!(
                 f,
-                "flagged: instance {instance}, incarnation {incarnation}, may have lost {length} s of counted work from {at} on"
+                "flagged: instance {instance}, incarnation {incarnation}, {what} {length} s of counted work from {at} on"
             )?;
         }
         Ok(())
--- a/components/version/accounting/src/report.rs
+++ b/components/version/accounting/src/report.rs
@@ -50,6 +50,8 @@
     pub instance: InstanceId,
     /// Its run.
     pub incarnation: Incarnation,
+    /// Whether the death of the run was noticed. Otherwise it may still write what is missing.
+    pub died: bool,
     /// Milliseconds since the Unix epoch.
     pub from_ms: u64,
     /// Milliseconds since the Unix epoch, exclusive.
@@ -196,6 +198,7 @@
                 gaps.push(Gap {
                     instance: instance.clone(),
                     incarnation: *incarnation,
+                    died: run.died_at.is_some(),
                     from_ms: gap.start,
                     to_ms: gap.end,
                 });
