Remove the burn metrics, which telemetry has too

Cause: the branch instance registers burn rates, budgets and alerts in telemetry::Metrics and replaces their values, old series included; two sets would be shown. Conclusion: the data on /metrics comes from one place.

--- a/components/process/burn/src/lib.rs
+++ b/components/process/burn/src/lib.rs
@@ -9,14 +9,11 @@
 //! exactly by the end of the window.
 
 pub mod html;
-pub mod metrics;
 pub mod report;
 pub mod state;
 pub mod tracker;
 pub mod window;
 
-#[cfg(test)]
-mod metrics_tests;
 #[cfg(test)]
 mod report_tests;
 #[cfg(test)]
@@ -26,7 +23,6 @@
 #[cfg(test)]
 mod window_tests;
 
-pub use metrics::BurnMetrics;
 pub use report::{Alert, BurnReport, BurnRow, WindowRow};
 pub use state::{BurnState, SeriesState};
 pub use tracker::{Burn, Objective};
