--- a/benches/slopes/fleet_effects.rs
+++ b/benches/slopes/fleet_effects.rs
@@ -35,6 +35,7 @@
                 let deadline = now + PLATFORM_TIMEOUT;
                 self.admit(node, PlatformCall { caller, call, priority, request, deadline });
             }
+            Effect::Send { message: Message::GroupState(_), .. } if !self.is_publishing => {}
             Effect::Send { address, message } => self.send(node, &address, &message),
             Effect::StartWatch => {
                 self.watching[node] = Some(now + WATCH_TIME);
