--- a/benches/slopes/tables.rs
+++ b/benches/slopes/tables.rs
@@ -1,7 +1,9 @@
 //! Tables and target lines.
 
 use crate::calibration::Costs;
+use crate::platform_model::MAX_VALUE_BYTES;
 use crate::run::{Measured, PLATFORM_READS, PLATFORM_WRITES};
+use crate::scale::ADAPTER_NAME_LENGTH;
 
 /// Largest part of a core that control may take, in percent.
 const MAX_PROCESSOR_PERCENT: f64 = 2.2;
@@ -110,6 +112,13 @@
     for (kind, bytes) in &measured.longest_values {
         println!("  {kind:<18} {:>10.1} KB", *bytes as f64 / KB);
     }
+    let catalogue = measured.longest_values.get("catalogue").copied().unwrap_or(0);
+    let room = MAX_VALUE_BYTES.saturating_sub(catalogue) / measured.scale.adapters;
+    println!(
+        "the catalogue holds adapter names of {ADAPTER_NAME_LENGTH} characters; it stays within one \
+         value of 1 MB up to {} characters",
+        ADAPTER_NAME_LENGTH + room,
+    );
     println!("messages a second and instance: {:.1}", measured.messages);
     println!("replicas loaded after {:?} s of virtual time", measured.loaded_after);
     println!("changes accepted {}, not accepted {}", measured.applied, measured.not_applied.len());
