--- a/components/process/placement/src/adapters.rs
+++ b/components/process/placement/src/adapters.rs
@@ -8,8 +8,6 @@
 
 /// Adapter loads that wait for a place at the store; further demand is repeated by its instance.
 const QUEUE_LIMIT: usize = 1024;
-/// Adapters take milliseconds; a load without an outcome is given up after this time.
-const OUTCOME_LIMIT: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Debug)]
 struct Wanted {
@@ -23,7 +21,6 @@
     replica: ReplicaId,
     adapter: AdapterId,
     evict: Option<AdapterId>,
-    until: Instant,
 }
 
 /// Adapter loads that wait and that are in flight.
@@ -55,6 +52,17 @@
         }
     }
 
+    /// Drops loads whose adapter is in the pool and loads of replicas that are gone. There is no
+    /// time limit: a load that ends late still takes its place in the pool.
+    fn drop_shown(&mut self, view: &View) {
+        if self.flying.is_empty() {
+            return;
+        }
+        let pools: HashMap<ReplicaId, &ReplicaView> =
+            view.servers.iter().flat_map(|s| &s.replicas).map(|r| (r.replica, r)).collect();
+        self.flying.retain(|f| pools.get(&f.replica).is_some_and(|r| !r.has_adapter(&f.adapter)));
+    }
+
     /// Adapters on their way into a pool that the view does not show there yet.
     fn on_the_way(&self, r: &ReplicaView) -> usize {
         self.flying_to(r).filter(|f| !r.has_adapter(&f.adapter)).count()
@@ -75,20 +83,14 @@
 impl Placement {
     /// Starts wanted adapter loads while the store takes more of them.
     pub(crate) fn start_adapters(&mut self, view: &View, now: Instant, out: &mut Vec<Decision>) {
-        self.adapters.flying.retain(|f| f.until > now);
+        self.adapters.drop_shown(view);
         let mut wanted = std::mem::take(&mut self.adapters.wanted);
-        wanted.retain(|w| w.deadline > now && self.adapter_waits(w, view, now, out));
+        wanted.retain(|w| w.deadline > now && self.adapter_waits(w, view, out));
         self.adapters.wanted = wanted;
     }
 
     /// Starts one adapter load if possible; returns whether it has to wait.
-    fn adapter_waits(
-        &mut self,
-        w: &Wanted,
-        view: &View,
-        now: Instant,
-        out: &mut Vec<Decision>,
-    ) -> bool {
+    fn adapter_waits(&mut self, w: &Wanted, view: &View, out: &mut Vec<Decision>) -> bool {
         let in_flight = view.store.adapters_in_flight.max(self.adapters.flying.len() as u32);
         if in_flight >= self.settings.store_concurrent_adapters {
             return true;
@@ -97,9 +99,8 @@
             Step::Done => false,
             Step::Wait => true,
             Step::Load { server, replica, evict } => {
-                let (adapter, until) = (w.adapter.clone(), now + OUTCOME_LIMIT);
-                let flying =
-                    Flying { replica, adapter: adapter.clone(), evict: evict.clone(), until };
+                let adapter = w.adapter.clone();
+                let flying = Flying { replica, adapter: adapter.clone(), evict: evict.clone() };
                 self.adapters.flying.push(flying);
                 out.push(Decision::LoadAdapter { server, replica, adapter, evict });
                 false
--- a/components/process/placement/src/event.rs
+++ b/components/process/placement/src/event.rs
@@ -109,7 +109,9 @@
         /// The copy to read.
         source: LoadSource,
     },
-    /// Load an adapter into the pool of a ready replica.
+    /// Load an adapter into the pool of a ready replica. Every such load is to end in
+    /// [`Event::AdapterEnded`], [`Event::Rejected`] or the end of the replica: until then it counts
+    /// as in flight.
     LoadAdapter {
         /// The backend server.
         server: BackendServerId,
