--- a/components/process/placement/src/clock.rs
+++ b/components/process/placement/src/clock.rs
@@ -61,13 +61,13 @@
     }
 
     pub(crate) fn note(&mut self, at: SlotOfDay) {
-        self.bursts[at.slot] = self.faded(at) + 1.0;
+        let missed = at.day.saturating_sub(self.day[at.slot]);
+        self.bursts[at.slot] = self.faded(at.slot, missed) + 1.0;
         self.day[at.slot] = at.day;
     }
 
-    fn faded(&self, at: SlotOfDay) -> f32 {
-        let missed = at.day.saturating_sub(self.day[at.slot]).min(64) as i32;
-        self.bursts[at.slot] * (1.0 - ACTIVITY_GAIN).powi(missed)
+    fn faded(&self, slot: usize, missed: u32) -> f32 {
+        self.bursts[slot] * (1.0 - ACTIVITY_GAIN).powi(missed.min(64) as i32)
     }
 
     /// Activity of the coming half hour relative to that at a typical arrival, at most one; one
@@ -99,8 +99,8 @@
             .map(|i| {
                 let slot = (at.slot + i) % SLOTS_PER_DAY;
                 let day = at.day + u32::from(at.slot + i >= SLOTS_PER_DAY);
-                // The present day's own count is incomplete; the fade makes up for it in part.
-                self.faded(SlotOfDay { day, slot })
+                // The present day's count is incomplete, so it does not count as missed.
+                self.faded(slot, day.saturating_sub(self.day[slot]).saturating_sub(1))
             })
             .sum::<f32>()
             / 6.0;
