--- a/benches/policy/bound.rs
+++ b/benches/policy/bound.rs
@@ -1,7 +1,7 @@
 //! Clairvoyant lower bounds; `docs/decisions/policy-bench.md` gives the argument.
 
 use crate::site::{SERVER_MEMORY, Site};
-use crate::trace::{DAY, DAYS, MEASURED_FROM, Request};
+use crate::trace::{DAY, MEASURED_FROM, Request, days};
 use crate::world::{LOAD_NOISE, UNLOAD_MS};
 
 pub(crate) struct Bound {
@@ -52,7 +52,7 @@
         .iter()
         .map(|r| {
             let from = (r.at + x).saturating_sub(least_load(site, r.model));
-            let to = r.at + r.service;
+            let to = r.at + r.service + UNLOAD_MS;
             (r.deadline - r.at > x && from < to).then_some((from, to))
         })
         .collect();
@@ -71,7 +71,8 @@
     let mut changes: Vec<(u64, usize, bool)> = Vec::new();
     for (r, span) in requests.iter().zip(spans) {
         if let Some((a, b)) = span {
-            let (first, last) = (a.div_ceil(GRID_MS), b / GRID_MS);
+            // The span is half open: memory may be taken again at the instant of its release.
+            let (first, last) = (a.div_ceil(GRID_MS), (b - 1) / GRID_MS);
             if first <= last {
                 changes.push((first, r.model, true));
                 changes.push((last + 1, r.model, false));
@@ -123,7 +124,7 @@
 fn idle_hours(site: &Site, trace: &[Request]) -> f64 {
     let mut last_end: Vec<Option<u64>> = vec![None; site.names.len()];
     let mut idle_ms = 0;
-    for r in trace.iter().filter(|r| r.at >= MEASURED_FROM && r.at < DAYS * DAY) {
+    for r in trace.iter().filter(|r| r.at >= MEASURED_FROM && r.at < days(site) * DAY) {
         let end = r.deadline + r.service;
         let swap = UNLOAD_MS + least_load(site, r.model);
         if let Some(e) = last_end[r.model] {
