--- a/components/version/configuration/src/head.rs
+++ b/components/version/configuration/src/head.rs
@@ -7,7 +7,7 @@
 
 /// SHA-256 of an object's canonical JSON, lower-case hex.
 pub type ContentHash = Box<str>;
-/// SHA-256 of everything in a head but its nonces, lower-case hex.
+/// SHA-256 of everything in a head but its nonce, lower-case hex.
 pub type Digest = Box<str>;
 
 /// Value of `configuration/head`.
@@ -22,14 +22,8 @@
     pub catalogue: ContentHash,
     /// Nonce of the write.
     pub nonce: Nonce,
-    /// Version and nonce of the latest writes, newest last. They tell whether a write whose answer
-    /// was lost took effect, also after others came on top of it.
-    pub recent: Vec<(ConfigurationVersion, Nonce)>,
 }
 
-/// Nonces kept in a head. At 22,000 changes a day, 64 cover four minutes.
-pub(crate) const RECENT_NONCES: usize = 64;
-
 impl Head {
     /// Digest that an instance compares after it applied a difference.
     pub fn digest(&self) -> Digest {
