--- a/components/process/instance/src/group_view.rs
+++ b/components/process/instance/src/group_view.rs
@@ -22,6 +22,15 @@
         self.at = seen;
     }
 
+    /// Notes requests for a model. Short ones run between two reports and show in none.
+    pub(crate) fn note_requests(&mut self, view: &group::GroupView, model: &str, now: Instant) {
+        for (id, replica) in view.servers.values().flat_map(|s| &s.replicas) {
+            if *replica.model == *model {
+                self.at.insert(*id, now);
+            }
+        }
+    }
+
     fn get(&self, replica: ReplicaId, now: Instant) -> Instant {
         self.at.get(&replica).copied().unwrap_or(now)
     }
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -30,6 +30,7 @@
     ) {
         let rng = self.cx.rng.clone();
         let Some(owned) = self.groups.get_mut(group) else { return };
+        owned.platform_is_away = self.cx.platform.is_failing();
         act(owned, SystemTime::now(), &mut rng.borrow_mut());
         let wants = owned.take_wants();
         self.on_group_wants(group, wants, now);
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -47,6 +47,8 @@
 pub(crate) struct OwnedGroup {
     pub(crate) group: Group,
     placement: Placement,
+    /// Set by the loop before every call.
+    pub(crate) platform_is_away: bool,
     catalogue: Arc<Catalogue>,
     used: LastUsed,
     polls: Polls,
@@ -75,6 +77,7 @@
         Self {
             group: Group::new(cfg),
             placement: Placement::new(Arc::clone(&catalogue), settings, now, time_of_day),
+            platform_is_away: false,
             catalogue,
             used: LastUsed::default(),
             polls: Polls::default(),
@@ -190,6 +193,7 @@
         rng: &mut impl Rng,
     ) {
         *self.asked.asked_for.entry(arrival.model.clone()).or_default() += arrival.count;
+        self.used.note_requests(&self.group.view(now), &arrival.model, now);
         self.place(&Event::Arrived(arrival), now, wall, rng);
     }
 
@@ -320,7 +324,9 @@
                 Decision::Load { server, model, source }
             }
             // What is unloaded while the platform is away can perhaps not be loaded again.
-            placement::Decision::Unload { .. } if !self.group.view(now).writable => {
+            placement::Decision::Unload { .. }
+                if self.platform_is_away || !self.group.view(now).writable =>
+            {
                 return self.reject(decision, now, rng);
             }
             placement::Decision::Unload { replica, .. } => Decision::Unload { replica },
--- a/tests/deployment/serving_tests.rs
+++ b/tests/deployment/serving_tests.rs
@@ -52,7 +52,7 @@
         calls.spawn(async move { withdraw(address, &format!("w-{}", number / 4)).await });
     }
     let outcomes = calls.join_all().await;
-    assert!(outcomes.iter().any(|o| *o == Outcome::Whole), "{outcomes:?}\n{}", world.logs());
+    assert!(outcomes.contains(&Outcome::Whole), "{outcomes:?}\n{}", world.logs());
     for outcome in &outcomes {
         let pending = Outcome::Refused {
             verdict: "may_have_run".into(),
