Give routing the time under which a request was counted

Cause: an attempt reported the end of a request under its own start time; routing found no request sent at that time and kept counting it, so that a replica looked full after 16 requests without a new publication. Change: the attempt carries the time that routing was told.

--- a/components/process/instance/src/allowances.rs
+++ b/components/process/instance/src/allowances.rs
@@ -76,11 +76,11 @@
         }
         let actions = self.group.request_allowance(now, model, 1, rng);
         self.act(actions, now);
-        let asked_at = *self.asked.asked_at.entry(model.clone()).or_insert(now);
-        if now >= asked_at + ASK_AGAIN_AFTER {
-            self.asked.asked_at.insert(model.clone(), now);
+        let asked_at = self.asked.asked_at.entry(model.clone()).or_insert(now);
+        if now >= *asked_at + ASK_AGAIN_AFTER {
+            *asked_at = now;
         }
-        now < asked_at + ALLOWANCE_TIME
+        now < *asked_at + ALLOWANCE_TIME
     }
 
     /// Returns allowance for models that nobody asked for lately, so that other groups can use it.
--- a/components/process/instance/src/attempt.rs
+++ b/components/process/instance/src/attempt.rs
@@ -32,6 +32,8 @@
     pub(crate) attempt: AttemptId,
     /// The circuit breaker's permission.
     pub(crate) permit: Permit,
+    /// The time that routing was told; it finds the request by this time when it ends.
+    pub(crate) routed_at: Instant,
     /// The replica of a completion; `None` if it is forwarded to another data centre.
     pub(crate) replica: Option<ReplicaRef>,
     pub(crate) priority: u8,
@@ -52,7 +54,7 @@
     pub(crate) server: BackendServerId,
     pub(crate) permit: Permit,
     pub(crate) replica: Option<ReplicaRef>,
-    pub(crate) sent_at: Instant,
+    pub(crate) routed_at: Instant,
     pub(crate) result: AttemptResult,
     /// The caller's reply, unless the whole answer was streamed.
     pub(crate) reply: Option<ReplySlot>,
@@ -78,7 +80,6 @@
 
 /// Facts gathered while an attempt runs.
 pub(crate) struct Record {
-    sent_at: Instant,
     first_token_at: Option<Instant>,
     pub(crate) tokens: u64,
 }
@@ -253,7 +254,7 @@
             server: self.server,
             permit: self.permit,
             replica: self.replica,
-            sent_at: record.sent_at,
+            routed_at: self.routed_at,
             result,
             reply,
             first_token_at: record.first_token_at,
@@ -265,7 +266,7 @@
 
 impl Record {
     fn new() -> Self {
-        Self { sent_at: Instant::now(), first_token_at: None, tokens: 0 }
+        Self { first_token_at: None, tokens: 0 }
     }
 
     pub(crate) fn first_token(&mut self) {
--- a/components/process/instance/src/attempt_ends.rs
+++ b/components/process/instance/src/attempt_ends.rs
@@ -19,13 +19,13 @@
 impl Requests {
     /// Takes the result of an attempt.
     pub(crate) fn on_attempt(&mut self, cx: &Context, end: AttemptEnd, now: Instant) {
-        let AttemptEnd { ticket, server, permit, replica, sent_at, result, reply, .. } = end;
+        let AttemptEnd { ticket, server, permit, replica, routed_at, result, reply, .. } = end;
         let health = match &result {
             AttemptResult::NotConnected(_) => CallResult::Bad,
             _ => end.health,
         };
         match &replica {
-            Some(replica) => self.router.ended(replica, sent_at, now),
+            Some(replica) => self.router.ended(replica, routed_at, now),
             // Does nothing for a forwarded request, whose server is an instance.
             None => self.router.service_ended(&server),
         }
--- a/components/process/instance/src/group_view.rs
+++ b/components/process/instance/src/group_view.rs
@@ -31,7 +31,8 @@
         }
     }
 
-    fn get(&self, replica: ReplicaId, now: Instant) -> Instant {
+    /// When a replica last showed a sign of use.
+    pub(crate) fn get(&self, replica: ReplicaId, now: Instant) -> Instant {
         self.at.get(&replica).copied().unwrap_or(now)
     }
 }
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -19,6 +19,9 @@
 const PUBLISH_DELAY: Duration = Duration::from_millis(5);
 /// Time after which the state is published again for instances that missed it.
 const REPUBLISH_INTERVAL: Duration = Duration::from_secs(20);
+/// Reports and arrival counts of other instances lag by up to a second each, so that a replica is
+/// certainly idle only after this time without a sign of use.
+const CERTAINLY_IDLE_AFTER: Duration = Duration::from_millis(2_500);
 /// Time until a group that was just gained can take decisions: two platform calls and a report.
 const RECOVERY_MS: u64 = 200;
 /// Longest time that recovery is waited for before demand is refused.
@@ -324,8 +327,10 @@
                 Decision::Load { server, model, source }
             }
             // What is unloaded while the platform is away can perhaps not be loaded again.
-            placement::Decision::Unload { .. }
-                if self.platform_is_away || !self.group.view(now).writable =>
+            placement::Decision::Unload { replica, .. }
+                if self.platform_is_away
+                    || !self.group.view(now).writable
+                    || now < self.used.get(replica, now) + CERTAINLY_IDLE_AFTER =>
             {
                 return self.reject(decision, now, rng);
             }
