placement: count store loads decided in the present call beside the view's

The view's count of loads in progress does not include what the same call has decided, and a prefetch was taken as ended once a load had cached its checkpoint. Change: add the call's own starts to the view's count; a prefetch ends only by its report or its limit.

--- a/components/process/placement/src/ahead.rs
+++ b/components/process/placement/src/ahead.rs
@@ -124,6 +124,7 @@
         self.outstanding.add(server, What::Prefetch { model: name.clone(), source }, now, ready_at);
         if source == LoadSource::Remote {
             self.store.started(now);
+            self.store_starts_in_call += 1;
         }
         self.prefetch.looked_at = 0;
         self.prefetch.pause.insert(name.clone(), now + PREFETCH_PAUSE);
--- a/components/process/placement/src/outstanding.rs
+++ b/components/process/placement/src/outstanding.rs
@@ -193,9 +193,8 @@
                 let shown = server.replicas.iter().find(|r| r.replica == *replica);
                 shown.is_some_and(|r| r.phase != ReplicaPhase::Unloading) && !lost
             }
-            What::Prefetch { model, .. } => {
-                !server.cached_in_memory.contains(model) && now < self.at + PREFETCH_LIMIT
-            }
+            // The checkpoint may come to host memory by a load while the prefetch still runs.
+            What::Prefetch { .. } => now < self.at + PREFETCH_LIMIT,
         }
     }
 }
--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -35,6 +35,8 @@
     pub(crate) pending: BTreeMap<ModelId, Pending>,
     pub(crate) outstanding: Outstanding,
     pub(crate) store: StoreRate,
+    /// Loads and prefetches from the store decided in the present call, which its view cannot show.
+    pub(crate) store_starts_in_call: u32,
     pub(crate) adapters: AdapterQueue,
     /// Models loaded ahead of demand, kept until the time stored here.
     pub(crate) loaded_ahead: HashMap<ModelId, Instant>,
@@ -69,6 +71,7 @@
             pending: BTreeMap::new(),
             outstanding: Outstanding::default(),
             store: StoreRate::default(),
+            store_starts_in_call: 0,
             adapters: AdapterQueue::default(),
             loaded_ahead: HashMap::new(),
             fresh: HashMap::new(),
@@ -104,6 +107,7 @@
             return self.note_arrival(a, now);
         }
         self.outstanding.resolve(view, now);
+        self.store_starts_in_call = 0;
         match event {
             Event::Arrived(_) | Event::ViewChanged => {}
             Event::Demand(d) => self.demand(d, view, now, out),
@@ -232,7 +236,8 @@
 
     /// Loads from the store in progress, whether or not the view shows them yet.
     pub(crate) fn store_in_progress(&self, view: &View) -> u32 {
-        view.store.loads_in_progress.max(self.outstanding.store_loads())
+        let shown = view.store.loads_in_progress + self.store_starts_in_call;
+        shown.max(self.outstanding.store_loads())
     }
 
     /// Replicas of a model that may still be loaded, those just decided excluded.
--- a/components/process/placement/src/start.rs
+++ b/components/process/placement/src/start.rs
@@ -302,6 +302,7 @@
         self.outstanding.add(server, what, now, ready_at);
         if source == LoadSource::Remote {
             self.store.started(now);
+            self.store_starts_in_call += 1;
         }
         out.push(Decision::Load { server: server.server.clone(), model: name.clone(), source });
     }
