--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -21,7 +21,7 @@
 
 /// Placement of one group of backend servers.
 ///
-/// State is kept per model (some kilobytes each); adapters appear only in the bounded queue of
+/// State is kept per model (under a kilobyte each); adapters appear only in the bounded queue of
 /// adapter loads, so no cost grows with their number.
 #[derive(Debug)]
 pub struct Placement {
--- a/components/process/placement/tests/world/check.rs
+++ b/components/process/placement/tests/world/check.rs
@@ -3,7 +3,7 @@
 use placement::*;
 use types::prelude::*;
 
-use super::{SLOTS, World};
+use super::World;
 
 impl World {
     fn violate(&mut self, what: &'static str, detail: impl std::fmt::Debug) {
@@ -107,7 +107,8 @@
         let in_use = r.adapters.iter().any(|a| Some(&a.adapter) == evict && a.running > 0);
         let unshown = |d: &&Decision| matches!(d, Decision::LoadAdapter { .. });
         let flying = self.flying.len() + self.unshown.iter().filter(unshown).count();
-        if after > SLOTS as usize || in_use {
+        let slots = self.catalogue.models[&r.model].adapter_slots as usize;
+        if after > slots || in_use {
             self.violate("adapter pool", d);
         }
         if flying as u32 + 1 > self.catalogue.deployment.store_concurrent_adapters {
--- a/components/process/placement/tests/world/mod.rs
+++ b/components/process/placement/tests/world/mod.rs
@@ -15,7 +15,6 @@
 
 pub const MODELS: usize = 6;
 pub const SERVERS: usize = 3;
-pub const SLOTS: u32 = 2;
 const TOTAL: u64 = 100;
 
 pub fn catalogue() -> Arc<Catalogue> {
@@ -26,7 +25,7 @@
             memory_bytes: 30 + 10 * (i as u64 % 3),
             accelerators: 1,
             max_replicas: 1 + i as u32 % 2,
-            adapter_slots: SLOTS,
+            adapter_slots: 2 - i as u32 % 2,
             max_batch: 4,
             load_time: LoadTime {
                 memory: Duration::from_millis(800),
