--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -91,7 +91,7 @@
         }
     }
     let jobs: Vec<(usize, &str)> =
-        (0..cases.len()).rev().flat_map(|c| POLICIES.map(|p| (c, p))).collect();
+        [2, 3, 0, 1].into_iter().flat_map(|c| POLICIES.map(|p| (c, p))).collect();
     let (jobs, results) = (Mutex::new(jobs.into_iter()), Mutex::new(HashMap::new()));
     std::thread::scope(|s| {
         for _ in 0..THREADS {
@@ -124,7 +124,7 @@
         case.site.names.len(),
         case.site.servers,
         case.trace.len(),
-        trace::DAYS,
+        trace::days(&case.site),
         case.site.catalogue.deployment.cold_start_weight,
     );
     println!(
--- /dev/null
+++ b/components/process/instance/src/groups.rs
@@ -0,0 +1,239 @@
+//! Groups of backend servers: orders, reports, publication, demand and summaries.
+
+use std::sync::Arc;
+
+use backend_server::{CacheEvents, OrderReply, SendError};
+use group::OrderResult;
+use rand_chacha::ChaCha8Rng;
+use types::object::CallPriority;
+use types::prelude::*;
+
+use crate::cache_stream::CacheStream;
+use crate::event::{Caller, Event};
+use crate::instance::Instance;
+use crate::message::PeerMessage;
+use crate::owned_group::{GroupWants, OwnedGroup};
+use crate::publication::{GroupLoads, Publication};
+
+/// Time for a backend server to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a backend server to send a report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Instance {
+    /// Runs `act` on an owned group and carries out what the group then wants.
+    pub(crate) fn with_group(
+        &mut self,
+        group: &GroupId,
+        now: Instant,
+        act: impl FnOnce(&mut OwnedGroup, SystemTime, &mut ChaCha8Rng),
+    ) {
+        let rng = self.cx.rng.clone();
+        let Some(owned) = self.groups.get_mut(group) else { return };
+        owned.platform_is_away = self.cx.platform.is_failing();
+        act(owned, SystemTime::now(), &mut rng.borrow_mut());
+        let wants = owned.take_wants();
+        self.on_group_wants(group, wants, now);
+    }
+
+    /// The instance owns a group of servers from now on.
+    pub(crate) fn gain_server_group(
+        &mut self,
+        group: GroupId,
+        fencing: FencingNumber,
+        now: Instant,
+    ) {
+        let time_of_day = self.time_of_day();
+        let cfg = self.follower.current().clone();
+        let owned = self.groups.entry(group.clone()).or_insert_with(|| {
+            let settings = group::Settings::new(group.clone(), self.cx.instance.clone());
+            let catalogue = Arc::clone(&cfg.catalogue);
+            OwnedGroup::new(settings, catalogue, now, time_of_day)
+        });
+        owned.configure(&cfg);
+        let lease_until = self.ownership.lease_until(now).unwrap_or(now);
+        let servers = self.directory.engines(&group, &self.cx.data_centre);
+        self.with_group(&group, now, |owned, wall, rng| {
+            owned.on_gained(fencing, lease_until, now, rng);
+            owned.on_list(&servers, now, wall, rng);
+        });
+    }
+
+    /// Passes a newer platform list to the owned groups.
+    pub(crate) fn update_group_lists(&mut self, now: Instant) {
+        let groups: Vec<GroupId> = self.groups.keys().cloned().collect();
+        for group in groups {
+            let servers = self.directory.engines(&group, &self.cx.data_centre);
+            self.with_group(&group, now, |owned, wall, rng| {
+                owned.on_list(&servers, now, wall, rng);
+            });
+        }
+    }
+
+    /// Runs what is due in owned groups.
+    pub(crate) fn group_timers(&mut self, now: Instant) {
+        let due = |group: &&GroupId| self.groups.get(*group).is_some_and(|g| g.next_timer() <= now);
+        let groups: Vec<GroupId> = self.owned.keys().filter(due).cloned().collect();
+        for group in groups {
+            self.with_group(&group, now, |owned, wall, rng| owned.on_timer(now, wall, rng));
+        }
+    }
+
+    /// Takes a backend server's report.
+    pub(crate) fn on_report(
+        &mut self,
+        group: &GroupId,
+        server: &BackendServerId,
+        requested: Instant,
+        result: Result<Box<ServerReport>, SendError>,
+        now: Instant,
+    ) {
+        let report = match result {
+            Ok(report) => Some(report),
+            Err(e) => {
+                tracing::debug!("group: no report of {server}: {e}");
+                None
+            }
+        };
+        if let Some(report) = &report {
+            let (server, incarnation) = (&report.server, report.incarnation);
+            self.requests.router.server_report(server, incarnation, report.leaving);
+            self.read_cache_events(group, server);
+        }
+        self.with_group(group, now, |owned, wall, rng| {
+            owned.on_report(server, requested, report.as_deref(), now, wall, rng);
+        });
+    }
+
+    /// Takes cache events of a backend server and passes them to the data centre.
+    pub(crate) fn on_cache_events(
+        &mut self,
+        group: &GroupId,
+        server: BackendServerId,
+        events: CacheEvents,
+    ) {
+        let by_replica = self.cache_streams.entry(server).or_default().take(events);
+        for (replica, events) in by_replica {
+            let replica = ReplicaRef { group: group.clone(), replica };
+            self.requests.router.cache_events(&replica, &events);
+            self.broadcast(&PeerMessage::CacheEvents { replica, events });
+        }
+    }
+
+    /// Takes the published state of a group.
+    pub(crate) fn on_group_state(&mut self, state: &GroupState, now: Instant) {
+        if self.requests.router.publish(state, now) {
+            self.demand.publish(state);
+            self.received.whole(state);
+            self.requests.pump_all(&self.cx, now);
+        }
+    }
+
+    /// Sends the states of owned groups to an instance that has just appeared.
+    pub(crate) fn send_states(&self, to: &str) {
+        for owned in self.owned.keys().filter_map(|group| self.groups.get(group)) {
+            if let Some(state) = owned.publisher.last() {
+                self.send(to, PeerMessage::GroupState(Arc::clone(state)));
+            }
+        }
+    }
+
+    /// Takes changed loads of a group.
+    pub(crate) fn on_group_loads(&mut self, loads: &GroupLoads, now: Instant) {
+        let Some(state) = self.received.loads(loads) else { return };
+        if self.requests.router.publish(state, now) {
+            self.requests.pump_all(&self.cx, now);
+        }
+    }
+
+    fn on_group_wants(&mut self, group: &GroupId, wants: Vec<GroupWants>, now: Instant) {
+        for want in wants {
+            match want {
+                GroupWants::Call { call, request } => {
+                    let caller = Caller::Group(group.clone());
+                    self.cx.call(caller, call, CallPriority::Ordinary, request);
+                }
+                GroupWants::Order { server, address, order } => {
+                    self.send_order(group.clone(), server, address, order);
+                }
+                GroupWants::Report { server, address } => {
+                    self.read_report(group.clone(), server, address, now);
+                }
+                GroupWants::RaiseFencing => {
+                    let rng = self.cx.rng.clone();
+                    let actions = self.ownership.raise_fencing(now, group, &mut *rng.borrow_mut());
+                    self.on_ownership_actions(actions, now);
+                }
+                GroupWants::Superseded => {
+                    tracing::warn!("group: {group} has another owner");
+                    let rng = self.cx.rng.clone();
+                    let actions = self.ownership.raise_fencing(now, group, &mut *rng.borrow_mut());
+                    self.on_ownership_actions(actions, now);
+                }
+                GroupWants::Released => self.released(group, now),
+                GroupWants::Publish(Publication::Whole(state)) => {
+                    self.broadcast(&PeerMessage::GroupState(Arc::clone(&state)));
+                    self.on_group_state(&state, now);
+                }
+                GroupWants::Publish(Publication::Loads(loads)) => {
+                    self.broadcast(&PeerMessage::GroupLoads(Arc::clone(&loads)));
+                    self.on_group_loads(&loads, now);
+                }
+            }
+        }
+    }
+
+    fn send_order(&self, group: GroupId, server: BackendServerId, address: Box<str>, order: Order) {
+        if let OrderKind::Load { source, .. } = &order.kind {
+            self.cx.metrics.loads.get_or_create(&(*source).into()).inc();
+        }
+        let client = self.cx.client.clone();
+        self.cx.spawn(async move {
+            let deadline = Instant::now() + ORDER_TIMEOUT;
+            let result = match client.order(&address, &order, deadline).await {
+                Ok(OrderReply::Accepted) => OrderResult::Accepted,
+                Ok(OrderReply::Stale) => OrderResult::StaleFencing,
+                Ok(OrderReply::Refused(text)) => {
+                    tracing::warn!("group: {server} refused order {}: {text}", order.order);
+                    OrderResult::Refused
+                }
+                Err(e) => {
+                    tracing::info!("group: order {} to {server} failed: {e}", order.order);
+                    match e.verdict() {
+                        Verdict::NotRun => OrderResult::NotSent,
+                        Verdict::MayHaveRun => OrderResult::Lost,
+                    }
+                }
+            };
+            Event::OrderResult { group, server, order: order.order, result }
+        });
+    }
+
+    fn read_report(
+        &self,
+        group: GroupId,
+        server: BackendServerId,
+        address: Box<str>,
+        now: Instant,
+    ) {
+        let client = self.cx.client.clone();
+        self.cx.spawn(async move {
+            let result = client.state(&address, now + REPORT_TIMEOUT).await.map(Box::new);
+            Event::Report { group, server, requested: now, result }
+        });
+    }
+
+    fn read_cache_events(&self, group: &GroupId, server: &BackendServerId) {
+        let since = self.cache_streams.get(server).map_or(0, CacheStream::position);
+        let listed = self.directory.engines(group, &self.cx.data_centre);
+        let Some(entry) = listed.into_iter().find(|l| l.name == *server) else { return };
+        let (client, group, server) = (self.cx.client.clone(), group.clone(), server.clone());
+        self.cx.spawn(async move {
+            let deadline = Instant::now() + REPORT_TIMEOUT;
+            let events = client.cache_events(&entry.address, since, deadline).await;
+            // A hint only: what is missed shows as a gap.
+            let events = events.unwrap_or_else(|_| CacheEvents { next: since, events: Vec::new() });
+            Event::CacheEvents { group, server, events }
+        });
+    }
+}
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -1,1 +1,52 @@
-//! The loop of one entry instance.
+//! One entry instance: the loop that drives all components in `serve`.
+//!
+//! Everything runs on one thread. Decisions are taken by state machines without I/O; this crate
+//! passes events to them and carries out their actions as tasks, whose results are events again.
+//! The modules stand by life span: [`pending`] and [`attempt`] for a request, [`context`] for
+//! connections, and the rest for the process.
+
+mod allowances;
+mod attempt;
+mod attempt_ends;
+mod attempt_request;
+mod attempt_stream;
+mod bookings;
+mod cache_stream;
+mod context;
+mod control;
+mod demand;
+mod details;
+mod directory;
+mod event;
+mod expected;
+mod finished;
+mod group_view;
+mod groups;
+mod instance;
+mod key_owners;
+mod keys;
+mod message;
+mod models;
+mod operators;
+mod owned_group;
+mod peers;
+mod pending;
+mod periodic;
+mod polls;
+mod progress;
+mod publication;
+mod pump;
+mod requests;
+mod shares;
+mod start;
+mod usage;
+mod wanted;
+
+#[cfg(test)]
+mod demand_tests;
+#[cfg(test)]
+mod progress_tests;
+#[cfg(test)]
+mod publication_tests;
+
+pub use start::{Error, Listeners, run, run_blocking};
--- /dev/null
+++ b/components/process/instance/src/operators.rs
@@ -0,0 +1,100 @@
+//! Answers on the operators' address.
+
+use burn::{Alert, BurnReport, BurnState};
+use bytes::Bytes;
+use front::{OperatorReply, OperatorRequest};
+use http::StatusCode;
+use serde::Serialize;
+use telemetry::{BudgetLabels, BurnLabels, Metrics};
+use types::prelude::*;
+use types::status::InstanceStatus;
+
+/// Body of `GET /status`: what the command line shows, and more for monitoring.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    #[serde(flatten)]
+    pub(crate) summary: InstanceStatus,
+    /// Whether the instance is stopping.
+    pub(crate) stopping: bool,
+    /// Whether the platform answered lately.
+    pub(crate) platform_reachable: bool,
+    /// Live instances of the data centre.
+    pub(crate) live_instances: BTreeSet<InstanceId>,
+    /// Other data centres that the instance hears from.
+    pub(crate) reachable_data_centres: Vec<DataCentreId>,
+    /// Requests waiting.
+    pub(crate) waiting: usize,
+    /// Requests running.
+    pub(crate) running: usize,
+    /// Backend servers of owned groups that take no order now.
+    pub(crate) blocked_servers: BTreeSet<BackendServerId>,
+}
+
+/// The answer to a question, given the parts of the loop's state that it needs.
+pub(crate) fn reply(
+    request: OperatorRequest,
+    status: &Status,
+    metrics: &Metrics,
+    burn: &BurnState,
+) -> OperatorReply {
+    match request {
+        OperatorRequest::Ready if status.summary.ready => text(StatusCode::OK, "ready\n".into()),
+        OperatorRequest::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        OperatorRequest::Status => json(status),
+        OperatorRequest::Burn => json(burn),
+        OperatorRequest::Metrics => match encode(metrics, burn) {
+            Ok(body) => OperatorReply {
+                status: StatusCode::OK,
+                content_type: "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                body: body.into(),
+            },
+            Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        },
+    }
+}
+
+/// Service-level figures are worked out when they are asked for, so that they cost nothing between.
+fn encode(metrics: &Metrics, burn: &BurnState) -> Result<String, std::fmt::Error> {
+    const THOUSANDTHS: f64 = 1_000.0;
+    // Series of customers and classes that are gone must not stay at their last value.
+    metrics.burn_rate.clear();
+    metrics.budget_left.clear();
+    metrics.alert.clear();
+    for row in BurnReport::new(burn).rows {
+        let (customer, class) = (row.customer.to_string(), row.class.to_string());
+        for window in &row.windows {
+            let labels = BurnLabels {
+                customer: customer.clone(),
+                class: class.clone(),
+                window: window.window.to_owned(),
+            };
+            let rate = window.burn_rate_milli as f64 / THOUSANDTHS;
+            metrics.burn_rate.get_or_create(&labels).set(rate);
+        }
+        let labels = BudgetLabels { customer, class };
+        let left = row.budget_left as f64 / f64::from(WHOLE_BASIS_POINTS);
+        metrics.budget_left.get_or_create(&labels).set(left);
+        let alert = match row.alert {
+            Alert::None => 0,
+            Alert::Ticket => 1,
+            Alert::Page => 2,
+        };
+        metrics.alert.get_or_create(&labels).set(alert);
+    }
+    metrics.encode()
+}
+
+fn text(status: StatusCode, body: String) -> OperatorReply {
+    OperatorReply { status, content_type: "text/plain; charset=utf-8", body: body.into() }
+}
+
+fn json(value: &impl Serialize) -> OperatorReply {
+    match serde_json::to_vec(value) {
+        Ok(body) => OperatorReply {
+            status: StatusCode::OK,
+            content_type: "application/json",
+            body: Bytes::from(body),
+        },
+        Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/shares.rs
@@ -0,0 +1,351 @@
+//! Limit shares: what this instance may use, and what it grants while it holds the group
+//! `limits/DATA_CENTRE`.
+
+use admission::LocalLimits;
+use admission::shares::{
+    Grantee, Holder, HolderState, Holding, ShareGrant, ShareRequest, StandingShare,
+};
+use front::Arrival;
+use platform::{Call, Client, WriteOutcome};
+use serde::{Deserialize, Serialize};
+use types::object::{Condition, ObjectKey};
+use types::prelude::*;
+
+use crate::context::Context;
+use crate::event::Event;
+use crate::requests::Requests;
+
+/// Time for the platform to read and write the share objects.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for the holder to answer.
+pub(crate) const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between attempts to get a first grant, or to read the share object.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+const KIND: &str = "share";
+/// Name of the object that fixes how the limits are first divided.
+const FIRST_DIVISION: &str = "@first-division";
+
+/// Data centres between which the limits were first divided evenly. Written once; a data centre
+/// that comes later starts with nothing and receives parts by transfers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FirstDivision {
+    data_centres: BTreeSet<DataCentreId>,
+    nonce: Nonce,
+}
+
+/// How long a customer counts as active after its last request. Messages and the holder's work grow
+/// with the active customers.
+const ACTIVE_TIME: Duration = Duration::from_secs(300);
+/// Longest time that the first request of a customer waits for a grant, which takes some 2 ms.
+const HOLD_TIME: Duration = Duration::from_secs(1);
+/// Requests that wait for a grant at one time.
+const MAX_HELD: usize = 1024;
+
+/// A request whose customer has no share on this instance yet.
+struct Held {
+    arrival: Arrival,
+    until: Instant,
+}
+
+/// Limit shares of one instance.
+pub(crate) struct Shares {
+    grantee: Grantee,
+    holder: Option<Holder>,
+    /// Fencing number under which the group is held; the holder follows once the share is read.
+    held_under: Option<FencingNumber>,
+    is_reading: bool,
+    read_at: Instant,
+    /// When the holder is asked next.
+    ask_at: Instant,
+    /// An answer is waited for until then.
+    in_flight: Option<Instant>,
+    /// Until when each customer counts as active.
+    active: HashMap<CustomerId, Instant>,
+    waiting: Vec<Held>,
+    /// Instances of the data centre in the platform's list.
+    listed: BTreeSet<InstanceId>,
+    /// State of a predecessor that stops as planned.
+    handed_over: Option<HolderState>,
+    /// State that this instance hands over.
+    pub(crate) to_hand_over: Option<HolderState>,
+    /// Customers for which admission has limits.
+    limited: HashSet<CustomerId>,
+}
+
+impl Shares {
+    /// Nothing granted.
+    pub(crate) fn new(instance: &str, incarnation: Incarnation, now: Instant) -> Self {
+        Self {
+            grantee: Grantee::new(instance, incarnation),
+            holder: None,
+            held_under: None,
+            is_reading: false,
+            read_at: now,
+            ask_at: now,
+            in_flight: None,
+            active: HashMap::new(),
+            waiting: Vec::new(),
+            listed: BTreeSet::new(),
+            handed_over: None,
+            to_hand_over: None,
+            limited: HashSet::new(),
+        }
+    }
+
+    /// The instance holds the data centre's limits from now on.
+    pub(crate) fn gained(&mut self, fencing: FencingNumber, now: Instant) {
+        self.held_under = Some(fencing);
+        self.holder = None;
+        self.read_at = now;
+    }
+
+    /// The instance holds the limits no longer.
+    pub(crate) fn lost(&mut self) {
+        self.held_under = None;
+        self.holder = None;
+    }
+
+    /// Takes the data centre's standing share as read from the platform.
+    pub(crate) fn on_holding(
+        &mut self,
+        fencing: FencingNumber,
+        holding: Option<Holding>,
+        now: Instant,
+    ) {
+        self.is_reading = false;
+        if self.held_under != Some(fencing) {
+            return;
+        }
+        // Only the state of the direct predecessor names all grants.
+        let state = self.handed_over.take().filter(|state| state.fencing + 1 == fencing);
+        match (holding, state) {
+            (Some(holding), Some(state)) => {
+                self.holder = Some(Holder::succeed(fencing, holding, state, now));
+            }
+            (Some(holding), None) => {
+                let mut holder = Holder::new(fencing, holding, now);
+                holder.set_listed(self.listed.clone());
+                self.holder = Some(holder);
+            }
+            (None, _) => self.read_at = now + RETRY_INTERVAL,
+        }
+    }
+
+    /// Answers a request. While the platform is away, grants last longer.
+    pub(crate) fn grant(
+        &mut self,
+        request: &ShareRequest,
+        platform_is_away: bool,
+        now: Instant,
+    ) -> Option<ShareGrant> {
+        let holder = self.holder.as_mut()?;
+        holder.set_outage(platform_is_away);
+        holder.grant(request, now)
+    }
+
+    /// The lease lapsed: another holder may exist.
+    pub(crate) fn lapsed(&mut self) {
+        if let Some(holder) = &mut self.holder {
+            holder.lapse();
+        }
+    }
+
+    /// Takes the instances of the data centre in the platform's list.
+    pub(crate) fn set_listed(&mut self, listed: BTreeSet<InstanceId>) {
+        if let Some(holder) = &mut self.holder {
+            holder.set_listed(listed.clone());
+        }
+        self.listed = listed;
+    }
+
+    /// Ends the grants at a planned stop; the state goes to the successor.
+    pub(crate) fn hand_over(&mut self, now: Instant) -> Option<HolderState> {
+        self.holder.take().map(|holder| holder.hand_over(now))
+    }
+
+    /// Takes the state of a predecessor that stops as planned.
+    pub(crate) fn on_handed_over(&mut self, state: HolderState) {
+        self.handed_over = Some(state);
+    }
+
+    /// Applies a grant, or notes that there was none.
+    pub(crate) fn on_grant(&mut self, grant: Option<ShareGrant>, now: Instant) {
+        self.in_flight = None;
+        let applied = grant.is_some_and(|grant| self.grantee.apply(grant));
+        self.ask_at = match self.grantee.renew_at().filter(|_| applied) {
+            Some(renew_at) => renew_at,
+            None => now + RETRY_INTERVAL,
+        };
+    }
+
+    /// Whether limits were granted; without them every request would be refused.
+    pub(crate) fn has_grant(&self, now: Instant) -> bool {
+        self.grantee.ends_at().is_some_and(|ends_at| now < ends_at)
+    }
+
+    /// Takes a request in. The first one of a customer without a share waits for a grant.
+    pub(crate) fn take_in(
+        &mut self,
+        arrival: Arrival,
+        cfg: &Configuration,
+        now: Instant,
+    ) -> Option<Arrival> {
+        let Some(contract) = cfg.contracts.get(&arrival.customer) else { return Some(arrival) };
+        self.active.insert(arrival.customer.clone(), now + ACTIVE_TIME);
+        let limits = self.grantee.limits(&arrival.customer, &contract.limits, now);
+        if limits != LocalLimits::default() || self.waiting.len() >= MAX_HELD {
+            return Some(arrival);
+        }
+        self.ask_at = now;
+        self.waiting.push(Held { arrival, until: now + HOLD_TIME });
+        None
+    }
+
+    /// Requests that need not wait any longer, because their customer has a share or because they
+    /// have waited long enough.
+    pub(crate) fn release(&mut self, cfg: &Configuration, now: Instant) -> Vec<Arrival> {
+        let grantee = &self.grantee;
+        let has_share = |arrival: &Arrival| {
+            let contract = cfg.contracts.get(&arrival.customer);
+            contract.is_none_or(|contract| {
+                let limits = grantee.limits(&arrival.customer, &contract.limits, now);
+                limits != LocalLimits::default()
+            })
+        };
+        let (ready, waiting): (Vec<Held>, Vec<Held>) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|held| held.until <= now || has_share(&held.arrival));
+        self.waiting = waiting;
+        ready.into_iter().map(|held| held.arrival).collect()
+    }
+
+    /// Whether requests wait for a grant.
+    pub(crate) fn is_holding_requests(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Sets what this instance may use.
+    pub(crate) fn apply(&mut self, requests: &mut Requests, cfg: &Configuration, now: Instant) {
+        for (customer, contract) in &cfg.contracts {
+            let limits = self.grantee.limits(customer, &contract.limits, now);
+            // The first limits that admission gets also fill the customer's token bucket.
+            if limits != LocalLimits::default() || self.limited.contains(customer) {
+                requests.set_limits(customer, limits, now);
+                self.limited.insert(customer.clone());
+            }
+        }
+        self.limited.retain(|customer| cfg.contracts.contains_key(customer));
+    }
+
+    /// Whether the share object has to be read now.
+    pub(crate) fn wants_holding(&mut self, now: Instant) -> Option<FencingNumber> {
+        let wanted = self.held_under.is_some() && self.holder.is_none();
+        if !wanted || self.is_reading || now < self.read_at {
+            return None;
+        }
+        self.is_reading = true;
+        self.held_under
+    }
+
+    /// The request to send to the holder now, if one is due.
+    pub(crate) fn due_request(
+        &mut self,
+        requests: &Requests,
+        cfg: &Configuration,
+        holder: FencingNumber,
+        now: Instant,
+    ) -> Option<ShareRequest> {
+        if now < self.ask_at || self.in_flight.is_some_and(|until| now < until) {
+            return None;
+        }
+        self.drop_inactive(now);
+        for customer in self.active.keys() {
+            let Some(contract) = cfg.contracts.get(customer) else { continue };
+            let (waiting, running) = requests.admission.load(customer);
+            let held = self.waiting.iter().filter(|h| h.arrival.customer == *customer).count();
+            let queued = waiting + held as u64;
+            let need = LocalLimits { rate_milli: 0, concurrent: running + queued, queued };
+            self.grantee.want(customer, need, &contract.limits);
+        }
+        self.in_flight = Some(now + SHARE_TIMEOUT);
+        self.ask_at = now + RETRY_INTERVAL;
+        Some(self.grantee.request(holder, now))
+    }
+
+    fn drop_inactive(&mut self, now: Instant) {
+        let inactive: Vec<CustomerId> = self
+            .active
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(c, _)| c.clone())
+            .collect();
+        for customer in inactive {
+            self.active.remove(&customer);
+            self.grantee.forget(&customer);
+        }
+    }
+
+    /// When something is due.
+    pub(crate) fn next_timer(&self) -> Instant {
+        let ask = self.in_flight.map_or(self.ask_at, |until| until.max(self.ask_at));
+        let held = self.waiting.iter().map(|held| held.until).min();
+        held.map_or(ask, |until| until.min(ask))
+    }
+}
+
+/// Reads the data centre's standing share and makes it at the first start.
+pub(crate) fn read_holding(
+    cx: &Context,
+    fencing: FencingNumber,
+    data_centres: BTreeSet<DataCentreId>,
+    nonces: (Nonce, Nonce),
+) {
+    let (client, own) = (cx.platform.clone(), cx.data_centre.clone());
+    cx.spawn(async move {
+        let call = Call::by(Instant::now() + PLATFORM_TIMEOUT);
+        let holding = holding(&client, &own, data_centres, nonces, call).await;
+        Event::Holding { fencing, holding }
+    });
+}
+
+async fn holding(
+    client: &Client,
+    own: &DataCentreId,
+    data_centres: BTreeSet<DataCentreId>,
+    nonces: (Nonce, Nonce),
+    call: Call,
+) -> Option<Holding> {
+    let key = ObjectKey::new(KIND, own.clone());
+    if let Some(share) = client.get::<StandingShare>(&key, call).await.ok()? {
+        return Some(share.value.holding);
+    }
+    let division = first_division(client, data_centres, nonces.0, call).await?;
+    let count = division.data_centres.len() as u64;
+    let position = division.data_centres.iter().position(|d| d == own);
+    let first = position.map_or_else(Holding::default, |i| Holding::even(i as u64, count));
+    let share = StandingShare::new(own, first, nonces.1);
+    match client.write(&key, Condition::Absent, &share, call).await {
+        WriteOutcome::Written { .. } => Some(share.holding),
+        WriteOutcome::Conflict { current: Some(present), .. } => Some(present.value.holding),
+        _ => None,
+    }
+}
+
+async fn first_division(
+    client: &Client,
+    data_centres: BTreeSet<DataCentreId>,
+    nonce: Nonce,
+    call: Call,
+) -> Option<FirstDivision> {
+    let key = ObjectKey::new(KIND, FIRST_DIVISION);
+    if let Some(present) = client.get(&key, call).await.ok()? {
+        return Some(present.value);
+    }
+    let division = FirstDivision { data_centres, nonce };
+    match client.write(&key, Condition::Absent, &division, call).await {
+        WriteOutcome::Written { .. } => Some(division),
+        WriteOutcome::Conflict { current: Some(present), .. } => Some(present.value),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/wanted.rs
@@ -0,0 +1,269 @@
+//! Demand, arrivals and claims of idempotency keys: sent to the owners, and taken as an owner.
+
+use idempotency::range_of;
+use ownership::GroupObject;
+use platform::Call;
+use types::object::ObjectKey;
+use types::prelude::*;
+
+use crate::directory::key_group;
+use crate::event::Event;
+use crate::instance::Instance;
+use crate::keys::Claimant;
+use crate::message::{
+    ArrivalCount, ClaimMessage, DemandMessage, DemandReply, FinishMessage, PeerMessage, PeerReply,
+    deadline_in, remaining_ms,
+};
+use crate::requests::Wanted;
+
+/// Time for the owner of a group to answer a demand.
+const DEMAND_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that an owner of a key range keeps for the answer after it must have decided.
+const CLAIM_ANSWER_TIME: Duration = Duration::from_millis(50);
+/// Longest time that a claim waits for the platform.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Delay before the end of a recorded call is told again.
+const FINISH_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Repeats cover the takeover of a key range, which takes about 10 s.
+const MAX_FINISH_RETRIES: u32 = 30;
+
+impl Instance {
+    /// Answers demand as the owner of a group; `None` if this instance does not own it.
+    pub(crate) fn on_demand(
+        &mut self,
+        from: InstanceId,
+        demand: DemandMessage,
+        now: Instant,
+    ) -> Option<DemandReply> {
+        if !self.owned.contains_key(&demand.group) {
+            return None;
+        }
+        let deadline = deadline_in(demand.remaining_ms, now);
+        let wanted = placement::Demand {
+            from,
+            target: demand.target,
+            waiting: demand.waiting,
+            worth_milli: demand.worth_milli,
+            deadline,
+        };
+        let mut reply = None;
+        self.with_group(&demand.group, now, |owned, wall, rng| {
+            reply = Some(owned.on_demand(wanted, now, wall, rng));
+        });
+        reply
+    }
+
+    /// Takes an owner's answer to a demand.
+    pub(crate) fn on_demand_reply(
+        &mut self,
+        target: Target,
+        group: GroupId,
+        reply: Option<DemandReply>,
+        now: Instant,
+    ) {
+        match reply {
+            Some(DemandReply::ReadyIn { ms }) => {
+                let ready_at = deadline_in(ms, now);
+                self.requests.on_expected(&target, Some(ready_at), now);
+            }
+            Some(DemandReply::Unreachable) => {
+                self.demand.refused(&target.model, &group, now);
+                let order = self.directory.groups_for(&target.model);
+                if self.demand.group_for(&target.model, &order, now).is_none() {
+                    self.requests.on_expected(&target, None, now);
+                }
+            }
+            // The owner is away; the demand is repeated while requests wait.
+            None => {}
+        }
+    }
+
+    /// Takes arrival counts as the owner of the models' groups.
+    pub(crate) fn on_arrival_counts(&mut self, counts: Vec<ArrivalCount>, now: Instant) {
+        for count in counts {
+            let order = self.directory.groups_for(&count.model);
+            let Some(group) = self.demand.group_for(&count.model, &order, now) else { continue };
+            if !self.owned.contains_key(&group) {
+                continue;
+            }
+            let arrival = placement::Arrival {
+                model: count.model,
+                count: count.count,
+                worth_milli: count.worth_milli,
+                deadline: deadline_in(count.remaining_ms, now),
+            };
+            self.with_group(&group, now, |owned, wall, rng| {
+                owned.on_arrivals(arrival, now, wall, rng);
+            });
+        }
+    }
+
+    /// Tells the owners of groups which models were asked for.
+    pub(crate) fn report_arrivals(&mut self, now: Instant) {
+        let mut by_owner: BTreeMap<InstanceId, Vec<ArrivalCount>> = BTreeMap::new();
+        for (model, count) in std::mem::take(&mut self.requests.arrivals) {
+            let order = self.directory.groups_for(&model);
+            let group = self.demand.group_for(&model, &order, now);
+            let owner = group.and_then(|group| self.ownership.owner_hint(&group).cloned());
+            if let Some(owner) = owner {
+                by_owner.entry(owner).or_default().push(count);
+            }
+        }
+        for (owner, counts) in by_owner {
+            if owner == self.cx.instance {
+                self.on_arrival_counts(counts, now);
+            } else {
+                self.send(&owner, PeerMessage::Arrivals(counts));
+            }
+        }
+    }
+
+    /// Carries out what the requests want.
+    pub(crate) fn on_wanted(&mut self, wanted: Wanted, now: Instant) {
+        match wanted {
+            Wanted::Target { target, waiting, worth_milli, deadline } => {
+                self.send_demand(target, waiting, worth_milli, deadline, now);
+            }
+            Wanted::Key { ticket, key, fingerprint, decide_by } => {
+                let decide_by = decide_by.min(now + CLAIM_TIMEOUT);
+                let within = remaining_ms(decide_by, now);
+                let message = ClaimMessage { key, fingerprint, decide_within_ms: within };
+                self.send_claim(ticket, message, decide_by, now);
+            }
+            Wanted::KeyEnded(message) => self.send_finish(message, 0, now),
+        }
+    }
+
+    fn send_demand(
+        &mut self,
+        target: Target,
+        waiting: u32,
+        worth_milli: u32,
+        deadline: Instant,
+        now: Instant,
+    ) {
+        let order = self.directory.groups_for(&target.model);
+        let holder = match target.adapter {
+            Some(_) => self.demand.holder(&target.model, &order),
+            None => None,
+        };
+        let group = holder.or_else(|| self.demand.group_for(&target.model, &order, now));
+        let Some(group) = group else {
+            return self.requests.on_expected(&target, None, now);
+        };
+        let message = DemandMessage {
+            group: group.clone(),
+            target: target.clone(),
+            waiting,
+            worth_milli,
+            remaining_ms: remaining_ms(deadline, now),
+        };
+        if self.owned.contains_key(&group) {
+            let reply = self.on_demand(self.cx.instance.clone(), message, now);
+            return self.on_demand_reply(target, group, reply, now);
+        }
+        let Some(owner) = self.ownership.owner_hint(&group) else { return };
+        let Some(address) = self.address_of(owner) else { return };
+        let exchange =
+            self.cx.exchange(address, PeerMessage::Demand(message), now + DEMAND_TIMEOUT);
+        self.cx.spawn(async move {
+            let reply = match exchange.await {
+                Some(PeerReply::Demand(reply)) => Some(reply),
+                _ => None,
+            };
+            Event::Demand { target, group, reply }
+        });
+    }
+
+    fn send_claim(
+        &mut self,
+        ticket: admission::Ticket,
+        message: ClaimMessage,
+        decide_by: Instant,
+        now: Instant,
+    ) {
+        if self.keys.owns(&message.key) {
+            let wall = SystemTime::now();
+            return self.keys.claim(message, Claimant::Own(ticket), now, wall);
+        }
+        let range = range_of(&message.key);
+        let owner = self.key_owner(range, now);
+        let Some(address) = owner.and_then(|owner| self.address_of(&owner)) else {
+            return self.look_up_key_owner(ticket, message, decide_by, now);
+        };
+        let deadline = decide_by + CLAIM_ANSWER_TIME;
+        let exchange = self.cx.exchange(address, PeerMessage::Claim(message), deadline);
+        self.cx.spawn(async move {
+            let answer = match exchange.await {
+                Some(PeerReply::Claim(answer)) => Some(answer),
+                _ => None,
+            };
+            Event::Claim { ticket, answer }
+        });
+    }
+
+    /// Reads the owner of a key range from the platform, because no summary has named it yet.
+    fn look_up_key_owner(
+        &mut self,
+        ticket: admission::Ticket,
+        message: ClaimMessage,
+        decide_by: Instant,
+        now: Instant,
+    ) {
+        let range = range_of(&message.key);
+        if self.key_owners.was_read(range, now) {
+            return self.requests.on_claim(&self.cx, ticket, None, now);
+        }
+        let client = self.cx.platform.clone();
+        self.cx.spawn(async move {
+            let key = ObjectKey::new("group", key_group(range));
+            let object = client.get::<GroupObject>(&key, Call::by(decide_by)).await;
+            let owner = object.ok().flatten().and_then(|object| object.value.owner);
+            Event::KeyOwner { range, owner, claim: (ticket, message, decide_by) }
+        });
+    }
+
+    /// Takes the owner of a key range as read from the platform.
+    pub(crate) fn on_key_owner(
+        &mut self,
+        range: u32,
+        owner: Option<InstanceId>,
+        (ticket, message, decide_by): (admission::Ticket, ClaimMessage, Instant),
+        now: Instant,
+    ) {
+        self.key_owners.set(range, owner, now);
+        self.send_claim(ticket, message, decide_by, now);
+    }
+
+    /// Tells the owner of a key range how a recorded call ended. Without it, repeats of the call
+    /// get no answer until the record expires, so that it is repeated for a while.
+    pub(crate) fn send_finish(&mut self, message: FinishMessage, retries: u32, now: Instant) {
+        let range = range_of(&message.key);
+        if self.keys.owns(&message.key) {
+            self.keys.finish(message);
+            return;
+        }
+        if retries >= MAX_FINISH_RETRIES {
+            tracing::warn!("idempotency: the end of a call was not recorded; range {range}");
+            return;
+        }
+        let owner = self.key_owner(range, now);
+        let address = owner.and_then(|owner| self.address_of(&owner));
+        let exchange = address.map(|address| {
+            let finish = PeerMessage::Finish(message.clone());
+            self.cx.exchange(address, finish, now + DEMAND_TIMEOUT)
+        });
+        let events = self.cx.events.clone();
+        tokio::task::spawn_local(async move {
+            let answer = match exchange {
+                Some(exchange) => exchange.await,
+                None => None,
+            };
+            if !matches!(answer, Some(PeerReply::Taken)) {
+                tokio::time::sleep(FINISH_RETRY_DELAY).await;
+                // The loop is gone only when the process stops.
+                let _ = events.send(Event::KeyEnded { message, retries: retries + 1 });
+            }
+        });
+    }
+}
--- a/components/process/placement/src/clock.rs
+++ b/components/process/placement/src/clock.rs
@@ -43,6 +43,8 @@
     bursts: Box<[f32; SLOTS_PER_DAY]>,
     day: Box<[u32; SLOTS_PER_DAY]>,
     first_day: u32,
+    /// The slot of the last call of `relative` and its result.
+    relative: Option<(SlotOfDay, f32)>,
 }
 
 /// Part of a slot's figure that a new day replaces.
@@ -54,22 +56,34 @@
             bursts: Box::new([0.0; SLOTS_PER_DAY]),
             day: Box::new([first_day; SLOTS_PER_DAY]),
             first_day,
+            relative: None,
         }
     }
 
     pub(crate) fn note(&mut self, at: SlotOfDay) {
-        self.bursts[at.slot] = self.faded(at) + 1.0;
+        let missed = at.day.saturating_sub(self.day[at.slot]);
+        self.bursts[at.slot] = self.faded(at.slot, missed) + 1.0;
         self.day[at.slot] = at.day;
     }
 
-    fn faded(&self, at: SlotOfDay) -> f32 {
-        let missed = at.day.saturating_sub(self.day[at.slot]).min(64) as i32;
-        self.bursts[at.slot] * (1.0 - ACTIVITY_GAIN).powi(missed)
+    fn faded(&self, slot: usize, missed: u32) -> f32 {
+        self.bursts[slot] * (1.0 - ACTIVITY_GAIN).powi(missed.min(64) as i32)
     }
 
     /// Activity of the coming half hour relative to that at a typical arrival, at most one; one
     /// while less than a day was seen.
-    pub(crate) fn relative(&self, at: SlotOfDay) -> f32 {
+    pub(crate) fn relative(&mut self, at: SlotOfDay) -> f32 {
+        match self.relative {
+            Some((slot, known)) if slot == at => known,
+            _ => {
+                let known = self.compute_relative(at);
+                self.relative = Some((at, known));
+                known
+            }
+        }
+    }
+
+    fn compute_relative(&self, at: SlotOfDay) -> f32 {
         if at.day <= self.first_day {
             return 1.0;
         }
@@ -85,8 +99,8 @@
             .map(|i| {
                 let slot = (at.slot + i) % SLOTS_PER_DAY;
                 let day = at.day + u32::from(at.slot + i >= SLOTS_PER_DAY);
-                // The present day's own count is incomplete; the fade makes up for it in part.
-                self.faded(SlotOfDay { day, slot })
+                // The present day's count is incomplete, so it does not count as missed.
+                self.faded(slot, day.saturating_sub(self.day[slot]).saturating_sub(1))
             })
             .sum::<f32>()
             / 6.0;
--- a/components/process/placement/src/event.rs
+++ b/components/process/placement/src/event.rs
@@ -17,6 +17,9 @@
     AdapterEnded(AdapterEnded),
     /// The caller could not carry out a decision, for example because the order was refused.
     Rejected(Decision),
+    /// The view has changed: a replica became idle, memory was released, or a server came or
+    /// left.
+    ViewChanged,
     /// Time has passed. Expected about once a second and at `Placement::next_wakeup`.
     Tick,
 }
@@ -106,7 +109,9 @@
         /// The copy to read.
         source: LoadSource,
     },
-    /// Load an adapter into the pool of a ready replica.
+    /// Load an adapter into the pool of a ready replica. Every such load is to end in
+    /// [`Event::AdapterEnded`], [`Event::Rejected`] or the end of the replica: until then it counts
+    /// as in flight.
     LoadAdapter {
         /// The backend server.
         server: BackendServerId,
--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -21,7 +21,7 @@
 
 /// Placement of one group of backend servers.
 ///
-/// State is kept per model (some kilobytes each); adapters appear only in the bounded queue of
+/// State is kept per model (under a kilobyte each); adapters appear only in the bounded queue of
 /// adapter loads, so no cost grows with their number.
 #[derive(Debug)]
 pub struct Placement {
@@ -35,11 +35,19 @@
     pub(crate) pending: BTreeMap<ModelId, Pending>,
     pub(crate) outstanding: Outstanding,
     pub(crate) store: StoreRate,
+    /// Loads and prefetches from the store decided in the present call, which its view cannot show.
+    pub(crate) store_starts_in_call: u32,
     pub(crate) adapters: AdapterQueue,
     /// Models loaded ahead of demand, kept until the time stored here.
     pub(crate) loaded_ahead: HashMap<ModelId, Instant>,
     /// Models that became ready for waiting demand, kept until the time stored here.
     pub(crate) fresh: HashMap<ModelId, Instant>,
+    /// When models became ready that have not been seen idle since.
+    pub(crate) ready_at: HashMap<ModelId, Instant>,
+    /// Mean time from a replica's becoming ready until it is idle again, in seconds.
+    pub(crate) hold_s: f64,
+    /// Idle replicas that are kept: their last use and when to look at them again.
+    pub(crate) kept: HashMap<ReplicaId, (Instant, Instant)>,
     pub(crate) prefetch: crate::ahead::PrefetchState,
 }
 
@@ -63,9 +71,13 @@
             pending: BTreeMap::new(),
             outstanding: Outstanding::default(),
             store: StoreRate::default(),
+            store_starts_in_call: 0,
             adapters: AdapterQueue::default(),
             loaded_ahead: HashMap::new(),
             fresh: HashMap::new(),
+            ready_at: HashMap::new(),
+            hold_s: 0.0,
+            kept: HashMap::new(),
             prefetch: Default::default(),
         };
         placement.configure(catalogue, settings);
@@ -95,8 +107,9 @@
             return self.note_arrival(a, now);
         }
         self.outstanding.resolve(view, now);
+        self.store_starts_in_call = 0;
         match event {
-            Event::Arrived(_) => {}
+            Event::Arrived(_) | Event::ViewChanged => {}
             Event::Demand(d) => self.demand(d, view, now, out),
             Event::LoadEnded(e) => self.load_ended(e, now),
             Event::PrefetchEnded(e) => {
@@ -223,7 +236,8 @@
 
     /// Loads from the store in progress, whether or not the view shows them yet.
     pub(crate) fn store_in_progress(&self, view: &View) -> u32 {
-        view.store.loads_in_progress.max(self.outstanding.store_loads())
+        let shown = view.store.loads_in_progress + self.store_starts_in_call;
+        shown.max(self.outstanding.store_loads())
     }
 
     /// Replicas of a model that may still be loaded, those just decided excluded.
@@ -264,6 +278,16 @@
             }
             return;
         }
+        if let Some(p) = self.pending.get_mut(&d.target.model) {
+            // The queue was taken into account when the demand came first; from then on only the
+            // load itself counts.
+            let nearest = p.copies.iter().min().copied().unwrap_or(LoadSource::Memory);
+            let expected = now + self.estimates.load(model, nearest);
+            if expected > d.deadline {
+                return out.push(unreachable(d, Some(expected)));
+            }
+            return p.merge(d);
+        }
         let expected = self.expected_ready(view, &d.target, now);
         if ready.is_empty() && expected.is_none_or(|t| t > d.deadline) {
             return out.push(unreachable(d, expected));
@@ -273,18 +297,14 @@
         if loading || self.allowance(view, &d.target.model) == 0 {
             return;
         }
-        match self.pending.get_mut(&d.target.model) {
-            Some(p) => p.merge(d),
-            None => {
-                self.pending.insert(d.target.model.clone(), Pending::new(d));
-            }
-        }
+        self.pending.insert(d.target.model.clone(), Pending::new(d, now));
     }
 
     fn load_ended(&mut self, e: &LoadEnded, now: Instant) {
         self.outstanding.load_ended(&e.server, &e.model);
         if e.succeeded {
             self.fresh.insert(e.model.clone(), now + crate::idle::FRESH);
+            self.ready_at.insert(e.model.clone(), now);
         }
         self.measure(e, now);
     }
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -5,12 +5,16 @@
 
 use super::parts::Parts;
 use super::standing::Holding;
+use super::wants::{Wants, level};
 
 /// Validity of a grant. With a renewal every 5 s it outlasts the takeover of a dead holder's group
 /// (about 10 s), so that instances keep their shares meanwhile.
 pub const GRANT_TERM: Duration = Duration::from_secs(20);
 /// Time by which the holder waits longer than the grantee uses a grant.
 pub const GRANT_MARGIN: Duration = Duration::from_secs(2);
+/// Validity of a grant given while the platform is away. Nobody can take over then, so that the
+/// death of the holder would otherwise end the service of its data centre after `GRANT_TERM`.
+pub const OUTAGE_TERM: Duration = Duration::from_secs(4 * 3600);
 /// Interval at which a grantee asks again.
 pub const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -31,9 +35,9 @@
     pub applied: u64,
     /// Fencing number of the holder that gave this grant.
     pub fencing: FencingNumber,
-    /// Parts that it holds now; empty once its grant has ended.
+    /// Parts that it still holds from an earlier holder.
     pub held: BTreeMap<CustomerId, Parts>,
-    /// Length of the parts that it wants.
+    /// Length of the parts that it wants. A customer that is not listed gets nothing.
     pub wanted: BTreeMap<CustomerId, u64>,
 }
 
@@ -63,34 +67,44 @@
 /// retired (no longer granted, but perhaps still in use by an instance that missed the change).
 #[derive(Debug)]
 pub struct Holder {
-    fencing: FencingNumber,
+    pub(super) fencing: FencingNumber,
     holding: Holding,
     withheld: Holding,
-    grants: BTreeMap<InstanceId, Grant>,
-    retired: Vec<Retired>,
-    unmet: BTreeMap<CustomerId, u64>,
+    pub(super) grants: BTreeMap<InstanceId, Grant>,
+    /// What the instances in `grants` want.
+    wants: Wants,
+    pub(super) retired: Vec<Retired>,
     serial: u64,
-    /// Grants of the predecessor may be in use until then.
-    predecessor_until: Instant,
+    /// Ordinary grants of the predecessor may be in use until then.
+    pub(super) predecessor_until: Instant,
+    /// Grants that the predecessor gave while the platform was away may be in use until then, by
+    /// listed instances that have not asked this holder.
+    pub(super) outage_until: Instant,
+    /// Instances in the platform's list; `None` before it is known.
+    listed: Option<BTreeSet<InstanceId>>,
+    /// Instances that have asked this holder, and so told what they hold.
+    asked: BTreeSet<InstanceId>,
+    is_outage: bool,
+    is_lapsed: bool,
 }
 
 #[derive(Debug)]
-struct Grant {
-    incarnation: Incarnation,
-    serial: u64,
-    parts: BTreeMap<CustomerId, Parts>,
-    wanted: BTreeMap<CustomerId, u64>,
-    ends_at: Instant,
+pub(super) struct Grant {
+    pub(super) incarnation: Incarnation,
+    pub(super) serial: u64,
+    pub(super) parts: BTreeMap<CustomerId, Parts>,
+    pub(super) wanted: BTreeMap<CustomerId, u64>,
+    pub(super) ends_at: Instant,
 }
 
 #[derive(Debug)]
-struct Retired {
-    instance: InstanceId,
-    incarnation: Incarnation,
+pub(super) struct Retired {
+    pub(super) instance: InstanceId,
+    pub(super) incarnation: Incarnation,
     /// Serial number of the grant that took the parts away.
-    replaced_by: u64,
-    parts: BTreeMap<CustomerId, Parts>,
-    until: Instant,
+    pub(super) replaced_by: u64,
+    pub(super) parts: BTreeMap<CustomerId, Parts>,
+    pub(super) until: Instant,
 }
 
 impl Holder {
@@ -103,13 +117,53 @@
             holding,
             withheld: Holding::default(),
             grants: BTreeMap::new(),
+            wants: Wants::default(),
             retired: Vec::new(),
-            unmet: BTreeMap::new(),
             serial: 0,
             predecessor_until: now + wait,
+            outage_until: now + if fencing <= 1 { wait } else { OUTAGE_TERM + GRANT_MARGIN },
+            listed: None,
+            asked: BTreeSet::new(),
+            is_outage: false,
+            is_lapsed: false,
         }
     }
 
+    /// Sets whether the platform is away. Grants to listed instances then last `OUTAGE_TERM`.
+    pub fn set_outage(&mut self, is_outage: bool) {
+        self.is_outage = is_outage;
+    }
+
+    /// The lease of the holder lapsed, so that another one may exist: from now on only what
+    /// instances hold is confirmed.
+    pub fn lapse(&mut self) {
+        self.is_lapsed = true;
+    }
+
+    /// Sets the instances of the data centre in the platform's list. From the first call on, parts
+    /// that the predecessor may have granted during an outage are free only once every listed
+    /// instance has asked this holder or `OUTAGE_TERM` has passed.
+    pub fn set_listed(&mut self, listed: BTreeSet<InstanceId>) {
+        self.listed = Some(listed);
+    }
+
+    /// Whether no grant of the predecessor can be in use unknown to this holder.
+    fn knows_all_grants(&self, now: Instant) -> bool {
+        let all_asked = self.listed.as_ref().is_none_or(|listed| listed.is_subset(&self.asked));
+        now >= self.predecessor_until && (all_asked || now >= self.outage_until)
+    }
+
+    /// When the last grant of the predecessor has certainly ended.
+    fn predecessor_end(&self) -> Instant {
+        if self.listed.is_some() { self.outage_until } else { self.predecessor_until }
+    }
+
+    /// Validity of a grant to an instance.
+    fn term(&self, instance: &InstanceId) -> Duration {
+        let is_listed = self.listed.as_ref().is_some_and(|listed| listed.contains(instance));
+        if self.is_outage && is_listed { OUTAGE_TERM } else { GRANT_TERM }
+    }
+
     /// Replaces the data centre's holding after `share/DATA_CENTRE` was written.
     pub fn set_holding(&mut self, holding: Holding) {
         self.withheld = self.withheld.intersection(&holding);
@@ -132,7 +186,7 @@
     pub fn is_free(&self, parts: &Holding, now: Instant) -> bool {
         let granted = self.grants.values().filter(|g| g.ends_at > now).map(|g| &g.parts);
         let retired = self.retired.iter().filter(|r| r.until > now).map(|r| &r.parts);
-        now >= self.predecessor_until
+        self.knows_all_grants(now)
             && granted
                 .chain(retired)
                 .flatten()
@@ -146,20 +200,27 @@
         }
         self.drop_ended(now);
         let previous = self.previous(request, now);
+        self.asked.insert(request.instance.clone());
+        let term = self.term(&request.instance);
         self.serial += 1;
         let mut grant = Grant {
             incarnation: request.incarnation,
             serial: self.serial,
             parts: previous.as_ref().map(|p| p.parts.clone()).unwrap_or_default(),
             wanted: request.wanted.clone(),
-            ends_at: now + GRANT_TERM + GRANT_MARGIN,
+            ends_at: now + term + GRANT_MARGIN,
         };
         let customers: BTreeSet<CustomerId> =
             grant.parts.keys().chain(grant.wanted.keys()).cloned().collect();
-        let may_add = now >= self.predecessor_until;
+        self.wants.add(&grant.wanted);
+        let may_add = self.knows_all_grants(now) && !self.is_lapsed;
         for customer in customers {
             let parts = self.resize(&customer, &grant, may_add);
-            grant.parts.insert(customer, parts);
+            if parts.is_empty() {
+                grant.parts.remove(&customer);
+            } else {
+                grant.parts.insert(customer, parts);
+            }
         }
         if let Some(previous) = previous {
             self.retire(&request.instance, previous, &grant);
@@ -171,21 +232,44 @@
             serial: grant.serial,
             fencing: self.fencing,
             parts: grant.parts.clone(),
-            term_ms: GRANT_TERM.as_millis() as u64,
+            term_ms: term.as_millis() as u64,
         };
         self.grants.insert(request.instance.clone(), grant);
         Some(reply)
     }
 
     /// Customers of whose limits more is wanted than the data centre holds, with the length that
-    /// is missing.
-    pub fn unmet(&self) -> &BTreeMap<CustomerId, u64> {
-        &self.unmet
+    /// is missing. To be asked of other data centres.
+    pub fn unmet(&self) -> BTreeMap<CustomerId, u64> {
+        let missing = self.wants.totals().map(|(customer, total)| {
+            (customer.clone(), total.saturating_sub(self.grantable(customer).length()))
+        });
+        missing.filter(|(_, length)| *length > 0).collect()
+    }
+
+    /// What this data centre can give to one with these unmet wants: at most half of what its own
+    /// instances do not want, and preferably parts that none of them holds.
+    pub fn donation(&self, unmet: &BTreeMap<CustomerId, u64>) -> Holding {
+        let mut donation = Holding::default();
+        for (customer, missing) in unmet {
+            let grantable = self.grantable(customer);
+            let spare = grantable.length().saturating_sub(self.wants.total(customer));
+            let free = grantable.minus(&self.in_use(customer));
+            let length = (spare / 2).min(*missing);
+            let from_free = free.take(length.min(free.length()));
+            let rest = grantable.minus(&free).take(length - from_free.length());
+            let parts = from_free.union(&rest);
+            if !parts.is_empty() {
+                donation.by_customer.insert(customer.clone(), parts);
+            }
+        }
+        donation
     }
 
     /// What the instance may hold before this request is answered.
     fn previous(&mut self, request: &ShareRequest, now: Instant) -> Option<Grant> {
         if let Some(previous) = self.grants.remove(&request.instance) {
+            self.wants.remove(&previous.wanted);
             if previous.incarnation != request.incarnation {
                 // The earlier process may only be paused, so its parts stay in use to their end.
                 self.retire_all(&request.instance, previous);
@@ -201,13 +285,13 @@
             }
             return Some(previous);
         }
-        let confirmable = request.fencing < self.fencing && now < self.predecessor_until;
+        let confirmable = request.fencing < self.fencing && !self.knows_all_grants(now);
         confirmable.then(|| Grant {
             incarnation: request.incarnation,
             serial: 0,
             parts: self.confirmed(request),
             wanted: BTreeMap::new(),
-            ends_at: self.predecessor_until,
+            ends_at: self.predecessor_end(),
         })
     }
 
@@ -222,8 +306,9 @@
 
     /// The parts of one customer's limits that `grant` is to have.
     fn resize(&self, customer: &str, grant: &Grant, may_add: bool) -> Parts {
-        let grantable = self.holding.parts(customer).minus(self.withheld.parts(customer));
-        let own = grant.parts.get(customer).cloned().unwrap_or_default().intersection(&grantable);
+        let grantable = self.grantable(customer);
+        let own = grant.parts.get(customer).map(|own| own.intersection(&grantable));
+        let own = own.unwrap_or_default();
         let target = self.target(customer, grant, grantable.length());
         let length = own.length();
         if !may_add || length == target {
@@ -240,27 +325,23 @@
     /// nobody wants, so that an unexpected first request does not have to wait. Half of that
     /// stays with the holder for sudden wants.
     fn target(&self, customer: &str, grant: &Grant, total: u64) -> u64 {
-        let want = |grant: &Grant| grant.wanted.get(customer).copied().unwrap_or(0);
-        let mut wants: Vec<u64> = self.grants.values().map(want).collect();
-        wants.push(want(grant));
-        wants.sort_unstable();
-        let mut left = total;
-        let mut level = 0;
-        for (index, &wanted) in wants.iter().enumerate() {
-            let even = left / (wants.len() - index) as u64;
-            level = wanted.min(even);
-            left -= level;
+        let Some(own) = grant.wanted.get(customer).copied() else { return 0 };
+        if self.wants.total(customer) > total {
+            let others = self.grants.values().filter_map(|grant| grant.wanted.get(customer));
+            return own.min(level(others.copied().chain([own]).collect(), total));
         }
-        want(grant).min(level) + left / (2 * wants.len() as u64)
+        let left = total - self.wants.total(customer);
+        own + left / (2 * self.wants.instances(customer).max(1))
+    }
+
+    fn grantable(&self, customer: &str) -> Parts {
+        self.holding.parts(customer).minus(self.withheld.parts(customer))
     }
 
     fn in_use(&self, customer: &str) -> Parts {
         let granted = self.grants.values().map(|grant| &grant.parts);
         let retired = self.retired.iter().map(|retired| &retired.parts);
-        granted
-            .chain(retired)
-            .filter_map(|parts| parts.get(customer))
-            .fold(Parts::none(), |all, parts| all.union(parts))
+        Parts::union_all(granted.chain(retired).filter_map(|parts| parts.get(customer)))
     }
 
     /// Keeps what `new` takes away from the instance until the instance cannot use it any more.
@@ -293,8 +374,15 @@
         });
     }
 
-    fn drop_ended(&mut self, now: Instant) {
+    pub(super) fn drop_ended(&mut self, now: Instant) {
         self.retired.retain(|retired| retired.until > now);
-        self.grants.retain(|_, grant| grant.ends_at > now);
+        let wants = &mut self.wants;
+        self.grants.retain(|_, grant| {
+            let ended = grant.ends_at <= now;
+            if ended {
+                wants.remove(&grant.wanted);
+            }
+            !ended
+        });
     }
 }
--- a/components/request/admission/tests/shares.rs
+++ b/components/request/admission/tests/shares.rs
@@ -31,6 +31,24 @@
     }
 }
 
+/// Guards against parts that are lost or added twice when a process dies between the steps of a
+/// move and the next one repeats them.
+#[test]
+fn move_that_is_repeated_after_a_crash_neither_loses_nor_creates_parts() {
+    let donor = StandingShare::new("d1", Holding::even(0, 2), 1);
+    let receiver = StandingShare::new("d2", Holding::even(1, 2), 2);
+    let donor = donor.give("d2", &Holding::of_customer("c0", Parts::even(0, 4)), 3).unwrap();
+    assert_eq!(donor.holding.parts("c0"), &Parts::even(1, 4));
+    let received = receiver.receive(&donor.given[0], 4).unwrap();
+    assert_eq!(received.holding.parts("c0").length(), WHOLE / 4 * 3);
+    assert_eq!(received.holding.parts("c1"), &Parts::even(1, 2));
+    assert!(received.receive(&donor.given[0], 5).is_none(), "repeated");
+    assert!(received.forget(&donor, 6).is_none(), "the donor may still offer it");
+    assert!(donor.clear(&receiver, 7).is_none(), "not received");
+    let cleared = donor.clear(&received, 8).unwrap();
+    assert!(received.forget(&cleared, 9).unwrap().received.is_empty());
+}
+
 /// Guards against handing a grant that was shrunk to others while its first holder may use it.
 #[test]
 fn lost_grant_keeps_the_parts_taken_away_until_the_old_grant_has_ended() {
@@ -78,6 +96,70 @@
     assert!(renew(&mut new, &mut b, 2, later) >= 3);
 }
 
+/// Guards against an end of service 20 s after the holder dies while the platform is away, when
+/// nobody can take over.
+#[test]
+fn grants_given_during_an_outage_outlast_the_holder() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    holder.set_listed(BTreeSet::from(["a".into()]));
+    let (mut a, mut unlisted) = (wanting("a", NEED), wanting("b", NEED));
+    holder.set_outage(true);
+    let held = renew(&mut holder, &mut a, 1, now);
+    renew(&mut holder, &mut unlisted, 1, now);
+    let later = now + Duration::from_secs(3_600);
+    assert_eq!(a.limits("c0", &LIMITS, later).concurrent, held);
+    assert_eq!(unlisted.limits("c0", &LIMITS, later).concurrent, 0, "nobody would account for it");
+}
+
+/// Guards against handing out parts that an instance, cut off since an outage, still uses.
+#[test]
+fn new_holder_waits_for_every_listed_instance_after_an_outage() {
+    let now = Instant::now();
+    let listed: BTreeSet<InstanceId> = ["a", "b"].map(Into::into).into();
+    let mut old = Holder::new(1, Holding::even(0, 1), now);
+    old.set_listed(listed.clone());
+    old.set_outage(true);
+    let (mut a, mut b) = (wanting("a", LocalLimits { concurrent: 7, ..NEED }), wanting("b", NEED));
+    assert_eq!(renew(&mut old, &mut a, 1, now), 7);
+    let takeover = now + Duration::from_secs(60);
+    let mut new = Holder::new(2, Holding::even(0, 1), takeover);
+    new.set_listed(listed);
+    let later = takeover + GRANT_TERM + GRANT_MARGIN;
+    assert_eq!(renew(&mut new, &mut b, 2, later), 0, "a may still use everything");
+    // Now that both have asked, a is reduced to its fair part, which it confirms when it asks again.
+    assert_eq!(renew(&mut new, &mut a, 2, later), 4);
+    assert_eq!(renew(&mut new, &mut b, 2, later), 0, "a has not confirmed");
+    assert_eq!(renew(&mut new, &mut a, 2, later), 4);
+    assert_eq!(renew(&mut new, &mut b, 2, later), 3);
+}
+
+/// Guards against a holder whose lease lapsed and that hands out what its successor also grants.
+#[test]
+fn lapsed_holder_only_confirms() {
+    let now = Instant::now();
+    let mut holder = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", NEED), wanting("b", NEED));
+    let held = renew(&mut holder, &mut a, 1, now);
+    holder.lapse();
+    assert_eq!(renew(&mut holder, &mut a, 1, now + ms(1)), held);
+    assert_eq!(renew(&mut holder, &mut b, 1, now + ms(1)), 0);
+}
+
+/// Guards against 22 s without new shares after a planned stop, and against grants in excess.
+#[test]
+fn successor_of_a_planned_stop_grants_at_once_what_is_free() {
+    let now = Instant::now();
+    let mut old = Holder::new(1, Holding::even(0, 1), now);
+    let (mut a, mut b) = (wanting("a", NEED), wanting("b", NEED));
+    let held = renew(&mut old, &mut a, 1, now);
+    let state = old.hand_over(now + ms(10));
+    let mut new = Holder::succeed(2, Holding::even(0, 1), state, now + ms(20));
+    let first = renew(&mut new, &mut b, 2, now + ms(20));
+    assert!(first > 0 && first + held <= 7, "{first} beside {held}");
+    assert!(renew(&mut new, &mut a, 2, now + ms(30)) + first <= 7);
+}
+
 /// Guards against a late grant that overwrites a newer one.
 #[test]
 fn late_grant_is_ignored() {
@@ -107,6 +189,10 @@
     let mut holder = Holder::new(1, Holding::even(0, 1), now);
     let mut a = wanting("a", LocalLimits { concurrent: 7, ..NEED });
     renew(&mut holder, &mut a, 1, now);
+    let missing = BTreeMap::from([("c0".into(), WHOLE / 2), ("c1".into(), WHOLE)]);
+    let wanted = holder.donation(&missing);
+    assert!(wanted.parts("c0").is_empty(), "all of it is wanted here");
+    assert_eq!(wanted.parts("c1").length(), WHOLE / 2, "half of what nobody wants");
     let donation = Holding::of_customer("c0", Parts::even(1, 2));
     holder.withhold(&donation);
     assert!(!holder.is_free(&donation, now));
@@ -114,6 +200,9 @@
     assert!(!holder.is_free(&donation, now + ms(1)), "the grant may not have arrived");
     renew(&mut holder, &mut a, 1, now + ms(2));
     assert!(holder.is_free(&donation, now + ms(2)));
+    assert_eq!(holder.unmet(), BTreeMap::from([("c0".into(), WHOLE / 2)]));
+    a.forget("c0");
+    assert_eq!(renew(&mut holder, &mut a, 1, now + ms(3)), 0, "not asked for");
 }
 
 fn ms(n: u64) -> Duration {
--- a/components/version/accounting/src/lib.rs
+++ b/components/version/accounting/src/lib.rs
@@ -14,11 +14,13 @@
 //!   model, by their cost shares in the configuration in effect at the start of the minute.
 //! - Time that no rule gives to a customer is shown as unattributed and never spread over others.
 //! - An amended contract counts from the first minute that begins after its version took effect.
-//!   Versions take effect in their order, so a late or early clock moves no earlier minute.
+//!   Versions take effect in their order, so a late or early clock moves no earlier minute. The
+//!   very first version counts from the minute in which it was adopted.
 //! - If an instance dies, work that it counted after its last flush is lost. Minutes in which work
 //!   may be missing are split by the remaining work and flagged.
 
 pub mod ledger;
+pub mod lists;
 pub mod output;
 pub mod records;
 pub mod report;
@@ -27,6 +29,8 @@
 #[cfg(test)]
 mod ledger_tests;
 #[cfg(test)]
+mod lists_tests;
+#[cfg(test)]
 mod output_tests;
 #[cfg(test)]
 mod property_tests;
@@ -36,6 +40,7 @@
 mod test_data;
 
 pub use ledger::{Error, Ledger};
+pub use lists::{ListError, VersionList, WorkList};
 pub use records::{
     Death, FLUSH_INTERVAL, Interval, Run, UsageObject, VersionRecord, Work, WorkObject, usage_name,
     work_name,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,11 @@
 //! One module per command.
 
+pub(crate) mod apply;
 pub(crate) mod check;
+pub(crate) mod demo;
 pub(crate) mod diff;
 pub(crate) mod report;
+pub(crate) mod serve;
 pub(crate) mod stand_in;
 pub(crate) mod status;
 
@@ -17,8 +20,11 @@
 /// Runs the command that `matches` names.
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     let result = match matches.subcommand() {
+        Some(("serve", matches)) => serve::run(matches),
+        Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("diff", matches)) => diff::run(matches),
+        Some(("apply", matches)) => apply::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("report", matches)) => report::run(matches),
         Some(("stand-in", matches)) => return stand_in::run(matches),
--- a/src/cmd/report/cost.rs
+++ b/src/cmd/report/cost.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, SystemTime};
 
 use accounting::{CostReport, Interval, Ledger, UsageObject, WorkObject};
+use clap::error::ErrorKind;
 use clap::{Arg, ArgMatches, Command};
 use group::DecisionObject;
+use ownership::LeaseObject;
 
 use crate::accepted::Platform;
 use crate::args::{self, Format};
@@ -42,6 +44,9 @@
     let time = |name| matches.get_one::<SystemTime>(name).copied();
     let to = time("to").unwrap_or(now);
     let from = time("from").unwrap_or_else(|| to.checked_sub(DEFAULT_PERIOD).unwrap_or(to));
+    if from > to {
+        command().error(ErrorKind::ArgumentConflict, "the period ends before it begins").exit();
+    }
     let report = cmd::block_on(async { report(&args::platform(matches), from, to, now).await })??;
     let text = match args::format(matches) {
         Format::Csv => report.to_csv()?,
@@ -70,6 +75,9 @@
         let added = ledger.add_work(instance, &work.value);
         added.map_err(|e| Failure::Records(format!("work/{}", work.name), e))?;
     }
+    for lease in platform.client.list::<LeaseObject>("lease", "", platform.call()).await?.objects {
+        ledger.add_running(&lease.value.instance, lease.value.incarnation);
+    }
     for (customer, hash) in ledger.missing_contracts() {
         let contract = platform.contract(&customer, &hash).await?;
         let added = ledger.add_contract(&hash, &contract);
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -22,6 +22,15 @@
             from()
             display("{e}")
         }
+        /// An instance that cannot be started.
+        Start(e: instance::Error) {
+            from()
+            display("{e}")
+        }
+        /// A log level that cannot be set.
+        Log(message: String) {
+            display("the log cannot be set up: {message}")
+        }
         /// An instance that does not answer as expected.
         Instance(address: SocketAddr, message: String) {
             display("{address}: {message}")
