--- a/components/process/group/tests/group.rs
+++ b/components/process/group/tests/group.rs
@@ -127,6 +127,27 @@
     assert!(machine.closed_intervals().iter().all(|interval| interval.until > interval.from));
 }
 
+/// Guards against a replica that nobody counts: an order that was lost before a restart reaches the
+/// new incarnation of a server that ignores fencing numbers after its place was released.
+#[test]
+fn a_replica_that_nobody_recorded_is_counted_once_it_is_shown() {
+    let mut world = World::idle(8);
+    world.late_survives_restart = true;
+    world.allot(0, "m0", DECLARED);
+    world.late = (1.0, secs(60.0));
+    assert!(world.load(0, "ignores0", "m0"));
+    world.run_for(0.1);
+    world.late.0 = 0.0;
+    world.run_for(3.0);
+    world.servers[2].restart();
+    world.run_for(1.0);
+    let left = |world: &World| world.owners[0].machine.view(world.now).allowance_left["m0"];
+    assert_eq!(left(&world), DECLARED);
+    world.run_for(60.0);
+    assert_eq!(world.loaded("m0"), 1);
+    assert_eq!(left(&world), DECLARED - 1);
+}
+
 /// Guards against values above the platform's limit of 1 MB; the fake platform refuses them.
 #[test]
 fn a_large_group_stays_below_the_limit_of_a_value() {
--- a/components/process/membership/src/member.rs
+++ b/components/process/membership/src/member.rs
@@ -14,6 +14,8 @@
     /// Last heartbeat from the member itself, or the time from which one was expected.
     pub(crate) heard: Option<Instant>,
     pub(crate) changed: Instant,
+    /// When the member was last told what it has to refute.
+    pub(crate) told: Option<Instant>,
     /// How often the rumour is still sent.
     pub(crate) sends_left: u32,
 }
--- a/components/process/membership/src/membership.rs
+++ b/components/process/membership/src/membership.rs
@@ -12,6 +12,8 @@
 const ENTRIES_IN_TURN: usize = 4;
 /// Entries in the answer to a member that was not known before.
 const ENTRIES_FOR_NEW_MEMBER: usize = 64;
+/// Least time between two requests to the same member to refute something.
+const REFUTATION_PAUSE: Duration = Duration::from_millis(200);
 /// A rumour is sent this often per doubling of the members.
 const SENDS_PER_DOUBLING: u32 = 3;
 
@@ -173,7 +175,12 @@
         let Some(member) = self.members.get_mut(&sender.instance) else { return actions };
         member.heard = Some(now);
         member.configuration = Some(heartbeat.configuration);
-        let outdated = member.rumour != *sender;
+        // Limited, because two processes under one name would keep refuting each other.
+        let outdated =
+            member.rumour != *sender && member.told.is_none_or(|at| now >= at + REFUTATION_PAUSE);
+        if outdated {
+            member.told = Some(now);
+        }
         if heartbeat.configuration > self.configuration {
             let instance = sender.instance.clone();
             actions.push(Action::PeerVersion { instance, version: heartbeat.configuration });
@@ -224,8 +231,14 @@
             before.state != rumour.state || before.incarnation != rumour.incarnation
         });
         let heard = self.members.get(&rumour.instance).and_then(|member| member.heard);
-        let member =
-            Member { rumour: rumour.clone(), configuration: None, heard, changed: now, sends_left };
+        let member = Member {
+            rumour: rumour.clone(),
+            configuration: None,
+            heard,
+            changed: now,
+            told: None,
+            sends_left,
+        };
         self.candidates.remove(&rumour.instance);
         if rumour.state == MemberState::Suspect {
             self.suspects.insert(rumour.instance.clone());
