Test that decisions are refused before a value reaches 1 MB

Cause: the former test loaded and restarted one server and never wrote more than 5,465 bytes, so it could not fail. Change: a group with 8,100 listed servers, answered by hand; the value stays below 1,000,000 bytes and a further decision is refused as too large.

--- a/components/process/group/tests/group.rs
+++ b/components/process/group/tests/group.rs
@@ -2,7 +2,15 @@
 
 mod world;
 
+use std::collections::VecDeque;
+use std::time::{Instant, SystemTime};
+
+use group::{Action, Decision, Group, Refused, Settings};
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use types::object::{ObjectAnswer, ObjectCall};
+use types::prelude::{ListedInstance, ListedRole, ListedState, LoadSource};
 use world::{DECLARED, World, secs};
 
 /// Guards against a policy whose decisions never take effect, and against lost allowances.
@@ -148,19 +156,53 @@
     assert_eq!(left(&world), DECLARED - 1);
 }
 
-/// Guards against values above the platform's limit of 1 MB; the fake platform refuses them.
+/// Guards against values above the platform's limit of 1 MB: further decisions are refused before.
 #[test]
-fn a_large_group_stays_below_the_limit_of_a_value() {
-    let mut world = World::idle(7);
-    world.allot(0, "m0", DECLARED);
-    for _ in 0..3000 {
-        if !world.load(0, "checks0", "m0") {
-            world.run_for(0.02);
+fn decisions_are_refused_before_the_value_reaches_the_limit() {
+    let (now, wall) = (Instant::now(), SystemTime::UNIX_EPOCH);
+    let rng = &mut ChaCha8Rng::seed_from_u64(7);
+    let mut group = Group::new(Settings::new("g0", "i0"));
+    let answer = |group: &mut Group, actions: Vec<Action>, rng: &mut ChaCha8Rng| {
+        let mut size = 0;
+        let mut queue = VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            let Action::Call { call, request } = action else { continue };
+            let answer = match request {
+                ObjectCall::Read { .. } => ObjectAnswer::Missing,
+                ObjectCall::Write { value, .. } => {
+                    size = value.len();
+                    ObjectAnswer::Written { version: 1 }
+                }
+            };
+            queue.extend(group.on_answer(now, call, answer, rng));
         }
-        world.servers[0].restart();
+        size
+    };
+    let actions = group.on_gained(now, 1, now + secs(9.0), rng);
+    answer(&mut group, actions, rng);
+    let listed = |count: usize| -> Vec<ListedInstance> {
+        let entry = |n| ListedInstance {
+            name: format!("server{n}").into(),
+            role: ListedRole::Engine,
+            data_centre: "dc".into(),
+            group: "g0".into(),
+            address: "127.0.0.1:1".into(),
+            state: ListedState::Live,
+            checks_fencing: true,
+        };
+        (0..count).map(entry).collect()
+    };
+    let load = || Decision::Load {
+        server: "server0".into(),
+        model: "m".into(),
+        source: LoadSource::Remote,
+    };
+    for (servers, refused) in [(100, Refused::Blocked), (8_100, Refused::TooLarge)] {
+        let actions = group.on_server_list(now, wall, &listed(servers), rng);
+        let size = answer(&mut group, actions, rng);
+        assert!(size < 1_000_000, "{size} bytes");
+        assert_eq!(group.decide(now, wall, load(), rng), Err(refused), "{size} bytes");
     }
-    let sizes = world.platform.history.iter().map(|(_, _, value)| value.len());
-    println!("largest value: {} bytes", sizes.max().unwrap_or_default());
 }
 
 #[derive(Clone, Debug)]
