Resolve claims that are in doubt when an instance stops

Cause: with answers slower than the timeout, a claim whose answer was lost was dropped at a planned stop and took effect later; the group then named an instance that was live but would not use it (1 of 8 groups had no owner, 4th of 500 pairs of faults in a longer run). Change: a stopping instance writes a vacant owner in the claim's place, and is not handed over while a write is in doubt.

--- a/components/process/ownership/src/ownership.rs
+++ b/components/process/ownership/src/ownership.rs
@@ -255,8 +255,11 @@
     pub fn is_handed_over(&self) -> bool {
         self.stopping
             && self.claims.values().all(|claim| {
-                claim.held.is_none()
-                    && !matches!(claim.step, Step::Writing { .. } | Step::ReadingBack { .. })
+                let in_doubt = matches!(
+                    claim.step,
+                    Step::Writing { .. } | Step::ReadingBack { .. } | Step::Retrying { .. }
+                );
+                claim.held.is_none() && !in_doubt
             })
     }
 
--- a/components/process/ownership/src/steps.rs
+++ b/components/process/ownership/src/steps.rs
@@ -149,6 +149,10 @@
                 if self.is_wanted(now, write.intent, write.epoch) {
                     let call = self.call(write_group(&write), actions);
                     self.set_step(group, Step::Writing { call, write });
+                } else if self.stopping {
+                    // The claim may still arrive. This write takes its place or shows it.
+                    let vacant = (None, write.value.fencing);
+                    self.write(group, Intent::Vacate, write.condition, vacant, rng, actions);
                 } else {
                     self.look_later(now, group, rng);
                 }
@@ -199,6 +203,11 @@
         rng: &mut impl Rng,
         actions: &mut Vec<Action>,
     ) {
+        if object.incarnation == self.cfg.incarnation && self.stopping {
+            // A claim from before the stop arrived late.
+            self.write(group, Intent::Vacate, condition, (None, object.fencing), rng, actions);
+            return;
+        }
         if object.incarnation != self.cfg.incarnation {
             // An earlier run cannot renew its lease any more, but the last renewal may still run.
             let taken = self.lease.taken().unwrap_or(now);
