--- a/components/process/ownership/src/ownership.rs
+++ b/components/process/ownership/src/ownership.rs
@@ -175,6 +175,7 @@
             return actions;
         }
         self.observer.on_counter(now, owner, *incarnation, *counter);
+        self.forget_dropped(now, announcement);
         for (group, fencing) in groups {
             let delay = self.rank_delay(group);
             let jitter = self.jitter(group);
@@ -193,6 +194,29 @@
         actions
     }
 
+    /// A live owner that no longer announces a group may have made it vacant, and the hand-over may
+    /// have been lost. Its lease says nothing about the group then.
+    fn forget_dropped(&mut self, now: Instant, announcement: &Announcement) {
+        let announced: BTreeSet<&GroupId> = announcement.groups.iter().map(|(g, _)| g).collect();
+        let dropped: Vec<GroupId> = self
+            .claims
+            .iter()
+            .filter(|(group, _)| !announced.contains(group))
+            .filter(|(_, claim)| {
+                let hint = claim.hint.as_ref();
+                hint.is_some_and(|hint| hint.owner == announcement.owner)
+            })
+            .map(|(group, _)| group.clone())
+            .collect();
+        for group in dropped {
+            let at = now + self.rank_delay(&group) + self.jitter(&group);
+            if let Some(claim) = self.claims.get_mut(&group) {
+                claim.hint = None;
+                claim.look_at = claim.look_at.min(at);
+            }
+        }
+    }
+
     /// Takes a hand-over: the group is vacant and is claimed at once.
     pub fn on_handover(
         &mut self,
