--- /dev/null
+++ b/components/process/ownership/src/hints.rs
@@ -0,0 +1,97 @@
+//! Members, candidate groups and announcements: what decides when a group is looked at.
+
+use types::prelude::*;
+
+use crate::claim::{Claim, Hint, Step};
+use crate::{Action, Announcement, Ownership};
+
+impl Ownership {
+    /// Sets the live, not leaving members of this data centre, this instance included.
+    pub fn set_members(&mut self, now: Instant, live: BTreeSet<InstanceId>) {
+        let before = std::mem::replace(&mut self.live, live);
+        let groups: Vec<GroupId> = self.claims.keys().cloned().collect();
+        for group in groups {
+            let delay = self.rank_delay(&group);
+            let jitter = self.jitter(&group);
+            let Some(claim) = self.claims.get_mut(&group) else { continue };
+            if claim.held.is_some() {
+                continue;
+            }
+            match &claim.hint {
+                // A live owner keeps its groups, whatever the ranks are now.
+                Some(hint) if self.live.contains(&hint.owner) => {}
+                Some(hint) if before.contains(&hint.owner) => {
+                    claim.look_at = now + delay + jitter;
+                }
+                _ => claim.look_at = claim.look_at.min(now + delay + jitter),
+            }
+        }
+    }
+
+    /// Sets the groups for which this data centre's instances are candidates.
+    pub fn set_groups(&mut self, now: Instant, groups: BTreeSet<GroupId>) {
+        // A group that is held or being written stays until it is handed over.
+        self.claims.retain(|group, claim| {
+            groups.contains(group) || claim.held.is_some() || claim.step != Step::Idle
+        });
+        for group in groups {
+            if !self.claims.contains_key(&group) {
+                let at = now + self.rank_delay(&group) + self.jitter(&group);
+                self.claims.insert(group, Claim::new(at));
+            }
+        }
+        let owners: BTreeSet<InstanceId> =
+            self.claims.values().filter_map(|c| c.hint.as_ref().map(|h| h.owner.clone())).collect();
+        self.observer.retain(|holder, _| owners.contains(holder));
+    }
+
+    /// Takes an owner's announcement.
+    pub fn on_announcement(&mut self, now: Instant, announcement: &Announcement) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Announcement { owner, incarnation, counter, groups } = announcement;
+        if *owner == self.cfg.instance {
+            return actions;
+        }
+        self.observer.on_counter(now, owner, *incarnation, *counter);
+        self.forget_dropped(now, announcement);
+        for (group, fencing) in groups {
+            let delay = self.rank_delay(group);
+            let jitter = self.jitter(group);
+            let until = now + self.cfg.announcement_time;
+            let Some(claim) = self.claims.get_mut(group) else { continue };
+            if claim.held.as_ref().is_some_and(|held| held.fencing >= *fencing) {
+                continue;
+            }
+            if claim.held.take().is_some() {
+                actions.push(Action::Lost { group: group.clone() });
+            }
+            claim.hint = Some(Hint { owner: owner.clone(), incarnation: *incarnation, until });
+            claim.look_at = until + delay + jitter;
+            claim.backoff.reset();
+        }
+        actions
+    }
+
+    /// A live owner that no longer announces a group may have made it vacant, and the hand-over may
+    /// have been lost. Its lease says nothing about the group then.
+    fn forget_dropped(&mut self, now: Instant, announcement: &Announcement) {
+        let announced: BTreeSet<&GroupId> = announcement.groups.iter().map(|(g, _)| g).collect();
+        let dropped: Vec<GroupId> = self
+            .claims
+            .iter()
+            .filter(|(group, _)| !announced.contains(group))
+            .filter(|(_, claim)| {
+                let hint = claim.hint.as_ref();
+                hint.is_some_and(|hint| hint.owner == announcement.owner)
+            })
+            .map(|(group, _)| group.clone())
+            .collect();
+        for group in dropped {
+            let at = now + self.rank_delay(&group) + self.jitter(&group);
+            if let Some(claim) = self.claims.get_mut(&group) {
+                claim.hint = None;
+                claim.look_at = claim.look_at.min(at);
+            }
+        }
+    }
+}
--- a/components/process/ownership/src/lib.rs
+++ b/components/process/ownership/src/lib.rs
@@ -12,6 +12,7 @@
 mod action;
 mod backoff;
 mod claim;
+mod hints;
 mod lease;
 mod objects;
 mod observer;
