--- a/components/process/ownership/src/ownership.rs
+++ b/components/process/ownership/src/ownership.rs
@@ -4,7 +4,7 @@
 use types::object::{CallId, CallPriority, ObjectAnswer, ObjectCall};
 use types::prelude::*;
 
-use crate::claim::{Claim, Hint, Intent, Release, Step};
+use crate::claim::{Claim, Intent, Release, Step};
 use crate::lease::{Lease, LeaseEvent};
 use crate::observer::Observer;
 use crate::{Action, Announcement, Handover, Settings, rendezvous};
@@ -24,7 +24,7 @@
     pub(crate) lease: Lease,
     pub(crate) observer: Observer,
     pub(crate) claims: BTreeMap<GroupId, Claim>,
-    live: BTreeSet<InstanceId>,
+    pub(crate) live: BTreeSet<InstanceId>,
     /// Lapses of the lease so far. Authority needs a claim made since the last lapse.
     pub(crate) epoch: u64,
     /// Whether the lease was valid when last looked at.
@@ -130,71 +130,6 @@
         actions
     }
 
-    /// Sets the live, not leaving members of this data centre, this instance included.
-    pub fn set_members(&mut self, now: Instant, live: BTreeSet<InstanceId>) {
-        let before = std::mem::replace(&mut self.live, live);
-        let groups: Vec<GroupId> = self.claims.keys().cloned().collect();
-        for group in groups {
-            let delay = self.rank_delay(&group);
-            let jitter = self.jitter(&group);
-            let Some(claim) = self.claims.get_mut(&group) else { continue };
-            if claim.held.is_some() {
-                continue;
-            }
-            match &claim.hint {
-                // A live owner keeps its groups, whatever the ranks are now.
-                Some(hint) if self.live.contains(&hint.owner) => {}
-                Some(hint) if before.contains(&hint.owner) => {
-                    claim.look_at = now + delay + jitter;
-                }
-                _ => claim.look_at = claim.look_at.min(now + delay + jitter),
-            }
-        }
-    }
-
-    /// Sets the groups for which this data centre's instances are candidates.
-    pub fn set_groups(&mut self, now: Instant, groups: BTreeSet<GroupId>) {
-        // A group that is held or being written stays until it is handed over.
-        self.claims.retain(|group, claim| {
-            groups.contains(group) || claim.held.is_some() || claim.step != Step::Idle
-        });
-        for group in groups {
-            if !self.claims.contains_key(&group) {
-                let at = now + self.rank_delay(&group) + self.jitter(&group);
-                self.claims.insert(group, Claim::new(at));
-            }
-        }
-        let owners: BTreeSet<InstanceId> =
-            self.claims.values().filter_map(|c| c.hint.as_ref().map(|h| h.owner.clone())).collect();
-        self.observer.retain(|holder, _| owners.contains(holder));
-    }
-
-    /// Takes an owner's announcement.
-    pub fn on_announcement(&mut self, now: Instant, announcement: &Announcement) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let Announcement { owner, incarnation, counter, groups } = announcement;
-        if *owner == self.cfg.instance {
-            return actions;
-        }
-        self.observer.on_counter(now, owner, *incarnation, *counter);
-        for (group, fencing) in groups {
-            let delay = self.rank_delay(group);
-            let jitter = self.jitter(group);
-            let until = now + self.cfg.announcement_time;
-            let Some(claim) = self.claims.get_mut(group) else { continue };
-            if claim.held.as_ref().is_some_and(|held| held.fencing >= *fencing) {
-                continue;
-            }
-            if claim.held.take().is_some() {
-                actions.push(Action::Lost { group: group.clone() });
-            }
-            claim.hint = Some(Hint { owner: owner.clone(), incarnation: *incarnation, until });
-            claim.look_at = until + delay + jitter;
-            claim.backoff.reset();
-        }
-        actions
-    }
-
     /// Takes a hand-over: the group is vacant and is claimed at once.
     pub fn on_handover(
         &mut self,
@@ -257,8 +192,11 @@
     pub fn is_handed_over(&self) -> bool {
         self.stopping
             && self.claims.values().all(|claim| {
-                claim.held.is_none()
-                    && !matches!(claim.step, Step::Writing { .. } | Step::ReadingBack { .. })
+                let in_doubt = matches!(
+                    claim.step,
+                    Step::Writing { .. } | Step::ReadingBack { .. } | Step::Retrying { .. }
+                );
+                claim.held.is_none() && !in_doubt
             })
     }
 
