--- a/components/version/configuration/src/follower.rs
+++ b/components/version/configuration/src/follower.rs
@@ -184,10 +184,13 @@
         actions
     }
 
-    /// The watched head changed, or the watch was started again: reads the head.
+    /// The watched head changed, or the watch was started again: reads the head. An event of a
+    /// watch that was ended is ignored, because only watchers read and push.
     pub fn on_head_changed(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.read_head(&mut actions);
+        if self.is_watching {
+            self.read_head(&mut actions);
+        }
         actions
     }
 
