Add a golden file of a whole session, read long lists less often

Cause: nothing pinned down what callers, engines and the ledger see of one session; the slopes of stand_ins showed 67 KB/s for reading a list of 2,360 entries every 5 s, above the 21 KB/s of all control work. Change: a script of 19 steps over three serve processes with its transcript; the time between reads of the list grows with its entries.

--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -24,8 +24,11 @@
 use crate::requests::Requests;
 use crate::shares::Shares;
 
-/// Time between reads of the platform's list. 360 instances then read 72 times a second.
+/// Time between reads of the platform's list, for each hundred entries. An entry takes some 120
+/// bytes, so that the list costs an instance less than 3 KB/s at any size; leaving servers and dead
+/// instances are known sooner from reports and heartbeats.
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
+const LIST_ENTRIES_PER_INTERVAL: usize = 100;
 /// Time between reads while no list is known.
 const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between reports of arrivals to the owners of groups.
@@ -294,7 +297,12 @@
     }
 
     fn list_interval(&self) -> Duration {
-        if self.directory.list().is_empty() { FIRST_LIST_INTERVAL } else { LIST_INTERVAL }
+        let entries = self.directory.list().len();
+        if entries == 0 {
+            return FIRST_LIST_INTERVAL;
+        }
+        let hundreds = entries.div_ceil(LIST_ENTRIES_PER_INTERVAL);
+        LIST_INTERVAL * u32::try_from(hundreds).unwrap_or(u32::MAX)
     }
 
     /// Whether a planned stop is complete.
--- a/tests/deployment/callers.rs
+++ b/tests/deployment/callers.rs
@@ -52,6 +52,10 @@
 
     /// Sends the request and reads the answer.
     pub(crate) async fn send(self, address: SocketAddr) -> Outcome {
+        self.send_within(address, None).await
+    }
+
+    async fn send_within(self, address: SocketAddr, deadline_ms: Option<u64>) -> Outcome {
         let content = format!("request {} for {}", self.number, self.target);
         let messages = json!([{ "role": "user", "content": content }]);
         let expected = expected_text(self.target, &chat_prompt(&messages), self.tokens);
@@ -64,6 +68,9 @@
         if let Some(class) = self.class {
             req = req.header("x-class", class);
         }
+        if let Some(ms) = deadline_ms {
+            req = req.header("x-deadline-ms", ms);
+        }
         let res = match req.send().await {
             Ok(res) => res,
             Err(e) => return Outcome::Broken(e.to_string()),
@@ -80,9 +87,19 @@
     }
 }
 
+/// Sends a request with a deadline for the whole answer.
+pub(crate) async fn chat_within_ms(address: SocketAddr, chat: Chat, ms: u64) -> Outcome {
+    chat.send_within(address, Some(ms)).await
+}
+
 /// Books a withdrawal of its own id, with the id as idempotency key.
 pub(crate) async fn withdraw(address: SocketAddr, id: &str) -> Outcome {
-    let body = json!({ "id": id, "barn": "kalloni", "amount": 2 });
+    withdraw_amount(address, id, 2).await
+}
+
+/// Books a withdrawal of this amount.
+pub(crate) async fn withdraw_amount(address: SocketAddr, id: &str, amount: i64) -> Outcome {
+    let body = json!({ "id": id, "barn": "kalloni", "amount": amount });
     let req = client()
         .post(format!("http://{address}/services/ledger/withdrawals"))
         .bearer_auth("demo-foremen")
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -5,4 +5,5 @@
 mod callers;
 mod fault_tests;
 mod serving_tests;
+mod session_tests;
 mod world;
