Contact the seeds of the settings, drop a setting without effect

Cause: peers.seeds was read and not used; callers.idle_timeout could not be told from header_timeout by the HTTP library. Change: without a list and without other members an instance contacts the seeds; idle_timeout is gone from settings and page; a listener on every address is named to other data centres by the address for peers.

--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -156,7 +156,7 @@
 
     /// Takes the platform's list.
     pub(crate) fn on_list(&mut self, list: Option<Vec<ListedInstance>>, now: Instant) {
-        let Some(list) = list else { return };
+        let Some(list) = list else { return self.contact_seeds(now) };
         let own = self.cx.data_centre.clone();
         let is_own = |l: &&ListedInstance| l.role == ListedRole::Entry && l.data_centre == own;
         self.shares.set_listed(list.iter().filter(is_own).map(|l| l.name.clone()).collect());
@@ -170,6 +170,29 @@
         self.requests.pump_all(&self.cx, now);
     }
 
+    /// Contacts the instances that the settings name, as long as neither the platform nor another
+    /// instance has named any.
+    fn contact_seeds(&mut self, now: Instant) {
+        if !self.directory.list().is_empty() || self.membership.live().len() > 1 {
+            return;
+        }
+        let seeds: Vec<ListedInstance> = self
+            .seeds
+            .iter()
+            .map(|address| ListedInstance {
+                name: format!("seed {address}").into(),
+                role: ListedRole::Entry,
+                data_centre: self.cx.data_centre.clone(),
+                group: GroupId::default(),
+                address: address.clone(),
+                state: ListedState::Live,
+                checks_fencing: false,
+            })
+            .collect();
+        let actions = self.membership.on_list(now, &seeds);
+        self.on_membership_actions(actions, now);
+    }
+
     /// Begins a planned stop.
     pub(crate) fn begin_drain(&mut self, now: Instant) {
         tracing::info!("instance: stop requested; handing over and finishing requests");
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -81,6 +81,8 @@
     pub(crate) bookings: Bookings,
     pub(crate) key_table: watch::Sender<Arc<KeyTable>>,
     pub(crate) drain: Drain,
+    /// Addresses of instances to contact before the platform has named any.
+    pub(crate) seeds: Vec<Box<str>>,
     /// Address for callers, told to other data centres.
     pub(crate) callers_address: Box<str>,
     /// The task that watches the configuration's head.
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -122,7 +122,7 @@
     stop: watch::Receiver<bool>,
 ) -> Result<(), Error> {
     let peer_address = listeners.peers().map_err(Error::Runtime)?.to_string();
-    let callers_address = listeners.callers().map_err(Error::Runtime)?.to_string();
+    let callers_address = reachable(&listeners).map_err(Error::Runtime)?.to_string();
     let (events_tx, events) = mpsc::unbounded_channel();
     let (arrivals_tx, arrivals) = mpsc::channel(ARRIVAL_QUEUE);
     let (operators_tx, operators) = mpsc::channel(OPERATOR_QUEUE);
@@ -160,6 +160,16 @@
     Ok(())
 }
 
+/// Address for callers as other instances reach it. A listener on every address is reached under
+/// the one that the instance has for its peers.
+fn reachable(listeners: &Listeners) -> io::Result<SocketAddr> {
+    let (mut callers, peers) = (listeners.callers()?, listeners.peers()?);
+    if callers.ip().is_unspecified() {
+        callers.set_ip(peers.ip());
+    }
+    Ok(callers)
+}
+
 async fn turned_true(mut flag: watch::Receiver<bool>) {
     // A dropped sender ends the servers as well.
     let _ = flag.wait_for(|value| *value).await;
@@ -251,6 +261,7 @@
         key_table,
         drain: Drain::Serving,
         callers_address,
+        seeds: settings.peers.seeds.iter().map(|seed| seed.to_string().into()).collect(),
         head_watch: None,
         cache_streams: HashMap::new(),
         list_at: now,
--- a/components/process/settings/src/lib.rs
+++ b/components/process/settings/src/lib.rs
@@ -80,14 +80,12 @@
     pub max_body_bytes: u64,
     /// Connections open at one time. Default 1024.
     pub max_connections: u32,
-    /// Time for a complete request head. Default `5s`.
+    /// Time for a complete request head; also ends connections without a request. Default `5s`.
     pub header_timeout: Duration,
     /// Time for a complete request body. Default `30s`.
     pub body_timeout: Duration,
     /// Time that one write to a caller may wait before the connection is closed. Default `30s`.
     pub write_timeout: Duration,
-    /// Time that a connection may stay open without a request. Default `60s`.
-    pub idle_timeout: Duration,
 }
 
 impl Default for CallerSettings {
@@ -100,7 +98,6 @@
             header_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(30),
             write_timeout: Duration::from_secs(30),
-            idle_timeout: Duration::from_secs(60),
         }
     }
 }
@@ -137,7 +134,7 @@
 /// `[platform]`: the object API.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformSettings {
-    /// Addresses of the object API, tried in order. Required; never empty.
+    /// Addresses of the object API; at present the first one is used. Required; never empty.
     pub addresses: Vec<SocketAddr>,
     /// Reads a second that the instance may make on average. Default 50: eight instances use a fifth
     /// of the platform's two thousand reads a second.
--- a/components/process/settings/src/read.rs
+++ b/components/process/settings/src/read.rs
@@ -40,7 +40,6 @@
         header_timeout: r.or("header_timeout", d.header_timeout, value::positive_duration),
         body_timeout: r.or("body_timeout", d.body_timeout, value::positive_duration),
         write_timeout: r.or("write_timeout", d.write_timeout, value::positive_duration),
-        idle_timeout: r.or("idle_timeout", d.idle_timeout, value::positive_duration),
     };
     r.finish();
     callers
