--- a/components/process/instance/src/usage.rs
+++ b/components/process/instance/src/usage.rs
@@ -18,6 +18,8 @@
 
 /// Time for one flush; the next one is due soon after.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time between flushes without counted work. They tell the cost report that nothing is missing.
+const IDLE_FLUSH_INTERVAL: Duration = Duration::from_secs(60);
 /// Attempts of one flush that another writer overtakes.
 const MAX_CONFLICTS: u32 = 4;
 
@@ -28,6 +30,8 @@
     versions: Vec<VersionRecord>,
     deaths: Vec<Death>,
     flush_at: Instant,
+    /// When a flush is made even if nothing was counted.
+    idle_flush_at: Instant,
     is_flushing: bool,
     /// The flush in progress is the last one of a planned stop.
     is_closing: bool,
@@ -46,6 +50,7 @@
             versions: Vec::new(),
             deaths: Vec::new(),
             flush_at: now + FLUSH_INTERVAL,
+            idle_flush_at: now + FLUSH_INTERVAL,
             is_flushing: false,
             is_closing: false,
             is_closed: false,
@@ -114,9 +119,11 @@
     /// Writes what was counted. `closed` marks the last flush of a planned stop.
     pub(crate) fn flush(&mut self, cx: &Context, closed: bool, now: Instant, wall: SystemTime) {
         self.flush_at = now + FLUSH_INTERVAL;
-        if self.is_flushing || (self.is_flushed() && !closed) {
+        let is_idle = self.is_flushed() && now < self.idle_flush_at;
+        if self.is_flushing || (is_idle && !closed) {
             return;
         }
+        self.idle_flush_at = now + IDLE_FLUSH_INTERVAL;
         self.is_flushing = true;
         self.is_closing = closed;
         let run = self.run(closed, wall);
