Split the outcome of apply, the follower's settings and the status page

Change: outcome.rs and settings.rs in configuration, status.rs in instance; no behaviour changes. Result: the tests of both crates pass as before.

--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -7,14 +7,12 @@
 use rand::Rng;
 use types::object::CallPriority;
 use types::prelude::*;
-use types::status::InstanceStatus;
 
 use crate::context::Context;
 use crate::directory::{key_group, key_range, limits_group};
 use crate::event::{Caller, Event};
 use crate::instance::{Drain, Instance};
 use crate::message::PeerMessage;
-use crate::operators::Status;
 
 /// Time for reading the platform's list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -226,40 +224,6 @@
         member.or_else(|| self.directory.peer_address(instance))
     }
 
-    /// What operators are told.
-    pub(crate) fn status(&self, now: Instant) -> Status {
-        let (waiting, running) = self.requests.counts();
-        self.cx.metrics.queued.set(i64::try_from(waiting).unwrap_or(i64::MAX));
-        self.cx.metrics.running.set(i64::try_from(running).unwrap_or(i64::MAX));
-        let blocked = self.owned.keys().filter_map(|g| self.groups.get(g)).flat_map(|owned| {
-            let servers = owned.group.view(now).servers;
-            servers.into_iter().filter(|(_, s)| s.blocked).map(|(name, _)| name)
-        });
-        Status {
-            summary: InstanceStatus {
-                instance: self.cx.instance.clone(),
-                data_centre: self.cx.data_centre.clone(),
-                configuration_version: self.follower.current().version,
-                owned_groups: self.owned.keys().cloned().collect(),
-                ready: self.is_ready(now),
-            },
-            stopping: self.drain != Drain::Serving,
-            platform_reachable: !self.cx.platform.is_failing(),
-            live_instances: self.membership.live().into_keys().collect(),
-            reachable_data_centres: self.membership.reachable_data_centres(now),
-            waiting,
-            running,
-            blocked_servers: blocked.collect(),
-        }
-    }
-
-    fn is_ready(&self, now: Instant) -> bool {
-        self.drain == Drain::Serving
-            && self.follower.current().version > 0
-            && self.shares.has_grant(now)
-            && self.follower.is_started(now)
-    }
-
     fn on_members_changed(&mut self, now: Instant) {
         let live: BTreeSet<InstanceId> = self.membership.live().into_keys().collect();
         self.ownership.set_members(now, live.clone());
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -38,6 +38,7 @@
 mod requests;
 mod shares;
 mod start;
+mod status;
 mod usage;
 mod wanted;
 
--- a/components/version/configuration/src/lib.rs
+++ b/components/version/configuration/src/lib.rs
@@ -10,9 +10,13 @@
 mod head;
 mod loading;
 mod message;
+mod outcome;
+mod settings;
 mod updates;
 
-pub use apply::{Applied, Apply, ApplyAction, Change, Conflict, Proposal};
-pub use follower::{Follower, Settings};
+pub use apply::Apply;
+pub use follower::Follower;
 pub use head::{ContentHash, Digest, Head, catalogue_hash, contract_hash};
 pub use message::{Action, ConfigurationMessage, Update};
+pub use outcome::{Applied, ApplyAction, Change, Conflict, Proposal};
+pub use settings::Settings;
