Count an order as outstanding until a report shows it

The group had given the second load after a report showed the first replica as loading; the stand-in counted the first order as outstanding until the load had ended. Ruled out: a second order before any report. Change: the stand-in clears load orders when it sends a report; unloads, prefetches and adapter loads count until they end, as before. Conclusion: the check now matches the rule and stays strict before a report.

--- a/components/stand_ins/src/engine/requests.rs
+++ b/components/stand_ins/src/engine/requests.rs
@@ -54,7 +54,9 @@
     let path = req.uri().path().to_owned();
     match (req.method(), &*path) {
         (&Method::GET, "/v1/state") => {
-            Ok(json(StatusCode::OK, &report::report(inner, &inner.state())))
+            let mut state = inner.state();
+            state.reported();
+            Ok(json(StatusCode::OK, &report::report(inner, &state)))
         }
         (&Method::GET, "/v1/cache-events") => Ok(cache_events(inner, &req)),
         (&Method::POST, "/v1/orders") => order(inner, req).await,
