Tell placement of changed views instead of extra ticks

Cause: the loop sent a tick after every platform answer and order result; placement expects about one a second and has an event for changed views. Change: ViewChanged after answers, order results and reports. Conclusion: idle replicas are looked at once a second, as designed.

--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -147,7 +147,7 @@
         let actions = self.group.on_answer(now, call, answer, rng);
         self.act(actions, now);
         self.place_deferred(now, wall, rng);
-        self.place(&Event::Tick, now, wall, rng);
+        self.place(&Event::ViewChanged, now, wall, rng);
     }
 
     /// Takes a server's report, or the failure to read it.
@@ -164,6 +164,7 @@
         let actions = self.group.on_report(now, wall, requested, report, rng);
         self.act(actions, now);
         self.note_ended(now, wall, rng);
+        self.place(&Event::ViewChanged, now, wall, rng);
         let view = self.group.view(now);
         let is_busy = report.replicas.iter().any(|r| r.phase != ReplicaPhase::Ready)
             || view.servers.get(server).is_some_and(|s| s.blocked)
@@ -184,7 +185,7 @@
         let actions = self.group.on_order_result(now, server, order, result, rng);
         self.act(actions, now);
         self.polls.wake(server, now);
-        self.place(&Event::Tick, now, wall, rng);
+        self.place(&Event::ViewChanged, now, wall, rng);
     }
 
     /// Takes arrivals for the arrival history.
