Name a taken instance name, superseded owners and wait limits plainly

Cause: the read-through found names that need explaining (usurped, deposed, patience, letters). Change: NameTaken, superseded, WAIT_LIMIT, messages; no behaviour changes. Conclusion: these names are the field's usual terms now.

--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -255,7 +255,7 @@
             self.requests.expected.drop_old(now);
         }
         self.keys.on_timer(&self.cx, now, SystemTime::now());
-        for range in self.keys.deposed() {
+        for range in self.keys.superseded() {
             self.keys.lost(range);
             let rng = self.cx.rng.clone();
             let group = crate::directory::key_group(range);
--- a/components/process/instance/src/keys.rs
+++ b/components/process/instance/src/keys.rs
@@ -169,8 +169,8 @@
     }
 
     /// Whether another owner was seen to have written the records of a range.
-    pub(crate) fn deposed(&self) -> Vec<u32> {
-        let ranges = self.ranges.iter().filter(|(_, owned)| owned.range.is_deposed());
+    pub(crate) fn superseded(&self) -> Vec<u32> {
+        let ranges = self.ranges.iter().filter(|(_, owned)| owned.range.is_superseded());
         ranges.map(|(range, _)| *range).collect()
     }
 
--- a/components/process/ownership/src/lease.rs
+++ b/components/process/ownership/src/lease.rs
@@ -27,7 +27,7 @@
     /// A renewal was confirmed.
     Renewed,
     /// Another process runs under the same name.
-    Usurped,
+    NameTaken,
 }
 
 /// Renews the lease and knows until when it is valid.
@@ -44,7 +44,7 @@
     until: Option<Instant>,
     /// When the first write was confirmed. From then on no earlier run of this instance can renew.
     taken: Option<Instant>,
-    usurped: bool,
+    name_taken: bool,
     leaving: bool,
     backoff: Backoff,
 }
@@ -61,7 +61,7 @@
             unanswered: Vec::new(),
             until: None,
             taken: None,
-            usurped: false,
+            name_taken: false,
             leaving: false,
             backoff: Backoff::default(),
         }
@@ -73,7 +73,7 @@
     }
 
     pub(crate) fn is_valid(&self, now: Instant) -> bool {
-        !self.usurped && self.until.is_some_and(|until| now < until)
+        !self.name_taken && self.until.is_some_and(|until| now < until)
     }
 
     pub(crate) fn counter(&self) -> u64 {
@@ -91,10 +91,10 @@
         }
     }
 
-    /// When `on_timer` is due; `None` while a call is being made or after a usurpation.
+    /// When `on_timer` is due; `None` while a call is being made or after a loss of the name.
     pub(crate) fn next_timer(&self) -> Option<Instant> {
         match self.step {
-            Step::Waiting { until } if !self.usurped => Some(until),
+            Step::Waiting { until } if !self.name_taken => Some(until),
             _ => None,
         }
     }
@@ -107,7 +107,7 @@
         rng: &mut impl Rng,
     ) -> Option<(CallId, ObjectCall)> {
         match self.step {
-            Step::Waiting { until } if until <= now && !self.usurped => {}
+            Step::Waiting { until } if until <= now && !self.name_taken => {}
             _ => return None,
         }
         *call += 1;
@@ -220,8 +220,8 @@
         }
         if object.incarnation != cfg.incarnation && self.taken.is_some() {
             tracing::warn!("ownership: another process runs under the name {}", cfg.instance);
-            self.usurped = true;
-            return LeaseEvent::Usurped;
+            self.name_taken = true;
+            return LeaseEvent::NameTaken;
         }
         LeaseEvent::None
     }
--- a/components/process/ownership/src/ownership.rs
+++ b/components/process/ownership/src/ownership.rs
@@ -117,7 +117,7 @@
         let mut actions = self.check_lapse(now);
         match self.lease.on_answer(&self.cfg, now, call, &answer, rng) {
             Some(LeaseEvent::Renewed) => self.renewed(now, &mut actions),
-            Some(LeaseEvent::Usurped) => self.usurped(&mut actions),
+            Some(LeaseEvent::NameTaken) => self.name_taken(&mut actions),
             Some(LeaseEvent::None) => {}
             None => {
                 let waiting = self.claims.iter().find(|(_, claim)| claim.call() == Some(call));
@@ -253,7 +253,7 @@
     }
 
     /// Another run of this instance took the lease: this one ends its part for good.
-    fn usurped(&mut self, actions: &mut Vec<Action>) {
+    fn name_taken(&mut self, actions: &mut Vec<Action>) {
         self.was_valid = false;
         self.epoch += 1;
         for (group, claim) in &mut self.claims {
--- a/components/process/placement/src/start.rs
+++ b/components/process/placement/src/start.rs
@@ -194,7 +194,7 @@
             }
             let urgency = p.urgency(now);
             let patient = p.deadline.saturating_duration_since(now) > PATIENT_SLACK;
-            let patience = self.better_wait(p, view, model, now);
+            let longest_wait = self.better_wait(p, view, model, now);
             // Nearest copies first, so that the others need no closer look.
             let mut options: Vec<_> = rooms
                 .iter()
@@ -204,7 +204,7 @@
                 .collect();
             options.sort_by_key(|(time, ..)| *time);
             for (mut time, room) in options {
-                if patience.is_some_and(|limit| time > limit) {
+                if longest_wait.is_some_and(|limit| time > limit) {
                     break;
                 }
                 let bound = urgency / time.as_secs_f32().max(0.01);
--- a/components/request/idempotency/src/range.rs
+++ b/components/request/idempotency/src/range.rs
@@ -68,8 +68,8 @@
     }
 
     /// Whether another owner was seen to have taken the range over.
-    pub fn is_deposed(&self) -> bool {
-        self.phase == Phase::Deposed
+    pub fn is_superseded(&self) -> bool {
+        self.phase == Phase::Superseded
     }
 
     /// Takes all stored segments of the range with their versions; `Err` if they could not be
@@ -122,7 +122,7 @@
         let full = self.log.bytes() >= MAX_RANGE_BYTES;
         // The call of an abandoned claim never ran, but whether its record is stored is unknown.
         let unresolved = self.pending.is_abandoned(&claim.key);
-        if self.is_deposed() || away || full || unresolved || claim.decide_by <= now {
+        if self.is_superseded() || away || full || unresolved || claim.decide_by <= now {
             let refusal = Refusal::not_run(Reason::RecordUnavailable);
             return ClaimReply::Refused(refusal.with_retry_at(now + AWAY_PAUSE));
         }
@@ -137,7 +137,7 @@
             self.early.push((key.clone(), claim, state));
             return true;
         }
-        let Some(open) = self.table.claimed(key, claim).filter(|_| !self.is_deposed()) else {
+        let Some(open) = self.table.claimed(key, claim).filter(|_| !self.is_superseded()) else {
             return false;
         };
         let mut entry = Entry { state, ..open.clone() };
@@ -171,7 +171,7 @@
             };
         }
         match self.phase {
-            Phase::Deposed | Phase::Reading => None,
+            Phase::Superseded | Phase::Reading => None,
             Phase::Unread(at) if !is_due(at) => None,
             Phase::Unread(_) => {
                 self.phase = Phase::Reading;
@@ -376,7 +376,7 @@
     }
 
     fn depose(&mut self) -> Vec<Decision> {
-        self.phase = Phase::Deposed;
+        self.phase = Phase::Superseded;
         let numbers = self.pending.numbers();
         numbers.into_iter().filter_map(|number| self.refuse_unavailable(number)).collect()
     }
--- a/components/request/idempotency/src/state.rs
+++ b/components/request/idempotency/src/state.rs
@@ -15,7 +15,7 @@
     Adopting,
     Active,
     /// Another owner has taken the range over.
-    Deposed,
+    Superseded,
 }
 
 #[derive(Debug)]
--- a/components/request/idempotency/tests/faults.rs
+++ b/components/request/idempotency/tests/faults.rs
@@ -181,7 +181,7 @@
 
 /// Guards against two owners that both grant after a takeover.
 #[test]
-fn writes_of_a_deposed_owner_fail_and_its_claims_are_refused() {
+fn writes_of_a_superseded_owner_fail_and_its_claims_are_refused() {
     let now = Instant::now() + WRITE_INTERVAL;
     let mut platform = Platform::default();
     let mut old = owner(1, &mut platform, now - WRITE_INTERVAL);
@@ -192,7 +192,7 @@
     old.written(WriteResult::Conflict, now);
     let decisions = run(&mut old, &mut platform, now);
     assert!(matches!(&decisions[..], [Decision::Refused(1, r)] if r.verdict == Verdict::NotRun));
-    assert!(old.is_deposed());
+    assert!(old.is_superseded());
     new.claim(claim(2, 1, 0, now), now, wall());
     granted(&run(&mut new, &mut platform, now + WRITE_INTERVAL));
 }
--- a/components/request/routing/tests/faults.rs
+++ b/components/request/routing/tests/faults.rs
@@ -6,7 +6,7 @@
 use support::*;
 use types::prelude::*;
 
-/// Guards against state of a deposed owner, and against publications that overtake one another.
+/// Guards against state of a superseded owner, and against publications that overtake one another.
 #[test]
 fn older_fencing_numbers_and_sequences_are_ignored() {
     let now = Instant::now();
--- a/components/version/configuration/tests/spread.rs
+++ b/components/version/configuration/tests/spread.rs
@@ -149,8 +149,8 @@
     platform: Platform,
     members: BTreeMap<InstanceId, Member>,
     /// Messages by time of arrival, with a number that keeps them apart.
-    mail: BinaryHeap<std::cmp::Reverse<(Instant, u64)>>,
-    letters: BTreeMap<u64, (InstanceId, InstanceId, ConfigurationMessage)>,
+    arrivals: BinaryHeap<std::cmp::Reverse<(Instant, u64)>>,
+    messages: BTreeMap<u64, (InstanceId, InstanceId, ConfigurationMessage)>,
     watchers: BTreeSet<InstanceId>,
     now: Instant,
     rng: ChaCha8Rng,
@@ -165,8 +165,8 @@
         let mut fleet = Self {
             platform: Platform::default(),
             members: BTreeMap::new(),
-            mail: BinaryHeap::new(),
-            letters: BTreeMap::new(),
+            arrivals: BinaryHeap::new(),
+            messages: BTreeMap::new(),
             watchers: BTreeSet::new(),
             now: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -233,8 +233,8 @@
             return;
         }
         let at = self.now + Duration::from_millis(self.rng.random_range(1..20));
-        self.mail.push(std::cmp::Reverse((at, self.sent)));
-        self.letters.insert(self.sent, (from.clone(), to, message));
+        self.arrivals.push(std::cmp::Reverse((at, self.sent)));
+        self.messages.insert(self.sent, (from.clone(), to, message));
     }
 
     fn apply(&mut self, limits: &[u32]) {
@@ -250,12 +250,12 @@
         let mut heartbeat_at = self.now;
         while self.now < end {
             self.now += Duration::from_millis(5);
-            while let Some(std::cmp::Reverse((at, number))) = self.mail.peek().copied() {
+            while let Some(std::cmp::Reverse((at, number))) = self.arrivals.peek().copied() {
                 if at > self.now {
                     break;
                 }
-                self.mail.pop();
-                let Some((from, to, message)) = self.letters.remove(&number) else { continue };
+                self.arrivals.pop();
+                let Some((from, to, message)) = self.messages.remove(&number) else { continue };
                 self.act(&to, |follower, now, _| follower.on_message(now, &from, message));
             }
             let due = |m: &Member, now| m.follower.next_timer().is_some_and(|at| at <= now);
--- a/tests/deployment/world.rs
+++ b/tests/deployment/world.rs
@@ -18,7 +18,7 @@
 
 /// Time for instances to be ready, for a takeover and so on. Far above the usual time, because the
 /// machine may be busy; tests that measure a time say so.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
+pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(40);
 /// Accelerator memory of an engine: three models of the sample fit.
 const ENGINE_MEMORY: u64 = 80 << 30;
 /// Port before the first one of a deployment.
@@ -57,7 +57,7 @@
     }
 
     pub(crate) async fn wait(&mut self) -> ExitStatus {
-        let deadline = Instant::now() + PATIENCE;
+        let deadline = Instant::now() + WAIT_LIMIT;
         loop {
             if let Some(status) = self.child.try_wait().expect("wait") {
                 return status;
@@ -226,7 +226,7 @@
 
     /// Waits until `check` holds.
     pub(crate) async fn wait_for(&self, what: &str, mut check: impl AsyncFnMut(&Self) -> bool) {
-        let deadline = Instant::now() + PATIENCE;
+        let deadline = Instant::now() + WAIT_LIMIT;
         while !check(self).await {
             assert!(Instant::now() < deadline, "waited in vain for: {what}\n{}", self.logs());
             tokio::time::sleep(Duration::from_millis(50)).await;
