Turn to the next platform address after a failed call

Cause: settings take several addresses of the object API, and an instance used only the first, so a failure of that address cut it off. Change: the transport leaves an address on a failed connection, a lost answer or a server error; calls failing together move on once. Conclusion: the known gap is closed; commands still take one address.

--- a/benches/slopes/calibration.rs
+++ b/benches/slopes/calibration.rs
@@ -100,7 +100,7 @@
     let platform = Platform::start(PlatformConfig::default()).await.expect("loopback is available");
     let rate = Rate { per_second: 1e9, burst: 1e9 };
     let client = Client::new(&ClientConfig {
-        address: platform.address(),
+        addresses: [platform.address()].into(),
         instance: "instance-001".into(),
         rates: Rates { reads: rate, writes: rate },
         seed: 1,
--- a/components/connection/platform/src/client.rs
+++ b/components/connection/platform/src/client.rs
@@ -27,8 +27,9 @@
 /// Settings of a client.
 #[derive(Clone, Debug)]
 pub struct ClientConfig {
-    /// Address of the platform.
-    pub address: SocketAddr,
+    /// Addresses of the platform, all of the same objects; at least one. A call that fails at one
+    /// is tried again at the next.
+    pub addresses: Box<[SocketAddr]>,
     /// Name of the instance, which the platform sees.
     pub instance: InstanceId,
     /// Call budget of the instance.
@@ -122,7 +123,7 @@
 impl Client {
     /// Creates a client; it connects with its first call.
     pub fn new(cfg: &ClientConfig) -> Self {
-        let transport = Transport::new(cfg.address, &cfg.instance);
+        let transport = Transport::new(&cfg.addresses, &cfg.instance);
         let budget = Budget::new(now(), cfg.rates);
         let rng = StdRng::seed_from_u64(cfg.seed);
         Self { transport, shared: Arc::new(Mutex::new(Shared { budget, rng })) }
--- a/components/connection/platform/src/transport.rs
+++ b/components/connection/platform/src/transport.rs
@@ -1,6 +1,8 @@
 //! HTTP calls, one at a time, without retries.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
@@ -50,7 +52,10 @@
 #[derive(Clone)]
 pub(crate) struct Transport {
     client: Client<HttpConnector, Full<Bytes>>,
-    address: SocketAddr,
+    /// Addresses of one and the same object API.
+    addresses: Arc<[SocketAddr]>,
+    /// Index of the address in use; always below the number of addresses.
+    current: Arc<AtomicUsize>,
     instance: HeaderValue,
 }
 
@@ -69,7 +74,7 @@
 }
 
 impl Transport {
-    pub(crate) fn new(address: SocketAddr, instance: &str) -> Self {
+    pub(crate) fn new(addresses: &[SocketAddr], instance: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -79,7 +84,21 @@
             .build(connector);
         let instance =
             HeaderValue::from_str(instance).unwrap_or_else(|_| HeaderValue::from_static("?"));
-        Self { client, address, instance }
+        let current = Arc::new(AtomicUsize::new(0));
+        Self { client, addresses: addresses.into(), current, instance }
+    }
+
+    /// Turns to the next address after a failure at address `failed`. Calls that failed there at
+    /// the same time move on once only, so that no address is skipped.
+    fn leave(&self, failed: usize) {
+        let next = if failed + 1 < self.addresses.len() { failed + 1 } else { 0 };
+        let left =
+            self.current.compare_exchange(failed, next, Ordering::Relaxed, Ordering::Relaxed);
+        if let (Ok(_), Some(address)) = (left, self.addresses.get(next))
+            && next != failed
+        {
+            tracing::warn!("platform: call failed; trying address {address}");
+        }
     }
 
     /// Sends a call and waits until `deadline` for the head of the answer.
@@ -91,9 +110,11 @@
         body: Bytes,
         deadline: Instant,
     ) -> Exchange<Response<Incoming>> {
+        let used = self.current.load(Ordering::Relaxed);
+        let Some(address) = self.addresses.get(used) else { return Exchange::NotSent };
         let mut req = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.address))
+            .uri(format!("http://{address}{path}"))
             .header(INSTANCE_HEADER, self.instance.clone());
         req = match condition {
             None => req,
@@ -103,11 +124,19 @@
             }
         };
         let Ok(req) = req.body(Full::new(body)) else { return Exchange::NotSent };
-        match timeout_at(deadline.into(), self.client.request(req)).await {
+        let exchange = match timeout_at(deadline.into(), self.client.request(req)).await {
             Ok(Ok(answer)) => Exchange::Answered(answer),
             Ok(Err(e)) if e.is_connect() => Exchange::NotSent,
             Ok(Err(_)) | Err(_) => Exchange::Lost,
+        };
+        let is_failure = match &exchange {
+            Exchange::Answered(answer) => answer.status().is_server_error(),
+            Exchange::NotSent | Exchange::Lost => true,
+        };
+        if is_failure {
+            self.leave(used);
         }
+        exchange
     }
 
     /// Sends a call and waits until `deadline` for the whole answer.
--- a/components/connection/platform/tests/client_tests.rs
+++ b/components/connection/platform/tests/client_tests.rs
@@ -1,5 +1,6 @@
 //! The client against the platform stand-in.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use platform::{Call, Client, ClientConfig, Error, Object, Rate, Rates, WriteOutcome};
@@ -30,9 +31,35 @@
 }
 
 fn client(platform: &Platform, instance: &str, seed: u64) -> Client {
-    let address = platform.address();
+    client_of([platform.address()].into(), instance, seed)
+}
+
+fn client_of(addresses: Box<[SocketAddr]>, instance: &str, seed: u64) -> Client {
     let rates = Rates::share(2_000, 400, 4);
-    Client::new(&ClientConfig { address, instance: instance.into(), rates, seed })
+    Client::new(&ClientConfig { addresses, instance: instance.into(), rates, seed })
+}
+
+fn closed_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback is available");
+    listener.local_addr().expect("a bound address")
+}
+
+/// Guards against an instance that is cut off from the platform although another of its addresses
+/// answers.
+#[rstest::rstest]
+#[case::nobody_listens(false)]
+#[case::out_of_order(true)]
+#[tokio::test]
+async fn a_failing_address_is_left_for_the_next(#[case] listens: bool) {
+    let (broken, platform) = (start().await, start().await);
+    broken.change_faults(|faults| faults.outage = true);
+    let address = if listens { broken.address() } else { closed_address() };
+    let client = client_of([address, platform.address()].into(), "a", 1);
+    let value = record("a", 1);
+    let outcome = client.write(&key(), Condition::Absent, &value, within(2_000)).await;
+    let WriteOutcome::Written { version } = outcome else { panic!("{outcome:?}") };
+    let object = Object { name: key().name, version, value };
+    assert_eq!(client.get(&key(), within(2_000)).await, Ok(Some(object)));
 }
 
 /// Guards against names that are not the same for reads, writes and lists.
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -197,7 +197,7 @@
         burst: f64::from(burst),
     };
     let client = Client::new(&ClientConfig {
-        address: platform.addresses[0],
+        addresses: platform.addresses.as_slice().into(),
         instance: settings.instance.name.clone(),
         rates: Rates {
             reads: rate(platform.reads_per_second, platform.read_burst),
--- a/components/process/settings/src/lib.rs
+++ b/components/process/settings/src/lib.rs
@@ -134,7 +134,7 @@
 /// `[platform]`: the object API.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformSettings {
-    /// Addresses of the object API; at present the first one is used. Required; never empty.
+    /// Addresses of the object API; after a failed call the next one is used. Required; never empty.
     pub addresses: Vec<SocketAddr>,
     /// Reads a second that the instance may make on average. Default 50: eight instances use a fifth
     /// of the platform's two thousand reads a second.
--- a/src/accepted.rs
+++ b/src/accepted.rs
@@ -30,7 +30,7 @@
     /// Prepares calls to the platform; the first call connects.
     pub(crate) fn new(address: SocketAddr, deadline: Instant) -> Self {
         let cfg = ClientConfig {
-            address,
+            addresses: [address].into(),
             instance: "command".into(),
             rates: RATES,
             seed: rand::random(),
