Choose the platform's address where attempts are counted

Cause: the transport kept its own atomic index and its own test for failed calls beside the client's, and saw only the head of an answer, so an address whose answers broke off was never left. Change: attempts.rs holds the budget and the address together, and ended() counts each attempt once; watches and other calls share it. Conclusion: one place decides whether a call failed.

--- a/components/connection/platform/src/client.rs
+++ b/components/connection/platform/src/client.rs
@@ -1,74 +1,26 @@
-//! The client: budget, retries and resolution of writes around single HTTP calls.
-
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+//! The client: retries and resolution of writes around single attempts.
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use types::object::{CallPriority, Condition, ObjectAnswer, ObjectCall, ObjectKey};
+use types::object::{Condition, ObjectAnswer, ObjectCall, ObjectKey};
 use types::prelude::*;
 
-use crate::budget::{Admission, Budget, Rates};
+use crate::attempts::{Attempts, Call, ClientConfig, Patience, is_failure, now};
+use crate::budget::Rates;
 use crate::resolution::{End, Present, Resolution, Step};
-use crate::transport::{Answer, Exchange, Transport, list_path, object_path};
+use crate::transport::{Answer, Exchange, list_path, object_path};
 use crate::{Error, Listing, Object, Watch, WriteOutcome};
 
-/// Shortest time given to one attempt of a call that may be tried again.
-const MIN_ATTEMPT: Duration = Duration::from_millis(50);
-
 /// Field of a value that tells whose write it is.
 const NONCE_FIELD: &str = "nonce";
 
-/// Settings of a client.
-#[derive(Clone, Debug)]
-pub struct ClientConfig {
-    /// Addresses of the platform, all of the same objects; at least one. A call that fails at one
-    /// is tried again at the next.
-    pub addresses: Box<[SocketAddr]>,
-    /// Name of the instance, which the platform sees.
-    pub instance: InstanceId,
-    /// Call budget of the instance.
-    pub rates: Rates,
-    /// Seed of the backoff's jitter.
-    pub seed: u64,
-}
-
-/// Deadline and priority of one call.
-#[derive(Clone, Copy, Debug)]
-pub struct Call {
-    /// The call ends at the latest then.
-    pub deadline: Instant,
-    /// Whether it goes first.
-    pub priority: CallPriority,
-}
-
-impl Call {
-    /// An ordinary call.
-    pub fn by(deadline: Instant) -> Self {
-        Self { deadline, priority: CallPriority::Ordinary }
-    }
-
-    /// A lease renewal.
-    pub fn lease_by(deadline: Instant) -> Self {
-        Self { deadline, priority: CallPriority::Lease }
-    }
-}
-
 /// Client of the platform for one instance. Clones share connections and budget.
 #[derive(Clone)]
 pub struct Client {
-    transport: Transport,
-    shared: Arc<Mutex<Shared>>,
-}
-
-struct Shared {
-    budget: Budget,
-    rng: StdRng,
+    attempts: Attempts,
 }
 
 #[derive(Deserialize)]
@@ -84,63 +36,24 @@
     objects: Vec<ListedObject<T>>,
 }
 
-/// How much of the remaining time one attempt may take.
-#[derive(Clone, Copy)]
-enum Patience {
-    /// All of it.
-    Whole,
-    /// Half, so that there is time to try again or to read back.
-    Half,
-}
-
-impl Patience {
-    fn attempt_by(self, deadline: Instant) -> Instant {
-        let now = now();
-        match self {
-            Self::Whole => deadline,
-            Self::Half => {
-                let half = deadline.saturating_duration_since(now) / 2;
-                (now + half.max(MIN_ATTEMPT)).min(deadline)
-            }
-        }
-    }
-}
-
-/// The present time of the runtime, which tests may pause.
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
-
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|e| Error::Malformed(e.to_string().into()))
 }
 
-/// Whether the platform was too busy or out of order, as opposed to an answer about the object.
-fn is_failure(status: StatusCode) -> bool {
-    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
-}
-
 impl Client {
     /// Creates a client; it connects with its first call.
     pub fn new(cfg: &ClientConfig) -> Self {
-        let transport = Transport::new(&cfg.addresses, &cfg.instance);
-        let budget = Budget::new(now(), cfg.rates);
-        let rng = StdRng::seed_from_u64(cfg.seed);
-        Self { transport, shared: Arc::new(Mutex::new(Shared { budget, rng })) }
-    }
-
-    fn shared(&self) -> MutexGuard<'_, Shared> {
-        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+        Self { attempts: Attempts::new(cfg) }
     }
 
     /// Changes the call budget, for example with the number of instances.
     pub fn set_rates(&self, rates: Rates) {
-        self.shared().budget.set_rates(now(), rates);
+        self.attempts.set_rates(rates);
     }
 
     /// Whether the last attempt to reach the platform failed.
     pub fn is_failing(&self) -> bool {
-        self.shared().budget.is_failing()
+        self.attempts.is_failing()
     }
 
     /// Makes one attempt of a call for a component that resolves lost answers itself.
@@ -153,7 +66,7 @@
             }
         };
         let is_write = condition.is_some();
-        match self.attempt(method, &path, condition, body, call, Patience::Whole).await {
+        match self.attempts.attempt(method, &path, condition, body, call, Patience::Whole).await {
             Ok(Exchange::Answered(answer)) => object_answer(answer, is_write),
             Ok(Exchange::Lost) if is_write => ObjectAnswer::Lost,
             Ok(Exchange::Lost | Exchange::NotSent) | Err(_) => ObjectAnswer::Failed,
@@ -223,19 +136,12 @@
     ) -> Result<Watch<T>, Error> {
         let path = format!("{}&watch={after}", list_path(kind, prefix));
         loop {
-            self.admitted(false, call).await?;
-            let attempt_by = Patience::Half.attempt_by(call.deadline);
-            let opened =
-                self.transport.open(Method::GET, &path, None, Bytes::new(), attempt_by).await;
-            let Exchange::Answered(answer) = opened else {
-                self.failed();
+            let Exchange::Answered(answer) = self.attempts.open(&path, call).await? else {
                 continue;
             };
             if is_failure(answer.status()) {
-                self.failed();
                 continue;
             }
-            self.succeeded();
             return match answer.status() {
                 StatusCode::OK => Ok(Watch::new(answer.into_body(), call.deadline)),
                 StatusCode::GONE => Err(Error::TooOld),
@@ -318,7 +224,8 @@
             Some(value) => (Method::PUT, value.to_string().into()),
             None => (Method::DELETE, Bytes::new()),
         };
-        match self.attempt(method, path, Some(condition), body, call, Patience::Half).await {
+        match self.attempts.attempt(method, path, Some(condition), body, call, Patience::Half).await
+        {
             Err(_) => Step::Done(resolution.on_deadline()),
             Ok(Exchange::NotSent) => resolution.on_not_sent(),
             Ok(Exchange::Lost) => resolution.on_lost(),
@@ -338,7 +245,8 @@
     /// Repeats a read until it is answered or the deadline passes.
     async fn read(&self, path: &str, call: Call) -> Result<Answer, Error> {
         loop {
-            let attempt = self.attempt(Method::GET, path, None, Bytes::new(), call, Patience::Half);
+            let attempt =
+                self.attempts.attempt(Method::GET, path, None, Bytes::new(), call, Patience::Half);
             match attempt.await? {
                 Exchange::Answered(answer) if !is_failure(answer.status) => return Ok(answer),
                 Exchange::Answered(_) | Exchange::NotSent | Exchange::Lost => {}
@@ -353,52 +261,6 @@
             status => Err(Error::Refused(status.as_u16())),
         }
     }
-
-    /// Waits for the budget and makes one attempt. Fails at once if the budget allows none before
-    /// the deadline.
-    async fn attempt(
-        &self,
-        method: Method,
-        path: &str,
-        condition: Option<Condition>,
-        body: Bytes,
-        call: Call,
-        patience: Patience,
-    ) -> Result<Exchange<Answer>, Error> {
-        self.admitted(condition.is_some(), call).await?;
-        let attempt_by = patience.attempt_by(call.deadline);
-        let exchange = self.transport.exchange(method, path, condition, body, attempt_by).await;
-        match &exchange {
-            Exchange::Answered(answer) if !is_failure(answer.status) => self.succeeded(),
-            _ => self.failed(),
-        }
-        Ok(exchange)
-    }
-
-    /// Waits until the budget allows the call.
-    async fn admitted(&self, is_write: bool, call: Call) -> Result<(), Error> {
-        loop {
-            let now = now();
-            if now >= call.deadline {
-                return Err(Error::Unavailable);
-            }
-            let admission = self.shared().budget.admit(now, is_write, call.priority);
-            match admission {
-                Admission::Go => return Ok(()),
-                Admission::Wait(at) if at >= call.deadline => return Err(Error::Unavailable),
-                Admission::Wait(at) => tokio::time::sleep_until(at.into()).await,
-            }
-        }
-    }
-
-    fn succeeded(&self) {
-        self.shared().budget.succeeded(now());
-    }
-
-    fn failed(&self) {
-        let shared = &mut *self.shared();
-        shared.budget.failed(now(), &mut shared.rng);
-    }
 }
 
 fn same_write(ours: &Value, read: &Value) -> bool {
--- a/components/connection/platform/src/lib.rs
+++ b/components/connection/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! Components that resolve lost answers themselves use [`Client::call`]; all others use
 //! [`Client::write`] and [`Client::delete`], which resolve them by reading the object back.
 
+mod attempts;
 mod budget;
 mod client;
 mod error;
@@ -20,8 +21,9 @@
 #[cfg(test)]
 mod resolution_tests;
 
+pub use attempts::{Call, ClientConfig};
 pub use budget::{Admission, Budget, Rate, Rates};
-pub use client::{Call, Client, ClientConfig};
+pub use client::Client;
 pub use error::Error;
 pub use object::{Listing, Object, WriteOutcome};
 pub use resolution::{End, Present, Resolution, Step};
--- a/components/connection/platform/src/transport.rs
+++ b/components/connection/platform/src/transport.rs
@@ -1,8 +1,6 @@
 //! HTTP calls, one at a time, without retries.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
@@ -40,6 +38,16 @@
     Lost,
 }
 
+impl<A> Exchange<A> {
+    /// The answer, if one arrived.
+    pub(crate) fn answer(&self) -> Option<&A> {
+        match self {
+            Self::Answered(answer) => Some(answer),
+            Self::NotSent | Self::Lost => None,
+        }
+    }
+}
+
 /// An answer with its whole body.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -52,10 +60,6 @@
 #[derive(Clone)]
 pub(crate) struct Transport {
     client: Client<HttpConnector, Full<Bytes>>,
-    /// Addresses of one and the same object API.
-    addresses: Arc<[SocketAddr]>,
-    /// Index of the address in use; always below the number of addresses.
-    current: Arc<AtomicUsize>,
     instance: HeaderValue,
 }
 
@@ -74,7 +78,7 @@
 }
 
 impl Transport {
-    pub(crate) fn new(addresses: &[SocketAddr], instance: &str) -> Self {
+    pub(crate) fn new(instance: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
@@ -84,34 +88,19 @@
             .build(connector);
         let instance =
             HeaderValue::from_str(instance).unwrap_or_else(|_| HeaderValue::from_static("?"));
-        let current = Arc::new(AtomicUsize::new(0));
-        Self { client, addresses: addresses.into(), current, instance }
-    }
-
-    /// Turns to the next address after a failure at address `failed`. Calls that failed there at
-    /// the same time move on once only, so that no address is skipped.
-    fn leave(&self, failed: usize) {
-        let next = if failed + 1 < self.addresses.len() { failed + 1 } else { 0 };
-        let left =
-            self.current.compare_exchange(failed, next, Ordering::Relaxed, Ordering::Relaxed);
-        if let (Ok(_), Some(address)) = (left, self.addresses.get(next))
-            && next != failed
-        {
-            tracing::warn!("platform: call failed; trying address {address}");
-        }
+        Self { client, instance }
     }
 
     /// Sends a call and waits until `deadline` for the head of the answer.
     pub(crate) async fn open(
         &self,
+        address: SocketAddr,
         method: Method,
         path: &str,
         condition: Option<Condition>,
         body: Bytes,
         deadline: Instant,
     ) -> Exchange<Response<Incoming>> {
-        let used = self.current.load(Ordering::Relaxed);
-        let Some(address) = self.addresses.get(used) else { return Exchange::NotSent };
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
@@ -124,31 +113,24 @@
             }
         };
         let Ok(req) = req.body(Full::new(body)) else { return Exchange::NotSent };
-        let exchange = match timeout_at(deadline.into(), self.client.request(req)).await {
+        match timeout_at(deadline.into(), self.client.request(req)).await {
             Ok(Ok(answer)) => Exchange::Answered(answer),
             Ok(Err(e)) if e.is_connect() => Exchange::NotSent,
             Ok(Err(_)) | Err(_) => Exchange::Lost,
-        };
-        let is_failure = match &exchange {
-            Exchange::Answered(answer) => answer.status().is_server_error(),
-            Exchange::NotSent | Exchange::Lost => true,
-        };
-        if is_failure {
-            self.leave(used);
         }
-        exchange
     }
 
     /// Sends a call and waits until `deadline` for the whole answer.
     pub(crate) async fn exchange(
         &self,
+        address: SocketAddr,
         method: Method,
         path: &str,
         condition: Option<Condition>,
         body: Bytes,
         deadline: Instant,
     ) -> Exchange<Answer> {
-        let answer = match self.open(method, path, condition, body, deadline).await {
+        let answer = match self.open(address, method, path, condition, body, deadline).await {
             Exchange::Answered(answer) => answer,
             Exchange::NotSent => return Exchange::NotSent,
             Exchange::Lost => return Exchange::Lost,
--- a/components/connection/platform/tests/client_tests.rs
+++ b/components/connection/platform/tests/client_tests.rs
@@ -6,6 +6,8 @@
 use platform::{Call, Client, ClientConfig, Error, Object, Rate, Rates, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use stand_ins::platform::{Platform, PlatformConfig};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use types::object::{CallPriority, Condition, ObjectAnswer, ObjectCall, ObjectKey};
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,16 +46,36 @@
     listener.local_addr().expect("a bound address")
 }
 
+/// Answers every call with a head and half of the body, then closes the connection.
+async fn half_answering_address() -> SocketAddr {
+    const HALF: &[u8] = b"HTTP/1.1 200 OK\r\netag: \"1\"\r\ncontent-length: 4\r\n\r\n{}";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback is available");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let mut buf = [0; 4_096];
+            let _ = connection.read(&mut buf).await;
+            let _ = connection.write_all(HALF).await;
+        }
+    });
+    address
+}
+
+async fn out_of_order_address() -> SocketAddr {
+    let platform = start().await;
+    platform.change_faults(|faults| faults.outage = true);
+    platform.address()
+}
+
 /// Guards against an instance that is cut off from the platform although another of its addresses
 /// answers.
 #[rstest::rstest]
-#[case::nobody_listens(false)]
-#[case::out_of_order(true)]
+#[case::nobody_listens(std::future::ready(closed_address()))]
+#[case::connections_are_closed(out_of_order_address())]
+#[case::answers_break_off(half_answering_address())]
 #[tokio::test]
-async fn a_failing_address_is_left_for_the_next(#[case] listens: bool) {
-    let (broken, platform) = (start().await, start().await);
-    broken.change_faults(|faults| faults.outage = true);
-    let address = if listens { broken.address() } else { closed_address() };
+async fn a_failing_address_is_left_for_the_next(#[case] failing: impl Future<Output = SocketAddr>) {
+    let (address, platform) = (failing.await, start().await);
     let client = client_of([address, platform.address()].into(), "a", 1);
     let value = record("a", 1);
     let outcome = client.write(&key(), Condition::Absent, &value, within(2_000)).await;
