Compute every backoff delay in one place

Cause: the jittered exponential delay stood six times, in dispatch, platform, ownership, configuration and twice in group, with three ways to bound it. Change: the crate backoff holds the formula; all six call it. ownership's module of the same name is now failures, which it counts. Result: all tests of the six crates pass unchanged. The other delays keep their bounds (6.4 s in ownership, 3.2 s in configuration). Conclusion: a new retry needs a first and a longest delay and no formula.

--- a/components/connection/platform/src/budget.rs
+++ b/components/connection/platform/src/budget.rs
@@ -176,10 +176,8 @@
         if is_counted && now < self.retry_at {
             return;
         }
-        let doublings = self.failures.min(16);
+        self.retry_at = now + backoff::delay(FIRST_DELAY, MAX_DELAY, self.failures, rng);
         self.failures += 1;
-        let delay = FIRST_DELAY.saturating_mul(1 << doublings).min(MAX_DELAY);
-        self.retry_at = now + delay.mul_f64(rng.random_range(0.5..=1.0));
         self.probe_until = None;
     }
 }
--- a/components/process/group/src/pool.rs
+++ b/components/process/group/src/pool.rs
@@ -177,8 +177,8 @@
             _ => {
                 work.again = true;
                 work.failures += 1;
-                let delay = self.cfg.retry_min * (1 << work.failures.min(5));
-                work.at = Some(now + delay.mul_f64(rng.random_range(0.5..1.0)));
+                let (first, longest) = (self.cfg.retry_min, self.cfg.retry_max);
+                work.at = Some(now + backoff::delay(first, longest, work.failures, rng));
             }
         }
         actions
--- a/components/process/group/src/store.rs
+++ b/components/process/group/src/store.rs
@@ -156,9 +156,9 @@
     }
 
     fn retry(&mut self, now: Instant, rng: &mut impl Rng) {
-        let delay = self.cfg.retry_min * (1 << self.store.failures.min(10));
+        let (first, longest) = (self.cfg.retry_min, self.cfg.retry_max);
+        let delay = backoff::delay(first, longest, self.store.failures, rng);
         self.store.failures += 1;
-        let delay = delay.min(self.cfg.retry_max).mul_f64(rng.random_range(0.5..1.0));
         self.store.step = Step::ReadAt { at: now + delay };
     }
 
--- a/components/process/ownership/src/claim.rs
+++ b/components/process/ownership/src/claim.rs
@@ -4,7 +4,7 @@
 use types::prelude::*;
 
 use crate::GroupObject;
-use crate::backoff::Backoff;
+use crate::failures::Backoff;
 
 /// The owner of a group, as announced or read. Only a hint.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/components/process/ownership/src/backoff.rs
+++ b/components/process/ownership/src/failures.rs
@@ -1,10 +1,10 @@
-//! Jittered exponential backoff.
+//! Delays after failures in a row.
 
 use rand::Rng;
 use types::prelude::*;
 
 const FIRST_DELAY: Duration = Duration::from_millis(200);
-const MAX_DOUBLINGS: u32 = 5;
+const MAX_DELAY: Duration = Duration::from_millis(6_400);
 
 /// Counts failures in a row.
 #[derive(Debug, Default)]
@@ -15,9 +15,9 @@
 impl Backoff {
     /// The time of the next attempt after a failure.
     pub(crate) fn failed(&mut self, now: Instant, rng: &mut impl Rng) -> Instant {
-        let delay = FIRST_DELAY * (1 << self.failures.min(MAX_DOUBLINGS));
+        let delay = backoff::delay(FIRST_DELAY, MAX_DELAY, self.failures, rng);
         self.failures += 1;
-        now + delay.mul_f64(rng.random_range(0.5..1.0))
+        now + delay
     }
 
     /// A call got an answer.
--- a/components/process/ownership/src/lease.rs
+++ b/components/process/ownership/src/lease.rs
@@ -4,7 +4,7 @@
 use types::object::{CallId, Condition, ObjectAnswer, ObjectCall, ObjectKey, decode, encode};
 use types::prelude::*;
 
-use crate::backoff::Backoff;
+use crate::failures::Backoff;
 use crate::{LeaseObject, Settings};
 
 /// Part of `renew_every` by which renewals are moved at random, so that instances that started
--- a/components/process/ownership/src/lib.rs
+++ b/components/process/ownership/src/lib.rs
@@ -10,8 +10,8 @@
 //! them, so the claim of an observer and its own exclude each other.
 
 mod action;
-mod backoff;
 mod claim;
+mod failures;
 mod hints;
 mod lease;
 mod objects;
--- a/components/request/dispatch/src/breaker.rs
+++ b/components/request/dispatch/src/breaker.rs
@@ -3,8 +3,6 @@
 use rand::Rng;
 use types::prelude::*;
 
-use crate::backoff::backoff;
-
 /// Failures in a row that open a breaker.
 const OPEN_AFTER: u32 = 5;
 /// Calls over which the failure rate is taken.
@@ -128,7 +126,7 @@
         if !opens {
             return None;
         }
-        let until = now + backoff(OPEN_BASE, OPEN_LONGEST, breaker.openings, rng);
+        let until = now + backoff::delay(OPEN_BASE, OPEN_LONGEST, breaker.openings, rng);
         breaker.state = State::Open { until };
         breaker.openings += 1;
         self.generations += 1;
--- a/components/request/dispatch/src/lib.rs
+++ b/components/request/dispatch/src/lib.rs
@@ -10,13 +10,11 @@
 //! }
 //! ```
 
-mod backoff;
 mod breaker;
 mod budget;
 mod request;
 mod stream;
 
-pub use backoff::backoff;
 pub use breaker::{Breakers, CallResult, Permit};
 pub use budget::{RetryBudget, WINDOW};
 pub use request::{
--- a/components/request/dispatch/src/request.rs
+++ b/components/request/dispatch/src/request.rs
@@ -3,7 +3,6 @@
 use rand::Rng;
 use types::prelude::*;
 
-use crate::backoff::backoff;
 use crate::budget::RetryBudget;
 use crate::stream::{Progress, Stream, StreamEvent};
 
@@ -151,7 +150,7 @@
     ) -> Result<(Self, Instant), Refusal> {
         self.state.failed_connects += 1;
         let failed = self.state.failed_connects;
-        let at = now + backoff(RETRY_BASE, RETRY_LONGEST, failed - 1, rng);
+        let at = now + backoff::delay(RETRY_BASE, RETRY_LONGEST, failed - 1, rng);
         if failed >= MAX_CONNECTS || at >= self.terms.first_token_by {
             return Err(self.refuse(Reason::NoCapacity).with_retry_at(at));
         }
@@ -247,7 +246,7 @@
         rng: &mut impl Rng,
     ) -> Result<(Request<Queued>, Instant), Refusal> {
         let Self(mut req) = self;
-        let at = now + backoff(RETRY_BASE, RETRY_LONGEST, req.attempts - 1, rng);
+        let at = now + backoff::delay(RETRY_BASE, RETRY_LONGEST, req.attempts - 1, rng);
         if req.attempts >= MAX_ATTEMPTS
             || at >= req.terms.first_token_by
             || !budget.try_retry(&req.state.server, now)
--- a/components/version/configuration/src/apply.rs
+++ b/components/version/configuration/src/apply.rs
@@ -11,8 +11,8 @@
 
 /// First delay before a failed call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The delay doubles up to this many times.
-const MAX_DOUBLINGS: u32 = 5;
+/// Longest delay, after five doublings.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(3_200);
 
 /// One run of `apply`.
 #[derive(Debug)]
@@ -329,9 +329,8 @@
 
     /// Begins a step after a jittered exponential delay.
     fn wait(&mut self, next: Next, now: Instant, rng: &mut impl Rng) {
-        let delay = RETRY_DELAY * (1 << self.failures.min(MAX_DOUBLINGS));
+        let until = now + backoff::delay(RETRY_DELAY, MAX_RETRY_DELAY, self.failures, rng);
         self.failures += 1;
-        let until = now + delay.mul_f64(rng.random_range(0.5..1.0));
         self.step = Step::Waiting { until, next };
     }
 
