--- a/components/connection/front/src/arrival.rs
+++ b/components/connection/front/src/arrival.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
-use sha2::{Digest, Sha256};
 use tokio::sync::{mpsc, oneshot};
+use types::hash::sha256_hex;
 use types::prelude::*;
 
 use crate::Problem;
@@ -15,7 +15,7 @@
 
 /// The SHA-256 hash of a bearer key in lower-case hex.
 pub fn hash_key(key: &str) -> Box<str> {
-    hex::encode(Sha256::digest(key.as_bytes())).into()
+    sha256_hex(key.as_bytes())
 }
 
 /// Text that must not reach the log.
--- a/components/process/types/src/lib.rs
+++ b/components/process/types/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod contract;
 pub mod group_state;
+pub mod hash;
 pub mod ids;
 pub mod object;
 pub mod prelude;
--- a/components/request/idempotency/src/key.rs
+++ b/components/request/idempotency/src/key.rs
@@ -48,5 +48,5 @@
         hash.update((part.len() as u64).to_le_bytes());
         hash.update(part);
     }
-    hash.finalize()[..16].iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
+    hex::encode(&hash.finalize()[..16]).into()
 }
--- a/components/version/configuration/src/head.rs
+++ b/components/version/configuration/src/head.rs
@@ -1,7 +1,7 @@
 //! The head object and content hashes.
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
+use types::hash::sha256_hex;
 use types::object::{ObjectKey, encode};
 use types::prelude::*;
 
@@ -27,7 +27,7 @@
 impl Head {
     /// Digest that an instance compares after it applied a difference.
     pub fn digest(&self) -> Digest {
-        sha256(&encode(&(self.version, &self.contracts, &self.catalogue)))
+        sha256_hex(&encode(&(self.version, &self.contracts, &self.catalogue)))
     }
 }
 
@@ -45,7 +45,3 @@
 pub(crate) fn head_key() -> ObjectKey {
     ObjectKey::new("configuration", "head")
 }
-
-fn sha256(text: &[u8]) -> Box<str> {
-    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
-}
--- a/components/version/contracts/src/canonical.rs
+++ b/components/version/contracts/src/canonical.rs
@@ -1,7 +1,7 @@
 //! Canonical JSON and the content hash of contracts and catalogues.
 
 use serde::Serialize;
-use sha2::{Digest, Sha256};
+use types::hash::sha256_hex;
 
 /// JSON without white space and with sorted keys, so that equal values have equal bytes.
 ///
@@ -16,17 +16,5 @@
 
 /// SHA-256 of the canonical JSON as 64 lower-case hex digits.
 pub fn content_hash(value: &impl Serialize) -> Box<str> {
-    hash_text(&canonical_json(value))
-}
-
-/// SHA-256 of a text as 64 lower-case hex digits; also the stored form of a bearer key.
-pub fn hash_text(text: &str) -> Box<str> {
-    use std::fmt::Write;
-    Sha256::digest(text.as_bytes())
-        .iter()
-        .fold(String::with_capacity(64), |mut hex, byte| {
-            let _ = write!(hex, "{byte:02x}");
-            hex
-        })
-        .into()
+    sha256_hex(canonical_json(value).as_bytes())
 }
--- a/components/version/contracts/src/canonical_tests.rs
+++ b/components/version/contracts/src/canonical_tests.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::canonical::{canonical_json, content_hash, hash_text};
+use types::hash::sha256_hex;
+
+use crate::canonical::{canonical_json, content_hash};
 
 /// Guards against a JSON map that keeps insertion order, for instance by a feature of `serde_json`
 /// that another crate switches on: equal contracts would then get different hashes.
@@ -16,9 +18,9 @@
 #[test]
 fn hashes_are_stable() {
     assert_eq!(
-        &*hash_text("abc"),
+        &*sha256_hex(b"abc"),
         "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"
     );
     let empty = BTreeMap::<&str, &str>::new();
-    assert_eq!(content_hash(&empty), hash_text("{}"));
+    assert_eq!(content_hash(&empty), sha256_hex(b"{}"));
 }
