Share the HTTP client of backend_server and platform

Cause: both crates built the same pooled client with the same two limits, and peer had the connect limit a third time. Change: the crate http_client builds it and holds the limits. Conclusion: one place says how long a connection may take.

--- a/components/connection/backend_server/src/client.rs
+++ b/components/connection/backend_server/src/client.rs
@@ -6,25 +6,19 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use http_client::{HttpClient, http_client};
 use hyper::body::Incoming;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use types::prelude::*;
 
 use crate::SendError;
 
-/// How long a connection attempt may take before it counts as failed.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long an idle connection is kept for reuse.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Largest answer that is collected in memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// HTTP client for idempotent requests to backend servers; reuses connections.
 #[derive(Clone)]
 pub struct BackendClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
 }
 
 impl Default for BackendClient {
@@ -36,14 +30,7 @@
 impl BackendClient {
     /// A client without connections.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-            .build(connector);
-        Self { client }
+        Self { client: http_client() }
     }
 
     /// Sends an idempotent request and waits until `deadline` for the head of the answer.
--- a/components/connection/backend_server/src/connection.rs
+++ b/components/connection/backend_server/src/connection.rs
@@ -4,6 +4,7 @@
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri};
 use http_body_util::Full;
+use http_client::CONNECT_TIMEOUT;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -11,7 +12,7 @@
 use types::prelude::*;
 
 use crate::SendError;
-use crate::client::{CONNECT_TIMEOUT, before, collect};
+use crate::client::{before, collect};
 
 /// An open connection over which nothing was sent yet.
 ///
--- a/components/connection/peer/src/client.rs
+++ b/components/connection/peer/src/client.rs
@@ -2,15 +2,13 @@
 
 use std::cell::RefCell;
 
+use http_client::CONNECT_TIMEOUT;
 use tonic::transport::{Channel, Endpoint};
 use types::prelude::*;
 
 use crate::generated::peer_client::PeerClient as Generated;
 use crate::{Frame, MAX_FRAME_BYTES, PeerError};
 
-/// How long a connection attempt may take before it counts as failed.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Connections to other instances, one for each address. Lives on one thread.
 #[derive(Default)]
 pub struct PeerClient {
--- a/components/connection/platform/src/transport.rs
+++ b/components/connection/platform/src/transport.rs
@@ -5,21 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
+use http_client::{HttpClient, http_client};
 use hyper::body::Incoming;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use tokio::time::timeout_at;
 use types::object::{Condition, ObjectKey};
 use types::prelude::*;
 
-/// How long a connection attempt may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// How long an idle connection is kept.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Header that names the calling instance.
 const INSTANCE_HEADER: &str = "x-instance";
 
@@ -59,7 +51,7 @@
 /// Sends calls of one instance.
 #[derive(Clone)]
 pub(crate) struct Transport {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: HttpClient,
     instance: HeaderValue,
 }
 
@@ -79,16 +71,9 @@
 
 impl Transport {
     pub(crate) fn new(instance: &str) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-            .build(connector);
         let instance =
             HeaderValue::from_str(instance).unwrap_or_else(|_| HeaderValue::from_static("?"));
-        Self { client, instance }
+        Self { client: http_client(), instance }
     }
 
     /// Sends a call and waits until `deadline` for the head of the answer.
