Run the instance's own polling and publishing in the slopes bench

Cause: the slopes bench kept its own copies of the instance's messages, polling, publication and list interval. They had drifted: the bench sent 4 entry points with each summary where the instance sends 1, and it did not know of the first list interval of 250 ms.

Change: `Polls` and `PublishSchedule` are now public in `group`, `PeerMessage` and the intervals in `instance`; the bench uses them and its copies are gone.

--- a/benches/slopes/fleet.rs
+++ b/benches/slopes/fleet.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 
 use configuration::Apply;
+use instance::message::PeerMessage;
 use platform::Rates;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use types::prelude::*;
 
 use crate::event::{Event, Scheduled};
-use crate::message::Message;
+
 use crate::node::{Identity, Node};
 use crate::platform_model::PlatformModel;
 use crate::scale::Scale;
@@ -318,7 +319,7 @@
                 self.with_node(node, |n| n.on_timer(now));
             }
             Event::Deliver { to, frame } => self.with_node(to, |n| {
-                if let Ok(message) = frame.decode::<Message>() {
+                if let Ok(message) = frame.decode::<PeerMessage>() {
                     n.on_message(&frame.instance, message, now);
                 }
             }),
--- a/benches/slopes/fleet_effects.rs
+++ b/benches/slopes/fleet_effects.rs
@@ -1,5 +1,6 @@
 //! What instances ask for: platform calls, messages, reports and orders.
 
+use instance::message::PeerMessage;
 use peer::Frame;
 use platform::Admission;
 use types::object::{ObjectAnswer, ObjectCall};
@@ -7,7 +8,8 @@
 
 use crate::event::{Event, PlatformCall};
 use crate::fleet::{Fleet, MIN_SLEEP, PLATFORM, WATCH_TIME};
-use crate::message::Message;
+
+use crate::message::kind;
 use crate::node::Effect;
 use crate::server_model::Later;
 
@@ -37,8 +39,10 @@
                 let deadline = now + PLATFORM_TIMEOUT;
                 self.admit(node, PlatformCall { caller, call, priority, request, deadline });
             }
-            Effect::Send { message: Message::GroupState(_) | Message::GroupLoads(_), .. }
-                if !self.is_publishing => {}
+            Effect::Send {
+                message: PeerMessage::GroupState(_) | PeerMessage::GroupLoads(_),
+                ..
+            } if !self.is_publishing => {}
             Effect::Send { address, message } => self.send(node, &address, &message),
             Effect::StartWatch => {
                 self.watching[node] = Some(now + WATCH_TIME);
@@ -116,12 +120,12 @@
         }
     }
 
-    pub(crate) fn send(&mut self, from: usize, address: &str, message: &Message) {
+    pub(crate) fn send(&mut self, from: usize, address: &str, message: &PeerMessage) {
         let Some(node) = &self.nodes[from] else { return };
         let Ok(frame) = Frame::encode(&node.id.name, node.incarnation(), message) else { return };
         let bytes = (frame.payload.len() + frame.instance.len()) as u64 + FRAME_HEAD_BYTES;
         self.traffic[from].messages += 1;
-        self.traffic[from].add(message.kind(), bytes);
+        self.traffic[from].add(kind(message), bytes);
         let Some(to) = self.by_address.get(address).copied() else { return };
         self.schedule(self.now + NETWORK, Some(to), Event::Deliver { to, frame });
     }
--- a/benches/slopes/node.rs
+++ b/benches/slopes/node.rs
@@ -4,6 +4,8 @@
 
 use configuration::Follower;
 use group::{OrderResult, Received};
+use instance::intervals::{ARRIVALS_INTERVAL, list_interval};
+use instance::message::{ArrivalCount, PeerMessage};
 use membership::{Membership, SummaryBody};
 use ownership::Ownership;
 use platform::{Budget, Rates};
@@ -12,20 +14,12 @@
 use types::object::{CallId, CallPriority, ObjectAnswer, ObjectCall, ObjectKey};
 use types::prelude::*;
 
-use crate::message::{ArrivalCount, Message};
 use crate::owned_group::{Due, OwnedGroup};
 
-/// Time between reads of the platform's list for each hundred entries, as in `instance`.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
-const LIST_ENTRIES_PER_INTERVAL: usize = 100;
-/// Time between two messages about arrivals, as in `instance`.
-const ARRIVALS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two writes of counted work: one read and one write each.
 const WORK_INTERVAL: Duration = Duration::from_secs(10);
 /// Arrivals of one instance in one second: 12,000 requests a second over 360 instances.
 const ARRIVALS_PER_SECOND: usize = 33;
-/// Entry points in a summary, as in `instance`.
-const ENTRY_POINTS: usize = 4;
 
 /// Who made a platform call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,7 +42,7 @@
     /// To an address.
     Send {
         address: Box<str>,
-        message: Message,
+        message: PeerMessage,
     },
     StartWatch,
     StopWatch,
@@ -181,8 +175,7 @@
             self.with_group(&group, now, |owned, rng| owned.on_timer(now, wall, rng));
         }
         if self.list_at <= now {
-            let hundreds = self.list.len().div_ceil(LIST_ENTRIES_PER_INTERVAL).max(1);
-            self.list_at = now + LIST_INTERVAL * hundreds as u32;
+            self.list_at = now + list_interval(self.list.len());
             self.effects.push(Effect::ReadList);
         }
         if self.arrivals_at <= now {
@@ -213,7 +206,7 @@
             by_owner.entry(address.into()).or_default().push(count);
         }
         for (address, counts) in by_owner {
-            self.effects.push(Effect::Send { address, message: Message::Arrivals(counts) });
+            self.effects.push(Effect::Send { address, message: PeerMessage::Arrivals(counts) });
         }
     }
 
@@ -233,42 +226,43 @@
             models_ready: models.into_iter().collect(),
             memory_free: 0,
             key_ranges: keys.filter_map(owner).collect(),
-            entry_points: self.membership.live().into_values().take(ENTRY_POINTS).collect(),
+            entry_points: vec![self.id.address.clone()],
         }
     }
 
-    pub(crate) fn on_message(&mut self, from: &InstanceId, message: Message, now: Instant) {
+    pub(crate) fn on_message(&mut self, from: &InstanceId, message: PeerMessage, now: Instant) {
         match message {
-            Message::Heartbeat(heartbeat) => {
+            PeerMessage::Heartbeat(heartbeat) => {
                 let actions = self.membership.on_heartbeat(now, &heartbeat, &mut self.rng);
                 self.membership_actions(actions, now);
             }
-            Message::Summary(summary) => {
+            PeerMessage::Summary(summary) => {
                 let actions = self.membership.on_summary(now, &summary, &mut self.rng);
                 self.membership_actions(actions, now);
             }
-            Message::Announcement(announcement) => {
+            PeerMessage::Announcement(announcement) => {
                 let actions = self.ownership.on_announcement(now, &announcement);
                 self.ownership_actions(actions, now);
             }
-            Message::Handover(handover) => {
+            PeerMessage::Handover(handover) => {
                 let actions = self.ownership.on_handover(now, &handover, &mut self.rng);
                 self.ownership_actions(actions, now);
             }
-            Message::Configuration(message) => {
+            PeerMessage::Configuration(message) => {
                 let actions = self.follower.on_message(now, from, message);
                 self.configuration_actions(actions, now);
             }
-            Message::GroupState(state) => {
+            PeerMessage::GroupState(state) => {
                 self.received.whole(&state);
                 self.take_state(Arc::unwrap_or_clone(state));
             }
-            Message::GroupLoads(loads) => {
+            PeerMessage::GroupLoads(loads) => {
                 if let Some(state) = self.received.loads(&loads).cloned() {
                     self.take_state(state);
                 }
             }
-            Message::Arrivals(_) => {}
+            // Placement is not simulated, and nothing sends the messages of single requests.
+            _ => {}
         }
     }
 
@@ -346,7 +340,7 @@
         let servers: Vec<ListedInstance> = self.list.iter().filter(in_group).cloned().collect();
         let wall = self.wall(now);
         self.with_group(group, now, |owned, rng| {
-            owned.set_servers(now, &servers);
+            owned.polls.update(&servers, now);
             let actions = owned.group.on_server_list(now, wall, &servers, rng);
             Due { actions, ..Due::default() }
         });
@@ -367,7 +361,7 @@
         let wall = self.wall(now);
         let is_busy = report.replicas.iter().any(|r| r.phase != ReplicaPhase::Ready);
         self.with_group(group, now, |owned, rng| {
-            owned.reported(now, &report.server, is_busy);
+            owned.polls.answered(&report.server, is_busy, now);
             let actions = owned.group.on_report(now, wall, requested, report, rng);
             Due { actions, ..Due::default() }
         });
@@ -381,7 +375,7 @@
         now: Instant,
     ) {
         self.with_group(group, now, |owned, rng| {
-            owned.poll_soon(now, server);
+            owned.polls.wake(server, now);
             let actions = owned.group.on_order_result(now, server, order, result, rng);
             Due { actions, ..Due::default() }
         });
--- a/benches/slopes/node_actions.rs
+++ b/benches/slopes/node_actions.rs
@@ -1,11 +1,11 @@
 //! What a simulated instance does with the actions of its components.
 
 use group::{Group, Publication};
+use instance::message::PeerMessage;
 use rand_chacha::ChaCha8Rng;
 use types::object::CallPriority;
 use types::prelude::*;
 
-use crate::message::Message;
 use crate::node::{Caller, Effect, Node};
 use crate::owned_group::{Due, OwnedGroup};
 
@@ -17,7 +17,7 @@
         self.configuration_actions(actions, now);
     }
 
-    pub(crate) fn broadcast(&mut self, message: &Message) {
+    pub(crate) fn broadcast(&mut self, message: &PeerMessage) {
         for (instance, address) in self.membership.live() {
             if instance != self.id.name {
                 self.effects.push(Effect::Send { address, message: message.clone() });
@@ -30,7 +30,7 @@
         self.membership.address(instance).map(Into::into).or_else(listed)
     }
 
-    pub(crate) fn send(&mut self, to: &str, message: Message) {
+    pub(crate) fn send(&mut self, to: &str, message: PeerMessage) {
         if let Some(address) = self.address_of(to) {
             self.effects.push(Effect::Send { address, message });
         }
@@ -60,9 +60,9 @@
                     }
                 }
                 Action::Release { .. } => {}
-                Action::Announce(message) => self.broadcast(&Message::Announcement(message)),
+                Action::Announce(message) => self.broadcast(&PeerMessage::Announcement(message)),
                 Action::SendHandover { to, handover } => {
-                    self.send(&to, Message::Handover(handover));
+                    self.send(&to, PeerMessage::Handover(handover));
                 }
             }
         }
@@ -92,11 +92,11 @@
         for action in actions {
             match action {
                 Action::SendHeartbeat { address, heartbeat } => {
-                    let message = Message::Heartbeat(heartbeat);
+                    let message = PeerMessage::Heartbeat(heartbeat);
                     self.effects.push(Effect::Send { address, message });
                 }
                 Action::SendSummary { address, summary } => {
-                    let message = Message::Summary(summary);
+                    let message = PeerMessage::Summary(summary);
                     self.effects.push(Effect::Send { address, message });
                 }
                 Action::MemberChanged { .. } => is_changed = true,
@@ -126,7 +126,7 @@
                 }
                 Action::StartWatch => self.effects.push(Effect::StartWatch),
                 Action::StopWatch => self.effects.push(Effect::StopWatch),
-                Action::Send { to, message } => self.send(&to, Message::Configuration(message)),
+                Action::Send { to, message } => self.send(&to, PeerMessage::Configuration(message)),
                 Action::Adopted(cfg) => {
                     for owned in self.groups.values_mut() {
                         owned.group.set_catalogue(cfg.version, cfg.catalogue.clone());
@@ -147,15 +147,13 @@
     ) {
         let Some(owned) = self.groups.get_mut(group) else { return };
         let due = act(owned, &mut self.rng);
-        if due.publish
-            && let Some((state, publication)) = owned.publish(now)
-        {
-            match publication {
-                Some(Publication::Whole(whole)) => self.broadcast(&Message::GroupState(whole)),
-                Some(Publication::Loads(loads)) => self.broadcast(&Message::GroupLoads(loads)),
-                None => {}
-            }
-            self.take_state(state);
+        let message = due.publication.map(|publication| match publication {
+            Publication::Whole(state) => PeerMessage::GroupState(state),
+            Publication::Loads(loads) => PeerMessage::GroupLoads(loads),
+        });
+        if let Some(message) = message {
+            self.broadcast(&message);
+            self.on_message(&self.id.name.clone(), message, now);
         }
         for server in due.polls {
             self.effects.push(Effect::ReadReport { group: group.clone(), server });
@@ -185,7 +183,7 @@
             Action::Released => {}
             Action::Publish => {
                 if let Some(owned) = self.groups.get_mut(group) {
-                    owned.publish_soon(now);
+                    owned.publishing.changed(now);
                 }
             }
         }
--- a/benches/slopes/owned_group.rs
+++ b/benches/slopes/owned_group.rs
@@ -1,39 +1,20 @@
-//! A group that a simulated instance owns, with the polling and publishing of the instance's loop.
+//! A group that a simulated instance owns. In place of placement it keeps given models loaded.
 
 use std::sync::Arc;
 
-use group::{Action, Decision, Group, Publication, Publisher};
+use group::{Action, Decision, Group, Polls, Publication, PublishSchedule};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use types::prelude::*;
 
-/// Time between reads of a server's report while nothing changes, as in `instance`.
-const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// First interval after an order, as in `instance`.
-const SHORTEST_INTERVAL: Duration = Duration::from_millis(15);
-/// Longest interval while an order is being carried out, as in `instance`.
-const LONGEST_BUSY_INTERVAL: Duration = Duration::from_millis(240);
-/// How long changes are gathered before they are published, as in `instance`.
-const PUBLISH_DELAY: Duration = Duration::from_millis(5);
-/// Time after which the state is published again, as in `instance`.
-const REPUBLISH_INTERVAL: Duration = Duration::from_secs(20);
 /// Time between two looks at what is missing.
 const TICK_INTERVAL: Duration = Duration::from_secs(1);
 
-#[derive(Debug)]
-struct Poll {
-    at: Instant,
-    in_flight: bool,
-    busy_interval: Duration,
-}
-
 /// An owned group.
 pub(crate) struct OwnedGroup {
     pub(crate) group: Group,
-    polls: BTreeMap<BackendServerId, Poll>,
-    publisher: Publisher,
-    publish_at: Instant,
-    republish_at: Instant,
+    pub(crate) polls: Polls,
+    pub(crate) publishing: PublishSchedule,
     tick_at: Instant,
     /// Models that the group keeps loaded, as often as they are named.
     wanted: Arc<[ModelId]>,
@@ -44,66 +25,24 @@
 pub(crate) struct Due {
     pub(crate) actions: Vec<Action>,
     pub(crate) polls: Vec<BackendServerId>,
-    pub(crate) publish: bool,
+    pub(crate) publication: Option<Publication>,
 }
 
 impl OwnedGroup {
     pub(crate) fn new(group: Group, wanted: Arc<[ModelId]>, now: Instant) -> Self {
-        let publish_at = now + REPUBLISH_INTERVAL;
         Self {
             group,
-            polls: BTreeMap::new(),
-            publisher: Publisher::default(),
-            publish_at,
-            republish_at: now,
+            polls: Polls::default(),
+            publishing: PublishSchedule::new(now),
             tick_at: now,
             wanted,
         }
     }
 
-    pub(crate) fn set_servers(&mut self, now: Instant, servers: &[ListedInstance]) {
-        for server in servers {
-            let poll = Poll { at: now, in_flight: false, busy_interval: SHORTEST_INTERVAL };
-            self.polls.entry(server.name.clone()).or_insert(poll);
-        }
-    }
-
-    /// What to publish, as in `instance`.
-    pub(crate) fn publish(&mut self, now: Instant) -> Option<(GroupState, Option<Publication>)> {
-        let state = self.group.publish(now)?;
-        let publication = if self.republish_at <= now {
-            self.republish_at = now + REPUBLISH_INTERVAL;
-            Some(self.publisher.whole(state.clone()))
-        } else {
-            self.publisher.publish(state.clone())
-        };
-        Some((state, publication))
-    }
-
-    pub(crate) fn publish_soon(&mut self, now: Instant) {
-        self.publish_at = self.publish_at.min(now + PUBLISH_DELAY);
-    }
-
-    pub(crate) fn reported(&mut self, now: Instant, server: &str, is_busy: bool) {
-        if let Some(poll) = self.polls.get_mut(server) {
-            poll.in_flight = false;
-            poll.at = now + if is_busy { poll.busy_interval } else { IDLE_INTERVAL };
-            let longer = (poll.busy_interval * 2).min(LONGEST_BUSY_INTERVAL);
-            poll.busy_interval = if is_busy { longer } else { SHORTEST_INTERVAL };
-        }
-    }
-
-    pub(crate) fn poll_soon(&mut self, now: Instant, server: &str) {
-        if let Some(poll) = self.polls.get_mut(server) {
-            poll.busy_interval = SHORTEST_INTERVAL;
-            poll.at = poll.at.min(now + SHORTEST_INTERVAL);
-        }
-    }
-
     pub(crate) fn next_timer(&self) -> Instant {
-        let polls = self.polls.values().filter(|poll| !poll.in_flight).map(|poll| poll.at);
-        let own = [self.publish_at, self.tick_at];
-        polls.chain(self.group.next_timer()).chain(own).min().unwrap_or(self.tick_at)
+        let due = [self.polls.next(), self.group.next_timer()];
+        let own = [self.publishing.next(), self.tick_at];
+        due.into_iter().flatten().chain(own).min().unwrap_or(self.tick_at)
     }
 
     pub(crate) fn on_timer(&mut self, now: Instant, wall: SystemTime, rng: &mut impl Rng) -> Due {
@@ -111,20 +50,12 @@
         if self.group.next_timer().is_some_and(|at| at <= now) {
             due.actions.extend(self.group.on_timer(now, rng));
         }
-        for (server, poll) in &mut self.polls {
-            if poll.at <= now && !poll.in_flight {
-                poll.in_flight = true;
-                due.polls.push(server.clone());
-            }
-        }
+        due.polls.extend(self.polls.due(now).into_iter().map(|(server, _)| server));
         if self.tick_at <= now {
             self.tick_at = now + TICK_INTERVAL;
             due.actions.extend(self.load_missing(now, wall, rng));
         }
-        if self.publish_at <= now {
-            self.publish_at = now + REPUBLISH_INTERVAL;
-            due.publish = true;
-        }
+        due.publication = self.publishing.due(&mut self.group, now);
         due
     }
 
--- a/components/process/group/src/lib.rs
+++ b/components/process/group/src/lib.rs
@@ -13,10 +13,12 @@
 mod objects;
 mod orders;
 mod permits;
+mod polls;
 mod pool;
 mod publication;
 mod publish;
 mod reports;
+mod schedule;
 mod server;
 mod settings;
 mod store;
@@ -29,6 +31,8 @@
     DecisionObject, Interval, OrderRecord, Permit, PoolObject, PoolReceipt, Receipt, ReplicaRecord,
     ReplicaStage, ServerRecord, Transfer, TransferEnd,
 };
+pub use polls::Polls;
 pub use publication::{GroupLoads, Publication, Publisher, Received, ServerLoads};
+pub use schedule::PublishSchedule;
 pub use settings::Settings;
 pub use view::{GroupView, ReplicaView, ServerView};
--- a/components/process/instance/src/polls.rs
+++ b/components/process/group/src/polls.rs
@@ -13,7 +13,7 @@
 
 /// Reads of all servers of one group.
 #[derive(Debug, Default)]
-pub(crate) struct Polls {
+pub struct Polls {
     servers: BTreeMap<BackendServerId, Poll>,
 }
 
@@ -28,7 +28,7 @@
 
 impl Polls {
     /// Takes the platform's list of the group's servers.
-    pub(crate) fn update(&mut self, servers: &[ListedInstance], now: Instant) {
+    pub fn update(&mut self, servers: &[ListedInstance], now: Instant) {
         self.servers.retain(|name, _| servers.iter().any(|s| s.name == *name));
         for server in servers {
             let poll = self.servers.entry(server.name.clone()).or_insert_with(|| Poll {
@@ -42,13 +42,13 @@
     }
 
     /// Reads every server soon, because the group was gained.
-    pub(crate) fn wake_all(&mut self, now: Instant) {
+    pub fn wake_all(&mut self, now: Instant) {
         let servers: Vec<BackendServerId> = self.servers.keys().cloned().collect();
         servers.iter().for_each(|server| self.wake(server, now));
     }
 
     /// Reads a server soon, because an order was sent.
-    pub(crate) fn wake(&mut self, server: &str, now: Instant) {
+    pub fn wake(&mut self, server: &str, now: Instant) {
         if let Some(poll) = self.servers.get_mut(server) {
             poll.busy_interval = SHORTEST_INTERVAL;
             poll.at = poll.at.min(now + SHORTEST_INTERVAL);
@@ -56,7 +56,7 @@
     }
 
     /// A read has ended. `is_busy` tells whether something is being carried out on the server.
-    pub(crate) fn answered(&mut self, server: &str, is_busy: bool, now: Instant) {
+    pub fn answered(&mut self, server: &str, is_busy: bool, now: Instant) {
         let Some(poll) = self.servers.get_mut(server) else { return };
         poll.in_flight = false;
         if is_busy {
@@ -69,7 +69,7 @@
     }
 
     /// Servers to read now, with their addresses.
-    pub(crate) fn due(&mut self, now: Instant) -> Vec<(BackendServerId, Box<str>)> {
+    pub fn due(&mut self, now: Instant) -> Vec<(BackendServerId, Box<str>)> {
         let due = self.servers.iter_mut().filter(|(_, poll)| poll.at <= now && !poll.in_flight);
         due.map(|(server, poll)| {
             poll.in_flight = true;
@@ -79,7 +79,7 @@
     }
 
     /// When a read is due.
-    pub(crate) fn next(&self) -> Option<Instant> {
+    pub fn next(&self) -> Option<Instant> {
         self.servers.values().filter(|poll| !poll.in_flight).map(|poll| poll.at).min()
     }
 }
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -132,7 +132,7 @@
     /// Sends the states of owned groups to an instance that has just appeared.
     pub(crate) fn send_states(&self, to: &str) {
         for owned in self.owned.keys().filter_map(|group| self.groups.get(group)) {
-            if let Some(state) = owned.publisher.last() {
+            if let Some(state) = owned.publishing.last() {
                 self.send(to, PeerMessage::GroupState(Arc::clone(state)));
             }
         }
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -4,6 +4,7 @@
 
 use configuration::Follower;
 use front::{Arrival, KeyTable, OperatorQuery, Problem, Reply};
+use group::Received;
 use membership::Membership;
 use ownership::Ownership;
 use peer::Incoming;
@@ -17,22 +18,13 @@
 use crate::demand::DemandRouting;
 use crate::directory::Directory;
 use crate::event::{Caller, Event};
+use crate::intervals::{ARRIVALS_INTERVAL, list_interval};
 use crate::key_owners::KeyOwners;
 use crate::keys::KeyRanges;
 use crate::owned_group::OwnedGroup;
 use crate::requests::Requests;
 use crate::shares::Shares;
-use group::Received;
 
-/// Time between reads of the platform's list, for each hundred entries. An entry takes some 120
-/// bytes, so that the list costs an instance less than 3 KB/s at any size; leaving servers and dead
-/// instances are known sooner from reports and heartbeats.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
-const LIST_ENTRIES_PER_INTERVAL: usize = 100;
-/// Time between reads while no list is known.
-const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between reports of arrivals to the owners of groups.
-const ARRIVALS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest sleep of the loop; bounds the effect of a missed timer.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 /// Events handled before other inputs get their turn.
@@ -247,7 +239,7 @@
         }
         if self.list_at <= now {
             self.read_list();
-            self.list_at = now + self.list_interval();
+            self.list_at = now + list_interval(self.directory.list().len());
         }
         if self.arrivals_at <= now {
             self.arrivals_at = now + ARRIVALS_INTERVAL;
@@ -298,15 +290,6 @@
         control.into_iter().flatten().chain(groups).min().unwrap_or(self.list_at)
     }
 
-    fn list_interval(&self) -> Duration {
-        let entries = self.directory.list().len();
-        if entries == 0 {
-            return FIRST_LIST_INTERVAL;
-        }
-        let hundreds = entries.div_ceil(LIST_ENTRIES_PER_INTERVAL);
-        LIST_INTERVAL * u32::try_from(hundreds).unwrap_or(u32::MAX)
-    }
-
     /// Whether a planned stop is complete.
     fn is_drained(&self) -> bool {
         let Drain::Draining { hand_over_by } = self.drain else { return false };
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -16,7 +16,7 @@
 /// A message to another instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum PeerMessage {
+pub enum PeerMessage {
     /// A heartbeat.
     Heartbeat(Heartbeat),
     /// A summary of a data centre.
@@ -55,7 +55,7 @@
 /// Answer to a message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum PeerReply {
+pub enum PeerReply {
     /// The message was taken.
     Taken,
     /// The receiver does not own what the message concerns.
@@ -71,32 +71,37 @@
 /// Requests of one model that arrived at one instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct ArrivalCount {
-    pub(crate) model: ModelId,
-    pub(crate) count: u32,
+pub struct ArrivalCount {
+    /// The model.
+    pub model: ModelId,
+    /// Number of requests.
+    pub count: u32,
     /// Worth of one request.
-    pub(crate) worth_milli: u32,
+    pub worth_milli: u32,
     /// Time left to the first token of the most urgent one.
-    pub(crate) remaining_ms: u64,
+    pub remaining_ms: u64,
 }
 
 /// Demand for a target in a group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct DemandMessage {
-    pub(crate) group: GroupId,
-    pub(crate) target: Target,
-    pub(crate) waiting: u32,
+pub struct DemandMessage {
+    /// Group that is asked to serve it.
+    pub group: GroupId,
+    /// Model, and adapter if one was named.
+    pub target: Target,
+    /// Requests that wait at the sender.
+    pub waiting: u32,
     /// Worth of one request.
-    pub(crate) worth_milli: u32,
+    pub worth_milli: u32,
     /// Time left to the earliest deadline.
-    pub(crate) remaining_ms: u64,
+    pub remaining_ms: u64,
 }
 
 /// When a target can be ready.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum DemandReply {
+pub enum DemandReply {
     /// The target is expected to be ready after this time.
     ReadyIn {
         /// Time from the receipt of the reply.
@@ -109,17 +114,19 @@
 /// Asks for an idempotency key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct ClaimMessage {
-    pub(crate) key: KeyHash,
-    pub(crate) fingerprint: Fingerprint,
+pub struct ClaimMessage {
+    /// Hash of the customer's key.
+    pub key: KeyHash,
+    /// Hash of the call, which must be the same under one key.
+    pub fingerprint: Fingerprint,
     /// The claim is refused if it is not stored within this time.
-    pub(crate) decide_within_ms: u64,
+    pub decide_within_ms: u64,
 }
 
 /// Answer to a claim.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub(crate) enum ClaimAnswer {
+pub enum ClaimAnswer {
     /// The key is recorded; the call may be dispatched once.
     Granted(ClaimId),
     /// The call finished earlier.
@@ -136,10 +143,13 @@
 /// How a granted call ended.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(crate) struct FinishMessage {
-    pub(crate) key: KeyHash,
-    pub(crate) claim: ClaimId,
-    pub(crate) state: EntryState,
+pub struct FinishMessage {
+    /// Hash of the customer's key.
+    pub key: KeyHash,
+    /// The granted claim.
+    pub claim: ClaimId,
+    /// How the call ended.
+    pub state: EntryState,
 }
 
 /// Time left until `deadline`, as messages carry it.
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use group::{Action, Decision, Group, OrderResult};
+use group::{Action, Decision, Group, OrderResult, Polls, Publication, PublishSchedule};
 use placement::{Event, Placement, StoreView};
 use rand::Rng;
 use types::object::{CallId, ObjectAnswer, ObjectCall};
@@ -11,14 +11,8 @@
 use crate::allowances::Asked;
 use crate::group_view::{LastUsed, placement_view};
 use crate::message::DemandReply;
-use crate::polls::Polls;
 use crate::progress::Progress;
-use group::{Publication, Publisher};
 
-/// How long changes are gathered before they are published.
-const PUBLISH_DELAY: Duration = Duration::from_millis(5);
-/// Time after which the state is published again for instances that missed it.
-const REPUBLISH_INTERVAL: Duration = Duration::from_secs(20);
 /// Reports and arrival counts of other instances lag by up to a second each, so that a replica is
 /// certainly idle only after this time without a sign of use.
 const CERTAINLY_IDLE_AFTER: Duration = Duration::from_millis(2_500);
@@ -60,10 +54,7 @@
     pub(crate) asked: Asked,
     /// Until then a group that takes no decisions is taken for one that is being recovered.
     recovering_until: Instant,
-    pub(crate) publisher: Publisher,
-    publish_at: Instant,
-    /// When the whole state is published in any case.
-    republish_at: Instant,
+    pub(crate) publishing: PublishSchedule,
     tick_at: Instant,
     wants: Vec<GroupWants>,
 }
@@ -87,9 +78,7 @@
             progress: Progress::default(),
             asked: Asked::new(now),
             recovering_until: now,
-            publisher: Publisher::default(),
-            publish_at: now + REPUBLISH_INTERVAL,
-            republish_at: now,
+            publishing: PublishSchedule::new(now),
             tick_at: now,
             wants: Vec::new(),
         }
@@ -255,30 +244,18 @@
         if self.asked.returns_at <= now {
             self.return_allowances(now, rng);
         }
-        if self.publish_at <= now {
-            self.publish_at = now + REPUBLISH_INTERVAL;
-            self.publish(now);
-        }
+        let publication = self.publishing.due(&mut self.group, now);
+        self.wants.extend(publication.map(GroupWants::Publish));
     }
 
     /// When `on_timer` is due.
     pub(crate) fn next_timer(&self) -> Instant {
         let due = [self.polls.next(), self.group.next_timer()];
-        let own = [self.publish_at, self.tick_at, self.asked.permits_at, self.asked.returns_at];
+        let own =
+            [self.publishing.next(), self.tick_at, self.asked.permits_at, self.asked.returns_at];
         due.into_iter().flatten().chain(own).min().unwrap_or(self.tick_at)
     }
 
-    fn publish(&mut self, now: Instant) {
-        let Some(state) = self.group.publish(now) else { return };
-        let publication = if self.republish_at <= now {
-            self.republish_at = now + REPUBLISH_INTERVAL;
-            Some(self.publisher.whole(state))
-        } else {
-            self.publisher.publish(state)
-        };
-        self.wants.extend(publication.map(GroupWants::Publish));
-    }
-
     /// Passes the group's actions on.
     pub(crate) fn act(&mut self, actions: Vec<Action>, now: Instant) {
         for action in actions {
@@ -292,7 +269,7 @@
                 Action::Superseded => GroupWants::Superseded,
                 Action::Released => GroupWants::Released,
                 Action::Publish => {
-                    self.publish_at = self.publish_at.min(now + PUBLISH_DELAY);
+                    self.publishing.changed(now);
                     continue;
                 }
             };
