Count ended requests that an older load sample still contains

A later publication with an older sample, as the first one of a new owner can have, then counts such a request as running.

Change: ended requests are kept for 2 s before the sample; owners sample each server at least once a second.

Measured: the new focused test gives a load of 1 without the change and of 0 with it.

--- a/components/request/routing/src/load.rs
+++ b/components/request/routing/src/load.rs
@@ -2,9 +2,14 @@
 
 use types::prelude::*;
 
-/// Ended requests kept for the next report. Older ones are in every report by then.
+/// Ended requests kept for the next reports. Older ones are in every report by then.
 const MAX_ENDED: usize = 256;
 
+/// How much older than an earlier report's sample a later report's sample may be. The first
+/// publication of a new owner can carry an older sample than the last one of the previous owner;
+/// owners take a sample of each backend server at least once a second.
+const MAX_SAMPLE_STEP_BACK: Duration = Duration::from_secs(2);
+
 /// Load of one replica.
 #[derive(Debug)]
 pub(crate) struct Load {
@@ -14,7 +19,8 @@
     correction: i64,
     /// Times at which own running requests were sent.
     running: Vec<Instant>,
-    /// Own requests that ended after the sample, as times of sending and ending.
+    /// Own requests that ended after the oldest sample still to be expected, as times of sending
+    /// and ending.
     ended: VecDeque<(Instant, Instant)>,
 }
 
@@ -31,9 +37,11 @@
     pub(crate) fn report(&mut self, requests: u32, sampled_at: Instant) {
         self.reported = requests;
         // What happens at the time of the sample counts as after it, as in `sent` and `ended`.
-        self.ended.retain(|(_, ended)| *ended >= sampled_at);
+        self.ended.retain(|(_, ended)| *ended + MAX_SAMPLE_STEP_BACK >= sampled_at);
         let added = self.running.iter().filter(|sent| **sent >= sampled_at).count() as i64;
-        let gone = self.ended.iter().filter(|(sent, _)| *sent < sampled_at).count() as i64;
+        let counted =
+            |(sent, ended): &&(Instant, Instant)| *sent < sampled_at && *ended >= sampled_at;
+        let gone = self.ended.iter().filter(counted).count() as i64;
         self.correction = added - gone;
     }
 
--- a/components/request/routing/tests/faults.rs
+++ b/components/request/routing/tests/faults.rs
@@ -53,6 +53,28 @@
     assert_eq!(after(&restart), 1, "a restart ends the report");
 }
 
+/// Guards against a load that counts an ended request again: a new owner's first publication can
+/// carry an older sample than the previous owner's last one.
+#[test]
+fn older_sample_after_a_newer_one_omits_requests_that_ended_since() {
+    let start = Instant::now() + ms(10_000);
+    let mut router = Router::new();
+    router.publish(&group(1, 1, vec![server("s", vec![replica(1, &[])])]), start);
+    router.sent(&reference(1), &[], start);
+    router.ended(&reference(1), start, start + ms(90));
+    let now = start + ms(236);
+    router.publish(&group(1, 2, vec![server("s", vec![replica(1, &[])])]), now);
+    let sampled_while_running = ServerState {
+        load_age_ms: 146,
+        ..server("s", vec![ReplicaState { running: 1, ..replica(1, &[]) }])
+    };
+    router.publish(&group(2, 1, vec![sampled_while_running]), now);
+    let Outcome::Replica(choice) = route_with(&mut router, None, &[], 1, now) else {
+        panic!("the replica is usable");
+    };
+    assert_eq!(choice.load, 0);
+}
+
 /// Guards against an open circuit breaker that never lets the server back, or too early.
 #[test]
 fn excluded_server_returns_at_the_stated_time() {
