Tell a caller of the end of a recorded call after the owner of its key

Cause: the end of a call with an idempotency key went to the caller and to the owner of the key range at the same time.

A planned stop waits for held replies.

Without the hold `the_caller_is_told_after_the_owner` fails.

Conclusion: a repeat after an answer gets the recorded answer, unless the owner of the key is away.

--- a/components/process/instance/src/attempt_ends.rs
+++ b/components/process/instance/src/attempt_ends.rs
@@ -1,20 +1,19 @@
 //! What follows when an attempt or a claim of an idempotency key ends.
 
-use std::sync::Arc;
-
 use admission::Ticket;
 use bytes::Bytes;
 use dispatch::{CallResult, Permit, Queued, Request, Sent};
 use http::{Response, StatusCode};
-use idempotency::{Answer, EntryState};
+use idempotency::Answer;
 use types::prelude::*;
 
 use crate::attempt::{AttemptEnd, AttemptResult};
 use crate::context::Context;
 use crate::finished::Finished;
-use crate::message::{ClaimAnswer, FinishMessage};
+use crate::held_reply::End;
+use crate::message::ClaimAnswer;
 use crate::pending::{Job, ReplySlot, Stage};
-use crate::requests::{Requests, Wanted};
+use crate::requests::Requests;
 
 impl Requests {
     /// Takes the result of an attempt.
@@ -165,16 +164,9 @@
         let Some(pending) = self.pending.remove(&ticket) else { return };
         self.finished.push(Finished::of(&pending, None, first_token_at, tokens, now));
         let Some(res) = whole else { return };
-        let content_type = content_type(&res).to_owned();
-        if let Job::Service(job) = &pending.job
-            && let (Some((key, _)), Some(claim)) = (job.key.clone(), job.claim)
-        {
-            let state = recorded(res.status(), &content_type, res.body());
-            self.wanted.push(Wanted::KeyEnded(FinishMessage { key, claim, state }));
-        }
-        if let Some(reply) = reply {
-            reply.answer(res.status(), &content_type, res.into_body());
-        }
+        let (status, content_type) = (res.status(), content_type(&res).into());
+        let end = End::Answer { status, content_type, body: res.into_body() };
+        self.end_call(&pending, reply, end, now);
     }
 
     fn replay(&mut self, ticket: Ticket, answer: &Answer, now: Instant) {
@@ -202,18 +194,3 @@
         .and_then(|v| v.to_str().ok())
         .unwrap_or("application/octet-stream")
 }
-
-/// The record of an answer. After a server error nobody knows whether the call ran.
-fn recorded(status: StatusCode, content_type: &str, body: &Bytes) -> EntryState {
-    if status.is_server_error() {
-        return EntryState::Unknown;
-    }
-    match std::str::from_utf8(body) {
-        Ok(body) => EntryState::Finished(Arc::new(Answer {
-            status: status.as_u16(),
-            content_type: content_type.into(),
-            body: body.into(),
-        })),
-        Err(_) => EntryState::Unknown,
-    }
-}
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -1,5 +1,6 @@
 //! State of one instance and its event loop.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use configuration::Follower;
@@ -71,6 +72,8 @@
     pub(crate) key_owners: KeyOwners,
     pub(crate) shares: Shares,
     pub(crate) bookings: Bookings,
+    /// Cloned by each task that holds a reply back.
+    pub(crate) held_replies: Rc<()>,
     pub(crate) key_table: watch::Sender<Arc<KeyTable>>,
     pub(crate) drain: Drain,
     /// Addresses of instances to contact before the platform has named any.
@@ -192,7 +195,7 @@
             Event::KeyOwner { range, owner, claim } => {
                 self.on_key_owner(range, owner, claim, now);
             }
-            Event::KeyEnded { message, retries } => self.send_finish(message, retries, now),
+            Event::KeyEnded { message, retries } => self.send_finish(message, None, retries, now),
             Event::Share(grant) => {
                 self.shares.on_grant(grant, now);
                 let cfg = self.follower.current().clone();
@@ -296,6 +299,7 @@
         let handed_over = self.ownership.is_handed_over() || Instant::now() >= hand_over_by;
         handed_over
             && self.requests.is_idle()
+            && Rc::strong_count(&self.held_replies) == 1
             && !self.shares.is_holding_requests()
             && self.bookings.is_closed(hand_over_by)
     }
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -22,6 +22,7 @@
 mod finished;
 mod group_view;
 mod groups;
+mod held_reply;
 mod instance;
 pub mod intervals;
 mod key_owners;
@@ -45,6 +46,8 @@
 #[cfg(test)]
 mod demand_tests;
 #[cfg(test)]
+mod held_reply_tests;
+#[cfg(test)]
 mod progress_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -7,13 +7,14 @@
 use admission::{Admission, Admitted, Expired, LocalLimits, Offer, QueueKey, Ticket};
 use dispatch::{AttemptIds, Breakers, Request, RetryBudget, Terms};
 use front::{Arrival, Call, Problem, Reply};
-use idempotency::{EntryState, Fingerprint, KeyHash};
+use idempotency::{Fingerprint, KeyHash};
 use routing::Router;
 use types::prelude::*;
 
 use crate::context::Context;
 use crate::expected::ExpectedReady;
 use crate::finished::Finished;
+use crate::held_reply::{End, HeldReply};
 use crate::message::{ArrivalCount, FinishMessage};
 use crate::pending::{CompletionJob, Job, Pending, ReplySlot, ServiceJob, Stage};
 
@@ -26,14 +27,13 @@
 const EXPECTED_ANSWER_TOKENS: u32 = 256;
 
 /// What the requests want from the rest of the loop.
-#[derive(Debug)]
 pub(crate) enum Wanted {
     /// A target must be made ready.
     Target { target: Target, waiting: u32, worth_milli: u32, deadline: Instant },
     /// An idempotency key must be recorded before `decide_by`.
     Key { ticket: Ticket, key: KeyHash, fingerprint: Fingerprint, decide_by: Instant },
-    /// A recorded call has ended.
-    KeyEnded(FinishMessage),
+    /// A recorded call has ended. The caller is told once the owner of the key range knows.
+    KeyEnded(FinishMessage, Option<HeldReply>),
 }
 
 /// All requests of this instance that have no answer yet.
@@ -313,23 +313,35 @@
         now: Instant,
     ) {
         let Some(mut pending) = self.pending.remove(&ticket) else { return };
-        self.end_key(&pending, refusal.verdict);
         tracing::debug!("dispatch: {} refused: {:?}", pending.id, refusal.reason);
         self.finished.push(Finished::of(&pending, Some(refusal.reason), None, 0, now));
-        if let Some(reply) = pending.reply.take() {
-            reply.refuse(refusal, detail);
-        }
+        let end = End::Refusal { refusal, detail: detail.into() };
+        let slot = pending.reply.take();
+        self.end_call(&pending, slot, end, now);
     }
 
-    /// Frees or closes the idempotency key of a call that ended without an answer.
-    fn end_key(&mut self, pending: &Pending, verdict: Verdict) {
-        let Job::Service(job) = &pending.job else { return };
-        let (Some((key, _)), Some(claim)) = (job.key.clone(), job.claim) else { return };
-        let state = match verdict {
-            Verdict::NotRun => EntryState::Released,
-            Verdict::MayHaveRun => EntryState::Unknown,
+    /// Ends a call. The end of a recorded one goes to the owner of its key range first.
+    pub(super) fn end_call(
+        &mut self,
+        pending: &Pending,
+        slot: Option<ReplySlot>,
+        end: End,
+        now: Instant,
+    ) {
+        let key = match &pending.job {
+            Job::Service(job) => job.key.clone().map(|(key, _)| key).zip(job.claim),
+            Job::Completion(_) => None,
         };
-        self.wanted.push(Wanted::KeyEnded(FinishMessage { key, claim, state }));
+        let message = key.map(|(key, claim)| {
+            let state = end.entry_state();
+            FinishMessage { key, claim, state }
+        });
+        let reply = slot.map(|slot| HeldReply::new(slot, end, pending.admitted.complete_by, now));
+        if let Some(message) = message {
+            self.wanted.push(Wanted::KeyEnded(message, reply));
+        } else if let Some(reply) = reply {
+            reply.send();
+        }
     }
 }
 
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -258,6 +258,7 @@
         key_owners: KeyOwners::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
         bookings: Bookings::new(now),
+        held_replies: Rc::default(),
         key_table,
         drain: Drain::Serving,
         callers_address,
--- a/components/process/instance/src/wanted.rs
+++ b/components/process/instance/src/wanted.rs
@@ -1,5 +1,7 @@
 //! Demand, arrivals and claims of idempotency keys: sent to the owners, and taken as an owner.
 
+use std::rc::Rc;
+
 use idempotency::range_of;
 use ownership::GroupObject;
 use platform::Call;
@@ -8,6 +10,7 @@
 
 use crate::directory::key_group;
 use crate::event::Event;
+use crate::held_reply::HeldReply;
 use crate::instance::Instance;
 use crate::keys::Claimant;
 use crate::message::{
@@ -130,7 +133,7 @@
                 let message = ClaimMessage { key, fingerprint, decide_within_ms: within };
                 self.send_claim(ticket, message, decide_by, now);
             }
-            Wanted::KeyEnded(message) => self.send_finish(message, 0, now),
+            Wanted::KeyEnded(message, reply) => self.send_finish(message, reply, 0, now),
         }
     }
 
@@ -237,10 +240,19 @@
 
     /// Tells the owner of a key range how a recorded call ended. Without it, repeats of the call
     /// get no answer until the record expires, so that it is repeated for a while.
-    pub(crate) fn send_finish(&mut self, message: FinishMessage, retries: u32, now: Instant) {
+    pub(crate) fn send_finish(
+        &mut self,
+        message: FinishMessage,
+        reply: Option<HeldReply>,
+        retries: u32,
+        now: Instant,
+    ) {
         let range = range_of(&message.key);
         if self.keys.owns(&message.key) {
             self.keys.finish(message);
+            if let Some(reply) = reply {
+                reply.send();
+            }
             return;
         }
         if retries >= MAX_FINISH_RETRIES {
@@ -254,11 +266,16 @@
             self.cx.exchange(address, finish, now + DEMAND_TIMEOUT)
         });
         let events = self.cx.events.clone();
+        let held = reply.is_some().then(|| Rc::clone(&self.held_replies));
         tokio::task::spawn_local(async move {
-            let answer = match exchange {
-                Some(exchange) => exchange.await,
-                None => None,
+            let is_told = async {
+                match exchange {
+                    Some(exchange) => exchange.await,
+                    None => None,
+                }
             };
+            let answer = HeldReply::send_after(reply, is_told).await;
+            drop(held);
             if !matches!(answer, Some(PeerReply::Taken)) {
                 tokio::time::sleep(FINISH_RETRY_DELAY).await;
                 // The loop is gone only when the process stops.
