Send changes of groups and load figures instead of whole states

An owner sent the whole state of its group to 39 instances every 20 s and whenever one server changed; each report of a backend server, read every second, named all models, adapters and order outcomes again.

Change: an owner sends the whole state once and then `GroupChanges`: the servers that changed in substance and the loads that changed noticeably, and every 20 s all loads. An instance that lacks the base asks the owner, at most once a second and group. `GET /v1/state` answers with the load figures only while nothing else has changed (delta encoding, RFC 3229); an engine that does not offer this answers as before.

--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -14,6 +14,7 @@
 mod message;
 mod node;
 mod node_actions;
+mod node_reports;
 mod owned_group;
 mod platform_model;
 mod process_usage;
--- a/components/connection/backend_server/src/client.rs
+++ b/components/connection/backend_server/src/client.rs
@@ -11,6 +11,7 @@
 use types::prelude::*;
 
 use crate::SendError;
+use crate::known_reports::KnownReports;
 
 /// Largest answer that is collected in memory.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -19,6 +20,7 @@
 #[derive(Clone)]
 pub struct BackendClient {
     client: HttpClient,
+    pub(crate) known: KnownReports,
 }
 
 impl Default for BackendClient {
@@ -30,7 +32,7 @@
 impl BackendClient {
     /// A client without connections.
     pub fn new() -> Self {
-        Self { client: http_client() }
+        Self { client: http_client(), known: KnownReports::default() }
     }
 
     /// Sends an idempotent request and waits until `deadline` for the head of the answer.
--- a/components/connection/backend_server/src/client_tests.rs
+++ b/components/connection/backend_server/src/client_tests.rs
@@ -75,3 +75,88 @@
     assert_eq!(first, TokenEvent::Chunk { sequence: 0, data: "{}".into() });
     assert!(matches!(stream.next(soon()).await, Err(SendError::Broken(_))));
 }
+
+fn report() -> ServerReport {
+    let replica = |replica| ReplicaReport {
+        replica,
+        model: "m".into(),
+        version: "v1".into(),
+        phase: ReplicaPhase::Ready,
+        memory_bytes: 10,
+        adapters: vec!["a".into()],
+        running: 1,
+        queued: 0,
+    };
+    ServerReport {
+        server: "s".into(),
+        incarnation: 1,
+        checks_fencing: true,
+        highest_fencing: 0,
+        memory_total: 100,
+        memory_used: 20,
+        role: ServerRole::Mixed,
+        leaving: false,
+        replicas: vec![replica(1), replica(2)],
+        outcomes: Vec::new(),
+        cached_in_memory: Vec::new(),
+        cached_on_disk: Vec::new(),
+        load_age_ms: 200,
+    }
+}
+
+/// Serves a whole report first and then the given load figures under the given revision.
+async fn serve_reports(loads: &'static str, revision: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let whole = serde_json::to_string(&report()).unwrap();
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            let n = socket.read(&mut buf).await.unwrap();
+            let asked = String::from_utf8_lossy(&buf[..n]).to_lowercase();
+            let knows = asked.contains("if-none-match: \"r1\"") && asked.contains("a-im: loads");
+            let (status, revision, body) = match knows {
+                true => ("226 IM Used", revision, loads),
+                false => ("200 OK", "\"r1\"", &*whole),
+            };
+            let length = body.len();
+            let answer = format!(
+                "HTTP/1.1 {status}\r\netag: {revision}\r\nconnection: close\r\n\
+                 content-length: {length}\r\n\r\n{body}"
+            );
+            socket.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+// Guards against load figures that are lost or attached to the wrong replica, and against figures
+// that are applied to a report to which they do not belong.
+#[rstest]
+#[case::same_replicas(r#"{"load_age_ms":9,"loads":[[1,5,0],[2,6,7]]}"#, "\"r1\"", true)]
+#[case::other_replicas(r#"{"load_age_ms":9,"loads":[[1,5,0],[3,6,7]]}"#, "\"r1\"", false)]
+#[case::a_replica_less(r#"{"load_age_ms":9,"loads":[[1,5,0]]}"#, "\"r1\"", false)]
+#[case::other_revision(r#"{"load_age_ms":9,"loads":[[1,5,0],[2,6,7]]}"#, "\"r2\"", false)]
+#[tokio::test]
+async fn load_figures_complete_the_report_they_belong_to(
+    #[case] loads: &'static str,
+    #[case] revision: &'static str,
+    #[case] fits: bool,
+) {
+    let address = serve_reports(loads, revision).await;
+    let client = BackendClient::new();
+    assert_eq!(client.state(&address, soon()).await.unwrap(), report());
+    let second = client.state(&address, soon()).await;
+    if fits {
+        let mut expected = report();
+        expected.load_age_ms = 9;
+        (expected.replicas[0].running, expected.replicas[1].running) = (5, 6);
+        expected.replicas[1].queued = 7;
+        assert_eq!(second.unwrap(), expected);
+    } else {
+        assert!(second.is_err());
+        // The next read asks for the whole report.
+        assert_eq!(client.state(&address, soon()).await.unwrap(), report());
+    }
+}
--- a/components/connection/backend_server/src/engine.rs
+++ b/components/connection/backend_server/src/engine.rs
@@ -1,10 +1,11 @@
 //! Calls that only engines offer: state, orders, cancel, resume and cache events.
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use types::load_report::LOADS_ONLY;
 use types::prelude::*;
 
 use crate::{BackendClient, Connection, SendError, TokenStream};
@@ -53,9 +54,36 @@
 }
 
 impl BackendClient {
-    /// Fetches the state of an engine.
+    /// Fetches the state of an engine. An engine that can do so answers with the load figures only
+    /// while nothing else has changed since the last answer (delta encoding, RFC 3229).
     pub async fn state(&self, address: &str, deadline: Instant) -> Result<ServerReport, SendError> {
-        self.get_json(address, "/v1/state", deadline).await
+        let mut req = request(Method::GET, address, "/v1/state", Bytes::new())?;
+        let known = self.known.get(address);
+        if let Some((revision, _)) = &known {
+            req.headers_mut().insert(header::IF_NONE_MATCH, revision.clone());
+            req.headers_mut().insert("a-im", HeaderValue::from_static(LOADS_ONLY));
+        }
+        let answer = self.send_and_collect(req, deadline).await?;
+        let revision = answer.headers().get(header::ETAG);
+        match answer.status() {
+            StatusCode::IM_USED => {
+                let known = known.filter(|(known, _)| Some(known) == revision);
+                let loads: LoadReport = from_json(answer.body())?;
+                known.and_then(|(_, report)| loads.apply(&report)).ok_or_else(|| {
+                    self.known.forget(address);
+                    SendError::Malformed("load figures of another report".into())
+                })
+            }
+            status if status.is_success() => {
+                let report: ServerReport = from_json(answer.body())?;
+                match revision {
+                    Some(revision) => self.known.set(address, revision.clone(), &report),
+                    None => self.known.forget(address),
+                }
+                Ok(report)
+            }
+            status => Err(SendError::Malformed(format!("status {status}").into())),
+        }
     }
 
     /// Fetches cache events from sequence number `since` on.
@@ -127,11 +155,14 @@
         if !answer.status().is_success() {
             return Err(SendError::Malformed(format!("status {}", answer.status()).into()));
         }
-        serde_json::from_slice(answer.body())
-            .map_err(|e| SendError::Malformed(e.to_string().into()))
+        from_json(answer.body())
     }
 }
 
+fn from_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, SendError> {
+    serde_json::from_slice(body).map_err(|e| SendError::Malformed(e.to_string().into()))
+}
+
 fn request(
     method: Method,
     address: &str,
@@ -141,7 +172,7 @@
     Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"))
-        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .map_err(|e| SendError::Invalid(e.to_string().into()))
 }
--- a/components/connection/backend_server/src/lib.rs
+++ b/components/connection/backend_server/src/lib.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod engine;
 mod error;
+mod known_reports;
 mod stream;
 
 #[cfg(test)]
--- a/components/process/group/src/lib.rs
+++ b/components/process/group/src/lib.rs
@@ -32,7 +32,9 @@
     ReplicaStage, ServerRecord, Transfer, TransferEnd,
 };
 pub use polls::Polls;
-pub use publication::{GroupLoads, Publication, Publisher, Received, ServerLoads};
+pub use publication::{
+    GroupChanges, Publication, Publisher, Received, ServerLoads, Update, WholeState,
+};
 pub use schedule::PublishSchedule;
 pub use settings::Settings;
 pub use view::{GroupView, ReplicaView, ServerView};
--- a/components/process/group/src/publication.rs
+++ b/components/process/group/src/publication.rs
@@ -1,5 +1,5 @@
-//! Publication of group states: the whole state when it changes in substance, otherwise the loads
-//! that changed noticeably.
+//! Publication of group states: once as a whole, afterwards the servers that changed in substance
+//! and the loads that changed noticeably.
 //!
 //! A state of 22 replicas takes about 1.2 KB and goes to every instance of the data centre. Loads
 //! change with every report, everything else some tens of times an hour.
@@ -9,25 +9,30 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
+/// Time between two requests for the same whole state.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Changes of a replica's load below this many requests are not published...
 const NOTICEABLE_REQUESTS: u32 = 2;
 /// ...nor those below this part of the published load.
 const NOTICEABLE_PART: u32 = 4;
 
-/// Loads that changed since a whole state was published.
+/// What changed since an earlier publication.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct GroupLoads {
+pub struct GroupChanges {
     /// The group.
     pub group: GroupId,
     /// The owner's fencing number.
     pub fencing: FencingNumber,
-    /// Sequence number of the whole state that the positions refer to.
+    /// Sequence number of the last publication that changed anything but loads. The positions of
+    /// servers and replicas refer to the state that it left.
     pub base: u64,
     /// Sequence number of the state that results.
     pub sequence: u64,
     /// Servers with changed loads.
-    pub servers: Vec<ServerLoads>,
+    pub loads: Vec<ServerLoads>,
+    /// Servers that changed in more than their loads, with their positions.
+    pub servers: Vec<(u16, ServerState)>,
 }
 
 /// Changed loads of one server.
@@ -42,131 +47,208 @@
     pub replicas: Vec<(u16, u32, u32)>,
 }
 
+/// A whole state, to which changes refer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WholeState {
+    /// The state.
+    pub state: GroupState,
+    /// Sequence number of the last publication that changed anything but loads.
+    pub base: u64,
+}
+
 /// What an owner publishes.
 #[derive(Clone, Debug)]
 pub enum Publication {
     /// The whole state.
-    Whole(Arc<GroupState>),
-    /// Loads only.
-    Loads(Arc<GroupLoads>),
+    Whole(Arc<WholeState>),
+    /// What changed.
+    Changes(Arc<GroupChanges>),
 }
 
 /// The owner's side for one group.
 #[derive(Debug, Default)]
 pub struct Publisher {
-    /// The last whole state.
-    base: Option<Arc<GroupState>>,
-    /// The loads as the receivers know them, in the order of `base`.
-    known: Vec<Vec<(u32, u32)>>,
+    /// The last state, with the loads as the receivers know them.
+    known: Option<WholeState>,
 }
 
 impl Publisher {
     /// What to send for a new state; `None` if nothing changed noticeably.
     pub fn publish(&mut self, state: GroupState) -> Option<Publication> {
-        let is_same = self.base.as_ref().is_some_and(|base| differs_in_load_only(base, &state));
-        if !is_same {
-            return Some(self.whole(state));
-        }
-        let base = self.base.as_ref()?;
-        let mut servers = Vec::new();
-        for (position, (server, known)) in state.servers.iter().zip(&mut self.known).enumerate() {
-            let mut replicas = Vec::new();
-            for (index, (replica, known)) in server.replicas.iter().zip(known).enumerate() {
-                if is_noticeable(*known, (replica.running, replica.queued)) {
-                    *known = (replica.running, replica.queued);
-                    replicas.push((index as u16, replica.running, replica.queued));
-                }
-            }
-            if !replicas.is_empty() {
-                let (server, load_age_ms) = (position as u16, server.load_age_ms);
-                servers.push(ServerLoads { server, load_age_ms, replicas });
-            }
-        }
-        (!servers.is_empty()).then(|| {
-            Publication::Loads(Arc::new(GroupLoads {
-                group: state.group,
+        self.changes(state, is_noticeable)
+    }
+
+    /// What to send from time to time: all loads, for instances that missed some. Those that missed
+    /// more learn of it by the base.
+    pub fn refresh(&mut self, state: GroupState) -> Option<Publication> {
+        let sequence = state.sequence;
+        self.changes(state, |_, _| true).or_else(|| {
+            let WholeState { state, base } = self.known.as_ref()?;
+            Some(Publication::Changes(Arc::new(GroupChanges {
+                group: state.group.clone(),
                 fencing: state.fencing,
-                base: base.sequence,
-                sequence: state.sequence,
-                servers,
-            }))
+                base: *base,
+                sequence,
+                loads: Vec::new(),
+                servers: Vec::new(),
+            })))
         })
     }
 
-    /// The last whole state.
-    pub fn last(&self) -> Option<&Arc<GroupState>> {
-        self.base.as_ref()
+    fn changes(
+        &mut self,
+        state: GroupState,
+        is_worth_sending: fn((u32, u32), (u32, u32)) -> bool,
+    ) -> Option<Publication> {
+        let known = self.known.as_mut().filter(|known| has_same_servers(&known.state, &state));
+        let Some(WholeState { state: known, base }) = known else {
+            let whole = WholeState { base: state.sequence, state };
+            self.known = Some(whole.clone());
+            return Some(Publication::Whole(Arc::new(whole)));
+        };
+        known.sequence = state.sequence;
+        let (mut loads, mut servers) = (Vec::new(), Vec::new());
+        for (position, (known, server)) in known.servers.iter_mut().zip(state.servers).enumerate() {
+            if differs_in_load_only(known, &server) {
+                loads.extend(changed_loads(position, known, &server, is_worth_sending));
+            } else {
+                known.clone_from(&server);
+                servers.push((position as u16, server));
+            }
+        }
+        if loads.is_empty() && servers.is_empty() {
+            return None;
+        }
+        let (group, fencing, sequence) = (state.group, state.fencing, state.sequence);
+        let changes = GroupChanges { group, fencing, base: *base, sequence, loads, servers };
+        if !changes.servers.is_empty() {
+            *base = sequence;
+        }
+        Some(Publication::Changes(Arc::new(changes)))
     }
 
-    /// The whole state, for instances that missed it.
-    pub fn whole(&mut self, state: GroupState) -> Publication {
-        let loads = |server: &ServerState| {
-            server.replicas.iter().map(|replica| (replica.running, replica.queued)).collect()
-        };
-        self.known = state.servers.iter().map(loads).collect();
-        let state = Arc::new(state);
-        self.base = Some(Arc::clone(&state));
-        Publication::Whole(state)
+    /// The last state, for instances that missed it. Its loads are those last published.
+    pub fn last(&self) -> Option<&WholeState> {
+        self.known.as_ref()
     }
 }
 
+/// What a receiver makes of changes.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Update<'a> {
+    /// The state that results.
+    Applied(&'a GroupState),
+    /// The whole state is missing and is to be asked for.
+    Ask,
+    /// They are older than what is known, or the whole state was asked for a moment ago.
+    Ignored,
+}
+
 /// The receivers' side for all groups.
 #[derive(Debug, Default)]
 pub struct Received {
-    groups: HashMap<GroupId, GroupState>,
-    /// Sequence number of the last whole state by group.
-    bases: HashMap<GroupId, u64>,
+    groups: HashMap<GroupId, WholeState>,
+    /// Until when whole states are not asked for again.
+    asked_until: HashMap<GroupId, Instant>,
 }
 
 impl Received {
-    /// Takes a whole state.
-    pub fn whole(&mut self, state: &GroupState) {
-        self.bases.insert(state.group.clone(), state.sequence);
-        self.groups.insert(state.group.clone(), state.clone());
+    /// Takes a whole state that is newer than what is known.
+    pub fn whole(&mut self, whole: &WholeState) {
+        self.asked_until.remove(&whole.state.group);
+        self.groups.insert(whole.state.group.clone(), whole.clone());
     }
 
-    /// Takes loads; the resulting state, unless the whole state that they refer to was missed.
-    pub fn loads(&mut self, loads: &GroupLoads) -> Option<&GroupState> {
-        let base = *self.bases.get(&loads.group)?;
-        let state = self.groups.get_mut(&loads.group)?;
-        if state.fencing != loads.fencing || base != loads.base || state.sequence >= loads.sequence
-        {
-            return None;
+    /// Takes changes.
+    pub fn changes(&mut self, changes: &GroupChanges, now: Instant) -> Update<'_> {
+        let known = self.groups.get_mut(&changes.group);
+        let is_old = known.as_ref().is_some_and(|WholeState { state, .. }| {
+            (changes.fencing, changes.sequence) <= (state.fencing, state.sequence)
+        });
+        if is_old {
+            return Update::Ignored;
         }
-        for changed in &loads.servers {
-            let Some(server) = state.servers.get_mut(usize::from(changed.server)) else { continue };
-            server.load_age_ms = changed.load_age_ms;
-            for (index, running, queued) in &changed.replicas {
-                if let Some(replica) = server.replicas.get_mut(usize::from(*index)) {
-                    replica.running = *running;
-                    replica.queued = *queued;
-                }
+        let fits = |known: &&mut WholeState| {
+            known.state.fencing == changes.fencing && known.base == changes.base
+        };
+        let Some(WholeState { state, base }) = known.filter(fits) else {
+            let asked_until = self.asked_until.entry(changes.group.clone()).or_insert(now);
+            if now < *asked_until {
+                return Update::Ignored;
             }
+            *asked_until = now + ASK_INTERVAL;
+            return Update::Ask;
+        };
+        for changed in &changes.loads {
+            if let Some(server) = state.servers.get_mut(usize::from(changed.server)) {
+                apply_loads(server, changed);
+            }
+        }
+        for (position, changed) in &changes.servers {
+            if let Some(server) = state.servers.get_mut(usize::from(*position)) {
+                server.clone_from(changed);
+            }
+            *base = changes.sequence;
         }
-        state.sequence = loads.sequence;
-        Some(state)
+        state.sequence = changes.sequence;
+        Update::Applied(state)
     }
 }
 
-fn differs_in_load_only(a: &GroupState, b: &GroupState) -> bool {
-    let same_replica = |a: &ReplicaState, b: &ReplicaState| {
-        let b = ReplicaState { running: a.running, queued: a.queued, ..b.clone() };
-        *a == b
-    };
-    let same_server = |a: &ServerState, b: &ServerState| {
-        a.server == b.server
-            && a.address == b.address
-            && a.incarnation == b.incarnation
-            && a.leaving == b.leaving
-            && a.reachable == b.reachable
-            && a.replicas.len() == b.replicas.len()
-            && a.replicas.iter().zip(&b.replicas).all(|(a, b)| same_replica(a, b))
-    };
+fn apply_loads(server: &mut ServerState, changed: &ServerLoads) {
+    server.load_age_ms = changed.load_age_ms;
+    for (index, running, queued) in &changed.replicas {
+        if let Some(replica) = server.replicas.get_mut(usize::from(*index)) {
+            replica.running = *running;
+            replica.queued = *queued;
+        }
+    }
+}
+
+/// The loads of one server that are worth sending; `known` takes them over.
+fn changed_loads(
+    position: usize,
+    known: &mut ServerState,
+    server: &ServerState,
+    is_worth_sending: fn((u32, u32), (u32, u32)) -> bool,
+) -> Option<ServerLoads> {
+    let mut replicas = Vec::new();
+    for (index, (known, now)) in known.replicas.iter_mut().zip(&server.replicas).enumerate() {
+        if is_worth_sending((known.running, known.queued), (now.running, now.queued)) {
+            (known.running, known.queued) = (now.running, now.queued);
+            replicas.push((index as u16, now.running, now.queued));
+        }
+    }
+    // Loads that are not worth sending are confirmed by the newer sample.
+    known.load_age_ms = server.load_age_ms;
+    (!replicas.is_empty()).then_some(ServerLoads {
+        server: position as u16,
+        load_age_ms: server.load_age_ms,
+        replicas,
+    })
+}
+
+fn has_same_servers(a: &GroupState, b: &GroupState) -> bool {
     a.group == b.group
         && a.owner == b.owner
         && a.fencing == b.fencing
         && a.servers.len() == b.servers.len()
-        && a.servers.iter().zip(&b.servers).all(|(a, b)| same_server(a, b))
+        && a.servers.iter().zip(&b.servers).all(|(a, b)| a.server == b.server)
+}
+
+fn differs_in_load_only(a: &ServerState, b: &ServerState) -> bool {
+    let same_replica = |a: &ReplicaState, b: &ReplicaState| {
+        let b = ReplicaState { running: a.running, queued: a.queued, ..b.clone() };
+        *a == b
+    };
+    a.server == b.server
+        && a.address == b.address
+        && a.incarnation == b.incarnation
+        && a.leaving == b.leaving
+        && a.reachable == b.reachable
+        && a.replicas.len() == b.replicas.len()
+        && a.replicas.iter().zip(&b.replicas).all(|(a, b)| same_replica(a, b))
 }
 
 fn is_noticeable(known: (u32, u32), now: (u32, u32)) -> bool {
--- a/components/process/group/src/schedule.rs
+++ b/components/process/group/src/schedule.rs
@@ -1,15 +1,13 @@
 //! When the state of an owned group is published.
 
-use std::sync::Arc;
-
 use types::prelude::*;
 
-use crate::{Group, Publication, Publisher};
+use crate::{Group, Publication, Publisher, WholeState};
 
 /// How long changes are gathered before they are published. Reports of idle servers are read at the
 /// same moment and arrive within a few milliseconds.
 const PUBLISH_DELAY: Duration = Duration::from_millis(10);
-/// Time after which the state is published again for instances that missed it.
+/// Time after which something is published in any case, so that instances notice what they missed.
 const REPUBLISH_INTERVAL: Duration = Duration::from_secs(20);
 
 /// When the state of an owned group is published, and whether as a whole.
@@ -17,14 +15,17 @@
 pub struct PublishSchedule {
     publisher: Publisher,
     at: Instant,
-    /// When the whole state is published in any case.
-    whole_at: Instant,
+    /// When something is published in any case.
+    refresh_at: Instant,
+    /// When the last state was looked at.
+    looked_at: Instant,
 }
 
 impl PublishSchedule {
     /// A schedule on which the first publication is whole.
     pub fn new(now: Instant) -> Self {
-        Self { publisher: Publisher::default(), at: now + REPUBLISH_INTERVAL, whole_at: now }
+        let at = now + REPUBLISH_INTERVAL;
+        Self { publisher: Publisher::default(), at, refresh_at: at, looked_at: now }
     }
 
     /// The state has changed.
@@ -44,15 +45,22 @@
         }
         self.at = now + REPUBLISH_INTERVAL;
         let state = group.publish(now)?;
-        if now < self.whole_at {
+        self.looked_at = now;
+        if now < self.refresh_at {
             return self.publisher.publish(state);
         }
-        self.whole_at = now + REPUBLISH_INTERVAL;
-        Some(self.publisher.whole(state))
+        self.refresh_at = now + REPUBLISH_INTERVAL;
+        self.publisher.refresh(state)
     }
 
-    /// The state that was published last.
-    pub fn last(&self) -> Option<&Arc<GroupState>> {
-        self.publisher.last()
+    /// The last state, for instances that missed it.
+    pub fn last(&self, now: Instant) -> Option<WholeState> {
+        let mut last = self.publisher.last()?.clone();
+        let passed = now.saturating_duration_since(self.looked_at).as_millis();
+        let passed = u64::try_from(passed).unwrap_or(u64::MAX);
+        for server in &mut last.state.servers {
+            server.load_age_ms = server.load_age_ms.saturating_add(passed);
+        }
+        Some(last)
     }
 }
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -67,7 +67,7 @@
                     members_changed = true;
                     tracing::info!("membership: {instance} is {state:?}");
                     if state == MemberState::Live && instance != self.cx.instance {
-                        self.send_states(&instance);
+                        self.send_states(&instance, now);
                     }
                     if state == MemberState::Failed {
                         let wall = SystemTime::now();
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -13,7 +13,7 @@
 use crate::instance::Instance;
 use crate::message::PeerMessage;
 use crate::owned_group::{GroupWants, OwnedGroup};
-use group::{GroupLoads, Publication};
+use group::{GroupChanges, Publication, Update, WholeState};
 
 /// Time for a backend server to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -121,28 +121,45 @@
     }
 
     /// Takes the published state of a group.
-    pub(crate) fn on_group_state(&mut self, state: &GroupState, now: Instant) {
-        if self.requests.router.publish(state, now) {
-            self.demand.publish(state);
-            self.received.whole(state);
+    pub(crate) fn on_group_state(&mut self, whole: &WholeState, now: Instant) {
+        if self.requests.router.publish(&whole.state, now) {
+            self.demand.publish(&whole.state);
+            self.received.whole(whole);
             self.requests.pump_all(&self.cx, now);
         }
     }
 
     /// Sends the states of owned groups to an instance that has just appeared.
-    pub(crate) fn send_states(&self, to: &str) {
-        for owned in self.owned.keys().filter_map(|group| self.groups.get(group)) {
-            if let Some(state) = owned.publishing.last() {
-                self.send(to, PeerMessage::GroupState(Arc::clone(state)));
-            }
+    pub(crate) fn send_states(&self, to: &InstanceId, now: Instant) {
+        self.owned.keys().for_each(|group| self.send_state(group, to, now));
+    }
+
+    /// Sends the state of an owned group.
+    pub(crate) fn send_state(&self, group: &GroupId, to: &InstanceId, now: Instant) {
+        let owned = self.owned.get(group).and_then(|_| self.groups.get(group));
+        if let Some(whole) = owned.and_then(|owned| owned.publishing.last(now)) {
+            self.send(to, PeerMessage::GroupState(Arc::new(whole)));
         }
     }
 
-    /// Takes changed loads of a group.
-    pub(crate) fn on_group_loads(&mut self, loads: &GroupLoads, now: Instant) {
-        let Some(state) = self.received.loads(loads) else { return };
-        if self.requests.router.publish(state, now) {
-            self.requests.pump_all(&self.cx, now);
+    /// Takes changes of a group.
+    pub(crate) fn on_group_changes(
+        &mut self,
+        from: &InstanceId,
+        changes: &GroupChanges,
+        now: Instant,
+    ) {
+        match self.received.changes(changes, now) {
+            Update::Applied(state) => {
+                if self.requests.router.publish(state, now) {
+                    if !changes.servers.is_empty() {
+                        self.demand.publish(state);
+                    }
+                    self.requests.pump_all(&self.cx, now);
+                }
+            }
+            Update::Ask => self.send(from, PeerMessage::StateWanted(changes.group.clone())),
+            Update::Ignored => {}
         }
     }
 
@@ -171,13 +188,13 @@
                     self.on_ownership_actions(actions, now);
                 }
                 GroupWants::Released => self.released(group, now),
-                GroupWants::Publish(Publication::Whole(state)) => {
-                    self.broadcast(&PeerMessage::GroupState(Arc::clone(&state)));
-                    self.on_group_state(&state, now);
+                GroupWants::Publish(Publication::Whole(whole)) => {
+                    self.broadcast(&PeerMessage::GroupState(Arc::clone(&whole)));
+                    self.on_group_state(&whole, now);
                 }
-                GroupWants::Publish(Publication::Loads(loads)) => {
-                    self.broadcast(&PeerMessage::GroupLoads(Arc::clone(&loads)));
-                    self.on_group_loads(&loads, now);
+                GroupWants::Publish(Publication::Changes(changes)) => {
+                    self.broadcast(&PeerMessage::GroupChanges(Arc::clone(&changes)));
+                    self.on_group_changes(&self.cx.instance.clone(), &changes, now);
                 }
             }
         }
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use types::prelude::*;
 
-use group::GroupLoads;
+use group::{GroupChanges, WholeState};
 
 /// A message to another instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -28,9 +28,11 @@
     /// Spread of the configuration.
     Configuration(ConfigurationMessage),
     /// State of a group, from its owner.
-    GroupState(Arc<GroupState>),
-    /// Changed loads of a group, from its owner.
-    GroupLoads(Arc<GroupLoads>),
+    GroupState(Arc<WholeState>),
+    /// Changes of a group, from its owner.
+    GroupChanges(Arc<GroupChanges>),
+    /// Asks the owner of a group for its whole state, because an earlier publication was missed.
+    StateWanted(GroupId),
     /// Cache events of a replica, from the owner of its group.
     CacheEvents {
         /// The replica.
--- a/components/process/instance/src/peers.rs
+++ b/components/process/instance/src/peers.rs
@@ -70,7 +70,8 @@
                 self.on_configuration_message(from, message, now);
             }
             PeerMessage::GroupState(state) => self.on_group_state(&state, now),
-            PeerMessage::GroupLoads(loads) => self.on_group_loads(&loads, now),
+            PeerMessage::GroupChanges(changes) => self.on_group_changes(from, &changes, now),
+            PeerMessage::StateWanted(group) => self.send_state(&group, from, now),
             PeerMessage::CacheEvents { replica, events } => {
                 self.requests.router.cache_events(&replica, &events);
             }
--- a/components/process/types/src/lib.rs
+++ b/components/process/types/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod group_state;
 pub mod hash;
 pub mod ids;
+pub mod load_report;
 pub mod object;
 pub mod prelude;
 pub mod status;
--- a/components/process/types/src/prelude.rs
+++ b/components/process/types/src/prelude.rs
@@ -7,5 +7,6 @@
 pub use crate::contract::*;
 pub use crate::group_state::*;
 pub use crate::ids::*;
+pub use crate::load_report::LoadReport;
 pub use crate::status::*;
 pub use crate::verdict::*;
--- a/components/stand_ins/src/engine/report.rs
+++ b/components/stand_ins/src/engine/report.rs
@@ -3,9 +3,13 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use tokio::time::{Instant, sleep};
+use types::load_report::{LOADS_ONLY, revision};
 use types::prelude::*;
 
+use crate::http_server::{Body, json};
+
 use super::state::{Inner, LoadFigures, State};
 
 /// Samples per lag; the age of the figures lies between one sample less than the lag and the lag.
@@ -27,6 +31,25 @@
     }
 }
 
+/// The answer to a request for the report: the load figures only, if the reader knows the rest and
+/// accepts that.
+pub(super) fn answer(req: &HeaderMap, report: &ServerReport) -> Response<Body> {
+    let revision = format!("\"{}\"", revision(report));
+    let is = |name: &str, value: &str| req.get(name).is_some_and(|found| found == value);
+    let is_known = is("if-none-match", &revision) && is("a-im", LOADS_ONLY);
+    let mut answer = match is_known {
+        true => json(StatusCode::IM_USED, &LoadReport::of(report)),
+        false => json(StatusCode::OK, report),
+    };
+    let headers = answer.headers_mut();
+    if is_known {
+        headers.insert("im", HeaderValue::from_static(LOADS_ONLY));
+    }
+    let revision = HeaderValue::try_from(revision).expect("hex digits make a header");
+    headers.insert(header::ETAG, revision);
+    answer
+}
+
 /// The present report.
 pub(super) fn report(inner: &Inner, state: &State) -> ServerReport {
     let sample = state.samples.front();
--- a/components/stand_ins/src/engine/requests.rs
+++ b/components/stand_ins/src/engine/requests.rs
@@ -56,7 +56,7 @@
         (&Method::GET, "/v1/state") => {
             let mut state = inner.state();
             state.reported();
-            Ok(json(StatusCode::OK, &report::report(inner, &state)))
+            Ok(report::answer(req.headers(), &report::report(inner, &state)))
         }
         (&Method::GET, "/v1/cache-events") => Ok(cache_events(inner, &req)),
         (&Method::POST, "/v1/orders") => order(inner, req).await,
