Derive the slopes bench's traffic from the target scale

Cause: the bench gave every server new load figures each second, the same for all replicas and independent of the second before. Real loads change by requests that begin and end. The table did not say what the busiest instance sends.

The bytes of the busiest instance are printed by kind.

--- a/benches/slopes/fleet_changes.rs
+++ b/benches/slopes/fleet_changes.rs
@@ -28,10 +28,10 @@
         self.with_node(node, |n| n.churn(adapter, now));
     }
 
-    /// Gives every server new load figures once a second.
+    /// Lets a second of traffic change the load figures of every server.
     pub(crate) fn change_load_figures(&mut self) {
         for server in &mut self.servers {
-            server.set_running(self.rng.random_range(0..24));
+            server.change_loads(&mut self.rng);
         }
         self.schedule(self.now + Duration::from_secs(1), None, Event::Traffic);
     }
--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -22,6 +22,7 @@
 mod scale;
 mod server_model;
 mod tables;
+mod traffic;
 
 use std::process::{Command, Stdio};
 use std::sync::{Mutex, PoisonError};
--- a/benches/slopes/run.rs
+++ b/benches/slopes/run.rs
@@ -50,6 +50,8 @@
     pub(crate) reports: f64,
     pub(crate) bytes: f64,
     pub(crate) busiest_bytes: f64,
+    /// Bytes a second of the busiest instance, by kind.
+    pub(crate) busiest_by_kind: BTreeMap<String, f64>,
     /// Bytes per instance and second by kind.
     pub(crate) bytes_by_kind: BTreeMap<String, f64>,
     /// Highest number of calls of the whole fleet in any one second.
@@ -105,7 +107,12 @@
     let sum = |of: fn(&Traffic) -> u64| fleet.traffic.iter().map(of).sum::<u64>();
     let busy: f64 = fleet.traffic.iter().map(|t| t.busy.as_secs_f64()).sum();
     let most = fleet.traffic.iter().map(|t| t.busy.as_secs_f64()).fold(0.0, f64::max);
-    let busiest_bytes = fleet.traffic.iter().map(Traffic::all_bytes).max().unwrap_or(0);
+    let busiest_traffic = fleet.traffic.iter().max_by_key(|traffic| traffic.all_bytes());
+    let busiest_bytes = busiest_traffic.map_or(0, Traffic::all_bytes);
+    let busiest_kinds = busiest_traffic.into_iter().flat_map(|traffic| &traffic.bytes);
+    let busiest_by_kind = busiest_kinds
+        .map(|(kind, bytes)| ((*kind).to_owned(), *bytes as f64 / WINDOW.as_secs_f64()))
+        .collect();
     let mut bytes_by_kind = BTreeMap::new();
     for (kind, bytes) in fleet.traffic.iter().flat_map(|t| &t.bytes) {
         *bytes_by_kind.entry((*kind).to_owned()).or_default() += per_second(*bytes);
@@ -125,6 +132,7 @@
         reports: per_second(sum(|t| t.reports)),
         bytes: per_second(sum(Traffic::all_bytes)),
         busiest_bytes: busiest_bytes as f64 / WINDOW.as_secs_f64(),
+        busiest_by_kind,
         bytes_by_kind,
         max_reads: fleet.platform.reads.max_per_second,
         max_writes: fleet.platform.writes.max_per_second,
--- a/benches/slopes/scale.rs
+++ b/benches/slopes/scale.rs
@@ -14,6 +14,9 @@
 /// Accelerator memory of one replica. Four fit, with room for a standing permit.
 const REPLICA_MEMORY: u64 = 100_000_000_000;
 
+/// Requests that one replica runs at one time.
+pub(crate) const BATCH: u32 = 32;
+
 /// Customers of a fleet.
 const CUSTOMERS: usize = 400;
 
@@ -81,7 +84,7 @@
             accelerators: 2,
             max_replicas: replicas + 2,
             adapter_slots: self.adapters_per_replica() as u32 + 1,
-            max_batch: 32,
+            max_batch: BATCH,
             load_time: LoadTime { memory: time(2_000), disk: time(8_000), remote: time(20_000) },
             adapters: (0..per_model).map(|a| adapter_name(n * per_model + a)).collect(),
         };
--- a/benches/slopes/server_model.rs
+++ b/benches/slopes/server_model.rs
@@ -1,9 +1,11 @@
 //! Backend servers in virtual time: they carry out orders and report.
 
 use group::OrderResult;
+use rand::Rng;
 use types::prelude::*;
 
-use crate::scale::SERVER_MEMORY;
+use crate::scale::{BATCH, SERVER_MEMORY};
+use crate::traffic;
 
 /// Order outcomes in a report.
 const KEPT_OUTCOMES: usize = 16;
@@ -88,9 +90,13 @@
         &self.report.replicas
     }
 
-    /// Changes the load figures, as traffic does between two reports.
-    pub(crate) fn set_running(&mut self, running: u32) {
-        self.report.replicas.iter_mut().for_each(|replica| replica.running = running);
+    /// Changes the load figures, as a second of traffic does.
+    pub(crate) fn change_loads(&mut self, rng: &mut impl Rng) {
+        for replica in &mut self.report.replicas {
+            let requests = traffic::after_a_second(replica.running + replica.queued, rng);
+            replica.running = requests.min(BATCH);
+            replica.queued = requests - replica.running;
+        }
         self.encode_loads();
     }
 
--- a/benches/slopes/tables.rs
+++ b/benches/slopes/tables.rs
@@ -104,9 +104,10 @@
 
 /// Prints the details and the targets at the target scale.
 pub(crate) fn print_targets(measured: &Measured, costs: &Costs) {
-    println!("\nat the target scale, bytes per second and instance:");
+    println!("\nat the target scale, bytes per second: average instance, busiest instance");
     for (kind, bytes) in &measured.bytes_by_kind {
-        println!("  {kind:<18} {:>10.1} KB/s", bytes / KB);
+        let busiest = measured.busiest_by_kind.get(kind).copied().unwrap_or(0.0);
+        println!("  {kind:<18} {:>10.1} KB/s {:>10.1} KB/s", bytes / KB, busiest / KB);
     }
     println!("longest values in the platform:");
     for (kind, bytes) in &measured.longest_values {
