Require a number of requests for a burn alert

Cause: alerts followed the burn rates alone. With an objective of 99%, the first bad request of a quiet customer burned at 100 over every window and paged.

Change: each pair of windows has a least number of requests in its longer window: 20 in 1 h for a page, 50 in 6 h for a ticket, three of them bad. At 99%, three bad ones of 20 and of 50 are what the rates of 14.4 and 6 ask for; a stricter objective would let one bad request of hundreds through, so the three bad ones are needed as well. The short window needs no number, since 20 requests an hour are fewer than two in 5 minutes. An alert that the rates call for and the number does not allow is shown as held back: in the alert column of text and HTML, in the field `held_back` of JSON, and as `sequoiawell_service_level_alert_held_back`. The rule moves to `alert.rs`. `/metrics` also has the counts per window, since the minimum applies to one instance there and monitoring has to sum before it applies it.

Conclusion: one or two bad requests raise no alert, whatever the objective.

--- a/components/process/burn/src/html.rs
+++ b/components/process/burn/src/html.rs
@@ -2,9 +2,8 @@
 
 use std::fmt::Write;
 
-use crate::report::{
-    Alert, BurnReport, BurnRow, PAGE_RATE_MILLI, TICKET_RATE_MILLI, percentage, rate,
-};
+use crate::alert::{Alert, PAGE_RATE_MILLI, TICKET_RATE_MILLI};
+use crate::report::{BurnReport, BurnRow, alert_cell, percentage, rate};
 
 // Size of a plot in pixels, and the space at its left for the scale.
 const WIDTH: u64 = 640;
@@ -77,7 +76,7 @@
                 html,
                 "<td>{}</td><td>{}</td></tr>",
                 percentage(row.budget_left),
-                row.alert.as_str()
+                alert_cell(row)
             );
         }
         html.push_str("</table>\n");
--- a/components/process/burn/src/lib.rs
+++ b/components/process/burn/src/lib.rs
@@ -6,14 +6,18 @@
 //!
 //! A request is good if it met its class's targets. The burn rate is the bad part of requests
 //! divided by the part that the objective leaves for bad ones: at a rate of 1 the budget is used up
-//! exactly by the end of the window.
+//! exactly by the end of the window. An alert also needs a number of requests, so
+//! that one or two bad requests of a quiet customer raise none.
 
+pub mod alert;
 pub mod html;
 pub mod report;
 pub mod state;
 pub mod tracker;
 pub mod window;
 
+#[cfg(test)]
+mod alert_tests;
 #[cfg(test)]
 mod report_tests;
 #[cfg(test)]
@@ -23,7 +27,8 @@
 #[cfg(test)]
 mod window_tests;
 
-pub use report::{Alert, BurnReport, BurnRow, WindowRow};
+pub use alert::{Alert, HeldBack};
+pub use report::{BurnReport, BurnRow, WindowRow};
 pub use state::{BurnState, SeriesState};
 pub use tracker::{Burn, Objective};
 pub use window::{Counts, WINDOWS, WindowShape};
--- a/components/process/burn/src/report.rs
+++ b/components/process/burn/src/report.rs
@@ -5,45 +5,10 @@
 use serde::Serialize;
 use types::prelude::*;
 
+use crate::alert::{Alert, HeldBack, LONG, MIDDLE, SHORT, alert, burn_rate_milli};
 use crate::state::{BurnState, SeriesState};
 use crate::window::{Counts, WINDOWS};
 
-/// Burn rate over 1 hour and 5 minutes from which an operator is paged, in thousandths: 2% of a
-/// 30-day budget in one hour.
-pub const PAGE_RATE_MILLI: u64 = 14_400;
-
-/// Burn rate over 6 hours and 1 hour from which a ticket is opened, in thousandths: 5% of a 30-day
-/// budget in six hours.
-pub const TICKET_RATE_MILLI: u64 = 6_000;
-
-// Indices in `WINDOWS`.
-const SHORT: usize = 0;
-const MIDDLE: usize = 1;
-const LONG: usize = 2;
-
-/// Whether somebody has to act. The short window of each pair ends an alert soon after its cause.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Alert {
-    /// Nothing to do.
-    None,
-    /// The budget is used up too fast to be left alone: 6 over 6 h and 1 h.
-    Ticket,
-    /// The budget is used up within days: 14.4 over 1 h and 5 min.
-    Page,
-}
-
-impl Alert {
-    /// The name in reports and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::None => "none",
-            Self::Ticket => "ticket",
-            Self::Page => "page",
-        }
-    }
-}
-
 /// One window of a row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct WindowRow {
@@ -73,6 +38,8 @@
     pub budget_left: i64,
     /// Alert state.
     pub alert: Alert,
+    /// A more urgent alert that the rates call for but the number of requests does not allow.
+    pub held_back: Option<HeldBack>,
     /// Burn rate in thousandths over the last 6 hours in steps of 5 minutes, oldest first; `None`
     /// without requests.
     pub history_milli: Vec<Option<u64>>,
@@ -118,50 +85,19 @@
         bad: counts.bad,
         burn_rate_milli: burn_rate_milli(counts, series.objective),
     });
+    let (alert, held_back) = alert(sums, series.objective);
     BurnRow {
         customer: series.customer.clone(),
         class: series.class.clone(),
         objective: series.objective,
         windows: windows.collect(),
         budget_left: budget_left(sums[LONG], series.objective),
-        alert: alert(sums, series.objective),
+        alert,
+        held_back,
         history_milli: history(series),
     }
 }
 
-/// The part of requests that may be bad; at least one basis point, so that no rate is infinite.
-fn allowed(objective: BasisPoints) -> u64 {
-    u64::from(WHOLE_BASIS_POINTS.saturating_sub(objective).max(1))
-}
-
-/// Burn rate in thousandths, rounded to the nearest.
-pub fn burn_rate_milli(counts: Counts, objective: BasisPoints) -> u64 {
-    let scaled = u64::from(counts.bad) * 1000 * u64::from(WHOLE_BASIS_POINTS);
-    let divisor = counts.total() * allowed(objective);
-    (scaled + divisor / 2).checked_div(divisor).unwrap_or(0)
-}
-
-/// Whether a burn rate is at least a threshold in thousandths, without rounding.
-fn burns(counts: Counts, objective: BasisPoints, threshold_milli: u64) -> bool {
-    let scaled = u128::from(counts.bad) * 1000 * u128::from(WHOLE_BASIS_POINTS);
-    let bound =
-        u128::from(threshold_milli) * u128::from(counts.total()) * u128::from(allowed(objective));
-    counts.bad > 0 && scaled >= bound
-}
-
-fn alert(sums: [Counts; 3], objective: BasisPoints) -> Alert {
-    let both = |a: usize, b: usize, threshold| {
-        burns(sums[a], objective, threshold) && burns(sums[b], objective, threshold)
-    };
-    if both(MIDDLE, SHORT, PAGE_RATE_MILLI) {
-        Alert::Page
-    } else if both(LONG, MIDDLE, TICKET_RATE_MILLI) {
-        Alert::Ticket
-    } else {
-        Alert::None
-    }
-}
-
 fn budget_left(counts: Counts, objective: BasisPoints) -> i64 {
     let used_milli = i64::try_from(burn_rate_milli(counts, objective)).unwrap_or(i64::MAX / 100);
     i64::from(WHOLE_BASIS_POINTS) - used_milli * 10
@@ -238,6 +174,21 @@
     }
 }
 
+/// The alert, and why a more urgent one is not raised although the rates are high.
+pub(crate) fn alert_cell(row: &BurnRow) -> String {
+    let alert = row.alert.as_str();
+    let Some(held) = &row.held_back else { return alert.into() };
+    format!(
+        "{alert} ({} held back: {} bad of {} requests in {}, needs {} of {})",
+        held.alert.as_str(),
+        held.bad,
+        held.requests,
+        held.window,
+        held.least_bad,
+        held.least_requests
+    )
+}
+
 fn cells(row: &BurnRow) -> [String; 10] {
     let long = &row.windows[LONG];
     [
@@ -250,6 +201,6 @@
         long.good.to_string(),
         long.bad.to_string(),
         percentage(row.budget_left),
-        row.alert.as_str().into(),
+        alert_cell(row),
     ]
 }
--- a/components/process/burn/src/report_tests.rs
+++ b/components/process/burn/src/report_tests.rs
@@ -2,7 +2,8 @@
 
 use rstest::rstest;
 
-use crate::report::{Alert, BurnReport, burn_rate_milli};
+use crate::alert::{Alert, burn_rate_milli};
+use crate::report::BurnReport;
 use crate::state::{BurnState, SeriesState};
 use crate::window::Counts;
 
@@ -66,6 +67,25 @@
     assert_eq!(report.to_string(), expected);
 }
 
+/// Guards against a high rate without an alert that the report does not explain.
+#[test]
+fn each_format_shows_an_alert_that_too_few_requests_hold_back() {
+    let report = report(vec![series("inspectors", 9_900, [(0, 2), (3, 2), (60, 4)])]);
+    let expected = "\
+customer    class        objective  burn 5m  burn 1h  burn 6h  good 6h  bad 6h  budget left  alert
+inspectors  interactive     99.00%   100.00    40.00     6.25       60       4     -525.00%  ticket (page held back: 2 bad of 5 requests in 1h, needs 3 of 20)
+";
+    assert_eq!(report.to_string(), expected);
+    let json: serde_json::Value = serde_json::from_str(&report.to_json().unwrap()).unwrap();
+    let held_back = serde_json::json!({
+        "alert": "page", "window": "1h", "requests": 5, "least_requests": 20, "bad": 2, "least_bad": 3,
+    });
+    assert_eq!(json["rows"][0]["held_back"], held_back);
+    assert!(report.to_html().contains(
+        "<td>ticket (page held back: 2 bad of 5 requests in 1h, needs 3 of 20)</td></tr>"
+    ));
+}
+
 /// Guards against a page that loads something or lets a name break out of its text.
 #[test]
 fn the_page_is_self_contained_and_escapes_names() {
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -48,6 +48,8 @@
 #[cfg(test)]
 mod held_reply_tests;
 #[cfg(test)]
+mod operators_tests;
+#[cfg(test)]
 mod progress_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/operators.rs
+++ b/components/process/instance/src/operators.rs
@@ -54,12 +54,15 @@
 }
 
 /// Service-level figures are worked out when they are asked for, so that they cost nothing between.
-fn encode(metrics: &Metrics, burn: &BurnState) -> Result<String, std::fmt::Error> {
+pub(crate) fn encode(metrics: &Metrics, burn: &BurnState) -> Result<String, std::fmt::Error> {
     const THOUSANDTHS: f64 = 1_000.0;
     // Series of customers and classes that are gone must not stay at their last value.
     metrics.burn_rate.clear();
     metrics.budget_left.clear();
     metrics.alert.clear();
+    metrics.held_back.clear();
+    metrics.burn_requests.clear();
+    metrics.burn_bad_requests.clear();
     for row in BurnReport::new(burn).rows {
         let (customer, class) = (row.customer.to_string(), row.class.to_string());
         for window in &row.windows {
@@ -70,20 +73,28 @@
             };
             let rate = window.burn_rate_milli as f64 / THOUSANDTHS;
             metrics.burn_rate.get_or_create(&labels).set(rate);
+            let (bad, good) = (i64::from(window.bad), i64::from(window.good));
+            metrics.burn_requests.get_or_create(&labels).set(good + bad);
+            metrics.burn_bad_requests.get_or_create(&labels).set(bad);
         }
         let labels = BudgetLabels { customer, class };
         let left = row.budget_left as f64 / f64::from(WHOLE_BASIS_POINTS);
         metrics.budget_left.get_or_create(&labels).set(left);
-        let alert = match row.alert {
-            Alert::None => 0,
-            Alert::Ticket => 1,
-            Alert::Page => 2,
-        };
-        metrics.alert.get_or_create(&labels).set(alert);
+        metrics.alert.get_or_create(&labels).set(level(row.alert));
+        let held_back = row.held_back.map_or(Alert::None, |held| held.alert);
+        metrics.held_back.get_or_create(&labels).set(level(held_back));
     }
     metrics.encode()
 }
 
+fn level(alert: Alert) -> i64 {
+    match alert {
+        Alert::None => 0,
+        Alert::Ticket => 1,
+        Alert::Page => 2,
+    }
+}
+
 fn text(status: StatusCode, body: String) -> OperatorReply {
     OperatorReply { status, content_type: "text/plain; charset=utf-8", body: body.into() }
 }
--- a/components/process/telemetry/src/metrics.rs
+++ b/components/process/telemetry/src/metrics.rs
@@ -99,6 +99,12 @@
     pub budget_left: Family<BudgetLabels, Gauge<f64, AtomicU64>>,
     /// Alert state: 0 none, 1 ticket, 2 page.
     pub alert: Family<BudgetLabels, Gauge>,
+    /// More urgent alert that too few requests hold back: 0 none, 1 ticket, 2 page.
+    pub held_back: Family<BudgetLabels, Gauge>,
+    /// Requests in a window; monitoring sums them over instances before it applies the minimum.
+    pub burn_requests: Family<BurnLabels, Gauge>,
+    /// Requests in a window that missed their targets.
+    pub burn_bad_requests: Family<BurnLabels, Gauge>,
     /// Configuration version in force.
     pub configuration_version: Gauge,
     /// Groups that this instance owns.
@@ -132,6 +138,9 @@
             burn_rate: Family::default(),
             budget_left: Family::default(),
             alert: Family::default(),
+            held_back: Family::default(),
+            burn_requests: Family::default(),
+            burn_bad_requests: Family::default(),
             configuration_version: Gauge::default(),
             owned_groups: Gauge::default(),
             platform_calls: Counter::default(),
@@ -170,6 +179,17 @@
             "Alert state: 0 none, 1 ticket, 2 page",
             m.alert.clone(),
         );
+        registry.register(
+            "service_level_alert_held_back",
+            "More urgent alert that too few requests hold back: 0 none, 1 ticket, 2 page",
+            m.held_back.clone(),
+        );
+        registry.register("burn_requests", "Requests in a window", m.burn_requests.clone());
+        registry.register(
+            "burn_bad_requests",
+            "Requests in a window that missed their targets",
+            m.burn_bad_requests.clone(),
+        );
         registry.register(
             "configuration_version",
             "Configuration version in force",
