Delete usage and work records after a retention

Cause: nothing deleted `usage/GROUP-HOUR` and `work/INSTANCE-HOUR`. Eight instances and a group leave about 79,000 objects a year, and `report cost` lists all of them.

Listing returns values, so a call lists ten hours of one writer, newest first, back to a year before the retention. One old object with the run that a lease names is kept: without any record of it, a report flags the run as just started.

Broken variants: - A margin taken off the retention instead of added, and no object kept for a lease: `no_report_of_the_retained_period_changes` and `a_sweep_deletes_what_is_older_than_retention_and_margin` fail. - Names matched by their beginning only, so that `i` takes the objects of `i-9`; no check of the first kept hour: the second of these fails. - Calls made while one is under way: `calls_are_rare_and_only_the_holders` fails. The time not confirmed: `the_time_must_be_confirmed_by_another_instance` fails.

The test of the settings page names the fields of `Settings`, so that the new section is added to it; what it checks is unchanged.

Conclusion: the records of the retained period stay, older ones go.

--- a/components/process/instance/src/directory.rs
+++ b/components/process/instance/src/directory.rs
@@ -86,6 +86,11 @@
         self.list.iter().find(is_it).map(|l| l.address.clone())
     }
 
+    /// Groups of engines in the own data centre.
+    pub(crate) fn groups(&self) -> impl Iterator<Item = &GroupId> {
+        self.groups.iter()
+    }
+
     /// Groups for which the own data centre's instances are candidates.
     pub(crate) fn candidate_groups(&self, own: &DataCentreId) -> BTreeSet<GroupId> {
         let keys = (0..KEY_RANGES)
--- a/components/process/instance/src/event.rs
+++ b/components/process/instance/src/event.rs
@@ -1,5 +1,6 @@
 //! Events that tasks pass to the loop.
 
+use accounting::Writer;
 use admission::Ticket;
 use admission::shares::{Holding, ShareGrant};
 use backend_server::{CacheEvents, SendError};
@@ -10,6 +11,7 @@
 
 use crate::attempt::AttemptEnd;
 use crate::message::{ClaimAnswer, ClaimMessage, DemandReply, FinishMessage};
+use crate::retention::SweepAnswer;
 
 /// Result of a task.
 pub(crate) enum Event {
@@ -50,6 +52,10 @@
     WorkWritten { generation: u64, written: bool },
     /// Writing a group's ended intervals ended.
     UsageWritten { group: GroupId, replicas: Vec<ReplicaId>, written: bool },
+    /// A sweep of old records has its writers and a confirmed time, or must not begin.
+    SweepBegun(Option<(SystemTime, Vec<Writer>)>),
+    /// A call of a sweep ended.
+    SweepCalled(SweepAnswer),
     /// The stored segments of a key range were read, or could not be read.
     Segments { range: u32, stored: Option<Vec<(ObjectVersion, Segment)>> },
 }
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::keys::KeyRanges;
 use crate::owned_group::OwnedGroup;
 use crate::requests::Requests;
+use crate::retention::Retention;
 use crate::shares::Shares;
 
 /// Longest sleep of the loop; bounds the effect of a missed timer.
@@ -72,6 +73,7 @@
     pub(crate) key_owners: KeyOwners,
     pub(crate) shares: Shares,
     pub(crate) bookings: Bookings,
+    pub(crate) retention: Retention,
     /// Cloned by each task that holds a reply back.
     pub(crate) held_replies: Rc<()>,
     pub(crate) key_table: watch::Sender<Arc<KeyTable>>,
@@ -213,6 +215,8 @@
             Event::WorkWritten { generation, written } => {
                 self.bookings.usage.on_written(generation, written, SystemTime::now());
             }
+            Event::SweepBegun(begun) => self.retention.on_begun(begun),
+            Event::SweepCalled(answer) => self.retention.on_called(answer),
             Event::UsageWritten { group, replicas, written } if written => {
                 self.with_group(&group, now, |owned, _, rng| {
                     let actions = owned.group.on_booked(now, &replicas, rng);
@@ -259,6 +263,7 @@
         }
         self.share_timers(now);
         self.booking_timers(now);
+        self.retention_timer(now);
         self.settle(now);
     }
 
@@ -286,6 +291,7 @@
             self.keys.next_timer(),
             Some(self.shares.next_timer()),
             Some(self.bookings.usage.next_timer()),
+            Some(self.retention.next_timer()),
             Some(self.list_at),
             Some(self.arrivals_at),
         ];
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -37,6 +37,7 @@
 mod progress;
 mod pump;
 mod requests;
+mod retention;
 mod shares;
 mod start;
 mod status;
@@ -51,5 +52,7 @@
 mod operators_tests;
 #[cfg(test)]
 mod progress_tests;
+#[cfg(test)]
+mod retention_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- /dev/null
+++ b/components/process/instance/src/retention.rs
@@ -0,0 +1,214 @@
+//! Deletes old `usage` and `work` objects of a data centre.
+//!
+//! The holder of the data centre's limits is the one instance that sweeps. Two holders at a takeover
+//! do no harm: deletes are conditional, and a deleted object is gone for both.
+
+use accounting::{Listed, Sweep, SweepCall, Writer, work_name};
+use ownership::LeaseObject;
+use platform::{Call, Client, Listing, WriteOutcome};
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use types::object::ObjectKey;
+use types::prelude::*;
+
+use crate::context::Context;
+use crate::event::Event;
+
+/// Time between calls. With nine data centres, sweeps take 4.5 of the platform's two thousand reads
+/// a second; one over 50 writers and the whole look-back takes a day.
+const CALL_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between sweeps, and until an instance that does not sweep looks again. An hour brings one
+/// more old object per writer.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(3600);
+/// Time until the first sweep; by then the other instances have written work, which confirms the time.
+const FIRST_SWEEP: Duration = Duration::from_secs(300);
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const HOUR: Duration = Duration::from_secs(3600);
+
+/// How a call of a sweep ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum SweepAnswer {
+    /// The listed objects; empty if they could not be read.
+    Listed(Vec<Listed>),
+    /// Whether an object was deleted.
+    Deleted(bool),
+}
+
+/// The part of an object that a sweep reads.
+#[derive(Deserialize)]
+struct Stored {
+    #[serde(default)]
+    runs: BTreeMap<Incarnation, IgnoredAny>,
+}
+
+/// What a sweep does next.
+#[derive(Debug)]
+pub(crate) enum Due {
+    /// Read the writers.
+    Begin,
+    /// Make a call.
+    Call(SweepCall),
+}
+
+/// Progress of this instance's sweep.
+#[derive(Debug)]
+pub(crate) struct Retention {
+    retention: Duration,
+    due_at: Instant,
+    sweep: Option<Sweep>,
+    is_calling: bool,
+    deleted: u64,
+}
+
+impl Retention {
+    /// No sweep yet.
+    pub(crate) fn new(retention: Duration, now: Instant) -> Self {
+        let due_at = now + FIRST_SWEEP;
+        Self { retention, due_at, sweep: None, is_calling: false, deleted: 0 }
+    }
+
+    /// When [`Self::due`] may have something to do.
+    pub(crate) fn next_timer(&self) -> Instant {
+        self.due_at
+    }
+
+    /// What is due, as long as this instance is the holder and the platform answers. One call is made
+    /// at a time.
+    pub(crate) fn due(&mut self, is_holder: bool, is_away: bool, now: Instant) -> Option<Due> {
+        if now < self.due_at {
+            return None;
+        }
+        self.due_at = now + CALL_INTERVAL;
+        if !is_holder {
+            self.sweep = None;
+        }
+        if !is_holder || is_away || self.is_calling {
+            return None;
+        }
+        let due = match &mut self.sweep {
+            None => Due::Begin,
+            Some(sweep) => match sweep.next_call() {
+                Some(call) => Due::Call(call),
+                None => {
+                    tracing::info!("accounting: {} old records deleted", self.deleted);
+                    (self.sweep, self.deleted) = (None, 0);
+                    self.due_at = now + SWEEP_INTERVAL;
+                    return None;
+                }
+            },
+        };
+        self.is_calling = true;
+        Some(due)
+    }
+
+    /// Begins a sweep over writers; without them, the next attempt is due after a pause.
+    pub(crate) fn on_begun(&mut self, begun: Option<(SystemTime, Vec<Writer>)>) {
+        self.is_calling = false;
+        match begun {
+            Some((wall, writers)) => self.sweep = Some(Sweep::new(wall, self.retention, writers)),
+            None => self.due_at += SWEEP_INTERVAL,
+        }
+    }
+
+    /// Takes the outcome of a call.
+    pub(crate) fn on_called(&mut self, answer: SweepAnswer) {
+        self.is_calling = false;
+        match (answer, &mut self.sweep) {
+            (SweepAnswer::Listed(objects), Some(sweep)) => sweep.listed(objects),
+            (SweepAnswer::Deleted(true), _) => self.deleted += 1,
+            (SweepAnswer::Listed(_) | SweepAnswer::Deleted(false), _) => {}
+        }
+    }
+}
+
+/// Makes one call of a sweep.
+pub(crate) fn call(cx: &Context, call: SweepCall) {
+    let client = cx.platform.clone();
+    cx.spawn(async move { Event::SweepCalled(perform(&client, call).await) });
+}
+
+/// Reads the writers of the data centre: the instances that leases name, and its engine groups.
+pub(crate) fn begin(
+    cx: &Context,
+    groups: Vec<GroupId>,
+    members: Vec<InstanceId>,
+    wall: SystemTime,
+) {
+    let (client, data_centre) = (cx.platform.clone(), cx.data_centre.clone());
+    let member = members.choose(&mut *cx.rng.borrow_mut()).cloned();
+    cx.spawn(async move {
+        let confirmed = match member {
+            Some(member) => is_confirmed(&client, &member, wall).await,
+            None => true,
+        };
+        if !confirmed {
+            tracing::warn!("accounting: old records are kept; no other clock confirms the time");
+            return Event::SweepBegun(None);
+        }
+        let call = Call::by(Instant::now() + CALL_TIMEOUT);
+        match client.list::<LeaseObject>("lease", "", call).await {
+            Ok(leases) => Event::SweepBegun(Some((wall, writers(&leases, &data_centre, groups)))),
+            Err(e) => {
+                tracing::debug!("accounting: leases not listed: {e}");
+                Event::SweepBegun(None)
+            }
+        }
+    });
+}
+
+/// Whether another instance has written counted work in the hour of this instance's clock or the one
+/// before. A clock that is years ahead would otherwise delete all records.
+pub(crate) async fn is_confirmed(client: &Client, member: &str, wall: SystemTime) -> bool {
+    for at in [wall, wall.checked_sub(HOUR).unwrap_or(wall)] {
+        let call = Call::by(Instant::now() + CALL_TIMEOUT);
+        let key = ObjectKey::new("work", work_name(member, at));
+        if let Ok(Some(_)) = client.get::<IgnoredAny>(&key, call).await {
+            return true;
+        }
+    }
+    false
+}
+
+fn writers(
+    leases: &Listing<LeaseObject>,
+    data_centre: &DataCentreId,
+    groups: Vec<GroupId>,
+) -> Vec<Writer> {
+    let own = leases.objects.iter().map(|o| &o.value).filter(|l| l.data_centre == *data_centre);
+    let instances = own.map(|lease| Writer {
+        kind: "work",
+        name: lease.instance.clone(),
+        lease: Some(lease.incarnation),
+    });
+    let groups = groups.into_iter().map(|name| Writer { kind: "usage", name, lease: None });
+    instances.chain(groups).collect()
+}
+
+pub(crate) async fn perform(client: &Client, call: SweepCall) -> SweepAnswer {
+    let limits = Call::by(Instant::now() + CALL_TIMEOUT);
+    match call {
+        SweepCall::List { kind, prefix } => {
+            match client.list::<Stored>(kind, &prefix, limits).await {
+                Ok(listing) => {
+                    SweepAnswer::Listed(listing.objects.into_iter().map(listed).collect())
+                }
+                Err(e) => {
+                    tracing::debug!("accounting: {kind}/{prefix} not listed: {e}");
+                    SweepAnswer::Listed(Vec::new())
+                }
+            }
+        }
+        SweepCall::Delete { kind, name, version } => {
+            let key = ObjectKey::new(kind, name);
+            let outcome = client.delete::<IgnoredAny>(&key, version, limits).await;
+            SweepAnswer::Deleted(matches!(outcome, WriteOutcome::Written { .. }))
+        }
+    }
+}
+
+fn listed(object: platform::Object<Stored>) -> Listed {
+    let runs = object.value.runs.into_keys().collect();
+    Listed { name: object.name, version: object.version, runs }
+}
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -31,6 +31,7 @@
 use crate::key_owners::KeyOwners;
 use crate::keys::KeyRanges;
 use crate::requests::Requests;
+use crate::retention::Retention;
 use crate::shares::Shares;
 use group::Received;
 
@@ -258,6 +259,7 @@
         key_owners: KeyOwners::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
         bookings: Bookings::new(now),
+        retention: Retention::new(settings.accounting.retention, now),
         held_replies: Rc::default(),
         key_table,
         drain: Drain::Serving,
--- a/components/process/settings/src/lib.rs
+++ b/components/process/settings/src/lib.rs
@@ -40,6 +40,8 @@
     pub log: LogSettings,
     /// `[lease]`: times of the instance's lease.
     pub lease: LeaseSettings,
+    /// `[accounting]`: records for the cost report.
+    pub accounting: AccountingSettings,
 }
 
 impl Settings {
@@ -239,3 +241,17 @@
         }
     }
 }
+
+/// `[accounting]`: records for the cost report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AccountingSettings {
+    /// Time for which `usage` and `work` objects are kept; at least two days, since `report cost`
+    /// shows one day by default. Default `400d`: a yearly settlement and a month for its corrections.
+    pub retention: Duration,
+}
+
+impl Default for AccountingSettings {
+    fn default() -> Self {
+        Self { retention: Duration::from_secs(400 * 24 * 3600) }
+    }
+}
--- a/components/process/settings/src/read.rs
+++ b/components/process/settings/src/read.rs
@@ -5,7 +5,7 @@
 use crate::*;
 
 const SECTIONS: &[&str] =
-    &["instance", "callers", "operators", "peers", "platform", "log", "lease"];
+    &["instance", "callers", "operators", "peers", "platform", "log", "lease", "accounting"];
 
 /// Reads all sections; `None` if a required key is missing or wrong.
 pub(crate) fn settings(ini: &Ini, diagnostics: &mut Diagnostics) -> Option<Settings> {
@@ -17,8 +17,18 @@
     let platform = platform(ini, diagnostics);
     let log = log(ini, diagnostics);
     let lease = lease(ini, diagnostics);
+    let accounting = accounting(ini, diagnostics);
     check_addresses(ini, &callers, &operators, &peers, diagnostics);
-    Some(Settings { instance: instance?, callers, operators, peers, platform, log, lease })
+    Some(Settings {
+        instance: instance?,
+        callers,
+        operators,
+        peers,
+        platform,
+        log,
+        lease,
+        accounting,
+    })
 }
 
 fn instance(ini: &Ini, diagnostics: &mut Diagnostics) -> Option<InstanceSettings> {
@@ -121,6 +131,19 @@
     lease
 }
 
+fn accounting(ini: &Ini, diagnostics: &mut Diagnostics) -> AccountingSettings {
+    const LEAST: Duration = Duration::from_secs(2 * 24 * 3600);
+    let d = AccountingSettings::default();
+    let mut r = Reader::new(ini, "accounting", diagnostics);
+    let accounting =
+        AccountingSettings { retention: r.or("retention", d.retention, value::positive_duration) };
+    if accounting.retention < LEAST {
+        r.error("retention", "records must be kept for at least two days, such as 400d");
+    }
+    r.finish();
+    accounting
+}
+
 /// Two listeners on one address fail only at start, on the instance; this finds it in the file.
 fn check_addresses(
     ini: &Ini,
--- a/components/process/settings/src/read_tests.rs
+++ b/components/process/settings/src/read_tests.rs
@@ -17,6 +17,7 @@
     assert_eq!(s.lease.renewal, Duration::from_secs(3));
     assert_eq!(s.lease.length, Duration::from_secs(9));
     assert_eq!(s.lease.margin, Duration::from_secs(1));
+    assert_eq!(s.accounting.retention, Duration::from_secs(400 * 24 * 3600));
     assert_eq!(s.log, LogSettings { level: LogLevel::Info, format: LogFormat::Text });
 }
 
@@ -58,7 +59,8 @@
          [callers]\naddress = 127.0.0.1:1\nmax_header = 8KiB\nmax_body = 1MiB\nmax_connections = 5\n\
          header_timeout = 1s\nbody_timeout = 2s\nwrite_timeout = 3s\n\
          [operators]\naddress = 127.0.0.1:2\n[peers]\naddress = 127.0.0.1:3\nseeds = 127.0.0.1:4, 127.0.0.1:5\n\
-         [log]\nlevel = debug\nformat = json\n[lease]\nrenewal = 1s\nlength = 4s\nmargin = 500ms\n"
+         [log]\nlevel = debug\nformat = json\n[lease]\nrenewal = 1s\nlength = 4s\nmargin = 500ms\n\
+         [accounting]\nretention = 90d\n"
     );
     let s = Settings::parse("a.ini", &text).unwrap();
     assert_eq!(s.platform.timeout, Duration::from_millis(1500));
@@ -66,4 +68,16 @@
     assert_eq!(s.peers.seeds.len(), 2);
     assert_eq!(s.log, LogSettings { level: LogLevel::Debug, format: LogFormat::Json });
     assert_eq!(s.lease.margin, Duration::from_millis(500));
+    assert_eq!(s.accounting.retention, Duration::from_secs(90 * 24 * 3600));
+}
+
+/// Guards against a mistyped unit that deletes the records of the period that reports show.
+#[test]
+fn a_retention_shorter_than_the_report_is_refused() {
+    let text = format!("{LEAST}[accounting]\nretention = 400m\n");
+    let e = Settings::parse("a.ini", &text).unwrap_err();
+    assert_eq!(
+        e.to_string(),
+        "a.ini:7: [accounting] retention: records must be kept for at least two days, such as 400d"
+    );
 }
--- a/components/version/accounting/src/lib.rs
+++ b/components/version/accounting/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod output;
 pub mod records;
 pub mod report;
+pub mod retention;
 pub mod split;
 
 #[cfg(test)]
@@ -35,6 +36,8 @@
 #[cfg(test)]
 mod property_tests;
 #[cfg(test)]
+mod retention_tests;
+#[cfg(test)]
 mod split_tests;
 #[cfg(test)]
 mod test_data;
@@ -46,3 +49,4 @@
     work_name,
 };
 pub use report::{CostLine, CostReport, Gap};
+pub use retention::{Listed, Sweep, SweepCall, Writer};
--- a/tests/operating_page_tests.rs
+++ b/tests/operating_page_tests.rs
@@ -57,9 +57,11 @@
     let documented =
         Settings::parse("page", &file(&rows, &required)).unwrap_or_else(|e| panic!("{e}"));
     assert_eq!(documented, Settings::parse("least", least).unwrap_or_else(|e| panic!("{e}")));
-    let Settings { instance, callers, operators, peers, platform, log, lease } = documented;
-    let fields =
-        format!("{instance:?}{callers:?}{operators:?}{peers:?}{platform:?}{log:?}{lease:?}");
+    let Settings { instance, callers, operators, peers, platform, log, lease, accounting } =
+        documented;
+    let fields = format!(
+        "{instance:?}{callers:?}{operators:?}{peers:?}{platform:?}{log:?}{lease:?}{accounting:?}"
+    );
     // Each field is one `name: value`; addresses and durations in it have no space after the colon.
     assert_eq!(
         fields.matches(": ").count(),
