--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -37,6 +37,7 @@
 mod progress;
 mod pump;
 mod requests;
+mod retention;
 mod shares;
 mod start;
 mod status;
@@ -48,6 +49,10 @@
 #[cfg(test)]
 mod held_reply_tests;
 #[cfg(test)]
+mod operators_tests;
+#[cfg(test)]
 mod progress_tests;
+#[cfg(test)]
+mod retention_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
