Share the weight store between the groups of a deployment

Cause: the store's limits (loads a second, concurrent loads, adapter loads) hold for all groups together, but an owner counted only its own group's work.

Change: the published group state and group loads carry the group's use of the store (loads, adapter loads, starts, priority of waiting demand), and summaries carry that of a data centre. Owners add what they heard within 5 s. Places follow the priority of the waiting demand, after 5 s the wait; after 30 s a group without a load starts one in any case. The rate is covered by counting others' starts (docs/decisions/weight_store.md). The stand-in store no longer loops for ever in virtual time over a rest of a load that is below the clock's resolution.

--- a/components/process/group/src/group.rs
+++ b/components/process/group/src/group.rs
@@ -49,6 +49,8 @@
     /// Unrecorded orders under the present fencing number have higher numbers.
     pub(crate) unrecorded_from: OrderId,
     pub(crate) sequence: u64,
+    /// What is published of the group's use of the weight store.
+    pub(crate) store_use: StoreUse,
     /// Wall clock of the last event that carried it; for accounting only.
     pub(crate) last_wall: Option<SystemTime>,
     last_call: CallId,
@@ -73,6 +75,7 @@
             next_unrecorded: 0,
             unrecorded_from: 0,
             sequence: 0,
+            store_use: StoreUse::default(),
             last_wall: None,
             last_call: 0,
         }
@@ -260,6 +263,12 @@
         }
     }
 
+    /// Sets what is published of the group's use of the weight store; returns whether it differs
+    /// from what was set before.
+    pub fn set_store_use(&mut self, store_use: StoreUse) -> bool {
+        std::mem::replace(&mut self.store_use, store_use) != store_use
+    }
+
     /// Sets the models that permits should cover, the most wanted first.
     pub fn set_permit_models(&mut self, models: Vec<ModelId>) {
         self.permit_models = models;
--- a/components/process/group/src/publication.rs
+++ b/components/process/group/src/publication.rs
@@ -26,6 +26,8 @@
     pub base: u64,
     /// Sequence number of the state that results.
     pub sequence: u64,
+    /// What the group has in progress at the weight store.
+    pub store: StoreUse,
     /// Servers with changed loads.
     pub servers: Vec<ServerLoads>,
 }
@@ -58,6 +60,8 @@
     base: Option<Arc<GroupState>>,
     /// The loads as the receivers know them, in the order of `base`.
     known: Vec<Vec<(u32, u32)>>,
+    /// The use of the weight store as the receivers know it; `None` if it is to be repeated.
+    known_store: Option<StoreUse>,
 }
 
 impl Publisher {
@@ -82,17 +86,24 @@
                 servers.push(ServerLoads { server, load_age_ms, replicas });
             }
         }
-        (!servers.is_empty()).then(|| {
+        let repeats_store = self.known_store.replace(state.store) != Some(state.store);
+        (!servers.is_empty() || repeats_store).then(|| {
             Publication::Loads(Arc::new(GroupLoads {
                 group: state.group,
                 fencing: state.fencing,
                 base: base.sequence,
                 sequence: state.sequence,
+                store: state.store,
                 servers,
             }))
         })
     }
 
+    /// Makes the next publication carry the use of the weight store, changed or not.
+    pub fn repeat_store(&mut self) {
+        self.known_store = None;
+    }
+
     /// The last whole state.
     pub fn last(&self) -> Option<&Arc<GroupState>> {
         self.base.as_ref()
@@ -104,6 +115,7 @@
             server.replicas.iter().map(|replica| (replica.running, replica.queued)).collect()
         };
         self.known = state.servers.iter().map(loads).collect();
+        self.known_store = Some(state.store);
         let state = Arc::new(state);
         self.base = Some(Arc::clone(&state));
         Publication::Whole(state)
@@ -144,6 +156,7 @@
             }
         }
         state.sequence = loads.sequence;
+        state.store = loads.store;
         Some(state)
     }
 }
--- a/components/process/group/src/publish.rs
+++ b/components/process/group/src/publish.rs
@@ -102,6 +102,7 @@
             owner: self.cfg.instance.clone(),
             fencing: self.fencing(),
             sequence: self.sequence,
+            store: self.store_use,
             servers: servers.collect(),
         })
     }
--- a/components/process/group/src/schedule.rs
+++ b/components/process/group/src/schedule.rs
@@ -31,6 +31,12 @@
         self.at = self.at.min(now + PUBLISH_DELAY);
     }
 
+    /// The use of the weight store is to be published, also if it has not changed.
+    pub fn repeat_store(&mut self, now: Instant) {
+        self.publisher.repeat_store();
+        self.changed(now);
+    }
+
     /// When [`PublishSchedule::due`] has to be called.
     pub fn next(&self) -> Instant {
         self.at
--- a/components/process/group/tests/publication.rs
+++ b/components/process/group/tests/publication.rs
@@ -28,6 +28,7 @@
         owner: "entry".into(),
         fencing: 1,
         sequence,
+        store: StoreUse { loads: loads[0] / 8, ..StoreUse::default() },
         servers: vec![server],
     }
 }
@@ -59,6 +60,7 @@
                 Some(Publication::Loads(loads)) => {
                     if let Some(merged) = received.loads(&loads) {
                         known = Some(merged.clone());
+                        prop_assert_eq!(merged.store, state.store);
                         for (a, b) in merged.servers[0].replicas.iter().zip(&state.servers[0].replicas) {
                             prop_assert_eq!(&a.adapters, &b.adapters);
                         }
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -131,6 +131,7 @@
         }
         if self.membership.next_timer() <= now {
             self.membership.set_summary_body(self.summary_body());
+            self.membership.set_store_use(self.store_uses.total(now));
             let actions = self.membership.on_timer(now, &mut *rng.borrow_mut());
             self.on_membership_actions(actions, now);
         }
@@ -161,7 +162,9 @@
         let actions = self.membership.on_list(now, &list);
         self.directory.update(list, &own);
         self.requests.router.platform_list(&self.directory.routable(&own));
-        self.ownership.set_groups(now, self.directory.candidate_groups(&own));
+        let groups = self.directory.candidate_groups(&own);
+        self.store_uses.retain(&groups);
+        self.ownership.set_groups(now, groups);
         self.on_membership_actions(actions, now);
         self.on_members_changed(now);
         self.update_group_lists(now);
--- a/components/process/instance/src/demand_tests.rs
+++ b/components/process/instance/src/demand_tests.rs
@@ -29,6 +29,7 @@
         group: group.into(),
         owner: "entry".into(),
         fencing: 1,
+        store: StoreUse::default(),
         sequence: 1,
         servers: vec![server],
     }
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -30,6 +30,8 @@
     ) {
         let rng = self.cx.rng.clone();
         let Some(owned) = self.groups.get_mut(group) else { return };
+        let elsewhere = self.membership.store_elsewhere(now);
+        owned.others = self.store_uses.others(group, elsewhere, now);
         owned.platform_is_away = self.cx.platform.is_failing();
         act(owned, SystemTime::now(), &mut rng.borrow_mut());
         let wants = owned.take_wants();
@@ -122,6 +124,8 @@
 
     /// Takes the published state of a group.
     pub(crate) fn on_group_state(&mut self, state: &GroupState, now: Instant) {
+        let order = (state.fencing, state.sequence);
+        self.store_uses.heard(&state.group, order, state.store, now);
         if self.requests.router.publish(state, now) {
             self.demand.publish(state);
             self.received.whole(state);
@@ -140,6 +144,8 @@
 
     /// Takes changed loads of a group.
     pub(crate) fn on_group_loads(&mut self, loads: &GroupLoads, now: Instant) {
+        let order = (loads.fencing, loads.sequence);
+        self.store_uses.heard(&loads.group, order, loads.store, now);
         let Some(state) = self.received.loads(loads) else { return };
         if self.requests.router.publish(state, now) {
             self.requests.pump_all(&self.cx, now);
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -25,6 +25,7 @@
 use crate::owned_group::OwnedGroup;
 use crate::requests::Requests;
 use crate::shares::Shares;
+use crate::store_uses::StoreUses;
 
 /// Longest sleep of the loop; bounds the effect of a missed timer.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
@@ -67,6 +68,8 @@
     pub(crate) demand: DemandRouting,
     /// States of groups as published.
     pub(crate) received: Received,
+    /// Use of the weight store by the groups of the data centre.
+    pub(crate) store_uses: StoreUses,
     pub(crate) keys: KeyRanges,
     /// Owners of key ranges of other data centres, as read from the platform.
     pub(crate) key_owners: KeyOwners,
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -31,6 +31,7 @@
 mod models;
 mod operators;
 mod owned_group;
+mod owned_store;
 mod peers;
 mod pending;
 mod periodic;
@@ -40,6 +41,7 @@
 mod shares;
 mod start;
 mod status;
+mod store_uses;
 mod usage;
 mod wanted;
 
@@ -49,5 +51,7 @@
 mod held_reply_tests;
 #[cfg(test)]
 mod progress_tests;
+#[cfg(test)]
+mod store_uses_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/owned_group.rs
+++ b/components/process/instance/src/owned_group.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use group::{Action, Decision, Group, OrderResult, Polls, Publication, PublishSchedule};
-use placement::{Event, Placement, StoreView};
+use placement::{Event, OtherGroups, Placement};
 use rand::Rng;
 use types::object::{CallId, ObjectAnswer, ObjectCall};
 use types::prelude::*;
 
 use crate::allowances::Asked;
-use crate::group_view::{LastUsed, placement_view};
+use crate::group_view::LastUsed;
 use crate::message::DemandReply;
 use crate::progress::Progress;
 
@@ -43,13 +43,19 @@
 /// State of an owned group. Lives as long as the process; ownership may come and go.
 pub(crate) struct OwnedGroup {
     pub(crate) group: Group,
-    placement: Placement,
+    pub(crate) placement: Placement,
     /// Set by the loop before every call.
     pub(crate) platform_is_away: bool,
+    /// Use of the weight store by other groups. Set by the loop before every call.
+    pub(crate) others: OtherGroups,
+    /// When demand that waits for the weight store is looked at again.
+    pub(crate) store_retry_at: Option<Instant>,
+    /// When the use of the weight store is published again.
+    pub(crate) store_repeat_at: Option<Instant>,
     catalogue: Arc<Catalogue>,
-    used: LastUsed,
+    pub(crate) used: LastUsed,
     polls: Polls,
-    progress: Progress,
+    pub(crate) progress: Progress,
     /// What was asked for, and when allowance and permits are looked at.
     pub(crate) asked: Asked,
     /// Until then a group that takes no decisions is taken for one that is being recovered.
@@ -72,6 +78,9 @@
             group: Group::new(cfg),
             placement: Placement::new(Arc::clone(&catalogue), settings, now, time_of_day),
             platform_is_away: false,
+            others: OtherGroups::default(),
+            store_retry_at: None,
+            store_repeat_at: None,
             catalogue,
             used: LastUsed::default(),
             polls: Polls::default(),
@@ -238,6 +247,7 @@
             self.place(&Event::Tick, now, wall, rng);
             self.tick_at = self.placement.next_wakeup(now);
         }
+        self.store_timers(now, wall, rng);
         if self.asked.permits_at <= now {
             self.set_permits(now);
         }
@@ -250,7 +260,8 @@
 
     /// When `on_timer` is due.
     pub(crate) fn next_timer(&self) -> Instant {
-        let due = [self.polls.next(), self.group.next_timer()];
+        let due =
+            [self.polls.next(), self.group.next_timer(), self.store_retry_at, self.store_repeat_at];
         let own =
             [self.publishing.next(), self.tick_at, self.asked.permits_at, self.asked.returns_at];
         due.into_iter().flatten().chain(own).min().unwrap_or(self.tick_at)
@@ -291,6 +302,7 @@
         for decision in decisions {
             self.carry_out(decision, now, wall, rng);
         }
+        self.note_store_use(now, rng);
     }
 
     fn carry_out(
@@ -357,14 +369,6 @@
             self.place(&event, now, wall, rng);
         }
     }
-
-    fn placement_view(&self, now: Instant) -> placement::View {
-        let (loads, adapters) = self.progress.store_load();
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let store =
-            StoreView { loads_in_progress: count(loads), adapters_in_flight: count(adapters) };
-        placement_view(&self.group.view(now), &self.used, store, now)
-    }
 }
 
 fn describe(decision: &placement::Decision) -> String {
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -254,6 +254,7 @@
         directory: Directory::default(),
         demand: DemandRouting::default(),
         received: Received::default(),
+        store_uses: Default::default(),
         keys: KeyRanges::default(),
         key_owners: KeyOwners::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
--- a/components/process/membership/src/message.rs
+++ b/components/process/membership/src/message.rs
@@ -108,6 +108,8 @@
     pub configuration: ConfigurationVersion,
     /// Instances known to be behind that version.
     pub behind: Vec<InstanceId>,
+    /// What the data centre has in progress at the weight store.
+    pub store: StoreUse,
     /// The body, if the receiver is not known to have it.
     pub body: Option<Arc<SummaryBody>>,
 }
--- a/components/process/membership/src/settings.rs
+++ b/components/process/membership/src/settings.rs
@@ -34,6 +34,11 @@
     pub body_every: Duration,
     /// Members to which an inner member of the tree passes a summary on.
     pub summary_fan_out: usize,
+    /// Least time after which a summary without a body is passed on for its use of the weight
+    /// store.
+    pub store_every: Duration,
+    /// Time for which the use of the weight store by another data centre counts.
+    pub store_time: Duration,
     /// Time after which members that failed or left are forgotten.
     pub forget_after: Duration,
 }
@@ -60,6 +65,8 @@
             summary_time: Duration::from_secs(40),
             body_every: Duration::from_secs(16),
             summary_fan_out: 8,
+            store_every: Duration::from_secs(2),
+            store_time: Duration::from_secs(5),
             forget_after: Duration::from_secs(600),
         }
     }
--- a/components/process/membership/src/summaries.rs
+++ b/components/process/membership/src/summaries.rs
@@ -16,12 +16,15 @@
     received: Instant,
     /// When the summary was last passed on.
     passed_on: Option<Instant>,
+    /// The use of the weight store that was passed on last, and when.
+    store_passed_on: Option<(StoreUse, Instant)>,
 }
 
 /// Summaries of this and the other data centres.
 #[derive(Debug, Default)]
 pub(crate) struct Summaries {
     body: Arc<SummaryBody>,
+    store: StoreUse,
     sequence: u64,
     body_at: Option<Instant>,
     known: BTreeMap<DataCentreId, Known>,
@@ -66,6 +69,17 @@
         self.summaries.body = Arc::new(body);
     }
 
+    /// Sets what this data centre has in progress at the weight store.
+    pub fn set_store_use(&mut self, store: StoreUse) {
+        self.summaries.store = store;
+    }
+
+    /// What each other data centre has in progress at the weight store, if heard of lately.
+    pub fn store_elsewhere(&self, now: Instant) -> impl Iterator<Item = StoreUse> + '_ {
+        let is_recent = move |known: &&Known| now < known.received + self.cfg.store_time;
+        self.summaries.known.values().filter(is_recent).map(|known| known.summary.store)
+    }
+
     /// Sends this data centre's summary to the delegates of the others, if it is a delegate.
     pub(crate) fn send_summaries(
         &mut self,
@@ -93,6 +107,7 @@
             live: u32::try_from(live.len()).unwrap_or(u32::MAX),
             configuration: self.configuration,
             behind: self.behind(self.configuration),
+            store: self.summaries.store,
             body: None,
         };
         let known = self.summaries.known.keys();
@@ -136,7 +151,12 @@
             actions.push(Action::PeerVersion { instance, version });
         }
         let before = self.summaries.known.remove(&summary.data_centre);
-        let mut known = Known { summary: summary.clone(), received: now, passed_on: None };
+        let mut known = Known {
+            summary: summary.clone(),
+            received: now,
+            passed_on: None,
+            store_passed_on: None,
+        };
         let mut changed = true;
         if let Some(before) = before {
             // Two delegates count on their own, so only an older body is told by its sequence.
@@ -144,11 +164,16 @@
             changed = summary.body.is_some() && summary.body != old_body;
             known.summary.body = known.summary.body.or(old_body);
             known.passed_on = before.passed_on;
+            known.store_passed_on = before.store_passed_on;
         }
         let due = known.passed_on.is_none_or(|at| now >= at + self.cfg.body_every / 2);
         if summary.body.is_some() && due {
             known.passed_on = Some(now);
+            known.store_passed_on = Some((summary.store, now));
             self.pass_on(&known.summary, &mut actions);
+        } else if self.passes_store_on(&known, now) {
+            known.store_passed_on = Some((summary.store, now));
+            self.pass_on(&Summary { body: None, ..known.summary.clone() }, &mut actions);
         }
         self.summaries.known.insert(summary.data_centre.clone(), known);
         if changed {
@@ -158,6 +183,18 @@
         actions
     }
 
+    /// Whether members that are not delegates are to hear of the use of the weight store.
+    fn passes_store_on(&self, known: &Known, now: Instant) -> bool {
+        let store = known.summary.store;
+        // Delegates set the pace. The members below them hear at that pace, give or take the
+        // network's delay, and only have to drop the repeat that the second delegate sends.
+        let every = self.cfg.store_every;
+        let every = if self.is_delegate() { every } else { every / 2 };
+        known.store_passed_on.map_or(store.is_active(), |(before, at)| {
+            (store.is_active() || store != before) && now >= at + every
+        })
+    }
+
     /// Passes a summary on to the members below this one in the tree over all live members. The
     /// receiving delegate comes first, wherever it stands in the order.
     fn pass_on(&self, summary: &Summary, actions: &mut Vec<Action>) {
--- a/components/process/membership/tests/membership.rs
+++ b/components/process/membership/tests/membership.rs
@@ -285,6 +285,31 @@
     assert_eq!(informed, 24, "instances that heard of the version");
 }
 
+/// Guards against owners that never hear what another data centre has in progress at the weight
+/// store, because they are not delegates, and against counting it long after it ended.
+#[test]
+fn the_use_of_the_weight_store_reaches_every_instance() {
+    let mut net = Net::new(3, 12, 7);
+    // Until then some data centres do not know each other's delegates and choose at random.
+    net.run_for(60.0);
+    let used = StoreUse { loads: 3, adapters: 8, starts: 5, waiting: 9 };
+    let heard = |net: &Net, node: usize| {
+        net.nodes[node].machine.store_elsewhere(net.now).filter(|store| *store == used).count()
+    };
+    (0..12).for_each(|node| net.nodes[node].machine.set_store_use(used));
+    // Longer than the time between two bodies, which would tell all instances, too.
+    net.run_for(6.0);
+    for second in 0..20 {
+        net.run_for(1.0);
+        let informed = (12..36).filter(|node| heard(&net, *node) == 1).count();
+        assert_eq!(informed, 24, "instances that know of the use after {second} s");
+    }
+    (0..12).for_each(|node| net.nodes[node].machine.set_store_use(StoreUse::default()));
+    net.run_for(6.0);
+    let outdated = (12..36).filter(|node| heard(&net, *node) > 0).count();
+    assert_eq!(outdated, 0, "instances that still count it");
+}
+
 /// Guards against a cost per instance that grows with the fleet times the number of changes.
 #[test]
 fn the_cost_of_an_instance_is_bounded() {
--- a/components/process/placement/src/adapters.rs
+++ b/components/process/placement/src/adapters.rs
@@ -91,8 +91,9 @@
 
     /// Starts one adapter load if possible; returns whether it has to wait.
     fn adapter_waits(&mut self, w: &Wanted, view: &View, out: &mut Vec<Decision>) -> bool {
-        let in_flight = view.store.adapters_in_flight.max(self.adapters.flying.len() as u32);
-        if in_flight >= self.settings.store_concurrent_adapters {
+        let own = view.store.adapters_in_flight.max(self.adapters.flying.len() as u32);
+        // One adapter may always be on its way, so that busy groups do not shut this one out.
+        if own > 0 && own + view.store.others.adapters >= self.settings.store_concurrent_adapters {
             return true;
         }
         match self.adapter_step(w, view) {
--- a/components/process/placement/src/ahead.rs
+++ b/components/process/placement/src/ahead.rs
@@ -90,6 +90,7 @@
         for _ in 0..PREFETCH_SCAN.min(self.prefetch.names.len()) {
             let store = self.store_in_progress(view) < places
                 && self.source_open(view, LoadSource::Remote, now)
+                && view.store.others.waiting == 0
                 && self.pending.is_empty();
             let name = self.prefetch.names[self.prefetch.next].clone();
             self.prefetch.next = (self.prefetch.next + 1) % self.prefetch.names.len();
@@ -123,8 +124,7 @@
         let ready_at = now + self.estimates.load(&self.catalogue.models[name], source);
         self.outstanding.add(server, What::Prefetch { model: name.clone(), source }, now, ready_at);
         if source == LoadSource::Remote {
-            self.store.started(now);
-            self.store_starts_in_call += 1;
+            self.note_store_start(now);
         }
         self.prefetch.looked_at = 0;
         self.prefetch.pause.insert(name.clone(), now + PREFETCH_PAUSE);
--- a/components/process/placement/src/lib.rs
+++ b/components/process/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod settings;
 mod start;
 mod store;
+mod turn;
 mod view;
 
 pub use event::*;
--- a/components/process/placement/src/pending.rs
+++ b/components/process/placement/src/pending.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Pending {
     /// Waiting requests and worth of one of them, by instance.
     waiting: BTreeMap<InstanceId, (u32, u32)>,
+    /// When the demand came first.
+    pub(crate) since: Instant,
     /// Earliest deadline.
     pub(crate) deadline: Instant,
     /// Latest deadline; the demand lapses then.
@@ -41,6 +43,7 @@
     pub(crate) fn new(demand: &Demand, now: Instant) -> Self {
         let mut p = Self {
             waiting: BTreeMap::new(),
+            since: now,
             deadline: demand.deadline,
             last_deadline: demand.deadline,
             claim: None,
--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::pending::Pending;
 use crate::settings::Settings;
 use crate::store::StoreRate;
+use crate::turn::ToldPriority;
 use crate::view::{ServerView, View};
 
 /// Longest time between two ticks.
@@ -37,6 +38,10 @@
     pub(crate) store: StoreRate,
     /// Loads and prefetches from the store decided in the present call, which its view cannot show.
     pub(crate) store_starts_in_call: u32,
+    /// Since when a place at the store is left to another group's more urgent demand.
+    pub(crate) yields_since: Option<Instant>,
+    /// Priority of the demand that waits for the store, as the other groups hear it.
+    pub(crate) store_priority: ToldPriority,
     pub(crate) adapters: AdapterQueue,
     /// Models loaded ahead of demand, kept until the time stored here.
     pub(crate) loaded_ahead: HashMap<ModelId, Instant>,
@@ -72,6 +77,8 @@
             outstanding: Outstanding::default(),
             store: StoreRate::default(),
             store_starts_in_call: 0,
+            yields_since: None,
+            store_priority: ToldPriority::default(),
             adapters: AdapterQueue::default(),
             loaded_ahead: HashMap::new(),
             fresh: HashMap::new(),
@@ -108,6 +115,7 @@
         }
         self.outstanding.resolve(view, now);
         self.store_starts_in_call = 0;
+        self.note_turn(view, now);
         match event {
             Event::Arrived(_) | Event::ViewChanged => {}
             Event::Demand(d) => self.demand(d, view, now, out),
@@ -212,7 +220,7 @@
 
     /// When the store could start one more load, after the ones that wait for it already.
     fn next_store_start(&self, view: &View, name: &ModelId, now: Instant) -> Instant {
-        let start = self.store.next_start(self.settings.store_loads_per_second, now);
+        let start = self.next_rate_start(view, now);
         let places = self.settings.store_concurrent_loads;
         let busy = self.store_in_progress(view);
         let ahead = self.pending.keys().filter(|m| *m != name).take(64).count() as u32;
@@ -234,12 +242,6 @@
         if n == 0 { Duration::ZERO } else { sum / n }
     }
 
-    /// Loads from the store in progress, whether or not the view shows them yet.
-    pub(crate) fn store_in_progress(&self, view: &View) -> u32 {
-        let shown = view.store.loads_in_progress + self.store_starts_in_call;
-        shown.max(self.outstanding.store_loads())
-    }
-
     /// Replicas of a model that may still be loaded, those just decided excluded.
     pub(crate) fn allowance(&self, view: &View, model: &str) -> u32 {
         let left = view.allowance_left.get(model).copied().unwrap_or(0);
--- a/components/process/placement/src/settings.rs
+++ b/components/process/placement/src/settings.rs
@@ -9,11 +9,11 @@
     pub cold_start_weight: u8,
     /// Cost of one idle accelerator second.
     pub idle_second_cost_milli: u32,
-    /// Model loads that this group may start from the store a second.
+    /// Model loads started from the store a second, over all groups.
     pub store_loads_per_second: u32,
-    /// Model loads from the store at one time, over all that the view shows.
+    /// Model loads from the store at one time, over all groups.
     pub store_concurrent_loads: u32,
-    /// Adapter loads in flight, over all that the view shows.
+    /// Adapter loads in flight, over all groups.
     pub store_concurrent_adapters: u32,
 }
 
--- a/components/process/placement/src/start.rs
+++ b/components/process/placement/src/start.rs
@@ -280,9 +280,7 @@
 
     /// Whether a load from this source may start now.
     pub(crate) fn source_open(&self, view: &View, source: LoadSource, now: Instant) -> bool {
-        source != LoadSource::Remote
-            || (self.store_in_progress(view) < self.settings.store_concurrent_loads
-                && self.store.next_start(self.settings.store_loads_per_second, now) <= now)
+        source != LoadSource::Remote || self.store_open(view, now)
     }
 
     /// Decides a load; the caller has checked memory, allowance and store.
@@ -301,8 +299,7 @@
         let what = What::Load { model: name.clone(), memory: model.memory_bytes, source, before };
         self.outstanding.add(server, what, now, ready_at);
         if source == LoadSource::Remote {
-            self.store.started(now);
-            self.store_starts_in_call += 1;
+            self.note_store_start(now);
         }
         out.push(Decision::Load { server: server.server.clone(), model: name.clone(), source });
     }
--- a/components/process/placement/src/view.rs
+++ b/components/process/placement/src/view.rs
@@ -13,13 +13,33 @@
     pub store: StoreView,
 }
 
-/// The weight store's present work, over all groups that the owner knows of.
+/// The weight store's present work: the group's own and, as far as the owner knows, that of others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreView {
-    /// Model loads and prefetches from the store in progress.
+    /// Model loads and prefetches from the store in progress for this group.
     pub loads_in_progress: u32,
-    /// Adapter loads in flight.
+    /// Adapter loads in flight for this group.
     pub adapters_in_flight: u32,
+    /// What other groups have in progress.
+    pub others: OtherGroups,
+}
+
+/// What other groups, of all data centres, have in progress at the weight store. It lags by
+/// milliseconds within a data centre and by seconds between data centres.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OtherGroups {
+    /// Whether there are any.
+    pub exist: bool,
+    /// Model loads and prefetches in progress.
+    pub loads: u32,
+    /// Adapter loads in flight.
+    pub adapters: u32,
+    /// Loads and prefetches started in the last second.
+    pub starts: u32,
+    /// Highest priority of demand that waits for the store; 0 if none does.
+    pub waiting: u8,
+    /// Whether that demand comes first if this group's has the same priority.
+    pub first_of_equals: bool,
 }
 
 /// One backend server.
--- a/components/process/types/src/group_state.rs
+++ b/components/process/types/src/group_state.rs
@@ -4,6 +4,7 @@
 
 use crate::backend::ReplicaPhase;
 use crate::ids::*;
+use crate::store_use::StoreUse;
 
 /// Published state of one group. Soft state: it may lag and can be rebuilt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +18,8 @@
     pub fencing: FencingNumber,
     /// Grows with each publication under one fencing number.
     pub sequence: u64,
+    /// What the group has in progress at the weight store.
+    pub store: StoreUse,
     /// Backend servers of the group.
     pub servers: Vec<ServerState>,
 }
--- a/components/process/types/src/lib.rs
+++ b/components/process/types/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod object;
 pub mod prelude;
 pub mod status;
+pub mod store_use;
 pub mod verdict;
--- a/components/process/types/src/prelude.rs
+++ b/components/process/types/src/prelude.rs
@@ -8,4 +8,5 @@
 pub use crate::group_state::*;
 pub use crate::ids::*;
 pub use crate::status::*;
+pub use crate::store_use::*;
 pub use crate::verdict::*;
--- a/components/request/routing/benches/routing.rs
+++ b/components/request/routing/benches/routing.rs
@@ -73,6 +73,7 @@
                     owner: "instance".into(),
                     fencing: 1,
                     sequence: 1,
+                    store: StoreUse::default(),
                     servers: servers.iter().copied().map(server).collect(),
                 },
                 now,
--- a/components/request/routing/tests/support/mod.rs
+++ b/components/request/routing/tests/support/mod.rs
@@ -42,7 +42,8 @@
 }
 
 pub(crate) fn group(fencing: u64, sequence: u64, servers: Vec<ServerState>) -> GroupState {
-    GroupState { group: "g".into(), owner: "i".into(), fencing, sequence, servers }
+    let store = StoreUse::default();
+    GroupState { group: "g".into(), owner: "i".into(), fencing, sequence, store, servers }
 }
 
 pub(crate) fn route_with(
--- a/components/stand_ins/src/weight_store.rs
+++ b/components/stand_ins/src/weight_store.rs
@@ -13,6 +13,10 @@
 /// Adapter load time at full speed, in milliseconds.
 const ADAPTER_MILLIS: std::ops::RangeInclusive<f64> = 5.0..=14.0;
 
+/// A rest of a load below this many seconds is left out: rounding can leave one that is shorter
+/// than the clock's resolution, which never ends in virtual time.
+const NEGLIGIBLE_S: f64 = 1e-6;
+
 /// Settings of a weight store.
 #[derive(Clone, Copy, Debug)]
 pub struct WeightStoreConfig {
@@ -49,6 +53,7 @@
     adapters: u32,
     slowdown: f64,
     loads_started: u64,
+    max_loads: u32,
     replicas: BTreeMap<ModelId, u32>,
     max_replicas: BTreeMap<ModelId, u32>,
 }
@@ -63,6 +68,7 @@
             adapters: 0,
             slowdown: 1.0,
             loads_started: 0,
+            max_loads: 0,
             replicas: BTreeMap::new(),
             max_replicas: BTreeMap::new(),
         };
@@ -85,6 +91,11 @@
         self.state().loads_started
     }
 
+    /// Highest number of loads at one time, prefetches included.
+    pub fn max_loads(&self) -> u32 {
+        self.state().max_loads
+    }
+
     /// Highest number of replicas per model at one time, in any phase, over all engines that
     /// share the store.
     pub fn max_replicas(&self) -> BTreeMap<ModelId, u32> {
@@ -92,7 +103,7 @@
     }
 
     /// Waits for a start and then for a load that takes `full_speed` when the store is not shared.
-    pub(crate) async fn load(&self, full_speed: Duration) {
+    pub async fn load(&self, full_speed: Duration) {
         let start_at = {
             let mut state = self.state();
             let start_at = state.next_start_at.max(Instant::now());
@@ -102,10 +113,14 @@
         };
         sleep_until(start_at).await;
         let _in_flight = InFlight::enter(self, |state| &mut state.loads);
-        self.state().loads_started += 1;
+        {
+            let mut state = self.state();
+            state.loads_started += 1;
+            state.max_loads = state.max_loads.max(state.loads);
+        }
         let mut changed = self.changed.subscribe();
         let mut remaining = full_speed.as_secs_f64();
-        while remaining > 0.0 {
+        while remaining > NEGLIGIBLE_S {
             changed.borrow_and_update();
             let speed = self.speed();
             let from = Instant::now();
