--- a/components/process/group/src/publication.rs
+++ b/components/process/group/src/publication.rs
@@ -29,6 +29,8 @@
     pub base: u64,
     /// Sequence number of the state that results.
     pub sequence: u64,
+    /// What the group has in progress at the weight store.
+    pub store: StoreUse,
     /// Servers with changed loads.
     pub loads: Vec<ServerLoads>,
     /// Servers that changed in more than their loads, with their positions.
@@ -71,6 +73,8 @@
 pub struct Publisher {
     /// The last state, with the loads as the receivers know them.
     known: Option<WholeState>,
+    /// The use of the weight store is sent in any case.
+    repeats_store: bool,
 }
 
 impl Publisher {
@@ -90,6 +94,7 @@
                 fencing: state.fencing,
                 base: *base,
                 sequence,
+                store: state.store,
                 loads: Vec::new(),
                 servers: Vec::new(),
             })))
@@ -103,6 +108,7 @@
     ) -> Option<Publication> {
         let known = self.known.as_mut().filter(|known| has_same_servers(&known.state, &state));
         let Some(WholeState { state: known, base }) = known else {
+            self.repeats_store = false;
             let whole = WholeState { base: state.sequence, state };
             self.known = Some(whole.clone());
             return Some(Publication::Whole(Arc::new(whole)));
@@ -117,17 +123,25 @@
                 servers.push((position as u16, server));
             }
         }
-        if loads.is_empty() && servers.is_empty() {
+        let is_store_sent = std::mem::take(&mut self.repeats_store) || known.store != state.store;
+        known.store = state.store;
+        if loads.is_empty() && servers.is_empty() && !is_store_sent {
             return None;
         }
-        let (group, fencing, sequence) = (state.group, state.fencing, state.sequence);
-        let changes = GroupChanges { group, fencing, base: *base, sequence, loads, servers };
+        let (store, group, fencing, sequence) =
+            (state.store, state.group, state.fencing, state.sequence);
+        let changes = GroupChanges { group, fencing, base: *base, sequence, store, loads, servers };
         if !changes.servers.is_empty() {
             *base = sequence;
         }
         Some(Publication::Changes(Arc::new(changes)))
     }
 
+    /// Makes the next publication carry the use of the weight store, changed or not.
+    pub fn repeat_store(&mut self) {
+        self.repeats_store = true;
+    }
+
     /// The last state, for instances that missed it. Its loads are those last published.
     pub fn last(&self) -> Option<&WholeState> {
         self.known.as_ref()
@@ -192,6 +206,7 @@
             *base = changes.sequence;
         }
         state.sequence = changes.sequence;
+        state.store = changes.store;
         Update::Applied(state)
     }
 }
--- a/components/process/group/tests/publication.rs
+++ b/components/process/group/tests/publication.rs
@@ -28,6 +28,7 @@
         owner: "entry".into(),
         fencing: 1,
         sequence,
+        store: StoreUse { loads: loads[0] / 8, ..StoreUse::default() },
         servers: vec![server("engine-1", adapters, loads), server("engine-2", 1, &loads[..1])],
     }
 }
--- a/components/process/instance/src/groups.rs
+++ b/components/process/instance/src/groups.rs
@@ -30,6 +30,8 @@
     ) {
         let rng = self.cx.rng.clone();
         let Some(owned) = self.groups.get_mut(group) else { return };
+        let elsewhere = self.membership.store_elsewhere(now);
+        owned.others = self.store_uses.others(group, elsewhere, now);
         owned.platform_is_away = self.cx.platform.is_failing();
         act(owned, SystemTime::now(), &mut rng.borrow_mut());
         let wants = owned.take_wants();
@@ -122,8 +124,11 @@
 
     /// Takes the published state of a group.
     pub(crate) fn on_group_state(&mut self, whole: &WholeState, now: Instant) {
-        if self.requests.router.publish(&whole.state, now) {
-            self.demand.publish(&whole.state);
+        let state = &whole.state;
+        let order = (state.fencing, state.sequence);
+        self.store_uses.heard(&state.group, order, state.store, now);
+        if self.requests.router.publish(state, now) {
+            self.demand.publish(state);
             self.received.whole(whole);
             self.requests.pump_all(&self.cx, now);
         }
@@ -149,6 +154,8 @@
         changes: &GroupChanges,
         now: Instant,
     ) {
+        let order = (changes.fencing, changes.sequence);
+        self.store_uses.heard(&changes.group, order, changes.store, now);
         match self.received.changes(changes, now) {
             Update::Applied(state) => {
                 if self.requests.router.publish(state, now) {
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -31,6 +31,7 @@
 mod models;
 mod operators;
 mod owned_group;
+mod owned_store;
 mod peers;
 mod pending;
 mod periodic;
@@ -41,6 +42,7 @@
 mod shares;
 mod start;
 mod status;
+mod store_uses;
 mod usage;
 mod wanted;
 
@@ -54,5 +56,7 @@
 mod progress_tests;
 #[cfg(test)]
 mod retention_tests;
+#[cfg(test)]
+mod store_uses_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -255,6 +255,7 @@
         directory: Directory::default(),
         demand: DemandRouting::default(),
         received: Received::default(),
+        store_uses: Default::default(),
         keys: KeyRanges::default(),
         key_owners: KeyOwners::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
--- a/components/process/types/src/lib.rs
+++ b/components/process/types/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod object;
 pub mod prelude;
 pub mod status;
+pub mod store_use;
 pub mod verdict;
--- a/components/process/types/src/prelude.rs
+++ b/components/process/types/src/prelude.rs
@@ -9,4 +9,5 @@
 pub use crate::ids::*;
 pub use crate::load_report::LoadReport;
 pub use crate::status::*;
+pub use crate::store_use::*;
 pub use crate::verdict::*;
