Record configuration versions at the watchers only

Cause: every instance wrote every configuration version that it adopted since its start into every hour's object. `report cost` needs, for an idle minute, the version in effect at its start, and takes the earliest adoption over all records. Versions and contracts were also held whole in memory.

Change: `accounting::VersionLog` decides which versions an instance records. The others remember theirs for an hour and record them if no run of a watcher that was alive at an adoption lives for 30 s after it. Version lists are held as differences, and contracts for booking by customer. A flush drops only what the object of an earlier hour holds. This also mends counted work: after an outage of the platform of more than an hour, the first flush wrote all work of the outage and the second one overwrote it.

Broken variants: - Watchers alone, or a watcher's restart not told from its run, or 2 s instead of 30: `any_order_of_amendments_and_deaths_keeps_the_split_exact` fails with version 1 instead of 2 at the minute of 150 s, and `only_watchers_record_unless_all_of_them_die` fails. - Nothing dropped, or all but the last version dropped at an hour's end: `each_hour_holds_its_own_versions_and_the_one_in_effect` fails. - Recording ended with the hour, flushes without versions taken for flushes with them, or nothing remembered: `a_change_of_watchers_at_the_end_of_an_hour_loses_nothing` fails. - Work older than an hour dropped after each flush, as before: `work_of_an_outage_stays_written` fails.

--- a/components/process/instance/src/bookings.rs
+++ b/components/process/instance/src/bookings.rs
@@ -16,8 +16,8 @@
 
 impl Bookings {
     /// Nothing counted.
-    pub(crate) fn new(now: Instant) -> Self {
-        Self { burn: Burn::new(now), usage: Usage::new(now) }
+    pub(crate) fn new(instance: InstanceId, now: Instant) -> Self {
+        Self { burn: Burn::new(now), usage: Usage::new(instance, now) }
     }
 
     /// Books a finished request.
--- /dev/null
+++ b/components/process/instance/src/contract_history_tests.rs
@@ -0,0 +1,36 @@
+//! Tests of the contracts that finished requests are booked under.
+
+use types::prelude::*;
+
+use crate::contract_history::ContractHistory;
+
+/// Guards against work that is booked under the contract of another version, or under none, and
+/// against a history without a bound.
+#[test]
+fn a_request_is_booked_under_the_contract_of_its_version() {
+    let start = Instant::now();
+    let hours = |n: u64| start + Duration::from_secs(n * 3600);
+    let mut history = ContractHistory::default();
+    let mut adopt = |version, now, contracts: &[(&str, &str)]| {
+        let contracts = contracts.iter().map(|(c, hash)| ((*c).into(), (*hash).into())).collect();
+        history.adopted(version, &contracts, now);
+    };
+    adopt(3, hours(0), &[("a", "a3"), ("b", "b3")]);
+    adopt(4, hours(1), &[("a", "a4"), ("b", "b3")]);
+    adopt(6, hours(2), &[("a", "a6")]);
+    adopt(7, hours(50), &[("a", "a7"), ("b", "b7")]);
+    let of = |customer: &str, version| history.get(customer, version).map(|hash| hash.to_string());
+    for (customer, version, expected) in [
+        ("a", 4, Some("a4")),
+        ("a", 5, Some("a4")),
+        ("a", 6, Some("a6")),
+        ("a", 7, Some("a7")),
+        ("b", 5, Some("b3")),
+        ("b", 7, Some("b7")),
+        ("c", 7, None),
+        // Amended at hour 1 and forgotten two days later.
+        ("a", 3, None),
+    ] {
+        assert_eq!(of(customer, version).as_deref(), expected, "{customer} in version {version}");
+    }
+}
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -230,6 +230,8 @@
         let rng = self.cx.rng.clone();
         let actions = self.follower.set_members(now, live, &mut *rng.borrow_mut());
         self.on_configuration_actions(actions, now);
+        let (runs, watchers) = (self.membership.runs(), self.follower.watchers());
+        self.bookings.usage.set_members(&runs, &watchers, now, SystemTime::now());
         self.cx.peers.retain(|address| {
             self.membership.live().values().any(|known| **known == *address)
                 || self.directory.list().iter().any(|listed| *listed.address == *address)
@@ -245,7 +247,7 @@
             .collect();
         self.key_table.send_replace(keys.into());
         self.requests.configure(cfg.clone());
-        self.bookings.usage.adopted(cfg, SystemTime::now());
+        self.bookings.usage.adopted(cfg, now, SystemTime::now());
         self.bookings.burn.retain(cfg);
         self.groups.values_mut().for_each(|owned| owned.configure(cfg));
         self.shares.apply(&mut self.requests, cfg, now);
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -213,7 +213,7 @@
                 self.keys.on_deleted(range, number, gone);
             }
             Event::WorkWritten { generation, written } => {
-                self.bookings.usage.on_written(generation, written, SystemTime::now());
+                self.bookings.usage.on_written(generation, written);
             }
             Event::SweepBegun(begun) => self.retention.on_begun(begun),
             Event::SweepCalled(answer) => self.retention.on_called(answer),
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -13,6 +13,7 @@
 mod bookings;
 mod cache_stream;
 mod context;
+mod contract_history;
 mod control;
 mod demand;
 mod details;
@@ -44,6 +45,8 @@
 mod usage;
 mod wanted;
 
+#[cfg(test)]
+mod contract_history_tests;
 #[cfg(test)]
 mod demand_tests;
 #[cfg(test)]
@@ -54,5 +57,7 @@
 mod progress_tests;
 #[cfg(test)]
 mod retention_tests;
+#[cfg(test)]
+mod usage_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -258,7 +258,7 @@
         keys: KeyRanges::default(),
         key_owners: KeyOwners::default(),
         shares: Shares::new(&cx.instance, cx.incarnation, now),
-        bookings: Bookings::new(now),
+        bookings: Bookings::new(cx.instance.clone(), now),
         retention: Retention::new(settings.accounting.retention, now),
         held_replies: Rc::default(),
         key_table,
--- a/components/process/instance/src/usage.rs
+++ b/components/process/instance/src/usage.rs
@@ -1,9 +1,9 @@
 //! Counted work and accelerator intervals, written to the platform for the cost split.
 
-use accounting::records::{ContractVersion, Minute, minute};
+use accounting::records::{ContractVersion, Minute, hour, minute};
 use accounting::{
-    Death, FLUSH_INTERVAL, Interval, Run, UsageObject, VersionRecord, Work, WorkObject, usage_name,
-    work_name,
+    Death, FLUSH_INTERVAL, Interval, Run, UsageObject, VersionLog, VersionRecord, Work, WorkObject,
+    usage_name, work_name,
 };
 use contracts::content_hash;
 use platform::{Call, Client, WriteOutcome};
@@ -13,6 +13,7 @@
 use types::prelude::*;
 
 use crate::context::Context;
+use crate::contract_history::ContractHistory;
 use crate::event::Event;
 use crate::finished::Finished;
 
@@ -25,9 +26,9 @@
 
 /// Work that one run of this instance has counted in the present hour.
 pub(crate) struct Usage {
-    contracts: BTreeMap<ConfigurationVersion, BTreeMap<CustomerId, ContractVersion>>,
+    contracts: ContractHistory,
     work: BTreeMap<(Minute, ModelId, CustomerId, ContractVersion), u64>,
-    versions: Vec<VersionRecord>,
+    versions: VersionLog,
     deaths: Vec<Death>,
     flush_at: Instant,
     /// When a flush is made even if nothing was counted.
@@ -36,6 +37,10 @@
     /// The flush in progress is the last one of a planned stop.
     is_closing: bool,
     is_closed: bool,
+    /// Time of the flush in progress.
+    flushing_at: SystemTime,
+    /// Time of the last written flush.
+    written_at: SystemTime,
     /// Grows with every count; tells whether a flush contains everything.
     generation: u64,
     flushed: u64,
@@ -43,32 +48,49 @@
 
 impl Usage {
     /// Nothing counted.
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(instance: InstanceId, now: Instant) -> Self {
         Self {
-            contracts: BTreeMap::new(),
+            contracts: ContractHistory::default(),
             work: BTreeMap::new(),
-            versions: Vec::new(),
+            versions: VersionLog::new(instance, now),
             deaths: Vec::new(),
             flush_at: now + FLUSH_INTERVAL,
             idle_flush_at: now + FLUSH_INTERVAL,
             is_flushing: false,
             is_closing: false,
             is_closed: false,
+            flushing_at: SystemTime::UNIX_EPOCH,
+            written_at: SystemTime::UNIX_EPOCH,
             generation: 0,
             flushed: 0,
         }
     }
 
     /// Notes when a configuration version was adopted.
-    pub(crate) fn adopted(&mut self, cfg: &Configuration, wall: SystemTime) {
+    pub(crate) fn adopted(&mut self, cfg: &Configuration, now: Instant, wall: SystemTime) {
         let contracts: BTreeMap<CustomerId, ContractVersion> = cfg
             .contracts
             .iter()
             .map(|(customer, contract)| (customer.clone(), content_hash(&**contract)))
             .collect();
-        self.contracts.insert(cfg.version, contracts.clone());
-        self.versions.push(VersionRecord { version: cfg.version, adopted_at: wall, contracts });
-        self.generation += 1;
+        self.contracts.adopted(cfg.version, &contracts, now);
+        let record = VersionRecord { version: cfg.version, adopted_at: wall, contracts };
+        if self.versions.adopted(record, now, wall) {
+            self.generation += 1;
+        }
+    }
+
+    /// Sets the live instances of the data centre and which of them watch the configuration.
+    pub(crate) fn set_members(
+        &mut self,
+        live: &BTreeMap<InstanceId, Incarnation>,
+        watchers: &BTreeSet<&InstanceId>,
+        now: Instant,
+        wall: SystemTime,
+    ) {
+        if self.versions.set_members(live, watchers, now, wall) {
+            self.generation += 1;
+        }
     }
 
     /// Notes the death of another instance.
@@ -85,13 +107,12 @@
     /// Counts the work of a request.
     pub(crate) fn count(&mut self, finished: &Finished, wall: SystemTime) {
         let Some(model) = finished.model.clone().filter(|_| finished.tokens > 0) else { return };
-        let contract =
-            self.contracts.get(&finished.version).and_then(|c| c.get(&finished.customer));
-        let Some(contract) = contract else {
+        let contract = self.contracts.get(&finished.customer, finished.version);
+        let Some(contract) = contract.cloned() else {
             tracing::error!("accounting: no contract of {} to book under", finished.customer);
             return;
         };
-        let key = (minute(wall), model, finished.customer.clone(), contract.clone());
+        let key = (minute(wall), model, finished.customer.clone(), contract);
         *self.work.entry(key).or_default() += finished.tokens;
         self.generation += 1;
     }
@@ -124,9 +145,7 @@
             return;
         }
         self.idle_flush_at = now + IDLE_FLUSH_INTERVAL;
-        self.is_flushing = true;
-        self.is_closing = closed;
-        let run = self.run(closed, wall);
+        let run = self.begin_flush(closed, now, wall);
         let (client, generation) = (cx.platform.clone(), self.generation);
         let key = ObjectKey::new("work", work_name(&cx.instance, wall));
         let incarnation = cx.incarnation;
@@ -139,8 +158,19 @@
         });
     }
 
+    /// The record of a flush that begins now.
+    pub(crate) fn begin_flush(&mut self, closed: bool, now: Instant, wall: SystemTime) -> Run {
+        self.is_flushing = true;
+        self.is_closing = closed;
+        if hour(self.written_at) < hour(wall) {
+            self.forget_before(self.written_at);
+        }
+        self.flushing_at = wall;
+        self.run(closed, now, wall)
+    }
+
     /// Takes the outcome of a flush.
-    pub(crate) fn on_written(&mut self, generation: u64, written: bool, wall: SystemTime) {
+    pub(crate) fn on_written(&mut self, generation: u64, written: bool) {
         self.is_flushing = false;
         if !written {
             tracing::warn!("accounting: counted work not written; it is kept for the next flush");
@@ -148,12 +178,18 @@
         }
         self.flushed = generation;
         self.is_closed = self.is_closing;
-        // Work of the previous hour is in the object of that hour.
-        let first = minute(wall).saturating_sub(60);
-        self.work.retain(|(minute, ..), _| *minute >= first);
+        self.written_at = self.flushing_at;
+        self.versions.written();
+    }
+
+    /// Drops what the object of an earlier hour holds. A flush replaces the one before it in the
+    /// object of its hour, so that nothing is dropped within an hour.
+    fn forget_before(&mut self, at: SystemTime) {
+        self.work.retain(|(counted, ..), _| *counted >= minute(at));
+        self.deaths.retain(|death| death.noticed_at >= at);
     }
 
-    fn run(&self, closed: bool, wall: SystemTime) -> Run {
+    fn run(&mut self, closed: bool, now: Instant, wall: SystemTime) -> Run {
         let work = self.work.iter().map(|((minute, model, customer, contract), tokens)| Work {
             minute: *minute,
             model: model.clone(),
@@ -165,7 +201,7 @@
             flushed_until: wall,
             closed,
             work: work.collect(),
-            versions: self.versions.iter().cloned().collect(),
+            versions: self.versions.to_write(now, wall),
             deaths: self.deaths.clone(),
         }
     }
--- a/components/process/membership/src/membership.rs
+++ b/components/process/membership/src/membership.rs
@@ -349,6 +349,14 @@
         rumours.map(|r| (r.instance.clone(), r.address.clone())).collect()
     }
 
+    /// Runs of the members that [`Self::live`] names.
+    pub fn runs(&self) -> BTreeMap<InstanceId, Incarnation> {
+        let others = self.members.values().filter(|member| member.is_live());
+        let own = std::iter::once(&self.own).filter(|own| own.state == MemberState::Live);
+        let rumours = others.map(|member| &member.rumour).chain(own);
+        rumours.map(|r| (r.instance.clone(), r.incarnation)).collect()
+    }
+
     /// State of a member.
     pub fn state(&self, instance: &str) -> Option<MemberState> {
         if *instance == *self.cfg.instance {
--- a/components/version/accounting/src/ledger.rs
+++ b/components/version/accounting/src/ledger.rs
@@ -159,7 +159,7 @@
             let noticed_at = millis(death.noticed_at);
             state.died_at = Some(state.died_at.map_or(noticed_at, |at| at.min(noticed_at)));
         }
-        run.versions.iter().try_for_each(|version| self.add_version(version))
+        run.versions.iter().try_for_each(|version| self.add_version(&version))
     }
 
     /// Adds a run that is known to exist, for example by its lease. Before its first flush, its work
--- a/components/version/accounting/src/lib.rs
+++ b/components/version/accounting/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod report;
 pub mod retention;
 pub mod split;
+pub mod version_log;
 
 #[cfg(test)]
 mod ledger_tests;
@@ -41,6 +42,8 @@
 mod split_tests;
 #[cfg(test)]
 mod test_data;
+#[cfg(test)]
+mod version_log_tests;
 
 pub use ledger::{Error, Ledger};
 pub use lists::{ListError, VersionList, WorkList};
@@ -50,3 +53,4 @@
 };
 pub use report::{CostLine, CostReport, Gap};
 pub use retention::{Listed, Sweep, SweepCall, Writer};
+pub use version_log::VersionLog;
--- a/components/version/accounting/src/lists.rs
+++ b/components/version/accounting/src/lists.rs
@@ -104,60 +104,91 @@
 }
 
 /// Versions of the configuration in the order in which they were adopted.
+///
+/// Each is held as the difference to the one before it: at the target scale, two hours of whole
+/// versions would take more than the 64 MB of an instance.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "Vec<CompactVersion>", from = "Vec<CompactVersion>")]
-pub struct VersionList(Vec<VersionRecord>);
+pub struct VersionList {
+    versions: Vec<CompactVersion>,
+    /// Contracts of the last version.
+    latest: Contracts,
+}
+
+type Contracts = BTreeMap<CustomerId, ContractVersion>;
 
 impl FromIterator<VersionRecord> for VersionList {
     fn from_iter<I: IntoIterator<Item = VersionRecord>>(versions: I) -> Self {
-        Self(versions.into_iter().collect())
+        let mut list = Self::default();
+        versions.into_iter().for_each(|version| list.push(version));
+        list
     }
 }
 
-impl Deref for VersionList {
-    type Target = [VersionRecord];
+impl VersionList {
+    /// Adds a version that was adopted after the others.
+    pub fn push(&mut self, record: VersionRecord) {
+        let VersionRecord { version, adopted_at, contracts } = record;
+        let before = std::mem::take(&mut self.latest);
+        let changed = contracts.iter().filter(|(c, hash)| before.get(*c) != Some(*hash));
+        let changed = changed.map(|(c, hash)| (c.clone(), hash.clone())).collect();
+        let removed = before.into_keys().filter(|c| !contracts.contains_key(c)).collect();
+        self.versions.push(CompactVersion { version, adopted_at, changed, removed });
+        self.latest = contracts;
+    }
 
-    fn deref(&self) -> &[VersionRecord] {
-        &self.0
+    /// The versions, each with all contracts.
+    pub fn iter(&self) -> impl Iterator<Item = VersionRecord> {
+        let mut contracts = Contracts::new();
+        self.versions.iter().map(move |compact| {
+            compact.apply(&mut contracts);
+            let CompactVersion { version, adopted_at, .. } = *compact;
+            VersionRecord { version, adopted_at, contracts: contracts.clone() }
+        })
+    }
+
+    /// Drops the versions adopted before a time, but for the last of them, which is in effect then.
+    pub fn forget_before(&mut self, at: SystemTime) {
+        let later = self.versions.iter().position(|version| version.adopted_at >= at);
+        let first = later.unwrap_or(self.versions.len()).saturating_sub(1);
+        let mut contracts = Contracts::new();
+        self.versions.iter().take(first + 1).for_each(|version| version.apply(&mut contracts));
+        self.versions.drain(..first);
+        if let Some(version) = self.versions.first_mut() {
+            (version.changed, version.removed) = (contracts, Vec::new());
+        }
     }
 }
 
 /// A version as the difference to the one before it in the list.
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct CompactVersion {
     version: ConfigurationVersion,
     adopted_at: SystemTime,
     /// Contracts that are new or amended.
-    changed: BTreeMap<CustomerId, ContractVersion>,
+    changed: Contracts,
     /// Customers without a contract from here on.
     removed: Vec<CustomerId>,
 }
 
+impl CompactVersion {
+    fn apply(&self, contracts: &mut Contracts) {
+        contracts.extend(self.changed.iter().map(|(c, hash)| (c.clone(), hash.clone())));
+        contracts.retain(|customer, _| !self.removed.contains(customer));
+    }
+}
+
 impl From<VersionList> for Vec<CompactVersion> {
     fn from(list: VersionList) -> Self {
-        let mut before = BTreeMap::new();
-        let mut compact = Self::new();
-        for VersionRecord { version, adopted_at, contracts } in list.0 {
-            let changed = contracts.iter().filter(|(c, hash)| before.get(*c) != Some(*hash));
-            let changed = changed.map(|(c, hash)| (c.clone(), hash.clone())).collect();
-            let removed = before.into_keys().filter(|c| !contracts.contains_key(c)).collect();
-            compact.push(CompactVersion { version, adopted_at, changed, removed });
-            before = contracts;
-        }
-        compact
+        list.versions
     }
 }
 
 impl From<Vec<CompactVersion>> for VersionList {
-    fn from(compact: Vec<CompactVersion>) -> Self {
-        let mut contracts = BTreeMap::new();
-        let full =
-            compact.into_iter().map(|CompactVersion { version, adopted_at, changed, removed }| {
-                contracts.extend(changed);
-                contracts.retain(|customer, _| !removed.contains(customer));
-                VersionRecord { version, adopted_at, contracts: contracts.clone() }
-            });
-        Self(full.collect())
+    fn from(versions: Vec<CompactVersion>) -> Self {
+        let mut latest = Contracts::new();
+        versions.iter().for_each(|version| version.apply(&mut latest));
+        Self { versions, latest }
     }
 }
--- a/components/version/accounting/src/records.rs
+++ b/components/version/accounting/src/records.rs
@@ -126,7 +126,7 @@
 }
 
 /// Hours since the Unix epoch.
-fn hour(at: SystemTime) -> u64 {
+pub fn hour(at: SystemTime) -> u64 {
     millis(at) / (60 * MINUTE_MS)
 }
 
--- a/components/version/configuration/src/follower.rs
+++ b/components/version/configuration/src/follower.rs
@@ -390,7 +390,7 @@
     }
 
     /// The instances that watch the head, by rendezvous hashing.
-    fn watchers(&self) -> BTreeSet<&InstanceId> {
+    pub fn watchers(&self) -> BTreeSet<&InstanceId> {
         let mut ranked: Vec<(u64, &InstanceId)> = self
             .live
             .iter()
