--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -13,6 +13,7 @@
 mod bookings;
 mod cache_stream;
 mod context;
+mod contract_history;
 mod control;
 mod demand;
 mod details;
@@ -46,6 +47,8 @@
 mod usage;
 mod wanted;
 
+#[cfg(test)]
+mod contract_history_tests;
 #[cfg(test)]
 mod demand_tests;
 #[cfg(test)]
@@ -58,5 +61,7 @@
 mod retention_tests;
 #[cfg(test)]
 mod store_uses_tests;
+#[cfg(test)]
+mod usage_tests;
 
 pub use start::{Error, Listeners, run, run_blocking};
