Move unused limits between data centres

Cause: `admission::shares` had transfers of standing shares, but the event loop never asked for any, so a customer whose traffic is all in one data centre got only that data centre's part of its limits.

Change: `admission::shares::Mover` (pure) decides what the holder of `limits/DATA_CENTRE` asks, gives and receives; the instance carries its actions out. Wants that were unmet for 10 s are sent to the holder of one other data centre at a time (at most 32 customers, at most every 10 s each); summaries name the holders. The donor withholds, waits until no instance can use the parts, deducts them, and the receiver adds them; then both close the transfer. Received parts are kept for 60 s and no part below 1/256 of a limit moves, so parts neither swing nor fall apart. A holder now writes `share/DATA_CENTRE` once when it takes over and bases each write on the version that its last write left. Before, a late write of a dead or paused holder would have given away parts that its successor had read and granted. An uncertain write is followed by a read and a write of the object; until then promised parts stay withheld. `limits_holder` is new in summaries, and there are two new peer messages.

--- a/benches/slopes/node.rs
+++ b/benches/slopes/node.rs
@@ -227,6 +227,7 @@
             memory_free: 0,
             key_ranges: keys.filter_map(owner).collect(),
             entry_points: vec![self.id.address.clone()],
+            limits_holder: None,
         }
     }
 
--- a/components/process/instance/src/event.rs
+++ b/components/process/instance/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that tasks pass to the loop.
 
 use admission::Ticket;
-use admission::shares::{Holding, ShareGrant};
+use admission::shares::{ShareGrant, StandingShare};
 use backend_server::{CacheEvents, SendError};
 use group::OrderResult;
 use idempotency::Segment;
@@ -10,6 +10,7 @@
 
 use crate::attempt::AttemptEnd;
 use crate::message::{ClaimAnswer, ClaimMessage, DemandReply, FinishMessage};
+use crate::share_objects::Opened;
 
 /// Result of a task.
 pub(crate) enum Event {
@@ -42,8 +43,18 @@
     KeyEnded { message: FinishMessage, retries: u32 },
     /// The holder of the limits answered.
     Share(Option<ShareGrant>),
-    /// The data centre's standing share was read, or could not be read.
-    Holding { fencing: FencingNumber, holding: Option<Holding> },
+    /// The data centre's standing share was read and written again, or could not be.
+    ShareOpened { fencing: FencingNumber, opened: Option<Opened> },
+    /// The data centre's standing share was written, or it is not certain that it was.
+    ShareWritten { fencing: FencingNumber, version: Option<ObjectVersion> },
+    /// The share of another data centre was read, or could not be read.
+    OtherShare { fencing: FencingNumber, share: Option<StandingShare> },
+    /// The holder of another data centre's limits answered, or could not be reached.
+    ShareOffer {
+        fencing: FencingNumber,
+        from: DataCentreId,
+        lengths: Option<BTreeMap<CustomerId, u64>>,
+    },
     /// The deletion of a segment of a key range ended.
     SegmentDeleted { range: u32, number: u64, gone: bool },
     /// Writing counted work ended.
--- a/components/process/instance/src/instance.rs
+++ b/components/process/instance/src/instance.rs
@@ -203,7 +203,16 @@
                 self.offer_held(now);
                 self.requests.pump_all(&self.cx, now);
             }
-            Event::Holding { fencing, holding } => self.shares.on_holding(fencing, holding, now),
+            Event::ShareOpened { fencing, opened } => self.shares.on_opened(fencing, opened, now),
+            Event::ShareWritten { fencing, version } => {
+                self.on_share_written(fencing, version, now);
+            }
+            Event::OtherShare { fencing, share } => self.on_other_share(fencing, share, now),
+            Event::ShareOffer { fencing, from, lengths } => {
+                if let Some((_, mover)) = self.shares.mover(fencing) {
+                    mover.on_offer(&from, lengths, now);
+                }
+            }
             Event::Segments { range, stored } => {
                 self.keys.on_segments(range, stored, now, SystemTime::now());
             }
@@ -258,6 +267,8 @@
             self.on_ownership_actions(actions, now);
         }
         self.share_timers(now);
+        // After the timers of ownership, so that a lapsed lease is known.
+        self.move_timers(now);
         self.booking_timers(now);
         self.settle(now);
     }
--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -37,6 +37,8 @@
 mod progress;
 mod pump;
 mod requests;
+mod share_moves;
+mod share_objects;
 mod shares;
 mod start;
 mod status;
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -50,6 +50,11 @@
     ShareState(HolderState),
     /// Asks for a part of the limits; answered by `PeerReply::Share`.
     Share(ShareRequest),
+    /// Asks the holder of another data centre's limits for parts; answered by
+    /// `PeerReply::ShareOffer`.
+    ShareWants(ShareWants),
+    /// The share object of this data centre changed.
+    ShareChanged(DataCentreId),
 }
 
 /// Answer to a message.
@@ -66,6 +71,18 @@
     Claim(ClaimAnswer),
     /// Answer to `Share`; `None` if nothing can be granted now.
     Share(Option<ShareGrant>),
+    /// Answer to `ShareWants`: lengths that the receiver may expect within some 30 s.
+    ShareOffer(BTreeMap<CustomerId, u64>),
+}
+
+/// Parts of limits that a data centre misses.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShareWants {
+    /// Data centre of the sender.
+    pub data_centre: DataCentreId,
+    /// Missing lengths by customer; at most `admission::shares::MAX_ASKED`.
+    pub unmet: BTreeMap<CustomerId, u64>,
 }
 
 /// Requests of one model that arrived at one instance.
--- a/components/process/instance/src/peers.rs
+++ b/components/process/instance/src/peers.rs
@@ -34,6 +34,7 @@
                 let is_away = self.cx.platform.is_failing();
                 PeerReply::Share(self.shares.grant(&request, is_away, now))
             }
+            PeerMessage::ShareWants(wants) => self.on_share_wants(&wants, now),
             other => {
                 self.on_one_way(&from, other, now);
                 PeerReply::Taken
@@ -75,11 +76,13 @@
                 self.requests.router.cache_events(&replica, &events);
             }
             PeerMessage::ShareState(state) => self.shares.on_handed_over(state),
+            PeerMessage::ShareChanged(data_centre) => self.on_share_changed(&data_centre, now),
             PeerMessage::Arrivals(counts) => self.on_arrival_counts(counts, now),
             PeerMessage::Claim(_)
             | PeerMessage::Finish(_)
             | PeerMessage::Demand(_)
-            | PeerMessage::Share(_) => {}
+            | PeerMessage::Share(_)
+            | PeerMessage::ShareWants(_) => {}
         }
     }
 
--- a/components/process/instance/src/periodic.rs
+++ b/components/process/instance/src/periodic.rs
@@ -17,7 +17,7 @@
         if let Some(fencing) = self.shares.wants_holding(now) {
             let data_centres = self.directory.data_centres().clone();
             let nonces = (self.nonce(), self.nonce());
-            crate::shares::read_holding(&self.cx, fencing, data_centres, nonces);
+            crate::share_objects::open(&self.cx, fencing, data_centres, nonces);
         }
         let group = limits_group(&self.cx.data_centre);
         let Some(owner) = self.ownership.owner_hint(&group).cloned() else { return };
@@ -79,6 +79,7 @@
             memory_free: 0,
             key_ranges: key_ranges.collect(),
             entry_points: vec![self.callers_address.clone()],
+            limits_holder: self.limits_owner().cloned(),
         }
     }
 
--- /dev/null
+++ b/components/process/instance/src/share_moves.rs
@@ -0,0 +1,129 @@
+//! Carries out moves of limits between data centres, while this instance holds the limits of its
+//! own.
+
+use admission::shares::{MoveAction, StandingShare};
+use types::prelude::*;
+
+use crate::directory::limits_group;
+use crate::event::Event;
+use crate::instance::{Drain, Instance};
+use crate::message::{PeerMessage, PeerReply, ShareWants};
+use crate::shares::SHARE_TIMEOUT;
+
+impl Instance {
+    /// Present holder of the own data centre's limits.
+    pub(crate) fn limits_owner(&self) -> Option<&InstanceId> {
+        self.ownership.owner_hint(&limits_group(&self.cx.data_centre))
+    }
+
+    /// Starts what is due. A stopping instance starts nothing; its successor goes on.
+    pub(crate) fn move_timers(&mut self, now: Instant) {
+        let Some(fencing) = self.shares.held_under() else { return };
+        let (is_away, nonce) = (self.cx.platform.is_failing(), self.nonce());
+        if self.drain != Drain::Serving {
+            return;
+        }
+        let others = self.membership.reachable_data_centres(now);
+        let Some((holder, mover)) = self.shares.mover(fencing) else { return };
+        let actions = mover.on_timer(holder, &others, is_away, nonce, now);
+        self.on_move_actions(fencing, actions, now);
+    }
+
+    pub(crate) fn on_share_written(
+        &mut self,
+        fencing: FencingNumber,
+        version: Option<ObjectVersion>,
+        now: Instant,
+    ) {
+        let Some((holder, mover)) = self.shares.mover(fencing) else { return };
+        let actions = mover.on_written(holder, version, now);
+        self.on_move_actions(fencing, actions, now);
+    }
+
+    pub(crate) fn on_other_share(
+        &mut self,
+        fencing: FencingNumber,
+        share: Option<StandingShare>,
+        now: Instant,
+    ) {
+        let nonce = self.nonce();
+        let Some((_, mover)) = self.shares.mover(fencing) else { return };
+        let actions = mover.on_other(share.as_ref(), nonce);
+        self.on_move_actions(fencing, actions, now);
+    }
+
+    /// Answers the holder of another data centre.
+    pub(crate) fn on_share_wants(&mut self, wants: &ShareWants, now: Instant) -> PeerReply {
+        let is_serving = self.drain == Drain::Serving && !self.cx.platform.is_failing();
+        let fencing = self.shares.held_under().filter(|_| is_serving);
+        let Some((holder, mover)) = fencing.and_then(|fencing| self.shares.mover(fencing)) else {
+            return PeerReply::NotOwner;
+        };
+        let lengths = mover.on_asked(holder, &wants.data_centre, &wants.unmet, now);
+        if !lengths.is_empty() {
+            tracing::info!(
+                "shares: parts for {} customers promised to {}",
+                lengths.len(),
+                wants.data_centre
+            );
+        }
+        PeerReply::ShareOffer(lengths)
+    }
+
+    pub(crate) fn on_share_changed(&mut self, data_centre: &DataCentreId, now: Instant) {
+        let Some(fencing) = self.shares.held_under() else { return };
+        if let Some((_, mover)) = self.shares.mover(fencing) {
+            mover.on_told(data_centre);
+        }
+        self.move_timers(now);
+    }
+
+    fn on_move_actions(&self, fencing: FencingNumber, actions: Vec<MoveAction>, now: Instant) {
+        for action in actions {
+            match action {
+                MoveAction::Open => {
+                    let data_centres = self.directory.data_centres().clone();
+                    let nonces = (self.nonce(), self.nonce());
+                    crate::share_objects::open(&self.cx, fencing, data_centres, nonces);
+                }
+                MoveAction::Write { version, value } => {
+                    crate::share_objects::write(&self.cx, fencing, version, value);
+                }
+                MoveAction::Read(other) => crate::share_objects::read(&self.cx, fencing, other),
+                MoveAction::Ask { to, unmet } => self.ask_for_parts(fencing, to, unmet, now),
+                MoveAction::Tell(to) => {
+                    let own = self.cx.data_centre.clone();
+                    if let Some(address) = self.limits_holder_of(&to, now) {
+                        self.cx.send(address, PeerMessage::ShareChanged(own));
+                    }
+                }
+            }
+        }
+    }
+
+    fn ask_for_parts(
+        &self,
+        fencing: FencingNumber,
+        to: DataCentreId,
+        unmet: BTreeMap<CustomerId, u64>,
+        now: Instant,
+    ) {
+        let Some(address) = self.limits_holder_of(&to, now) else { return };
+        let wants = ShareWants { data_centre: self.cx.data_centre.clone(), unmet };
+        let message = PeerMessage::ShareWants(wants);
+        let exchange = self.cx.exchange(address, message, now + SHARE_TIMEOUT);
+        self.cx.spawn(async move {
+            let lengths = match exchange.await {
+                Some(PeerReply::ShareOffer(lengths)) => Some(lengths),
+                _ => None,
+            };
+            Event::ShareOffer { fencing, from: to, lengths }
+        });
+    }
+
+    /// Address of the holder of another data centre's limits, as its summary names it.
+    fn limits_holder_of(&self, data_centre: &str, now: Instant) -> Option<Box<str>> {
+        let body = self.membership.summary(now, data_centre)?.body.as_ref()?;
+        self.address_of(body.limits_holder.as_ref()?)
+    }
+}
--- /dev/null
+++ b/components/process/instance/src/share_objects.rs
@@ -0,0 +1,121 @@
+//! The share objects on the platform: `share/DATA_CENTRE` and the first division.
+
+use admission::shares::{Holding, StandingShare};
+use platform::{Call, Client, WriteOutcome};
+use serde::{Deserialize, Serialize};
+use types::object::{Condition, ObjectKey};
+use types::prelude::*;
+
+use crate::context::Context;
+use crate::event::Event;
+
+/// Time for the platform to read and write the share objects.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+const KIND: &str = "share";
+/// Name of the object that fixes how the limits are first divided.
+const FIRST_DIVISION: &str = "@first-division";
+
+/// The data centre's share as its holder has just written it.
+pub(crate) type Opened = (ObjectVersion, StandingShare);
+
+/// Data centres between which the limits were first divided evenly. Written once; a data centre
+/// that comes later starts with nothing and receives parts by transfers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FirstDivision {
+    data_centres: BTreeSet<DataCentreId>,
+    nonce: Nonce,
+}
+
+/// Reads the data centre's standing share and makes it at the first start. It is then written
+/// again, so that no write of an earlier holder can take effect later.
+pub(crate) fn open(
+    cx: &Context,
+    fencing: FencingNumber,
+    data_centres: BTreeSet<DataCentreId>,
+    nonces: (Nonce, Nonce),
+) {
+    let (client, own) = (cx.platform.clone(), cx.data_centre.clone());
+    cx.spawn(async move {
+        let opened = opened(&client, &own, data_centres, nonces, call()).await;
+        Event::ShareOpened { fencing, opened }
+    });
+}
+
+/// Writes the next value of the data centre's share if it still has this version.
+pub(crate) fn write(
+    cx: &Context,
+    fencing: FencingNumber,
+    version: ObjectVersion,
+    value: StandingShare,
+) {
+    let (client, own) = (cx.platform.clone(), cx.data_centre.clone());
+    cx.spawn(async move {
+        let key = ObjectKey::new(KIND, own);
+        let outcome = client.write(&key, Condition::Version(version), &value, call()).await;
+        Event::ShareWritten { fencing, version: written(&outcome) }
+    });
+}
+
+/// Reads the share of another data centre.
+pub(crate) fn read(cx: &Context, fencing: FencingNumber, other: DataCentreId) {
+    let client = cx.platform.clone();
+    cx.spawn(async move {
+        let share = client.get::<StandingShare>(&ObjectKey::new(KIND, other), call()).await;
+        Event::OtherShare { fencing, share: share.ok().flatten().map(|object| object.value) }
+    });
+}
+
+fn call() -> Call {
+    Call::by(Instant::now() + PLATFORM_TIMEOUT)
+}
+
+fn written<T>(outcome: &WriteOutcome<T>) -> Option<ObjectVersion> {
+    match outcome {
+        WriteOutcome::Written { version } => Some(*version),
+        _ => None,
+    }
+}
+
+async fn opened(
+    client: &Client,
+    own: &DataCentreId,
+    data_centres: BTreeSet<DataCentreId>,
+    nonces: (Nonce, Nonce),
+    call: Call,
+) -> Option<Opened> {
+    let key = ObjectKey::new(KIND, own.clone());
+    let (condition, share) = match client.get::<StandingShare>(&key, call).await.ok()? {
+        Some(present) => {
+            let share = StandingShare { nonce: nonces.1, ..present.value };
+            (Condition::Version(present.version), share)
+        }
+        None => {
+            let division = first_division(client, data_centres, nonces.0, call).await?;
+            let count = division.data_centres.len() as u64;
+            let position = division.data_centres.iter().position(|d| d == own);
+            let first = position.map_or_else(Holding::default, |i| Holding::even(i as u64, count));
+            (Condition::Absent, StandingShare::new(own, first, nonces.1))
+        }
+    };
+    let outcome = client.write(&key, condition, &share, call).await;
+    Some((written(&outcome)?, share))
+}
+
+async fn first_division(
+    client: &Client,
+    data_centres: BTreeSet<DataCentreId>,
+    nonce: Nonce,
+    call: Call,
+) -> Option<FirstDivision> {
+    let key = ObjectKey::new(KIND, FIRST_DIVISION);
+    if let Some(present) = client.get(&key, call).await.ok()? {
+        return Some(present.value);
+    }
+    let division = FirstDivision { data_centres, nonce };
+    match client.write(&key, Condition::Absent, &division, call).await {
+        WriteOutcome::Written { .. } => Some(division),
+        WriteOutcome::Conflict { current: Some(present), .. } => Some(present.value),
+        _ => None,
+    }
+}
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -2,38 +2,17 @@
 //! `limits/DATA_CENTRE`.
 
 use admission::LocalLimits;
-use admission::shares::{
-    Grantee, Holder, HolderState, Holding, ShareGrant, ShareRequest, StandingShare,
-};
+use admission::shares::{Grantee, Holder, HolderState, Mover, ShareGrant, ShareRequest};
 use front::Arrival;
-use platform::{Call, Client, WriteOutcome};
-use serde::{Deserialize, Serialize};
-use types::object::{Condition, ObjectKey};
 use types::prelude::*;
 
-use crate::context::Context;
-use crate::event::Event;
 use crate::requests::Requests;
+use crate::share_objects::Opened;
 
-/// Time for the platform to read and write the share objects.
-const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for the holder to answer.
 pub(crate) const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between attempts to get a first grant, or to read the share object.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-const KIND: &str = "share";
-/// Name of the object that fixes how the limits are first divided.
-const FIRST_DIVISION: &str = "@first-division";
-
-/// Data centres between which the limits were first divided evenly. Written once; a data centre
-/// that comes later starts with nothing and receives parts by transfers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct FirstDivision {
-    data_centres: BTreeSet<DataCentreId>,
-    nonce: Nonce,
-}
-
 /// How long a customer counts as active after its last request. Messages and the holder's work grow
 /// with the active customers.
 const ACTIVE_TIME: Duration = Duration::from_secs(300);
@@ -51,7 +30,7 @@
 /// Limit shares of one instance.
 pub(crate) struct Shares {
     grantee: Grantee,
-    holder: Option<Holder>,
+    pub(crate) holder: Option<(Holder, Mover)>,
     /// Fencing number under which the group is held; the holder follows once the share is read.
     held_under: Option<FencingNumber>,
     is_reading: bool,
@@ -97,6 +76,7 @@
     pub(crate) fn gained(&mut self, fencing: FencingNumber, now: Instant) {
         self.held_under = Some(fencing);
         self.holder = None;
+        self.is_reading = false;
         self.read_at = now;
     }
 
@@ -106,30 +86,46 @@
         self.holder = None;
     }
 
-    /// Takes the data centre's standing share as read from the platform.
-    pub(crate) fn on_holding(
+    /// Takes the data centre's standing share as read and written again.
+    pub(crate) fn on_opened(
         &mut self,
         fencing: FencingNumber,
-        holding: Option<Holding>,
+        opened: Option<Opened>,
         now: Instant,
     ) {
-        self.is_reading = false;
         if self.held_under != Some(fencing) {
             return;
         }
+        self.is_reading = false;
+        if let Some((holder, mover)) = &mut self.holder {
+            return mover.on_opened(holder, opened, now);
+        }
+        let Some((version, share)) = opened else {
+            self.read_at = now + RETRY_INTERVAL;
+            return;
+        };
         // Only the state of the direct predecessor names all grants.
         let state = self.handed_over.take().filter(|state| state.fencing + 1 == fencing);
-        match (holding, state) {
-            (Some(holding), Some(state)) => {
-                self.holder = Some(Holder::succeed(fencing, holding, state, now));
-            }
-            (Some(holding), None) => {
+        let holding = share.holding.clone();
+        let holder = match state {
+            Some(state) => Holder::succeed(fencing, holding, state, now),
+            None => {
                 let mut holder = Holder::new(fencing, holding, now);
                 holder.set_listed(self.listed.clone());
-                self.holder = Some(holder);
+                holder
             }
-            (None, _) => self.read_at = now + RETRY_INTERVAL,
-        }
+        };
+        self.holder = Some((holder, Mover::new(version, share, now)));
+    }
+
+    /// The holder and its mover under this fencing number.
+    pub(crate) fn mover(&mut self, fencing: FencingNumber) -> Option<&mut (Holder, Mover)> {
+        self.holder.as_mut().filter(|_| self.held_under == Some(fencing))
+    }
+
+    /// The fencing number under which the limits are held.
+    pub(crate) fn held_under(&self) -> Option<FencingNumber> {
+        self.held_under
     }
 
     /// Answers a request. While the platform is away, grants last longer.
@@ -139,21 +135,22 @@
         platform_is_away: bool,
         now: Instant,
     ) -> Option<ShareGrant> {
-        let holder = self.holder.as_mut()?;
+        let (holder, _) = self.holder.as_mut()?;
         holder.set_outage(platform_is_away);
         holder.grant(request, now)
     }
 
     /// The lease lapsed: another holder may exist.
     pub(crate) fn lapsed(&mut self) {
-        if let Some(holder) = &mut self.holder {
+        if let Some((holder, mover)) = &mut self.holder {
             holder.lapse();
+            mover.lapse();
         }
     }
 
     /// Takes the instances of the data centre in the platform's list.
     pub(crate) fn set_listed(&mut self, listed: BTreeSet<InstanceId>) {
-        if let Some(holder) = &mut self.holder {
+        if let Some((holder, _)) = &mut self.holder {
             holder.set_listed(listed.clone());
         }
         self.listed = listed;
@@ -161,7 +158,7 @@
 
     /// Ends the grants at a planned stop; the state goes to the successor.
     pub(crate) fn hand_over(&mut self, now: Instant) -> Option<HolderState> {
-        self.holder.take().map(|holder| holder.hand_over(now))
+        self.holder.take().map(|(holder, _)| holder.hand_over(now))
     }
 
     /// Takes the state of a predecessor that stops as planned.
@@ -293,59 +290,3 @@
         held.map_or(ask, |until| until.min(ask))
     }
 }
-
-/// Reads the data centre's standing share and makes it at the first start.
-pub(crate) fn read_holding(
-    cx: &Context,
-    fencing: FencingNumber,
-    data_centres: BTreeSet<DataCentreId>,
-    nonces: (Nonce, Nonce),
-) {
-    let (client, own) = (cx.platform.clone(), cx.data_centre.clone());
-    cx.spawn(async move {
-        let call = Call::by(Instant::now() + PLATFORM_TIMEOUT);
-        let holding = holding(&client, &own, data_centres, nonces, call).await;
-        Event::Holding { fencing, holding }
-    });
-}
-
-async fn holding(
-    client: &Client,
-    own: &DataCentreId,
-    data_centres: BTreeSet<DataCentreId>,
-    nonces: (Nonce, Nonce),
-    call: Call,
-) -> Option<Holding> {
-    let key = ObjectKey::new(KIND, own.clone());
-    if let Some(share) = client.get::<StandingShare>(&key, call).await.ok()? {
-        return Some(share.value.holding);
-    }
-    let division = first_division(client, data_centres, nonces.0, call).await?;
-    let count = division.data_centres.len() as u64;
-    let position = division.data_centres.iter().position(|d| d == own);
-    let first = position.map_or_else(Holding::default, |i| Holding::even(i as u64, count));
-    let share = StandingShare::new(own, first, nonces.1);
-    match client.write(&key, Condition::Absent, &share, call).await {
-        WriteOutcome::Written { .. } => Some(share.holding),
-        WriteOutcome::Conflict { current: Some(present), .. } => Some(present.value.holding),
-        _ => None,
-    }
-}
-
-async fn first_division(
-    client: &Client,
-    data_centres: BTreeSet<DataCentreId>,
-    nonce: Nonce,
-    call: Call,
-) -> Option<FirstDivision> {
-    let key = ObjectKey::new(KIND, FIRST_DIVISION);
-    if let Some(present) = client.get(&key, call).await.ok()? {
-        return Some(present.value);
-    }
-    let division = FirstDivision { data_centres, nonce };
-    match client.write(&key, Condition::Absent, &division, call).await {
-        WriteOutcome::Written { .. } => Some(division),
-        WriteOutcome::Conflict { current: Some(present), .. } => Some(present.value),
-        _ => None,
-    }
-}
--- a/components/process/membership/src/message.rs
+++ b/components/process/membership/src/message.rs
@@ -124,4 +124,6 @@
     pub key_ranges: Vec<(GroupId, InstanceId)>,
     /// Addresses of some live instances that take requests from other data centres.
     pub entry_points: Vec<Box<str>>,
+    /// Present holder of the data centre's limits.
+    pub limits_holder: Option<InstanceId>,
 }
--- a/components/request/admission/src/shares.rs
+++ b/components/request/admission/src/shares.rs
@@ -8,6 +8,7 @@
 mod grantee;
 mod hand_over;
 mod holder;
+mod mover;
 mod parts;
 mod standing;
 mod wants;
@@ -17,5 +18,6 @@
 pub use holder::{
     GRANT_MARGIN, GRANT_TERM, Holder, OUTAGE_TERM, RENEW_INTERVAL, ShareGrant, ShareRequest,
 };
+pub use mover::{KEEP_TIME, MAX_ASKED, MIN_PART, MoveAction, Mover, UNMET_TIME};
 pub use parts::{Parts, WHOLE};
 pub use standing::{Holding, StandingShare, Transfer};
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -164,6 +164,11 @@
         if self.is_outage && is_listed { OUTAGE_TERM } else { GRANT_TERM }
     }
 
+    /// What the data centre holds.
+    pub(super) fn holding(&self) -> &Holding {
+        &self.holding
+    }
+
     /// Replaces the data centre's holding after `share/DATA_CENTRE` was written.
     pub fn set_holding(&mut self, holding: Holding) {
         self.withheld = self.withheld.intersection(&holding);
--- a/tests/deployment/serving_tests.rs
+++ b/tests/deployment/serving_tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use admission::shares::{Parts, StandingShare, WHOLE};
 use rstest::rstest;
 use tokio::task::JoinSet;
 
@@ -122,3 +123,48 @@
 fn loads_of(engine: &stand_ins::engine::Engine, model: &str) -> u64 {
     engine.counters().loads_started.get(model).copied().unwrap_or_default()
 }
+
+// Guards against a customer that gets only its data centre's part of a limit although the other
+// data centre does not use its own.
+#[rstest]
+#[tokio::test]
+async fn unused_limits_of_another_data_centre_move_to_where_they_are_wanted() {
+    let world = World::start("shares").await;
+    let length = |world: &World, data_centre: &str| {
+        let Some(object) = world.platform.object("share", data_centre) else { return 0 };
+        let share: StandingShare = serde_json::from_value(object.value).expect("a share");
+        share.holding.parts("foremen").length()
+    };
+    assert_eq!((length(&world, "north"), length(&world, "south")), (WHOLE / 2, WHOLE / 2));
+    // Half of the limit is 100 running requests. The engines run 16 at a time of a replica, so
+    // more than that wait all the time, until the callers are stopped.
+    let mut calls = JoinSet::new();
+    for caller in 0..150 {
+        let address = world.instances[caller % 2].callers;
+        calls.spawn(async move {
+            for number in 0.. {
+                let chat = Chat { tokens: 400, ..Chat::new("summary", caller as u64) };
+                let outcome = chat.batch().send(address).await;
+                assert!(!matches!(outcome, Outcome::Broken(_)), "call {number}: {outcome:?}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+    world
+        .wait_for("parts have moved and the transfer is closed", async |world| {
+            let shares = ["north", "south"].map(|data_centre| {
+                let object = world.platform.object("share", data_centre).expect("a share");
+                serde_json::from_value::<StandingShare>(object.value).expect("a share")
+            });
+            let is_closed = shares.iter().all(|s| s.given.is_empty() && s.received.is_empty());
+            let [north, south] = shares.map(|share| share.holding.parts("foremen").clone());
+            if is_closed {
+                assert_eq!(north.length() + south.length(), WHOLE);
+                assert_eq!(north.union(&south), Parts::whole());
+            }
+            is_closed && north.length() > WHOLE / 2
+        })
+        .await;
+    calls.shutdown().await;
+    world.assert_invariants();
+}
