Test superseded runs and the outcomes of role changes

Cause: no test covered a lease name that another run takes over, nor the ways in which an order to change a server's role can end.

Found: a claim that was on its way when the name was taken, and whose write is confirmed later, made the superseded run hold the group. It had no authority, but named itself as the owner, so its requests would have gone nowhere, and a planned stop would have waited for the group. The warning did not say that the loss is for good.

Change: such a claim is not held any more, and the message is an error that says what to do. New: two tests in virtual time (the ownership tests became a directory), one with real processes, and six tests of role changes, each for a server that checks fencing numbers and one that ignores them: accepted and shown, refused, answer lost, no trace, restarted after acceptance and restarted while the order was on its way.

Conclusion: a superseded run ends its part for good, and each outcome of a role change is resolved or stays counted.

--- a/components/process/group/tests/group.rs
+++ b/components/process/group/tests/group.rs
@@ -1,5 +1,7 @@
 //! Decision objects, orders and allowances against fake servers and a fake platform.
 
+#[path = "cases/roles.rs"]
+mod roles;
 mod world;
 
 use std::collections::VecDeque;
--- a/components/process/group/tests/world/server.rs
+++ b/components/process/group/tests/world/server.rs
@@ -30,6 +30,8 @@
     outcomes: VecDeque<OrderOutcome>,
     pub(crate) load_time: Duration,
     pub(crate) loads_fail: bool,
+    pub(crate) refuses_roles: bool,
+    pub(crate) roles_set: usize,
     role: ServerRole,
     /// Whether the owner learns the result of each order before it can give up on it.
     pub(crate) knows_all: bool,
@@ -48,6 +50,8 @@
             outcomes: VecDeque::new(),
             load_time: Duration::from_secs(2),
             loads_fail: false,
+            refuses_roles: false,
+            roles_set: 0,
             role: ServerRole::Mixed,
             knows_all: true,
         }
@@ -111,7 +115,9 @@
                 loaded.adapter_fencing = order.fencing;
                 self.outcome(order.order, true);
             }
+            OrderKind::SetRole { .. } if self.refuses_roles => return OrderResult::Refused,
             OrderKind::SetRole { role } => {
+                self.roles_set += 1;
                 self.role = *role;
                 self.outcome(order.order, true);
             }
--- a/components/process/ownership/src/lease.rs
+++ b/components/process/ownership/src/lease.rs
@@ -76,6 +76,11 @@
         !self.name_taken && self.until.is_some_and(|until| now < until)
     }
 
+    /// Whether another run of this instance took the name; that is for good.
+    pub(crate) fn is_name_taken(&self) -> bool {
+        self.name_taken
+    }
+
     pub(crate) fn counter(&self) -> u64 {
         self.counter
     }
@@ -219,7 +224,11 @@
             return LeaseEvent::Renewed;
         }
         if object.incarnation != cfg.incarnation && self.taken.is_some() {
-            tracing::warn!("ownership: another process runs under the name {}", cfg.instance);
+            tracing::error!(
+                "ownership: another run of {} took its lease over; this run owns nothing from now \
+                 on, cannot get anything back, and has to be stopped",
+                cfg.instance
+            );
             self.name_taken = true;
             return LeaseEvent::NameTaken;
         }
--- a/components/process/ownership/src/steps.rs
+++ b/components/process/ownership/src/steps.rs
@@ -344,6 +344,11 @@
             }
             return;
         }
+        if self.lease.is_name_taken() {
+            // The group has no live owner; others claim it when they see that this run's lease
+            // was replaced.
+            return;
+        }
         let Some(claim) = self.claims.get_mut(group) else { return };
         // A claim from before a lapse gives no authority: the group is claimed once more.
         claim.held = Some(Held { fencing, version, epoch: write.epoch, raise: false });
--- a/components/process/ownership/tests/fleet/mod.rs
+++ b/components/process/ownership/tests/ownership/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! Instances of one data centre in virtual time.
 
-#[path = "../../../types/tests/fakes/platform.rs"]
+#[path = "../../../../types/tests/fakes/platform.rs"]
 pub(crate) mod platform;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,6 +37,8 @@
     changes: Vec<Instant>,
     /// Every `Gained`: time, group, fencing number, node.
     pub(crate) gained: Vec<(Instant, Box<str>, u64, usize)>,
+    /// Every `Lost`: time, group, node.
+    pub(crate) lost: Vec<(Instant, Box<str>, usize)>,
     pub(crate) groups: BTreeSet<Box<str>>,
     died: BTreeMap<usize, Instant>,
     pub(crate) handed_over: BTreeMap<usize, Instant>,
@@ -55,6 +57,7 @@
             detection: secs(5.0),
             changes: Vec::new(),
             gained: Vec::new(),
+            lost: Vec::new(),
             groups: (0..groups).map(|n| format!("keys/{n}").into()).collect(),
             died: BTreeMap::new(),
             handed_over: BTreeMap::new(),
@@ -96,6 +99,16 @@
         self.update_members();
     }
 
+    /// Starts a second run under the name of an instance that goes on.
+    pub(crate) fn duplicate(&mut self, node: usize) -> usize {
+        let name = self.nodes[node].name.clone();
+        let incarnation = self.nodes[node].incarnation + 1;
+        let machine = self.machine(&name, incarnation);
+        self.nodes.push(Node { name, machine, incarnation, dead: false, paused: None });
+        self.update_members();
+        self.nodes.len() - 1
+    }
+
     pub(crate) fn pause(&mut self, node: usize, time: Duration) {
         self.nodes[node].paused = Some(self.now..self.now + time);
         self.changes.push(self.now + self.detection);
@@ -164,7 +177,8 @@
                     let more = self.nodes[node].machine.released(now, &group, &mut self.rng);
                     self.run_actions(node, more);
                 }
-                Action::LeaseExtended { .. } | Action::Lapsed { .. } | Action::Lost { .. } => {}
+                Action::Lost { group } => self.lost.push((self.now, group, node)),
+                Action::LeaseExtended { .. } | Action::Lapsed { .. } => {}
             }
         }
     }
--- a/components/process/ownership/tests/ownership.rs
+++ b/components/process/ownership/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! Leases and claims against a fake platform in virtual time.
 
 mod fleet;
+mod superseded;
 
 use std::collections::BTreeSet;
 use std::time::Instant;
--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -62,6 +62,37 @@
     world.assert_invariants();
 }
 
+// Guards against a run that goes on to give orders after another one was started under its name.
+#[rstest]
+#[tokio::test]
+async fn a_superseded_run_gives_its_groups_up_for_good() {
+    let mut world = World::start("superseded").await;
+    let owner = world.owner("north-1").expect("an owner");
+    let name = world.instances[owner].name.clone();
+    world.add_run(&name, "second", "north");
+    let second = world.instances.len() - 1;
+    world
+        .wait_for("the first run has given up, and the group has another owner", async |world| {
+            let status = world.status(owner).await.unwrap_or_default();
+            let has_none = status["owned_groups"].as_array().is_some_and(Vec::is_empty);
+            let is_owned = async |instance| {
+                let status = world.status(instance).await.unwrap_or_default();
+                status["owned_groups"].as_array().is_some_and(|g| g.contains(&"north-1".into()))
+            };
+            has_none && (is_owned(1 - owner).await || is_owned(second).await)
+        })
+        .await;
+    assert!(world.log(owner).contains("another run of"), "{}", world.logs());
+    served_in_the_end(&world, 1 - owner, Chat::new("quotes", 1).counter()).await;
+    world.instances[second].kill();
+    let fencing = world.fencing("keys/0");
+    world.instances[1 - owner].kill();
+    // Longer than a takeover with a lease of 2 s.
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    assert_eq!(world.fencing("keys/0"), fencing, "the superseded run claims groups again");
+    world.assert_invariants();
+}
+
 // Guards against a partitioned data centre that stops serving, or that misses a change for good.
 #[rstest]
 #[tokio::test]
--- a/tests/deployment/world.rs
+++ b/tests/deployment/world.rs
@@ -27,6 +27,8 @@
 /// One entry instance as a child process.
 pub(crate) struct Instance {
     pub(crate) name: String,
+    /// Name of its settings and log.
+    files: String,
     pub(crate) data_centre: &'static str,
     pub(crate) callers: SocketAddr,
     pub(crate) operators: SocketAddr,
@@ -153,6 +155,11 @@
 
     /// Starts an instance and lists it.
     pub(crate) fn add(&mut self, name: &str, data_centre: &'static str) {
+        self.add_run(name, name, data_centre);
+    }
+
+    /// Starts a run of an instance, with a name for its files.
+    pub(crate) fn add_run(&mut self, name: &str, files: &str, data_centre: &'static str) {
         let [callers, operators, peers] = std::array::from_fn(|_| {
             self.next_port += 1;
             SocketAddr::from((self.ip, self.next_port))
@@ -166,9 +173,9 @@
              [log]\nlevel = debug\n",
             self.platform.address()
         );
-        let path = self.dir.join(format!("{name}.ini"));
+        let path = self.dir.join(format!("{files}.ini"));
         fs::write(&path, settings).expect("settings");
-        let log = fs::File::create(self.dir.join(format!("{name}.log"))).expect("log");
+        let log = fs::File::create(self.dir.join(format!("{files}.log"))).expect("log");
         let child = Command::new(env!("CARGO_BIN_EXE_sequoiawell"))
             .arg("serve")
             .arg("--settings")
@@ -187,8 +194,8 @@
             state: ListedState::Live,
             checks_fencing: false,
         });
-        let name = name.to_owned();
-        self.instances.push(Instance { name, data_centre, callers, operators, child });
+        let (name, files) = (name.to_owned(), files.to_owned());
+        self.instances.push(Instance { name, files, data_centre, callers, operators, child });
     }
 
     /// Applies a directory of contracts with the command. Another thread waits for the command,
@@ -246,16 +253,21 @@
         .await;
     }
 
+    /// The log of an instance.
+    pub(crate) fn log(&self, instance: usize) -> String {
+        let path = self.dir.join(format!("{}.log", self.instances[instance].files));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// The last log lines of every instance, for failed assertions.
     pub(crate) fn logs(&self) -> String {
         const LINES: usize = 40;
         let mut text = String::new();
-        for instance in &self.instances {
-            let log = fs::read_to_string(self.dir.join(format!("{}.log", instance.name)));
-            let log = log.unwrap_or_default();
+        for (number, instance) in self.instances.iter().enumerate() {
+            let log = self.log(number);
             let lines: Vec<&str> = log.lines().collect();
             let tail = &lines[lines.len().saturating_sub(LINES)..];
-            text += &format!("--- {}\n{}\n", instance.name, tail.join("\n"));
+            text += &format!("--- {}\n{}\n", instance.files, tail.join("\n"));
         }
         text
     }
