Let commands take several platform addresses

Cause: an instance takes several platform addresses and turns to the next one after a failed call; the commands took one, so an operator had to find out by hand which address answers.

Change: `--platform` can be repeated and takes addresses separated by commas. The commands use the client's own change of address.

Result, before: `--platform 127.0.0.1:1,127.0.0.1:PORT` was a usage error ("invalid socket address syntax"), and of a repeated option one address was used. After: `diff` and `apply` end as with the answering address alone, and a failure ends with "(addresses tried: 127.0.0.1:1, 127.0.0.1:2, 127.0.0.1:3)".

Conclusion: commands and instances treat platform addresses alike.

--- a/components/connection/platform/src/attempts.rs
+++ b/components/connection/platform/src/attempts.rs
@@ -67,6 +67,8 @@
     rng: StdRng,
     /// Addresses of one and the same object API; the first one is in use.
     addresses: VecDeque<SocketAddr>,
+    /// Addresses to which a call was sent, or a connection was attempted.
+    tried: BTreeSet<SocketAddr>,
 }
 
 /// How much of the remaining time one attempt may take.
@@ -107,7 +109,10 @@
         let budget = Budget::new(now(), cfg.rates);
         let rng = StdRng::seed_from_u64(cfg.seed);
         let addresses = cfg.addresses.iter().copied().collect();
-        Self { transport, shared: Arc::new(Mutex::new(Shared { budget, rng, addresses })) }
+        Self {
+            transport,
+            shared: Arc::new(Mutex::new(Shared { budget, rng, addresses, tried: BTreeSet::new() })),
+        }
     }
 
     fn shared(&self) -> MutexGuard<'_, Shared> {
@@ -122,6 +127,10 @@
         self.shared().budget.is_failing()
     }
 
+    pub(crate) fn tried(&self) -> Vec<SocketAddr> {
+        self.shared().tried.iter().copied().collect()
+    }
+
     /// Waits for the budget and makes one attempt. Fails at once if the budget allows none before
     /// the deadline.
     pub(crate) async fn attempt(
@@ -165,7 +174,11 @@
             let (admission, address) = {
                 let shared = &mut *self.shared();
                 let admission = shared.budget.admit(now, is_write, call.priority);
-                (admission, shared.addresses.front().copied())
+                let address = shared.addresses.front().copied();
+                if matches!(admission, Admission::Go) {
+                    shared.tried.extend(address);
+                }
+                (admission, address)
             };
             match admission {
                 Admission::Go => return address.ok_or(Error::Unavailable),
--- a/components/connection/platform/src/client.rs
+++ b/components/connection/platform/src/client.rs
@@ -1,5 +1,7 @@
 //! The client: retries and resolution of writes around single attempts.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
@@ -56,6 +58,11 @@
         self.attempts.is_failing()
     }
 
+    /// Addresses that were tried so far, in order of their numbers, for messages about failures.
+    pub fn tried(&self) -> Vec<SocketAddr> {
+        self.attempts.tried()
+    }
+
     /// Makes one attempt of a call for a component that resolves lost answers itself.
     pub async fn call(&self, request: &ObjectCall, call: Call) -> ObjectAnswer {
         let path = object_path(request.key());
--- a/src/accepted.rs
+++ b/src/accepted.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use configuration::Head;
-use platform::{Call, Client, ClientConfig, Rate, Rates};
+use platform::{Call, Client, ClientConfig, Object, Rate, Rates};
 use serde::de::DeserializeOwned;
 use types::contract::{Configuration, Contract};
 use types::object::ObjectKey;
@@ -27,10 +27,11 @@
 }
 
 impl Platform {
-    /// Prepares calls to the platform; the first call connects.
-    pub(crate) fn new(address: SocketAddr, deadline: Instant) -> Self {
+    /// Prepares calls to the platform; the first call connects. A call that fails at one address
+    /// is tried again at the next.
+    pub(crate) fn new(addresses: Box<[SocketAddr]>, deadline: Instant) -> Self {
         let cfg = ClientConfig {
-            addresses: [address].into(),
+            addresses,
             instance: "command".into(),
             rates: RATES,
             seed: rand::random(),
@@ -43,18 +44,33 @@
         Call::by(self.deadline)
     }
 
+    /// The failure that names the addresses tried.
+    pub(crate) fn fail(&self, e: platform::Error) -> Failure {
+        Failure::Platform(e, addresses(&self.client.tried()))
+    }
+
     /// Reads an object that must exist.
     async fn existing<T: DeserializeOwned>(&self, key: ObjectKey) -> Result<T, Failure> {
-        match self.client.get(&key, self.call()).await? {
+        match self.client.get(&key, self.call()).await.map_err(|e| self.fail(e))? {
             Some(object) => Ok(object.value),
             None => Err(Failure::Missing(format!("{}/{}", key.kind, key.name))),
         }
     }
 
+    /// Reads all objects of a kind.
+    pub(crate) async fn list<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+    ) -> Result<Vec<Object<T>>, Failure> {
+        let listing = self.client.list::<T>(kind, "", self.call()).await;
+        Ok(listing.map_err(|e| self.fail(e))?.objects)
+    }
+
     /// Reads the accepted configuration; version zero if none was accepted yet.
     pub(crate) async fn accepted(&self) -> Result<Configuration, Failure> {
         let key = ObjectKey::new("configuration", "head");
-        let Some(head) = self.client.get::<Head>(&key, self.call()).await? else {
+        let head = self.client.get::<Head>(&key, self.call()).await;
+        let Some(head) = head.map_err(|e| self.fail(e))? else {
             return Ok(Configuration::default());
         };
         let head = head.value;
@@ -73,3 +89,8 @@
         self.existing(ObjectKey::new("contract", format!("{customer}@{hash}"))).await
     }
 }
+
+/// Addresses as a message lists them.
+pub(crate) fn addresses(addresses: &[SocketAddr]) -> String {
+    addresses.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
--- a/src/args.rs
+++ b/src/args.rs
@@ -47,14 +47,19 @@
     FORMATS.iter().find(|(word, _)| *word == name).map_or(Format::Text, |(_, format)| *format)
 }
 
-/// `--platform`.
+/// `--platform`, repeatable, each with one address or several.
 pub(crate) fn platform_arg() -> Arg {
     Arg::new("platform")
         .long("platform")
         .value_name("IP:PORT")
+        .action(ArgAction::Append)
+        .value_delimiter(',')
         .default_value(DEFAULT_PLATFORM)
         .value_parser(value_parser!(SocketAddr))
-        .help("Address of the platform's object API")
+        .help(
+            "Address of the platform's object API; give several in order of preference, separated \
+             by commas or with the option repeated",
+        )
 }
 
 /// `--platform-timeout`.
@@ -69,10 +74,9 @@
 
 /// The platform as the command line names it.
 pub(crate) fn platform(matches: &ArgMatches) -> Platform {
-    let address = matches.get_one::<SocketAddr>("platform").copied();
+    let addresses = each_once(matches, "platform").into();
     let timeout = matches.get_one::<Duration>("platform-timeout").copied();
-    let default = "the argument has a default";
-    Platform::new(address.expect(default), Instant::now() + timeout.expect(default))
+    Platform::new(addresses, Instant::now() + timeout.expect("the argument has a default"))
 }
 
 /// `--operators`, repeatable.
@@ -88,8 +92,13 @@
 
 /// The instances' operators' addresses, each once.
 pub(crate) fn operators(matches: &ArgMatches) -> Vec<SocketAddr> {
+    each_once(matches, "operators")
+}
+
+/// The addresses of a repeatable argument in the order given, each once.
+fn each_once(matches: &ArgMatches, name: &str) -> Vec<SocketAddr> {
     let mut addresses = Vec::new();
-    for address in matches.get_many::<SocketAddr>("operators").into_iter().flatten() {
+    for address in matches.get_many::<SocketAddr>(name).into_iter().flatten() {
         if !addresses.contains(address) {
             addresses.push(*address);
         }
--- a/src/cmd/apply/outcome.rs
+++ b/src/cmd/apply/outcome.rs
@@ -9,7 +9,7 @@
 use types::ids::ConfigurationVersion;
 
 use super::wait::Waited;
-use crate::accepted::Platform;
+use crate::accepted::{Platform, addresses};
 
 /// How `apply` ended.
 pub(super) struct Outcome {
@@ -18,6 +18,8 @@
     ours: Diff,
     /// The change that was accepted instead, if its values could be read.
     theirs: Option<Diff>,
+    /// Addresses of the platform that were tried.
+    tried: String,
     /// Where the version is in effect; `None` if that was not asked for.
     pub(super) waited: Option<Waited>,
 }
@@ -36,7 +38,8 @@
             }
             _ => None,
         };
-        Self { applied, ours: diff(before, proposed), theirs, waited: None }
+        let tried = addresses(&platform.client.tried());
+        Self { applied, ours: diff(before, proposed), theirs, tried, waited: None }
     }
 
     /// The version that holds the proposal; `None` if none does.
@@ -89,13 +92,17 @@
             Applied::NotApplied => {
                 writeln!(
                     f,
-                    "not applied: the platform did not answer in time; nothing was written"
+                    "not applied: the platform did not answer in time; nothing was written \
+                     (addresses tried: {})",
+                    self.tried
                 )?;
             }
             Applied::Unknown { nonce } => writeln!(
                 f,
                 "unknown: the platform did not answer after the write was sent (nonce {nonce}); \
-                 once it answers, `diff` without differences means that the change was accepted"
+                 once it answers, `diff` without differences means that the change was accepted \
+                 (addresses tried: {})",
+                self.tried
             )?,
         }
         self.waited.as_ref().map_or(Ok(()), |waited| write_waited(f, waited))
--- a/src/cmd/apply/wait.rs
+++ b/src/cmd/apply/wait.rs
@@ -41,7 +41,8 @@
     loop {
         let answers = status::ask(operators).await;
         let listed = platform.client.instances(Call::by(Instant::now() + LIST_TIME)).await;
-        let waited = waited(version, &answers, listed.as_deref().map_err(ToString::to_string));
+        let listed = listed.map_err(|e| platform.fail(e).to_string());
+        let waited = waited(version, &answers, listed.as_deref().map_err(Clone::clone));
         if waited.behind.is_empty() || Instant::now() + POLL >= deadline {
             if let Some(progress) = progress {
                 progress.finish_and_clear();
--- a/src/cmd/demo/world.rs
+++ b/src/cmd/demo/world.rs
@@ -217,7 +217,7 @@
     }
     let (contracts, catalogue) = diagnostics.into_result(Some((contracts, catalogue)))?;
     let proposal = Proposal { contracts, catalogue: Arc::new(catalogue), based_on: None };
-    let platform = accepted::Platform::new(address, Instant::now() + START_TIME);
+    let platform = accepted::Platform::new([address].into(), Instant::now() + START_TIME);
     match apply::drive(&platform, proposal).await {
         Applied::Accepted { .. } => Ok(()),
         other => Err(Failure::Instance(address, format!("contracts not accepted: {other:?}"))),
--- a/src/cmd/report/cost.rs
+++ b/src/cmd/report/cost.rs
@@ -65,17 +65,17 @@
 ) -> Result<CostReport, Failure> {
     let mut ledger = Ledger::new();
     add_decisions(&mut ledger, platform, now).await?;
-    for usage in platform.client.list::<UsageObject>("usage", "", platform.call()).await?.objects {
+    for usage in platform.list::<UsageObject>("usage").await? {
         let added = ledger.add_usage(&usage.value);
         added.map_err(|e| Failure::Records(format!("usage/{}", usage.name), e))?;
     }
-    for work in platform.client.list::<WorkObject>("work", "", platform.call()).await?.objects {
+    for work in platform.list::<WorkObject>("work").await? {
         // The name is `INSTANCE-HOUR`, and instance names may contain hyphens.
         let instance = work.name.rsplit_once('-').map_or(&*work.name, |(instance, _)| instance);
         let added = ledger.add_work(instance, &work.value);
         added.map_err(|e| Failure::Records(format!("work/{}", work.name), e))?;
     }
-    for lease in platform.client.list::<LeaseObject>("lease", "", platform.call()).await?.objects {
+    for lease in platform.list::<LeaseObject>("lease").await? {
         ledger.add_running(&lease.value.instance, lease.value.incarnation);
     }
     for (customer, hash) in ledger.missing_contracts() {
@@ -93,9 +93,7 @@
     platform: &Platform,
     now: SystemTime,
 ) -> Result<(), Failure> {
-    for decision in
-        platform.client.list::<DecisionObject>("decision", "", platform.call()).await?.objects
-    {
+    for decision in platform.list::<DecisionObject>("decision").await? {
         for interval in intervals(&decision.value, now) {
             let added = ledger.add_interval(&interval);
             added.map_err(|e| Failure::Records(format!("decision/{}", decision.name), e))?;
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -35,10 +35,9 @@
         Instance(address: SocketAddr, message: String) {
             display("{address}: {message}")
         }
-        /// The platform cannot be used.
-        Platform(e: platform::Error) {
-            from()
-            display("{e}")
+        /// The platform cannot be used; with the addresses tried.
+        Platform(e: platform::Error, tried: String) {
+            display("{e} (addresses tried: {tried})")
         }
         /// An object that others refer to does not exist.
         Missing(object: String) {
--- a/tests/apply_command_tests.rs
+++ b/tests/apply_command_tests.rs
@@ -82,6 +82,17 @@
     support::assert_golden(name, &last.expect("a command"), &[]);
 }
 
+/// Guards against a change that is not written because the first of the addresses does not answer.
+#[tokio::test]
+async fn apply_writes_at_the_address_that_answers() {
+    let platform = platform().await;
+    let addresses = format!("127.0.0.1:1,{}", platform.address());
+    let run = move || support::run(&["apply", "samples/alykes", "--platform", &addresses]);
+    let output = tokio::task::spawn_blocking(run).await.expect("no panic");
+    support::assert_golden("apply-first", &output, &[]);
+    assert!(platform.object("configuration", "head").is_some());
+}
+
 /// Stores a directory as accepted, as another operator's `apply` does.
 fn accept(platform: &Platform, dir: &Path, version: u64) {
     let accepted = contracts::read_directory(dir).unwrap_or_else(|e| panic!("{e}"));
--- a/tests/platform_command_tests.rs
+++ b/tests/platform_command_tests.rs
@@ -106,6 +106,42 @@
     support::assert_golden("diff-unreachable", &support::run(&args), &[]);
 }
 
+/// Guards against a command that stops at the first address although another one answers.
+#[rstest]
+#[case::separated_by_commas(&["--platform", "127.0.0.1:1,ADDRESS"])]
+#[case::repeated(&["--platform", "127.0.0.1:1", "--platform", "ADDRESS"])]
+#[tokio::test]
+async fn another_platform_address_is_used_after_a_failed_call(#[case] options: &[&str]) {
+    let platform = platform().await;
+    let accepted = Configuration { version: 5, ..sample("kovac-hudec") };
+    accept(platform.address(), &accepted).await;
+    let address = platform.address().to_string();
+    let args: Vec<String> = ["diff", "samples/kovac-hudec"]
+        .iter()
+        .chain(options)
+        .map(|arg| arg.replace("ADDRESS", &address))
+        .collect();
+    let run = move || support::run(&args.iter().map(String::as_str).collect::<Vec<_>>());
+    let output = tokio::task::spawn_blocking(run).await.expect("no panic");
+    support::assert_golden("diff-second-address", &output, &[]);
+}
+
+/// Guards against a failure that does not tell which addresses were tried.
+#[test]
+fn a_failure_names_all_addresses_tried() {
+    let args = [
+        "diff",
+        "samples/kovac-hudec",
+        "--platform",
+        "127.0.0.1:1,127.0.0.1:2",
+        "--platform",
+        "127.0.0.1:3",
+        "--platform-timeout",
+        "3s",
+    ];
+    support::assert_golden("diff-unreachable-addresses", &support::run(&args), &[]);
+}
+
 /// Guards against a period that ends before it begins and is taken for one without cost.
 #[test]
 fn a_reversed_period_is_a_usage_error() {
