Test that a new holder of the limits writes its share object

Cause: moves of limits rely on the first write of a new holder, which makes a late write of its predecessor fail; the property test models that write, but nothing checked that the instance makes it.

Change: a test with real processes kills the holder and waits until its successor has written `share/north`.

Result: passes in 5 s. Broken variant: with a successor that only reads the object the test fails after 40 s ("waited in vain for: the successor has written the share object").

Conclusion: the instance makes the write that the property relies on.

--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -93,6 +93,25 @@
     world.assert_invariants();
 }
 
+// Guards against a late write of a dead holder of the limits that gives away parts which its
+// successor has read and granted: the successor writes the object first.
+#[rstest]
+#[tokio::test]
+async fn a_new_holder_of_the_limits_ends_the_writes_of_the_old_one() {
+    let mut world = World::start("limits").await;
+    let version = |world: &World| world.platform.object("share", "north").map(|o| o.version);
+    let before = version(&world);
+    let owner = world.owner("limits/north").expect("an owner");
+    world.instances[owner].kill();
+    world.platform.unlist_instance(&world.instances[owner].name);
+    world
+        .wait_for("the successor has written the share object", async |world| {
+            world.owner("limits/north") == Some(1 - owner) && version(world) > before
+        })
+        .await;
+    world.assert_invariants();
+}
+
 // Guards against a partitioned data centre that stops serving, or that misses a change for good.
 #[rstest]
 #[tokio::test]
