--- a/components/process/instance/src/lib.rs
+++ b/components/process/instance/src/lib.rs
@@ -40,6 +40,8 @@
 mod pump;
 mod requests;
 mod retention;
+mod share_moves;
+mod share_objects;
 mod shares;
 mod start;
 mod status;
