Promise a cold model no earlier than its memory can be free

Cause: expected_ready took every full server as having room after one unload (0.3 s), also if running requests held all memory, so that demand was admitted that could not meet its deadline.

Change: the promise waits for the earliest release: unloads of idle replicas at once, busy replicas after the usual busy time from when they became busy, loading ones after their load and that time. The usual time is the mean of observed busy times (weight of the newest 0.1, cut at 30 s), 2 s before any was observed.

With the default, demand for a model on disk is refused below 4.8 s of slack instead of below 2.8 s.

Conclusion: demand is refused at once if the memory that it needs is held for longer. Claims of other waiting demand are still not counted: the promise stays the earliest possible time.

--- a/components/process/placement/src/lib.rs
+++ b/components/process/placement/src/lib.rs
@@ -14,6 +14,7 @@
 mod outstanding;
 mod pending;
 mod placement;
+mod release;
 mod settings;
 mod start;
 mod store;
--- a/components/process/placement/src/placement.rs
+++ b/components/process/placement/src/placement.rs
@@ -7,11 +7,12 @@
 
 use crate::adapters::AdapterQueue;
 use crate::clock::{Activity, DayClock};
-use crate::estimate::{Estimates, UNLOAD};
+use crate::estimate::Estimates;
 use crate::event::*;
 use crate::history::{Gaps, History, URGENT_SPAN};
 use crate::outstanding::Outstanding;
 use crate::pending::Pending;
+use crate::release::BusyTimes;
 use crate::settings::Settings;
 use crate::store::StoreRate;
 use crate::turn::ToldPriority;
@@ -51,6 +52,8 @@
     pub(crate) ready_at: HashMap<ModelId, Instant>,
     /// Mean time from a replica's becoming ready until it is idle again, in seconds.
     pub(crate) hold_s: f64,
+    /// How long replicas stay busy.
+    pub(crate) busy: BusyTimes,
     /// Idle replicas that are kept: their last use and when to look at them again.
     pub(crate) kept: HashMap<ReplicaId, (Instant, Instant)>,
     pub(crate) prefetch: crate::ahead::PrefetchState,
@@ -84,6 +87,7 @@
             fresh: HashMap::new(),
             ready_at: HashMap::new(),
             hold_s: 0.0,
+            busy: BusyTimes::default(),
             kept: HashMap::new(),
             prefetch: Default::default(),
         };
@@ -116,6 +120,9 @@
         self.outstanding.resolve(view, now);
         self.store_starts_in_call = 0;
         self.note_turn(view, now);
+        if matches!(event, Event::ViewChanged | Event::Tick) {
+            self.busy.update(view, now);
+        }
         match event {
             Event::Arrived(_) | Event::ViewChanged => {}
             Event::Demand(d) => self.demand(d, view, now, out),
@@ -158,8 +165,8 @@
 
     /// When a target is expected to be ready, for admission; `None` if it cannot be loaded.
     ///
-    /// The answer is the earliest possible time: it takes the store's queue and the nearest copy
-    /// into account, but not how long busy replicas will hold their memory.
+    /// The answer is the earliest possible time: it takes the store's queue, the nearest copy and
+    /// the usual time into account for which busy replicas hold their memory.
     pub fn expected_ready(&self, view: &View, target: &Target, now: Instant) -> Option<Instant> {
         let model = self.catalogue.models.get(&target.model)?;
         let adapter = target.adapter.as_ref();
@@ -214,8 +221,8 @@
             LoadSource::Remote => self.next_store_start(view, name, now),
             _ => now,
         };
-        let room = if server.memory_free >= model.memory_bytes { Duration::ZERO } else { UNLOAD };
-        start.max(now + room) + self.estimates.load(model, source)
+        let room_at = self.earliest_room(server, model.memory_bytes, now);
+        start.max(room_at) + self.estimates.load(model, source)
     }
 
     /// When the store could start one more load, after the ones that wait for it already.
--- a/components/process/placement/tests/decisions.rs
+++ b/components/process/placement/tests/decisions.rs
@@ -84,6 +84,46 @@
     assert!(after > Duration::from_secs(25), "{after:?}");
 }
 
+/// Guards against admitting demand while requests that have just begun hold all memory.
+#[rstest]
+#[case::after_the_default_time(4_000, true)]
+#[case::with_enough_time(6_000, false)]
+fn demand_waits_for_busy_replicas(#[case] slack_ms: u64, #[case] refused: bool) {
+    let mut w = World::new(50);
+    for (id, server) in (100..).zip(&mut w.view.servers) {
+        let memory_bytes = std::mem::take(&mut server.memory_free);
+        server.replicas = vec![ReplicaView {
+            replica: id,
+            model: name(5),
+            phase: ReplicaPhase::Ready,
+            memory_bytes,
+            last_used: w.now,
+            running: 1,
+            queued: 0,
+            adapters: Vec::new(),
+        }];
+    }
+    w.tell(Event::ViewChanged);
+    // 2 s until a replica is idle, 0.3 s for its unload, 2.5 s for the load from disk.
+    w.demand(0, 0, None, Duration::from_millis(slack_ms));
+    let answered = w.decisions.iter().any(|d| matches!(d, Decision::Unreachable { .. }));
+    assert_eq!(answered, refused);
+}
+
+/// Guards against demand that waits for ever because other groups say that they use the whole
+/// store, and against ignoring them at once.
+#[test]
+fn a_load_starts_after_the_longest_wait() {
+    let mut w = World::new(50);
+    w.view.store.others = OtherGroups { exist: true, loads: 4, ..OtherGroups::default() };
+    w.demand(4, 0, None, Duration::from_secs(60));
+    for second in 0..35 {
+        assert!(loads(&w).is_empty() || second >= 30, "after {second} s");
+        pass(&mut w, 1);
+    }
+    assert_eq!(loads(&w), [(name(4), LoadSource::Remote)]);
+}
+
 /// Guards against an operator setting that has no effect at its ends.
 #[rstest]
 #[case::only_idle_time_counts(0, true)]
