Publish an unload only once its order is sent or committed

Cause: a replica was published as unloading from the decision on. If the answer to the write was lost as the platform went away, no order was sent, but the replica took no new requests until the platform answered.

Change: a replica is published as unloading only if its unload order may have been sent or is known to be committed. A failed write withdraws unloads that were not sent: the replica takes requests again, so that the unload must not follow when the platform comes back. The next write removes what the one in doubt may have recorded. Sending an unload makes the group publish.

Checks and broken variants: - The world of the group tests asserts at every unload order, under all faults, that the owner publishes the replica as unloading.

Conclusion: the owner never publishes a replica as ready once its unload order is out.

--- a/components/process/group/src/orders.rs
+++ b/components/process/group/src/orders.rs
@@ -48,9 +48,59 @@
             kind: order.kind.clone(),
         };
         let address = server.address.clone();
+        if matches!(order.kind, OrderKind::Unload { .. }) {
+            // The replica is published as unloading from now on.
+            actions.push(Action::Publish);
+        }
         actions.push(Action::SendOrder { server: name.clone(), address, order });
     }
 
+    /// Whether the unload of a replica was neither sent nor is known to be committed.
+    pub(crate) fn is_unload_unsent(&self, name: &str, replica: ReplicaId) -> bool {
+        let (Some(record), Some(server)) = (self.record.servers.get(name), self.servers.get(name))
+        else {
+            return false;
+        };
+        let mut orders = record.orders.iter();
+        let order = orders
+            .find(|(_, o)| matches!(o.kind, OrderKind::Unload { replica: r } if r == replica));
+        order.is_some_and(|(id, _)| {
+            server.progress.get(id) == Some(&Progress::Unsent) && !self.is_committed(name, *id)
+        })
+    }
+
+    fn is_committed(&self, name: &str, id: OrderId) -> bool {
+        self.store.committed.servers.get(name).is_some_and(|record| record.orders.contains_key(&id))
+    }
+
+    /// Withdraws unloads that were not sent, because a write of the decision object is in doubt.
+    /// The replicas take requests while the platform is away, so that an unload should not follow
+    /// whenever it comes back. The next write removes what the one in doubt may have recorded.
+    pub(crate) fn withdraw_unloads(&mut self, actions: &mut Vec<Action>) {
+        let mut unloads = Vec::new();
+        for (name, record) in &self.record.servers {
+            for order in record.orders.values() {
+                if let OrderKind::Unload { replica } = order.kind
+                    && self.is_unload_unsent(name, replica)
+                {
+                    unloads.push((name.clone(), replica));
+                }
+            }
+        }
+        for (name, replica) in unloads {
+            let Some(record) = self.record.servers.get(&name) else { continue };
+            let is_it = |kind: &OrderKind| matches!(kind, OrderKind::Unload { replica: r } if *r == replica);
+            let found = record.orders.iter().find(|(_, order)| is_it(&order.kind));
+            let Some(id) = found.map(|(id, _)| *id) else { continue };
+            self.record.undo(&name, id);
+            if let Some(server) = self.servers.get_mut(&name) {
+                server.progress.remove(&id);
+            }
+            self.store.touch();
+            actions.push(Action::Publish);
+        }
+    }
+
     fn may_send(&self, now: Instant, name: &BackendServerId, id: OrderId) -> bool {
         let (Some(record), Some(server)) = (self.record.servers.get(name), self.servers.get(name))
         else {
--- a/components/process/group/src/publish.rs
+++ b/components/process/group/src/publish.rs
@@ -112,8 +112,10 @@
         let recorded = |id| record.and_then(|record| record.replicas.get(&id));
         let states = report.replicas.iter().map(|reported| {
             let recorded = recorded(reported.replica);
-            // No new requests once the unload is decided, also before the server shows it.
-            let unloading = recorded.is_some_and(|r| r.stage == ReplicaStage::Unloading);
+            // No new requests once the unload may have been sent or is committed, also before the
+            // server shows it.
+            let unloading = recorded.is_some_and(|r| r.stage == ReplicaStage::Unloading)
+                && !self.is_unload_unsent(name, reported.replica);
             ReplicaState {
                 replica: reported.replica,
                 model: reported.model.clone(),
--- a/components/process/group/src/store.rs
+++ b/components/process/group/src/store.rs
@@ -136,7 +136,10 @@
                     ObjectAnswer::Written { version } => self.committed(*version),
                     // The nonce tells whether this or another write took effect.
                     ObjectAnswer::Conflict => self.store.step = Step::ReadAt { at: now },
-                    _ => self.retry(now, rng),
+                    _ => {
+                        self.withdraw_unloads(actions);
+                        self.retry(now, rng);
+                    }
                 }
                 true
             }
--- a/components/process/group/tests/group.rs
+++ b/components/process/group/tests/group.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use types::object::{ObjectAnswer, ObjectCall};
-use types::prelude::{ListedInstance, ListedRole, ListedState, LoadSource};
+use types::prelude::{ListedInstance, ListedRole, ListedState, LoadSource, ReplicaPhase};
 use world::{DECLARED, World, secs};
 
 /// Guards against a policy whose decisions never take effect, and against lost allowances.
@@ -156,6 +156,31 @@
     assert_eq!(left(&world), DECLARED - 1);
 }
 
+/// Guards against a replica that takes no requests, or is unloaded with requests, because the
+/// answer to the write of its unload was lost.
+#[test]
+fn an_unload_in_doubt_is_withdrawn() {
+    let mut world = World::idle(9);
+    world.allot(0, "m0", DECLARED);
+    assert!(world.load(0, "checks0", "m0"));
+    world.run_for(5.0);
+    let view = world.owners[0].machine.view(world.now);
+    let replica = *view.servers["checks0"].replicas.keys().next().expect("a replica");
+    world.platform.faults.lost = 1.0;
+    assert!(world.decide(0, Decision::Unload { replica }));
+    for _ in 0..50 {
+        assert_eq!(world.published_phase(0, replica), Some(ReplicaPhase::Ready));
+        world.run_for(0.1);
+    }
+    world.platform.faults.lost = 0.0;
+    world.run_for(10.0);
+    assert_eq!(world.loaded("m0"), 1);
+    assert_eq!(world.published_phase(0, replica), Some(ReplicaPhase::Ready));
+    assert!(world.decide(0, Decision::Unload { replica }));
+    world.run_for(5.0);
+    assert_eq!(world.loaded("m0"), 0);
+}
+
 /// Guards against values above the platform's limit of 1 MB: further decisions are refused before.
 #[test]
 fn decisions_are_refused_before_the_value_reaches_the_limit() {
--- a/components/process/group/tests/world/mod.rs
+++ b/components/process/group/tests/world/mod.rs
@@ -302,6 +302,11 @@
             let written = self.written.contains(&(group, order.order));
             assert!(written, "order {order:?} was sent before it was recorded");
         }
+        if let OrderKind::Unload { replica } = order.kind
+            && let Some(phase) = self.published_phase(owner, replica)
+        {
+            assert_eq!(phase, ReplicaPhase::Unloading, "published while its unload is sent");
+        }
         // Orders that reserve nothing are not recorded, so that a successor cannot count them.
         let same = |event: &Event| match event {
             Event::Deliver { server, order, incarnation, .. } => {
@@ -517,6 +522,13 @@
     }
 
     /// Replicas of a model on all servers, as the servers count them.
+    /// The phase in which an owner publishes a replica.
+    pub(crate) fn published_phase(&mut self, owner: usize, id: ReplicaId) -> Option<ReplicaPhase> {
+        let state = self.owners[owner].machine.publish(self.now)?;
+        let mut replicas = state.servers.iter().flat_map(|server| &server.replicas);
+        replicas.find(|replica| replica.replica == id).map(|replica| replica.phase)
+    }
+
     pub(crate) fn loaded(&self, model: &str) -> usize {
         let servers = self.servers.iter().filter(|server| server.alive);
         servers.flat_map(|s| s.loaded.values()).filter(|loaded| &*loaded.model == model).count()
