--- a/components/stand_ins/src/engine/mod.rs
+++ b/components/stand_ins/src/engine/mod.rs
@@ -106,6 +106,11 @@
         self.inner.counters()
     }
 
+    /// Prompt hashes of the latest accepted requests, over all incarnations.
+    pub fn started_prompts(&self) -> Vec<u64> {
+        self.inner.state().started_prompts.iter().copied().collect()
+    }
+
     /// Changes the faults.
     pub fn change_faults(&self, change: impl FnOnce(&mut EngineFaults)) {
         change(&mut self.inner.state().faults);
--- a/components/stand_ins/src/engine/state.rs
+++ b/components/stand_ins/src/engine/state.rs
@@ -18,7 +18,7 @@
 /// Order outcomes in a report; older ones drop out.
 const KEPT_OUTCOMES: usize = 64;
 
-/// Attempts whose tokens are kept for resumption.
+/// Attempts whose tokens are kept for resumption, and prompts kept for tests.
 const KEPT_ATTEMPTS: usize = 4_096;
 
 /// What the server tasks of one engine share.
@@ -46,6 +46,8 @@
     pub(super) disk_cache: ModelCache,
     pub(super) attempts: HashMap<AttemptId, Arc<Attempt>>,
     pub(super) attempt_order: VecDeque<AttemptId>,
+    /// Prompt hashes of the latest accepted requests, over all incarnations.
+    pub(super) started_prompts: VecDeque<u64>,
     pub(super) prefixes: PrefixCache,
     /// Load figures by replica as they were at the times given, oldest first.
     pub(super) samples: VecDeque<(Instant, LoadFigures)>,
@@ -128,6 +130,7 @@
             disk_cache: ModelCache::new(cfg.disk_cache_models, &cfg.cached_on_disk),
             attempts: HashMap::new(),
             attempt_order: VecDeque::new(),
+            started_prompts: VecDeque::new(),
             prefixes: PrefixCache::new(cfg.cache_blocks),
             samples: VecDeque::new(),
             faults: EngineFaults::default(),
@@ -220,6 +223,10 @@
     }
 
     pub(super) fn keep_attempt(&mut self, attempt: Arc<Attempt>) {
+        self.started_prompts.push_back(attempt.prompt_hash);
+        if self.started_prompts.len() > KEPT_ATTEMPTS {
+            self.started_prompts.pop_front();
+        }
         self.attempt_order.push_back(attempt.id.clone());
         self.attempts.insert(attempt.id.clone(), attempt);
         if self.attempt_order.len() > KEPT_ATTEMPTS
--- a/components/stand_ins/tests/answer_tests.rs
+++ b/components/stand_ins/tests/answer_tests.rs
@@ -4,7 +4,7 @@
 
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
-use stand_ins::engine::{CacheEvents, Engine, EngineConfig, expected_text};
+use stand_ins::engine::{CacheEvents, Engine, EngineConfig, expected_text, prompt_hash};
 use stand_ins::service::Service;
 use stand_ins::weight_store::{WeightStore, WeightStoreConfig};
 use types::prelude::*;
@@ -182,6 +182,18 @@
     assert!(counters.latest_after_leaving_ms >= 30);
 }
 
+/// Guards against a request that ran before a crash and is later taken for one that never ran.
+#[tokio::test]
+async fn accepted_prompts_are_known_after_a_kill() {
+    let api = Api::start(EngineConfig::default()).await;
+    api.engine.change_faults(|faults| faults.refuse_requests = 1);
+    for (attempt, prompt) in [("a-1", "refused"), ("a-2", "accepted")] {
+        api.ask(attempt, prompt, 1, false).send().await.expect("answer");
+    }
+    api.engine.kill();
+    assert_eq!(api.engine.started_prompts(), [prompt_hash("m", "user: accepted\n")]);
+}
+
 /// Guards against duplicate or lost withdrawals that the ledger does not show.
 #[tokio::test]
 async fn the_ledger_counts_each_booking() {
--- a/tests/deployment/callers.rs
+++ b/tests/deployment/callers.rs
@@ -5,7 +5,7 @@
 
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
-use stand_ins::engine::{chat_prompt, expected_text};
+use stand_ins::engine::{chat_prompt, expected_text, prompt_hash};
 
 /// What a caller got.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,12 +27,22 @@
     pub(crate) stream: bool,
     pub(crate) number: u64,
     pub(crate) class: Option<&'static str>,
+    /// Whether it is sent as a text completion instead of a chat.
+    pub(crate) is_text: bool,
 }
 
 impl Chat {
     /// A request of the foremen for a short answer.
     pub(crate) fn new(target: &'static str, number: u64) -> Self {
-        Self { target, key: "demo-foremen", tokens: 8, stream: false, number, class: None }
+        Self {
+            target,
+            key: "demo-foremen",
+            tokens: 8,
+            stream: false,
+            number,
+            class: None,
+            is_text: false,
+        }
     }
 
     /// A streamed request for a longer answer.
@@ -55,16 +65,36 @@
         self.send_within(address, None).await
     }
 
+    /// Hash by which engines name the prompt.
+    pub(crate) fn prompt_hash(self) -> u64 {
+        prompt_hash(self.target, &self.prompt())
+    }
+
+    fn content(self) -> String {
+        format!("request {} for {}", self.number, self.target)
+    }
+
+    fn messages(self) -> Value {
+        json!([{ "role": "user", "content": self.content() }])
+    }
+
+    fn prompt(self) -> String {
+        if self.is_text { self.content() } else { chat_prompt(&self.messages()) }
+    }
+
     async fn send_within(self, address: SocketAddr, deadline_ms: Option<u64>) -> Outcome {
-        let content = format!("request {} for {}", self.number, self.target);
-        let messages = json!([{ "role": "user", "content": content }]);
-        let expected = expected_text(self.target, &chat_prompt(&messages), self.tokens);
-        let body = json!({ "model": self.target, "messages": messages, "stream": self.stream,
+        let expected = expected_text(self.target, &self.prompt(), self.tokens);
+        let mut body = json!({ "model": self.target, "stream": self.stream,
             "max_tokens": self.tokens });
-        let mut req = client()
-            .post(format!("http://{address}/v1/chat/completions"))
-            .bearer_auth(self.key)
-            .json(&body);
+        let path = if self.is_text {
+            body["prompt"] = self.content().into();
+            "completions"
+        } else {
+            body["messages"] = self.messages();
+            "chat/completions"
+        };
+        let mut req =
+            client().post(format!("http://{address}/v1/{path}")).bearer_auth(self.key).json(&body);
         if let Some(class) = self.class {
             req = req.header("x-class", class);
         }
@@ -99,19 +129,45 @@
 
 /// Books a withdrawal of this amount.
 pub(crate) async fn withdraw_amount(address: SocketAddr, id: &str, amount: i64) -> Outcome {
-    let body = json!({ "id": id, "barn": "kalloni", "amount": amount });
-    let req = client()
-        .post(format!("http://{address}/services/ledger/withdrawals"))
-        .bearer_auth("demo-foremen")
-        .header("idempotency-key", id)
-        .json(&body);
-    match req.send().await {
-        Ok(res) if res.status().is_success() => match res.json::<Value>().await {
-            Ok(_) => Outcome::Whole,
+    let withdrawal = Withdrawal { id: id.into(), has_key: true, amount, deadline_ms: None };
+    withdrawal.send(address).await
+}
+
+/// A withdrawal from the ledger.
+#[derive(Clone, Debug)]
+pub(crate) struct Withdrawal {
+    pub(crate) id: String,
+    /// Whether the id is sent as idempotency key.
+    pub(crate) has_key: bool,
+    pub(crate) amount: i64,
+    pub(crate) deadline_ms: Option<u64>,
+}
+
+impl Withdrawal {
+    /// Sends the withdrawal and reads the answer.
+    pub(crate) async fn send(&self, address: SocketAddr) -> Outcome {
+        let body = json!({ "id": self.id, "barn": "kalloni", "amount": self.amount });
+        let mut req = client()
+            .post(format!("http://{address}/services/ledger/withdrawals"))
+            .bearer_auth("demo-foremen")
+            .json(&body);
+        if self.has_key {
+            req = req.header("idempotency-key", &self.id);
+        }
+        if let Some(ms) = self.deadline_ms {
+            req = req.header("x-deadline-ms", ms);
+        }
+        match req.send().await {
+            Ok(res) if res.status().is_success() => match res.json::<Value>().await {
+                Ok(answer) if answer["id"] == body["id"] && answer["amount"] == body["amount"] => {
+                    Outcome::Whole
+                }
+                Ok(answer) => Outcome::Broken(format!("another withdrawal's answer: {answer}")),
+                Err(e) => Outcome::Broken(e.to_string()),
+            },
+            Ok(res) => problem(res).await,
             Err(e) => Outcome::Broken(e.to_string()),
-        },
-        Ok(res) => problem(res).await,
-        Err(e) => Outcome::Broken(e.to_string()),
+        }
     }
 }
 
@@ -124,7 +180,7 @@
         return Err(problem(res).await);
     }
     let body: Value = res.json().await.map_err(|e| Outcome::Broken(e.to_string()))?;
-    Ok(body["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned())
+    Ok(choice_text(&body, "message"))
 }
 
 async fn problem(res: Response) -> Outcome {
@@ -144,21 +200,35 @@
     }
 }
 
+/// Text of a chat's `part` or of a text completion.
+fn choice_text(body: &Value, part: &str) -> String {
+    let choice = &body["choices"][0];
+    let text = choice[part]["content"].as_str().or(choice["text"].as_str());
+    text.unwrap_or_default().to_owned()
+}
+
+/// Puts a stream together. It ends once, with the end marker or with an error event.
 async fn stream_text(res: Response) -> Result<String, Outcome> {
     let body = res.text().await.map_err(|e| Outcome::Broken(e.to_string()))?;
     let mut text = String::new();
-    for event in body.split("\n\n") {
+    let mut events = body.split("\n\n").filter(|event| !event.is_empty());
+    let end = loop {
+        let Some(event) = events.next() else {
+            break Err(Outcome::Broken("stream without end marker".into()));
+        };
         if let Some(data) = event.strip_prefix("event: error\ndata: ") {
-            return Err(refusal(&serde_json::from_str(data).unwrap_or_default()));
+            break Err(refusal(&serde_json::from_str(data).unwrap_or_default()));
         }
         let Some(data) = event.lines().find_map(|line| line.strip_prefix("data: ")) else {
             continue;
         };
         if data == "[DONE]" {
-            return Ok(text);
+            break Ok(text);
         }
-        let chunk: Value = serde_json::from_str(data).unwrap_or_default();
-        text += chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+        text += &choice_text(&serde_json::from_str(data).unwrap_or_default(), "delta");
+    };
+    match events.next() {
+        Some(event) => Err(Outcome::Broken(format!("stream goes on after its end: {event}"))),
+        None => end,
     }
-    Err(Outcome::Broken("stream without end marker".into()))
 }
--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -196,7 +196,7 @@
 }
 
 /// Repeats a request until it is answered. Refusals on the way must say that it did not run.
-async fn served_in_the_end(world: &World, instance: usize, chat: Chat) {
+pub(crate) async fn served_in_the_end(world: &World, instance: usize, chat: Chat) {
     let address = world.instances[instance].callers;
     world
         .wait_for("a request is served", async |_| match chat.send(address).await {
