--- a/components/connection/http_client/src/lib.rs
+++ b/components/connection/http_client/src/lib.rs
@@ -12,6 +12,12 @@
 /// How long an idle connection is kept for reuse.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Idle time after which the other end is asked for a sign of life, and the time between two
+/// such probes. A connection that went silent without a reset is found after three of them.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// A client with connections of its own; clones share them.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -20,6 +26,9 @@
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
+    connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
--- a/components/connection/platform/src/client.rs
+++ b/components/connection/platform/src/client.rs
@@ -63,6 +63,21 @@
         self.attempts.tried()
     }
 
+    /// Makes one attempt of a call in another encoding of the object API, which its caller speaks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call budget allows no attempt before the deadline.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        call: Call,
+    ) -> Result<Exchange<Answer>, Error> {
+        self.attempts.attempt(method, path, None, body, call, Patience::Whole).await
+    }
+
     /// Makes one attempt of a call for a component that resolves lost answers itself.
     pub async fn call(&self, request: &ObjectCall, call: Call) -> ObjectAnswer {
         let path = object_path(request.key());
--- a/components/connection/platform/src/lib.rs
+++ b/components/connection/platform/src/lib.rs
@@ -27,4 +27,5 @@
 pub use error::Error;
 pub use object::{Listing, Object, WriteOutcome};
 pub use resolution::{End, Present, Resolution, Step};
+pub use transport::{Answer, Exchange};
 pub use watch::{Change, Watch};
--- a/components/connection/platform/src/transport.rs
+++ b/components/connection/platform/src/transport.rs
@@ -21,7 +21,7 @@
 
 /// How one HTTP call ended.
 #[derive(Debug)]
-pub(crate) enum Exchange<A> {
+pub enum Exchange<A> {
     /// An answer arrived.
     Answered(A),
     /// The request was not sent.
@@ -42,10 +42,13 @@
 
 /// An answer with its whole body.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) version: Option<ObjectVersion>,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Version of the object, if the answer names one.
+    pub version: Option<ObjectVersion>,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 /// Sends calls of one instance.
--- /dev/null
+++ b/components/process/entry/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters and latency histograms of the process.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// How requests of a route ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    pub(crate) kind: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+/// Kind of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct KindLabel {
+    pub(crate) kind: &'static str,
+}
+
+/// Metrics of the process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: Family<OutcomeLabels, Counter>,
+    pub(crate) first_byte: Family<KindLabel, Histogram>,
+    pub(crate) sends: Counter,
+    pub(crate) repeats: Counter,
+    pub(crate) orders: Counter,
+    pub(crate) reports: Counter,
+    pub(crate) loads: Counter,
+    pub(crate) store_losses: Counter,
+    pub(crate) caller_connections: Gauge,
+    pub(crate) configuration_version: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("sequoiawell");
+        let requests = Family::<OutcomeLabels, Counter>::default();
+        // From 1 ms to about 33 s, which covers the longest patience of callers.
+        let new_histogram: fn() -> Histogram =
+            || Histogram::new(exponential_buckets(0.001, 2.0, 16));
+        let first_byte = Family::<KindLabel, Histogram>::new_with_constructor(new_histogram);
+        registry.register("requests", "Requests of callers, by outcome", requests.clone());
+        registry.register(
+            "first_byte_seconds",
+            "Time from the arrival of a request to the first byte of its answer",
+            first_byte.clone(),
+        );
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let sends = counter("sends", "Requests sent to backend servers");
+        let repeats = counter("repeats", "Requests sent once more");
+        let orders = counter("orders", "Orders sent to engines");
+        let reports = counter("reports", "Reports asked of engines");
+        let loads = counter("loads", "Loads of models that engines accepted");
+        let store_losses = counter("store_losses", "Times that the store was lost");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let caller_connections = gauge("caller_connections", "Open connections of callers");
+        let configuration_version = gauge("configuration_version", "Configuration in force");
+        Self {
+            registry,
+            requests,
+            first_byte,
+            sends,
+            repeats,
+            orders,
+            reports,
+            loads,
+            store_losses,
+            caller_connections,
+            configuration_version,
+        }
+    }
+
+    /// The metrics as text.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = prometheus_client::encoding::text::encode(&mut text, &self.registry) {
+            tracing::error!(%error, "metrics: not encoded");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/components/process/entry/src/process/mod.rs
@@ -0,0 +1,102 @@
+//! What lives as long as the process.
+
+mod instances;
+mod loads;
+mod orders;
+mod peers;
+mod run;
+mod store_sync;
+mod wants;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use model_homes::{Authority, BootTime};
+use platform_adapter::Store;
+use routes::{Deployment, ModelName, ServiceName};
+use server_choice::{Health, RepeatBudget};
+use server_directory::{Directory, ServerId};
+use tokio::sync::{Notify, watch};
+
+use crate::connection::Pools;
+use crate::metrics::Metrics;
+use crate::settings::EntrySettings;
+
+pub(crate) use instances::Instances;
+pub(crate) use loads::{InFlight, Loads, ModelKey};
+pub use run::{Error, run};
+pub(crate) use wants::{Want, Wants};
+
+/// How far the process is from its end. It only rises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Not ready, but takes what still comes in.
+    Leaving,
+    /// Takes no new requests.
+    Closing,
+}
+
+/// State of the process. One thread uses it; no borrow is held across an await.
+pub(crate) struct Entry {
+    pub(crate) settings: EntrySettings,
+    /// The store; replaced if the settings name another address.
+    pub(crate) store: RefCell<Store>,
+    /// Newest configuration; its version only rises.
+    pub(crate) deployment: RefCell<Option<Rc<Deployment>>>,
+    pub(crate) directory: RefCell<Directory>,
+    /// The registry was listed once, so that an unknown server is really unknown.
+    pub(crate) has_registry: Cell<bool>,
+    pub(crate) pools: Pools,
+    pub(crate) health: RefCell<HashMap<ServerId, Health>>,
+    pub(crate) repeats: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    pub(crate) loads: RefCell<Loads>,
+    pub(crate) wants: RefCell<Wants>,
+    pub(crate) instances: RefCell<Instances>,
+    pub(crate) authority: RefCell<Authority>,
+    /// When models that are waited for should be loaded, as the order giver says.
+    pub(crate) ready_at: RefCell<HashMap<ModelName, Instant>>,
+    /// Servers or their holdings changed; wakes waiting requests.
+    pub(crate) servers_changed: Notify,
+    /// What this instance waits for changed; the order giver should know.
+    pub(crate) wants_changed: Notify,
+    /// The order giver should plan again.
+    pub(crate) plan_due: Notify,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) metrics: Metrics,
+}
+
+impl Entry {
+    /// Whether requests can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving
+            && self.has_registry.get()
+            && self.deployment.borrow().is_some()
+    }
+
+    /// Takes one repeat for a service from this instance's share of the limits.
+    pub(crate) fn take_repeat(&self, service: &str) -> bool {
+        let instances = self.instances.borrow().count();
+        let mut repeats = self.repeats.borrow_mut();
+        let budget = repeats.entry(service.into()).or_default();
+        budget.repeat(Instant::now(), &self.settings.repeats, instances)
+    }
+
+    /// Changes the health of a server.
+    pub(crate) fn judge(&self, server: &str, change: impl FnOnce(&mut Health, Instant)) {
+        let mut health = self.health.borrow_mut();
+        match health.get_mut(server) {
+            Some(health) => change(health, Instant::now()),
+            None => change(health.entry(server.into()).or_default(), Instant::now()),
+        }
+    }
+}
+
+/// Time since the machine booted, suspension included.
+pub(crate) fn boot_now() -> BootTime {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    BootTime::new(now.tv_sec.unsigned_abs(), now.tv_nsec as u32)
+}
--- /dev/null
+++ b/components/process/entry/src/process/orders.rs
@@ -0,0 +1,649 @@
+//! Gives orders to the engines while this instance holds the lease.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use model_homes::{
+    Action, Demands, LeaseRecord, Limits, Move, ServerView, Source, adapter_move, plan,
+};
+use platform::Call;
+use platform_adapter::{Error, Order, OrderReply, Put, Store};
+use routes::{AdapterName, Engine, ModelName, ServiceName};
+use serde::Deserialize;
+use server_directory::{Holdings, ServerId};
+use tokio::task::spawn_local;
+
+use super::instances::{Homes, Message};
+use super::peers::PeerSocket;
+use super::{Entry, ModelKey, boot_now};
+use crate::connection::control_call;
+
+/// Kind and name of the lease object.
+const LEASE_KIND: &str = "order-leases";
+const LEASE_NAME: &str = "engines";
+
+/// Longest time for a call about the lease; a third of the time it is valid.
+const LEASE_CALL_TIME: Duration = Duration::from_millis(700);
+/// Longest time for an order or a report; engines answer in a few milliseconds.
+const ORDER_TIME: Duration = Duration::from_millis(600);
+/// Time between two tries of a load while the unload before it is under way.
+const UNLOAD_POLL: Duration = Duration::from_millis(60);
+/// Longest wait for an unload, which waits for running requests to end.
+const UNLOAD_TIME: Duration = Duration::from_secs(8);
+/// Time between two reports while a load is due.
+const REPORT_EVERY: Duration = Duration::from_millis(200);
+/// Reports lag behind, so that the first one after the expected end is taken this much later.
+const REPORT_LAG: Duration = Duration::from_millis(120);
+/// A load that takes this many times its expected time has failed.
+const LOAD_PATIENCE: u32 = 4;
+/// Time between two plans if nothing happens.
+const PLAN_EVERY: Duration = Duration::from_millis(200);
+/// Time between two messages to the other instances if nothing changes.
+const TELL_EVERY: Duration = Duration::from_millis(250);
+/// Servers that are told again in each of these messages, in turn.
+const TOLD_AGAIN: usize = 6;
+/// A server that refused an order is left alone for this time.
+const REFUSED_PAUSE: Duration = Duration::from_millis(700);
+/// Part of an adapter's load time that does not depend on its size, and the rest for each MB.
+const ADAPTER_BASE_MS: f64 = 5.0;
+const ADAPTER_MS_PER_MB: f64 = 0.17;
+
+/// State of the order giver.
+#[derive(Default)]
+struct Giver {
+    demands: Demands,
+    /// Servers with orders under way.
+    ordered: HashSet<ServerId>,
+    /// Loads under way: source and expected end.
+    loading: HashMap<ServerId, (Source, Instant)>,
+    /// No order to these servers before the deadline.
+    paused: HashMap<ServerId, Instant>,
+    adapters_used: HashMap<(ModelName, AdapterName), Instant>,
+    adapters_ordered: HashSet<(ServiceName, ModelKey)>,
+    /// Arrivals at this instance that were already taken into the demand.
+    counted: HashMap<ModelKey, u64>,
+    ready_at: HashMap<ModelName, Instant>,
+    /// Servers whose holdings changed since the last message.
+    changed: HashSet<ServerId>,
+    told: usize,
+}
+
+/// Holds the lease if nobody else does, for as long as the process lives.
+pub(crate) async fn keep_lease(cx: Rc<Entry>) {
+    loop {
+        let now = boot_now();
+        let action = cx.authority.borrow().next(now);
+        let store: Store = cx.store.borrow().clone();
+        let by = Call::lease_by(Instant::now() + LEASE_CALL_TIME);
+        match action {
+            Action::Wait(until) => {
+                tokio::time::sleep(until.saturating_sub(now).min(Duration::from_millis(300))).await;
+            }
+            Action::Read => match store.get(LEASE_KIND, LEASE_NAME, by).await {
+                Ok(found) => found_lease(&cx, found),
+                Err(error) => lease_failed(&cx, &error),
+            },
+            Action::Write { revision, record } => {
+                let written = match revision {
+                    Some(at) => store.replace(LEASE_KIND, LEASE_NAME, at, &record, by).await,
+                    None => store.create(LEASE_KIND, LEASE_NAME, &record, by).await,
+                };
+                match written {
+                    Ok(Put::Written(revision)) => {
+                        let is_claim = record.beat == 0;
+                        let fence = record.fence;
+                        let mut authority = cx.authority.borrow_mut();
+                        authority.written(record, revision, now, boot_now());
+                        if is_claim {
+                            tracing::info!(fence, revision, "orders: lease claimed");
+                            cx.plan_due.notify_one();
+                        }
+                    }
+                    Ok(Put::Conflict(Some(object))) => found_lease(&cx, Some(object)),
+                    Ok(Put::Conflict(None)) => cx.authority.borrow_mut().read(None, boot_now()),
+                    Err(error) => lease_failed(&cx, &error),
+                }
+            }
+        }
+    }
+}
+
+fn found_lease(cx: &Entry, found: Option<platform_adapter::StoredObject>) {
+    let lease = found.and_then(|object| {
+        let record = LeaseRecord::deserialize(&object.value).ok()?;
+        Some((record, object.revision))
+    });
+    if let Some((record, revision)) = &lease {
+        tracing::info!(holder = %record.holder, fence = record.fence, revision,
+            is_released = record.is_released, "orders: lease read");
+    }
+    cx.authority.borrow_mut().read(lease, boot_now());
+}
+
+fn lease_failed(cx: &Entry, error: &Error) {
+    tracing::warn!(%error, "orders: call about the lease failed");
+    cx.authority.borrow_mut().failed(boot_now());
+}
+
+/// Plans and gives orders while the lease is held, and tells the other instances.
+pub(crate) async fn give(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
+    let giver = Rc::new(RefCell::new(Giver::default()));
+    let mut was_holder = false;
+    let mut tell_at = Instant::now();
+    let mut plan_at = Instant::now();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep_until(plan_at.min(tell_at).into()) => {}
+            () = cx.plan_due.notified() => {}
+        }
+        let Some((fence, lease_revision)) = cx.authority.borrow().held(boot_now()) else {
+            if was_holder {
+                tracing::warn!("orders: lease no longer held");
+                *giver.borrow_mut() = Giver::default();
+            }
+            was_holder = false;
+            plan_at = Instant::now() + PLAN_EVERY;
+            tell_at = plan_at;
+            continue;
+        };
+        if !was_holder {
+            was_holder = true;
+            tracing::info!(fence, "orders: this instance gives the orders");
+        }
+        take_arrivals(&cx, &mut giver.borrow_mut());
+        if cx.authority.borrow().may_order(boot_now()).is_some() {
+            plan_services(&cx, &giver);
+        }
+        plan_at = Instant::now() + PLAN_EVERY;
+        let must_tell = !giver.borrow().changed.is_empty() || wants_waiting(&cx);
+        if must_tell || Instant::now() >= tell_at {
+            tell_homes(&cx, &socket, &mut giver.borrow_mut(), fence, lease_revision);
+            tell_at = Instant::now() + TELL_EVERY;
+        }
+    }
+}
+
+fn wants_waiting(cx: &Entry) -> bool {
+    let now = Instant::now();
+    cx.instances.borrow().live(now).any(|status| !status.wants.is_empty())
+}
+
+fn take_arrivals(cx: &Entry, giver: &mut Giver) {
+    let now = Instant::now();
+    let mut arrivals = cx.instances.borrow_mut().new_arrivals();
+    for (key, total) in &cx.loads.borrow().arrivals {
+        let counted = giver.counted.entry(key.clone()).or_default();
+        if total > counted {
+            arrivals.push((key.clone(), total - *counted));
+            *counted = *total;
+        }
+    }
+    for (key, count) in arrivals {
+        giver.demands.models.entry(key.model.clone()).or_default().arrived(now, count);
+        if let Some(adapter) = key.adapter {
+            giver.adapters_used.insert((key.model, adapter), now);
+        }
+    }
+}
+
+/// What requests of all instances wait for in a service.
+fn wants(cx: &Entry, service: &str) -> HashMap<ModelKey, u32> {
+    let own = cx.wants.borrow();
+    let instances = cx.instances.borrow();
+    let others = instances.live(Instant::now()).flat_map(|status| &status.wants);
+    let others = others.map(|(name, key, count)| (name, key, *count));
+    let mut wants = HashMap::new();
+    for (_, key, count) in own.iter().chain(others).filter(|(name, ..)| &***name == service) {
+        *wants.entry(key.clone()).or_default() += count;
+    }
+    wants
+}
+
+fn plan_services(cx: &Rc<Entry>, giver: &Rc<RefCell<Giver>>) {
+    let Some(deployment) = cx.deployment.borrow().clone() else { return };
+    let now = Instant::now();
+    giver.borrow_mut().ready_at.clear();
+    for (service, engine) in deployment.engines() {
+        let wants = wants(cx, service);
+        let moves = plan_service(cx, &mut giver.borrow_mut(), service, engine, &wants, now);
+        for chosen in moves {
+            spawn_local(carry_out(cx.clone(), giver.clone(), engine.clone(), chosen));
+        }
+        for (key, _) in wants {
+            if let Some(adapter) = key.adapter.clone() {
+                bring_adapter(cx, giver, service, engine, &key, adapter);
+            }
+        }
+    }
+    let ready_at = giver.borrow().ready_at.clone();
+    *cx.ready_at.borrow_mut() = ready_at;
+    cx.servers_changed.notify_waiters();
+}
+
+fn plan_service(
+    cx: &Entry,
+    giver: &mut Giver,
+    service: &str,
+    engine: &Engine,
+    wants: &HashMap<ModelKey, u32>,
+    now: Instant,
+) -> Vec<Move> {
+    let directory = cx.directory.borrow();
+    let views = views(cx, giver, &directory, service, now);
+    for demand in giver.demands.models.values_mut() {
+        (demand.waiting, demand.in_flight) = (0, 0);
+    }
+    for view in &views {
+        for (model, count) in &view.by_model {
+            giver.demands.models.entry((*model).into()).or_default().in_flight += count;
+        }
+    }
+    for (key, count) in wants {
+        let demand = giver.demands.models.entry(key.model.clone()).or_default();
+        let is_loaded = views.iter().any(|v| v.holdings.models.contains_key(&key.model));
+        if !is_loaded {
+            demand.waiting += count;
+        }
+    }
+    let limits = Limits {
+        store_concurrent: cx.settings.concurrent_loads,
+        is_prefetching: cx.settings.is_prefetching,
+    };
+    let plan = plan(now, &views, &giver.demands, engine, limits);
+    giver.ready_at.extend(plan.ready_at);
+    for chosen in &plan.moves {
+        giver.ordered.insert(chosen.server.clone());
+    }
+    plan.moves
+}
+
+fn views<'a>(
+    cx: &Entry,
+    giver: &Giver,
+    directory: &'a server_directory::Directory,
+    service: &str,
+    now: Instant,
+) -> Vec<ServerView<'a>> {
+    let loads = cx.loads.borrow();
+    let instances = cx.instances.borrow();
+    let mut views: Vec<ServerView<'a>> = directory
+        .servers()
+        .filter(|server| &*server.entry.service == service)
+        .map(|server| {
+            let id = &*server.entry.id;
+            let health = cx.health.borrow().get(id).copied().unwrap_or_default();
+            let is_paused = giver.paused.get(id).is_some_and(|until| *until > now);
+            ServerView {
+                id,
+                holdings: &server.entry.holdings,
+                in_flight: 0,
+                by_model: HashMap::new(),
+                is_ordered: giver.ordered.contains(id) || is_paused || health.is_paused(now),
+                loading: giver.loading.get(id).copied(),
+                is_leaving: server.entry.is_draining || server.lapses_at.is_some(),
+            }
+        })
+        .collect();
+    views.sort_by(|a, b| a.id.cmp(b.id));
+    for view in &mut views {
+        let own = loads.in_flight.get(view.id).into_iter().flatten();
+        let others = instances
+            .live(now)
+            .flat_map(|status| &status.in_flight)
+            .filter(|(id, _)| **id == *view.id)
+            .flat_map(|(_, models)| models.iter().map(|(model, count)| (model, count)));
+        for (model, count) in own.chain(others) {
+            // The name is borrowed from the holdings, which live as long as the view.
+            let Some((name, _)) = view.holdings.models.get_key_value(model) else { continue };
+            *view.by_model.entry(name).or_default() += count;
+            view.in_flight += count;
+        }
+    }
+    views
+}
+
+fn tell_homes(cx: &Entry, socket: &PeerSocket, giver: &mut Giver, fence: u64, lease_revision: u64) {
+    let now = Instant::now();
+    let directory = cx.directory.borrow();
+    let mut ids: Vec<&ServerId> = directory
+        .servers()
+        .filter(|server| !server.entry.holdings.models.is_empty() || server.entry.slots > 0)
+        .map(|server| &server.entry.id)
+        .collect();
+    ids.sort();
+    let mut told: Vec<ServerId> = giver.changed.drain().collect();
+    for _ in 0..TOLD_AGAIN.min(ids.len()) {
+        giver.told = (giver.told + 1) % ids.len();
+        told.push(ids[giver.told].clone());
+    }
+    told.sort();
+    told.dedup();
+    let holdings = told
+        .into_iter()
+        .filter_map(|id| Some((id.clone(), directory.get(&id)?.entry.holdings.clone())))
+        .collect();
+    let ready_in = giver
+        .ready_at
+        .iter()
+        .map(|(model, at)| {
+            (model.clone(), at.saturating_duration_since(now).as_millis() as u32)
+        })
+        .collect();
+    let from = cx.settings.name.clone();
+    let homes = Homes { from, fence, lease_revision, holdings, ready_in };
+    socket.send(&Message::Homes(homes), &cx.instances.borrow().addresses());
+}
+
+/// Changes what is known of a server and tells the others.
+fn note(cx: &Entry, giver: &RefCell<Giver>, server: &str, change: impl FnOnce(&mut Holdings)) {
+    cx.directory.borrow_mut().update(server, change);
+    giver.borrow_mut().changed.insert(server.into());
+    cx.servers_changed.notify_waiters();
+    cx.plan_due.notify_one();
+}
+
+/// How an order ended.
+#[derive(Debug)]
+enum Ordered {
+    Accepted,
+    Holds,
+    Conflict,
+    /// Not allowed now, refused, or the server could not be reached.
+    Failed,
+    /// The order may still be carried out. The next order carries the same sequence, so that only
+    /// one of the two can be.
+    Unknown,
+}
+
+async fn order(cx: &Rc<Entry>, server: &str, order: &Order) -> Ordered {
+    let Some(address) = cx.directory.borrow().get(server).map(|s| s.entry.address) else {
+        return Ordered::Failed;
+    };
+    // The right to order is checked when the order is about to leave.
+    let body = || {
+        let fence = cx.authority.borrow().may_order(boot_now())?;
+        Some(platform_adapter::order_body(order, &cx.settings.name, fence))
+    };
+    cx.metrics.orders.inc();
+    let by = Instant::now() + ORDER_TIME;
+    let reply = control_call(address, server, platform_adapter::ORDER_PATH, Some(&body), by).await;
+    let ended = match reply {
+        Ok((status, _)) => match platform_adapter::order_reply(status) {
+            OrderReply::Accepted => Ordered::Accepted,
+            OrderReply::Holds => Ordered::Holds,
+            OrderReply::Conflict => Ordered::Conflict,
+            OrderReply::Refused => Ordered::Failed,
+        },
+        Err(is_sent) if is_sent => Ordered::Unknown,
+        Err(_) => Ordered::Failed,
+    };
+    tracing::info!(server, model = %order.model, adapter = ?order.adapter, load = order.is_load,
+        after_sequence = order.after_sequence, outcome = ?ended, "orders: order sent");
+    ended
+}
+
+/// Asks a server what it holds.
+async fn report(cx: &Rc<Entry>, server: &str) -> Option<(Holdings, bool)> {
+    let address = cx.directory.borrow().get(server)?.entry.address;
+    cx.metrics.reports.inc();
+    let by = Instant::now() + ORDER_TIME;
+    let reply = control_call(address, server, platform_adapter::REPORT_PATH, None, by).await;
+    let Ok((StatusCode::OK, body)) = reply else { return None };
+    platform_adapter::report(&body)
+}
+
+fn sequence(cx: &Entry, server: &str) -> Option<u64> {
+    Some(cx.directory.borrow().get(server)?.entry.holdings.sequence)
+}
+
+/// Carries out one move and marks the server free again.
+async fn carry_out(cx: Rc<Entry>, giver: Rc<RefCell<Giver>>, engine: Engine, chosen: Move) {
+    let began = Instant::now();
+    let server = chosen.server.clone();
+    let is_done = unload_then_load(&cx, &giver, &engine, &chosen).await.is_some();
+    tracing::info!(%server, model = %chosen.load, source = ?chosen.source, is_done,
+        took_ms = began.elapsed().as_millis() as u64, unloaded = ?chosen.unload,
+        "orders: move ended");
+    if !is_done {
+        refresh(&cx, &giver, &server).await;
+        giver.borrow_mut().paused.insert(server.clone(), Instant::now() + REFUSED_PAUSE);
+    }
+    let mut state = giver.borrow_mut();
+    state.ordered.remove(&server);
+    state.loading.remove(&server);
+    drop(state);
+    cx.plan_due.notify_one();
+}
+
+/// Replaces what is known of a server by its own report.
+async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) {
+    if let Some((mut holdings, is_busy)) = report(cx, server).await {
+        note(cx, giver, server, |held| {
+            if is_busy {
+                holdings.loading = held.loading.take();
+            }
+            if holdings.on_disk.is_empty() && holdings.born == held.born {
+                holdings.on_disk = std::mem::take(&mut held.on_disk);
+                holdings.in_memory = std::mem::take(&mut held.in_memory);
+            }
+            *held = holdings;
+        });
+    } else {
+        note(cx, giver, server, |held| held.loading = None);
+    }
+}
+
+async fn unload_then_load(
+    cx: &Rc<Entry>,
+    giver: &RefCell<Giver>,
+    engine: &Engine,
+    chosen: &Move,
+) -> Option<()> {
+    let server = &*chosen.server;
+    for model in &chosen.unload {
+        // No instance sends requests for the model there from now on.
+        note(cx, giver, server, |held| {
+            held.models.remove(model);
+        });
+        let unload = Order {
+            is_load: false,
+            model: model.clone(),
+            adapter: None,
+            after_sequence: sequence(cx, server)?,
+        };
+        match retry_while_busy(cx, server, &unload).await? {
+            Ordered::Accepted | Ordered::Holds => note(cx, giver, server, |held| {
+                held.sequence += 1;
+            }),
+            _ => return None,
+        }
+    }
+    let model = engine.models.get(&chosen.load)?;
+    let load = Order {
+        is_load: true,
+        model: model.name.clone(),
+        adapter: None,
+        after_sequence: sequence(cx, server)?,
+    };
+    // The engine takes the load only once the unload is complete.
+    match retry_while_busy(cx, server, &load).await? {
+        Ordered::Accepted => {}
+        _ => return None,
+    }
+    let took = match chosen.source {
+        Source::Store => {
+            let under_way = giver.borrow().loading.values().filter(|l| l.0 == Source::Store).count();
+            let crowd = (under_way + 1) as f64 / cx.settings.concurrent_loads as f64;
+            model.store_load.mul_f64(crowd.max(1.0))
+        }
+        source => source.load_time(model),
+    };
+    let began = Instant::now();
+    giver.borrow_mut().loading.insert(server.into(), (chosen.source, began + took));
+    let born = cx.directory.borrow().get(server)?.entry.holdings.born;
+    note(cx, giver, server, |held| {
+        held.sequence += 1;
+        held.loading = Some(model.name.clone());
+    });
+    cx.metrics.loads.inc();
+    wait_loaded(cx, giver, server, &model.name, born, began, took).await
+}
+
+/// Repeats an order while another one is under way at the server.
+async fn retry_while_busy(cx: &Rc<Entry>, server: &str, what: &Order) -> Option<Ordered> {
+    let until = Instant::now() + UNLOAD_TIME;
+    let mut pause = UNLOAD_POLL;
+    loop {
+        let ended = order(cx, server, what).await;
+        if !matches!(ended, Ordered::Conflict) || Instant::now() >= until {
+            return Some(ended);
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(Duration::from_millis(400));
+        // The registry shows another run, or orders that were not known here.
+        if sequence(cx, server)? != what.after_sequence {
+            return None;
+        }
+    }
+}
+
+async fn wait_loaded(
+    cx: &Rc<Entry>,
+    giver: &RefCell<Giver>,
+    server: &str,
+    model: &str,
+    born: u64,
+    began: Instant,
+    took: Duration,
+) -> Option<()> {
+    let give_up_at = began + took * LOAD_PATIENCE;
+    tokio::time::sleep_until((began + took + REPORT_LAG).into()).await;
+    loop {
+        {
+            let directory = cx.directory.borrow();
+            let held = &directory.get(server)?.entry.holdings;
+            if held.born != born {
+                return None;
+            }
+            if held.models.contains_key(model) && held.loading.is_none() {
+                return Some(());
+            }
+        }
+        if let Some((reported, is_busy)) = report(cx, server).await {
+            if reported.born != born {
+                return None;
+            }
+            if !is_busy && reported.models.contains_key(model) {
+                note(cx, giver, server, |held| {
+                    held.loading = None;
+                    held.models.entry(model.into()).or_default();
+                    held.on_disk.insert(model.into());
+                    if !reported.on_disk.is_empty() {
+                        held.on_disk = reported.on_disk;
+                        held.in_memory = reported.in_memory;
+                    }
+                });
+                return Some(());
+            }
+        }
+        if Instant::now() >= give_up_at {
+            return None;
+        }
+        tokio::time::sleep(REPORT_EVERY).await;
+    }
+}
+
+fn bring_adapter(
+    cx: &Rc<Entry>,
+    giver: &Rc<RefCell<Giver>>,
+    service: &str,
+    engine: &Engine,
+    key: &ModelKey,
+    adapter: AdapterName,
+) {
+    let now = Instant::now();
+    let is_served = cx.directory.borrow().servers().any(|server| {
+        &*server.entry.service == service
+            && !server.entry.is_draining
+            && server.entry.holdings.serves(&key.model, Some(&adapter))
+    });
+    let token = (ServiceName::from(service), key.clone());
+    if is_served || giver.borrow().adapters_ordered.contains(&token) {
+        return;
+    }
+    let chosen = {
+        let directory = cx.directory.borrow();
+        let state = giver.borrow();
+        let views = views(cx, &state, &directory, service, now);
+        let views: Vec<_> = views.into_iter().filter(|view| !view.is_leaving).collect();
+        adapter_move(now, &views, engine.adapter_places, &key.model, &state.adapters_used)
+    };
+    let Some(chosen) = chosen else { return };
+    let size_mb = engine.models.get(&key.model).map_or(0.0, |model| model.adapter_mb);
+    let took = Duration::from_secs_f64((ADAPTER_BASE_MS + ADAPTER_MS_PER_MB * size_mb) / 1e3);
+    {
+        let mut state = giver.borrow_mut();
+        state.adapters_ordered.insert(token.clone());
+        state.ordered.insert(chosen.server.clone());
+    }
+    let (cx, giver, model) = (cx.clone(), giver.clone(), key.model.clone());
+    spawn_local(async move {
+        let server = chosen.server.clone();
+        let is_done = async {
+            if let Some((model, adapter)) = chosen.unload {
+                note(&cx, &giver, &server, |held| {
+                    if let Some(adapters) = held.models.get_mut(&model) {
+                        adapters.remove(&adapter);
+                    }
+                });
+                order_adapter(&cx, &giver, &server, false, &model, &adapter).await?;
+            }
+            order_adapter(&cx, &giver, &server, true, &model, &adapter).await?;
+            tokio::time::sleep(took).await;
+            note(&cx, &giver, &server, |held| {
+                if let Some(adapters) = held.models.get_mut(&model) {
+                    adapters.insert(adapter.clone());
+                }
+            });
+            Some(())
+        }
+        .await
+        .is_some();
+        if !is_done {
+            refresh(&cx, &giver, &server).await;
+            giver.borrow_mut().paused.insert(server.clone(), Instant::now() + REFUSED_PAUSE);
+        }
+        let mut state = giver.borrow_mut();
+        state.adapters_ordered.remove(&token);
+        state.ordered.remove(&server);
+        drop(state);
+        cx.plan_due.notify_one();
+    });
+}
+
+async fn order_adapter(
+    cx: &Rc<Entry>,
+    giver: &RefCell<Giver>,
+    server: &str,
+    is_load: bool,
+    model: &str,
+    adapter: &str,
+) -> Option<()> {
+    let what = Order {
+        is_load,
+        model: model.into(),
+        adapter: Some(adapter.into()),
+        after_sequence: sequence(cx, server)?,
+    };
+    match order(cx, server, &what).await {
+        Ordered::Accepted => note(cx, giver, server, |held| held.sequence += 1),
+        // Unloading is done at once and advances the sequence; a load that holds already is none.
+        Ordered::Holds if !is_load => note(cx, giver, server, |held| held.sequence += 1),
+        Ordered::Holds => {}
+        Ordered::Conflict | Ordered::Failed | Ordered::Unknown => return None,
+    }
+    Some(())
+}
--- /dev/null
+++ b/components/process/entry/src/process/peers.rs
@@ -0,0 +1,188 @@
+//! Datagrams between instances.
+//!
+//! These are small and replaced by the next one within a quarter of a second, so that a lost one
+//! does not matter; a connection to each other instance would cost more than what it carries.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::UdpSocket;
+
+use super::instances::{Homes, Message, Status};
+use super::{Entry, Phase, boot_now};
+
+/// Time between two status messages.
+const STATUS_EVERY: Duration = Duration::from_millis(250);
+/// Least time between two status messages that a new want causes.
+const STATUS_GAP: Duration = Duration::from_millis(4);
+/// Largest datagram, in bytes; the largest that IPv4 carries is 65,507.
+const MAX_DATAGRAM: usize = 60_000;
+/// Arrivals are repeated in this many messages after the last change.
+const ARRIVALS_SENT_FOR: u32 = 8;
+
+/// Sends messages to other instances.
+pub(crate) struct PeerSocket {
+    socket: UdpSocket,
+}
+
+impl PeerSocket {
+    pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self { socket: UdpSocket::bind(address).await? })
+    }
+
+    /// Sends a message to some instances. What cannot be sent now is lost, like on the way.
+    pub(crate) fn send(&self, message: &Message, to: &[SocketAddr]) {
+        let datagram = match postcard::to_allocvec(message) {
+            Ok(datagram) if datagram.len() <= MAX_DATAGRAM => datagram,
+            Ok(datagram) => {
+                tracing::warn!(bytes = datagram.len(), "peers: message too large to send");
+                return;
+            }
+            Err(error) => {
+                tracing::error!(%error, "peers: message not encoded");
+                return;
+            }
+        };
+        for address in to {
+            if let Err(error) = self.socket.try_send_to(&datagram, *address) {
+                tracing::debug!(%address, %error, "peers: message not sent");
+            }
+        }
+    }
+}
+
+fn status(cx: &Entry, run: u64, recent: &mut Recent) -> Status {
+    let loads = cx.loads.borrow();
+    let in_flight = loads
+        .in_flight
+        .iter()
+        .map(|(server, models)| {
+            (server.clone(), models.iter().map(|(model, n)| (model.clone(), *n)).collect())
+        })
+        .collect();
+    let arrivals = loads
+        .arrivals
+        .iter()
+        .filter(|(key, count)| recent.is_due(key, **count))
+        .map(|(key, count)| (key.clone(), *count))
+        .collect();
+    let wants = cx
+        .wants
+        .borrow()
+        .iter()
+        .map(|(service, key, count)| (service.clone(), key.clone(), count))
+        .collect();
+    Status {
+        from: cx.settings.name.clone(),
+        run,
+        is_leaving: *cx.phase.borrow() != Phase::Serving,
+        in_flight,
+        arrivals,
+        wants,
+    }
+}
+
+/// Which arrivals the next status messages still have to tell.
+#[derive(Default)]
+struct Recent {
+    sent: std::collections::HashMap<super::ModelKey, (u64, u32)>,
+}
+
+impl Recent {
+    fn is_due(&mut self, key: &super::ModelKey, count: u64) -> bool {
+        let (known, times) = self.sent.entry(key.clone()).or_default();
+        if *known != count {
+            (*known, *times) = (count, 0);
+        }
+        *times += 1;
+        *times <= ARRIVALS_SENT_FOR
+    }
+}
+
+/// Tells the other instances what this one does, regularly and when it waits for another model.
+pub(crate) async fn tell(cx: Rc<Entry>, socket: Rc<PeerSocket>, run: u64) {
+    let mut recent = Recent::default();
+    let mut next = Instant::now();
+    loop {
+        let is_want = tokio::select! {
+            () = tokio::time::sleep_until(next.into()) => false,
+            () = cx.wants_changed.notified() => true,
+        };
+        if is_want {
+            // Requests that arrive together are told together.
+            tokio::time::sleep(STATUS_GAP).await;
+            let holder = cx.authority.borrow().holder().map(Box::<str>::from);
+            let is_own = holder.as_deref() == Some(&*cx.settings.name);
+            if is_own {
+                cx.plan_due.notify_one();
+                continue;
+            }
+            let address = holder.and_then(|name| cx.instances.borrow().address(&name));
+            if let Some(address) = address {
+                let message = Message::Status(status(&cx, run, &mut recent));
+                socket.send(&message, &[address]);
+            }
+            continue;
+        }
+        let to = cx.instances.borrow().addresses();
+        socket.send(&Message::Status(status(&cx, run, &mut recent)), &to);
+        next = Instant::now() + STATUS_EVERY;
+    }
+}
+
+/// Takes the messages of the other instances.
+pub(crate) async fn listen(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
+    let mut buf = vec![0; 65_536];
+    loop {
+        let (len, from) = match socket.socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A reset answer to an earlier datagram; the socket goes on.
+                tracing::debug!(%error, "peers: receive failed");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Message>(&buf[..len]) {
+            Ok(Message::Status(status)) => take_status(&cx, status, from),
+            Ok(Message::Homes(homes)) => take_homes(&cx, homes),
+            Err(error) => tracing::warn!(%from, %error, "peers: message of another form"),
+        }
+    }
+}
+
+fn take_status(cx: &Entry, status: Status, from: SocketAddr) {
+    if status.from == cx.settings.name {
+        return;
+    }
+    let has_wants = !status.wants.is_empty();
+    cx.instances.borrow_mut().heard(status, from, Instant::now());
+    if has_wants {
+        cx.plan_due.notify_one();
+    }
+}
+
+fn take_homes(cx: &Entry, homes: Homes) {
+    let former = cx.authority.borrow().holder().map(Box::<str>::from);
+    cx.authority.borrow_mut().heard(&homes.from, homes.fence, homes.lease_revision, boot_now());
+    if former.as_ref() != Some(&homes.from) {
+        tracing::info!(holder = %homes.from, fence = homes.fence, "peers: order giver changed");
+        // It does not know yet what requests here wait for.
+        cx.wants_changed.notify_one();
+    }
+    let now = Instant::now();
+    {
+        let mut directory = cx.directory.borrow_mut();
+        for (server, holdings) in homes.holdings {
+            directory.observe(&server, holdings);
+        }
+    }
+    let ready_at = homes
+        .ready_in
+        .into_iter()
+        .map(|(model, left)| (model, now + Duration::from_millis(u64::from(left))))
+        .collect();
+    *cx.ready_at.borrow_mut() = ready_at;
+    cx.servers_changed.notify_waiters();
+}
--- /dev/null
+++ b/components/process/entry/src/process/run.rs
@@ -0,0 +1,185 @@
+//! Start and stop of the process.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use model_homes::Authority;
+use platform::{Client, ClientConfig, Rates};
+use platform_adapter::Store;
+use quick_error::quick_error;
+use rand::Rng;
+use server_directory::Directory;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+
+use super::peers::PeerSocket;
+use super::{Entry, Instances, Loads, Phase, Wants, orders, peers, store_sync};
+use crate::connection::{Pools, accept_callers, accept_metrics, accept_readiness};
+use crate::metrics::Metrics;
+use crate::settings::EntrySettings;
+
+/// Instances among which the store's call rates are shared. An instance makes a few calls a
+/// second at most, so that this only bounds what a fault could cause.
+const STORE_SHARES: u32 = 16;
+/// Time after SIGTERM in which new requests are still taken: two readiness checks take the
+/// instance out of rotation, and callers keep open connections a little longer.
+const LEAVING_TIME: Duration = Duration::from_millis(2_800);
+/// Time before the end of the grace period by which the process ends.
+const GRACE_SLACK: Duration = Duration::from_millis(400);
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(3);
+/// Time between two looks at open connections during the stop.
+const CLOSE_POLL: Duration = Duration::from_millis(50);
+
+quick_error! {
+    /// Why the process cannot start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An address cannot be used.
+        Bind(what: &'static str, address: std::net::SocketAddr, error: std::io::Error) {
+            display("[{what}] address {address}: {error}")
+        }
+        /// A signal handler cannot be set.
+        Signal(error: std::io::Error) {
+            from()
+            display("signal handler: {error}")
+        }
+    }
+}
+
+async fn bind(what: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| Error::Bind(what, address, error))
+}
+
+fn store(settings: &EntrySettings) -> Store {
+    let rates = Rates::share(
+        settings.store_reads_per_second,
+        settings.store_writes_per_second,
+        STORE_SHARES,
+    );
+    Store::new(Client::new(&ClientConfig {
+        addresses: [settings.store].into(),
+        instance: settings.name.clone(),
+        rates,
+        seed: rand::rng().random(),
+    }))
+}
+
+/// Runs an instance until SIGTERM or SIGINT. Must run inside a `LocalSet`.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or a signal handler cannot be set.
+pub async fn run(settings: EntrySettings, path: &Path) -> Result<(), Error> {
+    let callers = bind("callers", settings.callers).await?;
+    let readiness = bind("readiness", settings.readiness).await?;
+    let metrics = bind("metrics", settings.metrics).await?;
+    let peer_socket = PeerSocket::bind(settings.peers)
+        .await
+        .map_err(|error| Error::Bind("peers", settings.peers, error))?;
+    let peer_socket = Rc::new(peer_socket);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
+    tracing::info!(name = %settings.name, data_centre = %settings.data_centre,
+        callers = %settings.callers, store = %settings.store, "process: started");
+    let cx = Rc::new(Entry {
+        store: RefCell::new(store(&settings)),
+        authority: RefCell::new(Authority::new(&settings.name, settings.turn_gap)),
+        settings,
+        deployment: RefCell::new(None),
+        directory: RefCell::new(Directory::default()),
+        has_registry: Cell::new(false),
+        pools: Pools::default(),
+        health: RefCell::new(HashMap::new()),
+        repeats: RefCell::new(HashMap::new()),
+        loads: RefCell::new(Loads::default()),
+        wants: RefCell::new(Wants::default()),
+        instances: RefCell::new(Instances::default()),
+        ready_at: RefCell::new(HashMap::new()),
+        servers_changed: Notify::new(),
+        wants_changed: Notify::new(),
+        plan_due: Notify::new(),
+        phase: watch::Sender::new(Phase::Serving),
+        metrics: Metrics::new(),
+    });
+    spawn_local(accept_callers(cx.clone(), callers));
+    spawn_local(accept_readiness(cx.clone(), readiness));
+    spawn_local(accept_metrics(cx.clone(), metrics));
+    spawn_local(store_sync::configuration(cx.clone()));
+    spawn_local(store_sync::registry(cx.clone()));
+    spawn_local(store_sync::register(cx.clone()));
+    spawn_local(store_sync::expire(cx.clone()));
+    spawn_local(peers::listen(cx.clone(), peer_socket.clone()));
+    spawn_local(peers::tell(cx.clone(), peer_socket.clone(), rand::rng().random()));
+    spawn_local(orders::keep_lease(cx.clone()));
+    spawn_local(orders::give(cx.clone(), peer_socket));
+    spawn_local(follow_settings(cx.clone(), path.to_owned(), hangup));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&cx).await;
+    Ok(())
+}
+
+/// Leaves: no longer ready, then no new requests, then the end once all answers are out.
+async fn stop(cx: &Entry) {
+    let began = Instant::now();
+    let end_by = began + cx.settings.grace.saturating_sub(GRACE_SLACK);
+    tracing::info!(in_flight = in_flight(cx), "process: stopping; no longer ready");
+    cx.phase.send_replace(Phase::Leaving);
+    cx.authority.borrow_mut().leave();
+    tokio::time::sleep_until((began + LEAVING_TIME).min(end_by).into()).await;
+    cx.phase.send_replace(Phase::Closing);
+    while cx.metrics.caller_connections.get() > 0 && Instant::now() < end_by {
+        tokio::time::sleep(CLOSE_POLL).await;
+    }
+    tracing::info!(in_flight = in_flight(cx), took_ms = began.elapsed().as_millis() as u64,
+        "process: stopped");
+}
+
+fn in_flight(cx: &Entry) -> u32 {
+    cx.loads.borrow().in_flight.values().flat_map(|models| models.values()).sum()
+}
+
+/// Reads the settings again at SIGHUP and when the file changed. Only the store's address is
+/// taken over; what else changes takes effect at the next start.
+async fn follow_settings(cx: Rc<Entry>, path: PathBuf, mut hangup: tokio::signal::unix::Signal) {
+    let mut known = std::fs::read(&path).unwrap_or_default();
+    let mut address = cx.settings.store;
+    loop {
+        let is_signal = tokio::select! {
+            received = hangup.recv() => received.is_some(),
+            () = tokio::time::sleep(SETTINGS_EVERY) => false,
+        };
+        let text = match std::fs::read(&path) {
+            Ok(text) => text,
+            Err(error) => {
+                tracing::error!(%error, "process: settings not read; the former ones stay");
+                continue;
+            }
+        };
+        if text == known && !is_signal {
+            continue;
+        }
+        known = text;
+        match EntrySettings::load(&path) {
+            Ok(settings) => {
+                tracing::info!(is_signal, store = %settings.store, "process: settings read again");
+                if settings.store != address {
+                    address = settings.store;
+                    *cx.store.borrow_mut() = store(&settings);
+                }
+            }
+            Err(error) => {
+                tracing::error!(%error, "process: settings unusable; the former ones stay");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/process/entry/src/process/store_sync.rs
@@ -0,0 +1,266 @@
+//! Keeps the configuration, the registry and the list of instances in step with the store.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use platform::Call;
+use platform_adapter::{
+    CONFIGURATION_KIND, CONFIGURATION_NAME, Error, Put, SERVER_KIND, Store, StoredObject,
+};
+use serde::{Deserialize, Serialize};
+
+use super::Entry;
+use crate::version;
+
+/// Kind of the objects that instances register themselves under.
+const INSTANCE_KIND: &str = "entry-instances";
+
+/// Longest time that a watch waits at the store. A silent connection is found by keep-alive
+/// probes, so that the wait may be long and calls few.
+const WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Time after the wait by which the answer of a watch must be there.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+/// Longest time for a list or a single call.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// Pause after a failed call, besides the client's own backoff.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time after trouble with the store in which vanished entries may be lapsed ones.
+const TROUBLE_TAIL: Duration = Duration::from_millis(2_500);
+
+/// Where an instance listens for the others.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct Registration {
+    peers: SocketAddr,
+}
+
+fn soon() -> Call {
+    Call::by(Instant::now() + CALL_TIME)
+}
+
+/// What follows a kind of objects in the store.
+trait Follower {
+    const KIND: &'static str;
+
+    /// Takes the whole list.
+    fn listed(&mut self, objects: Vec<StoredObject>, is_troubled: bool);
+
+    /// Takes one change.
+    fn changed(&mut self, object: StoredObject, is_deleted: bool, is_troubled: bool);
+}
+
+/// Lists a kind and follows its changes for as long as the process lives.
+async fn follow<F: Follower>(cx: Rc<Entry>, mut follower: F) {
+    let mut at = None;
+    let mut troubled_at: Option<Instant> = None;
+    loop {
+        let store: Store = cx.store.borrow().clone();
+        let result = match at {
+            None => store.list(F::KIND, soon()).await.map(|(objects, revision)| {
+                let is_troubled = troubled_at.is_some_and(|at| at.elapsed() < TROUBLE_TAIL);
+                tracing::info!(kind = F::KIND, revision, objects = objects.len(), "store: listed");
+                follower.listed(objects, is_troubled);
+                revision
+            }),
+            Some(revision) => {
+                let by = Call::by(Instant::now() + WATCH_WAIT + WATCH_SLACK);
+                let wait_ms = WATCH_WAIT.as_millis() as u64;
+                store.watch(F::KIND, revision, wait_ms, by).await.map(|changes| {
+                    let is_troubled = troubled_at.is_some_and(|at| at.elapsed() < TROUBLE_TAIL);
+                    for (object, is_deleted) in changes.changes {
+                        follower.changed(object, is_deleted, is_troubled);
+                    }
+                    changes.at
+                })
+            }
+        };
+        match result {
+            Ok(revision) => {
+                if troubled_at.is_some_and(|at| at.elapsed() >= TROUBLE_TAIL) {
+                    troubled_at = None;
+                    tracing::info!(kind = F::KIND, revision, "store: calm again");
+                }
+                at = Some(revision);
+            }
+            Err(error) => {
+                if troubled_at.is_none() {
+                    tracing::warn!(kind = F::KIND, %error, "store: lost; what is known is kept");
+                    cx.metrics.store_losses.inc();
+                }
+                troubled_at = Some(Instant::now());
+                if matches!(error, Error::HistoryGone) {
+                    at = None;
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+struct ConfigurationFollower(Rc<Entry>);
+
+impl ConfigurationFollower {
+    fn take(&self, object: &StoredObject) {
+        if &*object.name != CONFIGURATION_NAME {
+            return;
+        }
+        match platform_adapter::deployment(&object.value) {
+            Ok(deployment) => version::take(&self.0, deployment, object.revision),
+            Err(error) => {
+                tracing::error!(revision = object.revision, %error, "configuration: unusable");
+            }
+        }
+    }
+}
+
+impl Follower for ConfigurationFollower {
+    const KIND: &'static str = CONFIGURATION_KIND;
+
+    fn listed(&mut self, objects: Vec<StoredObject>, _: bool) {
+        objects.iter().for_each(|object| self.take(object));
+    }
+
+    fn changed(&mut self, object: StoredObject, is_deleted: bool, _: bool) {
+        // A removed configuration stays in force until another one is written.
+        if !is_deleted {
+            self.take(&object);
+        }
+    }
+}
+
+struct RegistryFollower(Rc<Entry>);
+
+impl RegistryFollower {
+    fn put(&self, object: &StoredObject) -> bool {
+        let cx = &self.0;
+        let Some(entry) = platform_adapter::server_entry(&object.name, &object.value) else {
+            tracing::info!(server = %object.name, revision = object.revision,
+                "registry: entry of another form ignored");
+            return false;
+        };
+        let mut directory = cx.directory.borrow_mut();
+        let known = directory.get(&object.name).map(|known| {
+            (known.entry.is_draining, known.entry.holdings.born, known.entry.address)
+        });
+        let is_draining = entry.is_draining;
+        let new = (entry.is_draining, entry.holdings.born, entry.address);
+        if !directory.put(entry, object.revision) {
+            tracing::debug!(server = %object.name, "registry: entry of a former run ignored");
+            return true;
+        }
+        if known != Some(new) {
+            tracing::info!(server = %object.name, revision = object.revision, is_draining,
+                born = new.1, "registry: server changed");
+            if known.is_none_or(|known| known.1 != new.1 || known.2 != new.2) {
+                cx.pools.forget(&object.name);
+                cx.health.borrow_mut().remove(&object.name);
+            }
+        }
+        true
+    }
+
+    fn changed_servers(&self) {
+        self.0.has_registry.set(true);
+        self.0.servers_changed.notify_waiters();
+        self.0.plan_due.notify_one();
+    }
+}
+
+impl Follower for RegistryFollower {
+    const KIND: &'static str = SERVER_KIND;
+
+    fn listed(&mut self, objects: Vec<StoredObject>, is_troubled: bool) {
+        let usable = objects.iter().filter(|object| self.put(object));
+        let listed: BTreeSet<Box<str>> = usable.map(|object| object.name.clone()).collect();
+        let now = Instant::now();
+        self.0.directory.borrow_mut().retain_listed(&listed, now, is_troubled);
+        self.changed_servers();
+    }
+
+    fn changed(&mut self, object: StoredObject, is_deleted: bool, is_troubled: bool) {
+        if is_deleted || !self.put(&object) {
+            let now = Instant::now();
+            self.0.directory.borrow_mut().remove(&object.name, now, is_troubled);
+            tracing::info!(server = %object.name, revision = object.revision, is_troubled,
+                "registry: entry removed");
+        }
+        self.changed_servers();
+    }
+}
+
+struct InstanceFollower(Rc<Entry>);
+
+impl InstanceFollower {
+    fn put(&self, object: &StoredObject) {
+        if object.name == self.0.settings.name {
+            return;
+        }
+        let Ok(registration) = Registration::deserialize(&object.value) else { return };
+        if self.0.instances.borrow_mut().put(&object.name, registration.peers) {
+            tracing::info!(instance = %object.name, address = %registration.peers,
+                "peers: instance found");
+            self.0.wants_changed.notify_one();
+        }
+    }
+}
+
+/// Follows the configuration.
+pub(crate) async fn configuration(cx: Rc<Entry>) {
+    follow(cx.clone(), ConfigurationFollower(cx)).await;
+}
+
+/// Follows the registry of backend servers.
+pub(crate) async fn registry(cx: Rc<Entry>) {
+    follow(cx.clone(), RegistryFollower(cx)).await;
+}
+
+/// Drops entries that lapsed for good.
+pub(crate) async fn expire(cx: Rc<Entry>) {
+    const EVERY: Duration = Duration::from_millis(100);
+    loop {
+        tokio::time::sleep(EVERY).await;
+        for server in cx.directory.borrow_mut().expire(Instant::now()) {
+            tracing::info!(%server, "registry: lapsed entry did not come back");
+            cx.pools.forget(&server);
+        }
+    }
+}
+
+/// Registers this instance and finds the others. An instance that starts later sends its first
+/// message to those it finds, so that one list is enough.
+pub(crate) async fn register(cx: Rc<Entry>) {
+    let registration = Registration { peers: cx.settings.peers };
+    let name = cx.settings.name.clone();
+    loop {
+        let store: Store = cx.store.borrow().clone();
+        let outcome = match store.create(INSTANCE_KIND, &name, &registration, soon()).await {
+            Ok(Put::Conflict(Some(old))) => {
+                store.replace(INSTANCE_KIND, &name, old.revision, &registration, soon()).await
+            }
+            outcome => outcome,
+        };
+        match outcome {
+            Ok(Put::Written(revision)) => {
+                tracing::info!(revision, "peers: registered");
+                break;
+            }
+            Ok(Put::Conflict(_)) => {}
+            Err(error) => tracing::warn!(%error, "peers: not registered yet"),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    let follower = InstanceFollower(cx.clone());
+    loop {
+        let store: Store = cx.store.borrow().clone();
+        match store.list(INSTANCE_KIND, soon()).await {
+            Ok((objects, _)) => {
+                objects.iter().for_each(|object| follower.put(object));
+                return;
+            }
+            Err(error) => tracing::warn!(%error, "peers: instances not listed yet"),
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/components/process/entry/src/request/trace.rs
@@ -0,0 +1,135 @@
+//! The log line of a request: what was decided for it and why.
+
+use std::fmt::Write;
+use std::time::Instant;
+
+use http::StatusCode;
+use platform_adapter::RequestFacts;
+use routes::{CallKind, DeploymentVersion, Route};
+
+use super::attempt::Attempted;
+use super::select::Picked;
+use crate::metrics::{KindLabel, OutcomeLabels};
+use crate::process::Entry;
+
+/// Longest list of decisions in one line, in bytes.
+const MAX_STEPS: usize = 700;
+
+/// Collects the decisions for one request. It writes exactly one line, at the end or when the
+/// request is dropped because its caller left.
+pub(crate) struct Trace {
+    id: Box<str>,
+    route: Box<str>,
+    service: Box<str>,
+    model: Box<str>,
+    kind: &'static str,
+    version: DeploymentVersion,
+    arrived: Instant,
+    first_byte_ms: Option<u64>,
+    steps: String,
+    has_ended: bool,
+}
+
+fn kind_name(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Idempotent => "idempotent",
+        CallKind::NonIdempotent => "non_idempotent",
+        CallKind::Stream => "stream",
+        CallKind::ResumableStream => "resumable_stream",
+    }
+}
+
+fn ms(since: Instant) -> u64 {
+    since.elapsed().as_millis() as u64
+}
+
+impl Trace {
+    pub(crate) fn new(
+        facts: &RequestFacts,
+        route: &Route,
+        service: &str,
+        version: DeploymentVersion,
+        arrived: Instant,
+    ) -> Self {
+        let model = facts.prompt.as_ref().map_or("", |prompt| &*prompt.model);
+        let adapter = facts.prompt.as_ref().and_then(|prompt| prompt.adapter.as_deref());
+        Self {
+            id: facts.attempt_id.clone(),
+            route: route.name.clone(),
+            service: service.into(),
+            model: match adapter {
+                Some(adapter) => format!("{model}/{adapter}").into(),
+                None => model.into(),
+            },
+            kind: kind_name(route.kind),
+            version,
+            arrived,
+            first_byte_ms: None,
+            steps: String::new(),
+            has_ended: false,
+        }
+    }
+
+    /// Adds a decision.
+    pub(crate) fn note(&mut self, text: &str) {
+        self.step(format_args!("{text}"));
+    }
+
+    fn step(&mut self, text: std::fmt::Arguments<'_>) {
+        if self.steps.len() < MAX_STEPS {
+            let at = ms(self.arrived);
+            // Writing to a string cannot fail.
+            let _ = write!(self.steps, "{}{at}ms {text}", if at > 0 { "; " } else { "" });
+        }
+    }
+
+    /// Adds a send and how it ended.
+    pub(crate) fn sent(&mut self, picked: &Picked, attempted: &Attempted) {
+        let outcome = match attempted {
+            Attempted::NotSent => "not sent",
+            Attempted::NotRun(_) => "not run",
+            Attempted::Lost(reason) => reason,
+            Attempted::Whole(..) => "answer",
+            Attempted::Stream(_) => "stream",
+        };
+        let status = match attempted {
+            Attempted::NotRun(status) => status.as_u16(),
+            Attempted::Whole(parts, _) => parts.status.as_u16(),
+            _ => 0,
+        };
+        self.step(format_args!(
+            "{} (revision {}, {} in flight, of {}): {outcome} {status}",
+            picked.id, picked.revision, picked.in_flight, picked.among
+        ));
+    }
+
+    /// The first byte of the answer is ready.
+    pub(crate) fn first_byte(&mut self, cx: &Entry) {
+        self.first_byte_ms.get_or_insert(ms(self.arrived));
+        let label = KindLabel { kind: self.kind };
+        cx.metrics.first_byte.get_or_create(&label).observe(self.arrived.elapsed().as_secs_f64());
+    }
+
+    /// Writes the line.
+    pub(crate) fn end(&mut self, cx: &Entry, outcome: &'static str, status: StatusCode) {
+        let labels = OutcomeLabels { kind: self.kind, outcome };
+        cx.metrics.requests.get_or_create(&labels).inc();
+        self.write(outcome, status.as_u16());
+    }
+
+    fn write(&mut self, outcome: &str, status: u16) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        tracing::info!(id = %self.id, route = %self.route, service = %self.service,
+            model = %self.model, kind = self.kind, version = self.version, outcome, status,
+            first_byte_ms = self.first_byte_ms, took_ms = ms(self.arrived),
+            steps = %self.steps, "request: ended");
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.write("caller_left", 0);
+    }
+}
--- /dev/null
+++ b/components/process/model_homes/src/authority.rs
@@ -0,0 +1,239 @@
+//! The lease of the instance that gives orders to the engines.
+//!
+//! Engines may ignore fencing numbers, so orders of two holders to them must be a whole gap apart.
+//! All times are on a clock that counts suspension: a holder that was suspended must not believe
+//! that its lease still holds.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Name of an instance.
+pub type InstanceName = Box<str>;
+/// Time since the machine booted, suspension included.
+pub type BootTime = Duration;
+
+/// How long a renewal lets its holder give orders, counted from when the renewal was sent.
+const VALIDITY: Duration = Duration::from_millis(2_000);
+/// Time between two renewals; a third of the validity, so that one may be lost.
+const RENEW_EVERY: Duration = Duration::from_millis(650);
+/// Silence of the holder after which the lease is read.
+const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
+/// Time between two reads of a suspected lease.
+const READ_EVERY: Duration = Duration::from_millis(600);
+/// Slack for messages under way and for clocks of different machines that run unevenly.
+const SLACK: Duration = Duration::from_millis(300);
+
+/// The lease as it is stored.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LeaseRecord {
+    /// Instance that may give orders.
+    pub holder: InstanceName,
+    /// Fencing number; rises with each change of the holder.
+    pub fence: u64,
+    /// Rises with each renewal, so that a renewal changes the object.
+    pub beat: u64,
+    /// The holder has stopped giving orders.
+    pub is_released: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Standing {
+    /// Nothing is known of the lease.
+    Unknown,
+    /// There is no lease yet.
+    Vacant,
+    /// Another instance, or a former run of this one, holds it.
+    Observing { record: LeaseRecord, revision: u64, unchanged_since: BootTime },
+    /// This instance holds it.
+    Holding { record: LeaseRecord, revision: u64, valid_until: BootTime, orders_from: BootTime },
+}
+
+/// What to do next for the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the lease.
+    Read,
+    /// Write the lease if it still has the revision; create it if there is none.
+    Write {
+        /// Revision that the lease must have.
+        revision: Option<u64>,
+        /// What to write.
+        record: LeaseRecord,
+    },
+    /// Ask again at that time.
+    Wait(BootTime),
+}
+
+/// The lease as one instance sees it.
+#[derive(Clone, Debug)]
+pub struct Authority {
+    me: InstanceName,
+    /// Least time between the orders of two holders.
+    turn_gap: Duration,
+    standing: Standing,
+    /// No call to the store before this time.
+    next_at: BootTime,
+    is_leaving: bool,
+    /// This run has held the lease; its own record is then not that of a former run.
+    has_held: bool,
+}
+
+impl Authority {
+    /// An instance that knows nothing of the lease.
+    pub fn new(me: &str, turn_gap: Duration) -> Self {
+        Self {
+            me: me.into(),
+            turn_gap,
+            standing: Standing::Unknown,
+            next_at: Duration::ZERO,
+            is_leaving: false,
+            has_held: false,
+        }
+    }
+
+    /// The fencing number under which an order may be sent at `now`.
+    pub fn may_order(&self, now: BootTime) -> Option<u64> {
+        match &self.standing {
+            Standing::Holding { record, valid_until, orders_from, .. }
+                if !self.is_leaving && now >= *orders_from && now + SLACK / 2 < *valid_until =>
+            {
+                Some(record.fence)
+            }
+            _ => None,
+        }
+    }
+
+    /// Fence and revision of the lease while this instance holds it.
+    pub fn held(&self, now: BootTime) -> Option<(u64, u64)> {
+        match &self.standing {
+            Standing::Holding { record, revision, valid_until, .. }
+                if !self.is_leaving && now < *valid_until =>
+            {
+                Some((record.fence, *revision))
+            }
+            _ => None,
+        }
+    }
+
+    /// Instance that holds the lease, as far as known.
+    pub fn holder(&self) -> Option<&str> {
+        match &self.standing {
+            Standing::Unknown | Standing::Vacant => None,
+            Standing::Observing { record, .. } | Standing::Holding { record, .. } => {
+                (!record.is_released).then_some(&*record.holder)
+            }
+        }
+    }
+
+    /// Another instance said that it holds the lease.
+    pub fn heard(&mut self, holder: &str, fence: u64, revision: u64, now: BootTime) {
+        let known = match &self.standing {
+            Standing::Observing { record, .. } | Standing::Holding { record, .. } => record.fence,
+            Standing::Unknown | Standing::Vacant => 0,
+        };
+        if fence < known || holder == &*self.me {
+            return;
+        }
+        let record =
+            LeaseRecord { holder: holder.into(), fence, beat: 0, is_released: false };
+        self.standing = Standing::Observing { record, revision, unchanged_since: now };
+        self.next_at = now + SUSPECT_AFTER;
+    }
+
+    /// Lets go of the lease; no order is allowed from now on.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+        self.next_at = Duration::ZERO;
+    }
+
+    /// What to do at `now`.
+    pub fn next(&self, now: BootTime) -> Action {
+        if now < self.next_at {
+            return Action::Wait(self.next_at);
+        }
+        match &self.standing {
+            Standing::Holding { record, revision, .. } => {
+                if self.is_leaving && record.is_released {
+                    return Action::Wait(now + SUSPECT_AFTER);
+                }
+                let record = LeaseRecord {
+                    beat: record.beat + 1,
+                    is_released: self.is_leaving,
+                    ..record.clone()
+                };
+                Action::Write { revision: Some(*revision), record }
+            }
+            _ if self.is_leaving => Action::Wait(now + SUSPECT_AFTER),
+            Standing::Unknown => Action::Read,
+            Standing::Vacant => Action::Write { revision: None, record: self.claim(0) },
+            Standing::Observing { record, revision, unchanged_since } => {
+                let lapsed = now >= *unchanged_since + VALIDITY + SLACK;
+                let is_own = record.holder == self.me && !self.has_held;
+                if lapsed || record.is_released || is_own {
+                    Action::Write { revision: Some(*revision), record: self.claim(record.fence) }
+                } else {
+                    Action::Read
+                }
+            }
+        }
+    }
+
+    fn claim(&self, fence: u64) -> LeaseRecord {
+        LeaseRecord { holder: self.me.clone(), fence: fence + 1, beat: 0, is_released: false }
+    }
+
+    /// The lease was read, or a conditional write showed another one.
+    pub fn read(&mut self, found: Option<(LeaseRecord, u64)>, now: BootTime) {
+        let Some((record, revision)) = found else {
+            self.standing = Standing::Vacant;
+            self.next_at = now;
+            return;
+        };
+        let is_immediate =
+            record.is_released || (record.holder == self.me && !self.has_held);
+        let unchanged_since = match &self.standing {
+            Standing::Observing { revision: known, unchanged_since, .. } if *known == revision => {
+                *unchanged_since
+            }
+            _ => now,
+        };
+        self.next_at = if is_immediate { now } else { now + READ_EVERY };
+        self.standing = Standing::Observing { record, revision, unchanged_since };
+    }
+
+    /// A write of `record`, sent at `sent_at`, took effect.
+    pub fn written(&mut self, record: LeaseRecord, revision: u64, sent_at: BootTime, now: BootTime) {
+        let orders_from = match &self.standing {
+            Standing::Holding { orders_from, .. } => *orders_from,
+            Standing::Unknown | Standing::Vacant => now,
+            // A former run of this instance gave its orders as the same holder.
+            Standing::Observing { record: old, .. } if old.holder == self.me => now + SLACK,
+            Standing::Observing { record: old, unchanged_since, .. } if old.is_released => {
+                *unchanged_since + self.turn_gap + SLACK
+            }
+            Standing::Observing { unchanged_since, .. } => {
+                *unchanged_since + VALIDITY + self.turn_gap + SLACK
+            }
+        };
+        self.has_held = true;
+        let valid_until = sent_at + VALIDITY;
+        self.standing = Standing::Holding { record, revision, valid_until, orders_from };
+        self.next_at = sent_at + RENEW_EVERY;
+    }
+
+    /// A call failed or its answer was lost; the lease is read again soon. What was held stays
+    /// valid until its time.
+    pub fn failed(&mut self, now: BootTime) {
+        self.next_at = now + SLACK;
+        if let Standing::Holding { valid_until, .. } = &self.standing
+            && now < *valid_until
+        {
+            return;
+        }
+        if !matches!(self.standing, Standing::Observing { .. }) {
+            self.standing = Standing::Unknown;
+        }
+    }
+}
--- /dev/null
+++ b/components/process/model_homes/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decides which models stand on which backend servers, and who may order it, without I/O.
+
+mod adapters;
+mod authority;
+mod demand;
+mod plan;
+
+#[cfg(test)]
+mod adapters_tests;
+#[cfg(test)]
+mod authority_tests;
+#[cfg(test)]
+mod plan_tests;
+
+pub use adapters::{AdapterMove, AdapterUse, adapter_move};
+pub use authority::{Action, Authority, BootTime, InstanceName, LeaseRecord};
+pub use demand::{Demand, Demands};
+pub use plan::{Limits, Move, Plan, ServerView, Source, plan};
--- /dev/null
+++ b/components/process/server_directory/src/tests.rs
@@ -0,0 +1,87 @@
+//! Tests of how knowledge of servers ages.
+
+use super::*;
+
+fn holdings(born: u64, sequence: u64, models: &[&str]) -> Holdings {
+    let models = models.iter().map(|m| ((*m).into(), BTreeSet::new())).collect();
+    Holdings { born, sequence, models, ..Holdings::default() }
+}
+
+fn entry(holdings: Holdings) -> Entry {
+    Entry {
+        id: "s1".into(),
+        service: "llm".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        data_centre: "a".into(),
+        slots: 4,
+        is_draining: false,
+        leaves_in: None,
+        holdings,
+    }
+}
+
+fn models(d: &Directory) -> Vec<&str> {
+    d.get("s1").map(|s| s.entry.holdings.models.keys().map(|m| &**m).collect()).unwrap_or_default()
+}
+
+/// Guards against a lagging registry entry undoing what the order's sender saw.
+#[test]
+fn an_older_entry_does_not_replace_an_observation() {
+    let mut d = Directory::default();
+    d.put(entry(holdings(1, 1, &["m1"])), 10);
+    assert!(d.observe("s1", holdings(1, 2, &["m2"])));
+    d.put(entry(holdings(1, 1, &["m1"])), 11);
+    assert_eq!(models(&d), ["m2"]);
+    d.put(entry(holdings(1, 3, &["m3"])), 12);
+    assert_eq!(models(&d), ["m3"]);
+}
+
+/// Guards against a load that the registry shows as done but the lost order giver never confirmed.
+#[test]
+fn an_entry_of_the_same_sequence_finishes_a_load() {
+    let mut d = Directory::default();
+    d.put(entry(holdings(1, 1, &["m1"])), 10);
+    d.observe("s1", Holdings { loading: Some("m2".into()), ..holdings(1, 2, &["m1"]) });
+    d.put(entry(holdings(1, 2, &["m1", "m2"])), 11);
+    assert_eq!(models(&d), ["m1", "m2"]);
+}
+
+/// Guards against entries of a former run under the same id.
+#[test]
+fn a_former_run_is_ignored() {
+    let mut d = Directory::default();
+    d.put(entry(holdings(5, 0, &[])), 10);
+    assert!(!d.put(entry(holdings(4, 9, &["m1"])), 11));
+    assert!(!d.observe("s1", holdings(4, 9, &["m1"])));
+    assert_eq!(models(&d), [""; 0]);
+}
+
+/// Guards against losing live servers whose entries lapsed during an outage of the registry, and
+/// against keeping servers that announced that they leave.
+#[test]
+fn lapsed_entries_are_kept_for_the_grace_unless_draining() {
+    let now = Instant::now();
+    let mut d = Directory::default();
+    d.put(entry(holdings(1, 0, &[])), 10);
+    d.remove("s1", now, true);
+    assert!(d.is_usable("s1"));
+    assert!(d.expire(now + LAPSE_GRACE / 2).is_empty());
+    d.put(entry(holdings(1, 0, &[])), 11);
+    assert!(d.expire(now + LAPSE_GRACE).is_empty());
+    d.remove("s1", now, true);
+    assert_eq!(d.expire(now + LAPSE_GRACE).len(), 1);
+
+    d.put(Entry { is_draining: true, ..entry(holdings(1, 0, &[])) }, 12);
+    assert!(!d.is_usable("s1"));
+    d.remove("s1", now, true);
+    assert!(d.is_empty());
+}
+
+/// Guards against sending to a server that the registry removed in calm times.
+#[test]
+fn a_removed_entry_goes_at_once_in_calm_times() {
+    let mut d = Directory::default();
+    d.put(entry(holdings(1, 0, &[])), 10);
+    d.retain_listed(&BTreeSet::new(), Instant::now(), false);
+    assert!(d.is_empty());
+}
--- a/components/process/telemetry/src/lib.rs
+++ b/components/process/telemetry/src/lib.rs
@@ -6,5 +6,5 @@
 #[cfg(test)]
 mod metrics_tests;
 
-pub use log::{LogFormat, init_log};
+pub use log::{LogFormat, LogGuard, init_json_stdout, init_log};
 pub use metrics::{BudgetLabels, BurnLabels, LoadSourceLabel, Metrics, OutcomeLabels, SourceValue};
--- a/components/process/telemetry/src/log.rs
+++ b/components/process/telemetry/src/log.rs
@@ -33,3 +33,40 @@
     };
     Ok(())
 }
+
+/// Lines that wait for a slow reader of standard output; further ones are dropped and counted.
+const WAITING_LINES: usize = 4_096;
+
+/// Keeps the log running; lines that still wait are written when it is dropped.
+pub struct LogGuard {
+    _worker: tracing_appender::non_blocking::WorkerGuard,
+    dropped: tracing_appender::non_blocking::ErrorCounter,
+}
+
+impl LogGuard {
+    /// Lines that were dropped because standard output was not read.
+    pub fn dropped_lines(&self) -> usize {
+        self.dropped.dropped_lines()
+    }
+}
+
+/// Writes logs of `level` and above to standard output, one JSON object a line. Logging never
+/// waits for the reader.
+pub fn init_json_stdout(level: &str) -> Result<LogGuard, ParseError> {
+    let filter = EnvFilter::try_new(format!("{level},{LIBRARIES}"))?;
+    let (writer, worker) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .finish(io::stdout());
+    let dropped = writer.error_counter();
+    let _ = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_target(false)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false)
+        .try_init();
+    Ok(LogGuard { _worker: worker, dropped })
+}
--- /dev/null
+++ b/components/request/server_choice/src/choice.rs
@@ -0,0 +1,55 @@
+//! Pattern: many short requests that share prompt parts, spread over unequal servers.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Requests in flight that the server with the kept prompt parts may have more than the others.
+/// Reading a shared part again costs about as much as a few decoding steps of these.
+const AFFINITY_LEAD: f64 = 3.0;
+
+/// Requests in flight that one recent failure counts for.
+const FAILURE_WEIGHT: f64 = 6.0;
+
+/// Requests in flight that a server in another data centre counts for. The way there is short,
+/// so that it only decides between servers that are otherwise alike.
+const DISTANCE_WEIGHT: f64 = 0.4;
+
+/// A server that could run the request.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// Id of the server.
+    pub id: &'a str,
+    /// Whether it runs in the data centre of this instance.
+    pub is_near: bool,
+    /// Requests in flight from all instances, as far as known.
+    pub in_flight: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Recent failures, decayed; see [`crate::Health`].
+    pub failures: f64,
+}
+
+/// Key of the prompt part that decides where a prompt is kept.
+pub fn affinity(model: &str, part: &str) -> u64 {
+    xxh3_64_with_seed(part.as_bytes(), xxh3_64_with_seed(model.as_bytes(), 0))
+}
+
+/// Index of the best candidate. `draw` in `0..1` breaks ties, so that instances that see the same
+/// figures do not all choose the same server.
+pub fn choose(candidates: &[Candidate<'_>], affinity: Option<u64>, draw: f64) -> Option<usize> {
+    let preferred = affinity.and_then(|key| {
+        let rank = |c: &Candidate<'_>| xxh3_64_with_seed(c.id.as_bytes(), key);
+        candidates.iter().enumerate().max_by_key(|(_, c)| rank(c)).map(|(at, _)| at)
+    });
+    let salt = (draw * u32::MAX as f64) as u64;
+    let cost = |at: usize, c: &Candidate<'_>| {
+        // A full server queues: each request beyond the slots waits for a whole one to end.
+        let queued = c.in_flight.saturating_sub(c.slots.saturating_sub(1));
+        f64::from(c.in_flight) + f64::from(queued) * 4.0
+            + c.failures * FAILURE_WEIGHT
+            + if c.is_near { 0.0 } else { DISTANCE_WEIGHT }
+            - if preferred == Some(at) { AFFINITY_LEAD } else { 0.0 }
+            + (xxh3_64_with_seed(c.id.as_bytes(), salt) % 1_000) as f64 * 0.000_3
+    };
+    let costs = candidates.iter().enumerate().map(|(at, c)| (at, cost(at, c)));
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+}
--- /dev/null
+++ b/components/request/server_choice/src/lib.rs
@@ -0,0 +1,12 @@
+//! Chooses a backend server for a request and limits repeats, without I/O.
+
+mod choice;
+mod health;
+mod repeats;
+
+#[cfg(test)]
+mod tests;
+
+pub use choice::{Candidate, affinity, choose};
+pub use health::Health;
+pub use repeats::{RepeatBudget, RepeatLimits};
--- /dev/null
+++ b/components/request/server_choice/src/repeats.rs
@@ -0,0 +1,53 @@
+//! Pattern: failures at many instances at once, whose repeats together must not exceed a limit.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Part of its share that an instance uses, because the instances' windows are not in step and
+/// the number of instances is known with a delay.
+const USED_PART: f64 = 0.8;
+
+/// Limits on the repeats of one service over all instances.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatLimits {
+    /// Repeats allowed for each request in the window.
+    pub ratio: f64,
+    /// Repeats allowed besides, over all instances.
+    pub extra: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Counts requests and repeats of one service at this instance.
+#[derive(Clone, Debug, Default)]
+pub struct RepeatBudget {
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+fn forget(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
+    while times.front().is_some_and(|at| now.saturating_duration_since(*at) >= window) {
+        times.pop_front();
+    }
+}
+
+impl RepeatBudget {
+    /// Counts a request of a client.
+    pub fn request(&mut self, now: Instant, limits: &RepeatLimits) {
+        forget(&mut self.requests, now, limits.window);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat if this instance's share of the limits has it.
+    pub fn repeat(&mut self, now: Instant, limits: &RepeatLimits, instances: usize) -> bool {
+        forget(&mut self.requests, now, limits.window);
+        forget(&mut self.repeats, now, limits.window);
+        let extra = limits.extra / instances.max(1) as f64;
+        let allowed = (self.requests.len() as f64 * limits.ratio + extra) * USED_PART;
+        if (self.repeats.len() + 1) as f64 > allowed {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+}
--- /dev/null
+++ b/components/request/server_choice/src/tests.rs
@@ -0,0 +1,78 @@
+//! Tests of the choice of a server and of the limit on repeats.
+
+use std::time::{Duration, Instant};
+
+use super::*;
+
+fn candidate(id: &str, in_flight: u32) -> Candidate<'_> {
+    Candidate { id, is_near: true, in_flight, slots: 32, failures: 0.0 }
+}
+
+/// Guards against sending to the busier of two servers.
+#[test]
+fn the_least_loaded_server_is_chosen() {
+    let c = [candidate("a", 5), candidate("b", 2), candidate("c", 9)];
+    assert_eq!(choose(&c, None, 0.3), Some(1));
+    assert_eq!(choose(&[], None, 0.3), None);
+}
+
+/// Guards against prompts that move between servers, and against affinity that overloads one.
+#[test]
+fn affinity_holds_until_the_server_is_busier() {
+    let key = affinity("m", "5c1e07a2");
+    let even = [candidate("a", 4), candidate("b", 4), candidate("c", 4)];
+    let home = choose(&even, Some(key), 0.1).unwrap();
+    assert!((0..10).all(|n| choose(&even, Some(key), f64::from(n) / 10.0) == Some(home)));
+    let mut busy = even;
+    busy[home].in_flight = 12;
+    assert_ne!(choose(&busy, Some(key), 0.1), Some(home));
+}
+
+/// Guards against a server that keeps its place while it fails requests.
+#[test]
+fn failing_servers_lose_requests_and_recover() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.failed(now, 1.0);
+    let mut c = [candidate("a", 0), candidate("b", 3)];
+    c[0].failures = health.failures(now);
+    assert_eq!(choose(&c, None, 0.5), Some(1));
+    c[0].failures = health.failures(now + Duration::from_secs(30));
+    assert_eq!(choose(&c, None, 0.5), Some(0));
+}
+
+/// Guards against a dead server that is tried again and again.
+#[test]
+fn an_unreachable_server_pauses_longer_each_time() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    let mut pauses = Vec::new();
+    for _ in 0..4 {
+        health.unreachable(now);
+        let begin = now;
+        while health.is_paused(now) {
+            now += Duration::from_millis(100);
+        }
+        pauses.push(now - begin);
+    }
+    assert!(pauses.windows(2).all(|w| w[1] > w[0]), "{pauses:?}");
+    health.answered(now);
+    assert!(!health.is_paused(now));
+}
+
+/// Guards against instances that together repeat more than the service's limit.
+#[test]
+fn instances_together_stay_within_the_limit() {
+    let limits = RepeatLimits { ratio: 0.2, extra: 56.0, window: Duration::from_secs(10) };
+    let mut budgets = vec![RepeatBudget::default(); 8];
+    let mut now = Instant::now();
+    let mut sent = 0;
+    for n in 0..800 {
+        now += Duration::from_millis(10);
+        let budget = &mut budgets[n % 8];
+        budget.request(now, &limits);
+        sent += u32::from(budget.repeat(now, &limits, 8));
+    }
+    assert!(f64::from(sent) <= 0.2 * 800.0 + 56.0, "{sent}");
+    assert!(sent > 100, "{sent}");
+}
--- /dev/null
+++ b/components/version/routes/src/tests.rs
@@ -0,0 +1,53 @@
+//! Tests of route matching.
+
+use super::*;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        latency_target: Duration::from_millis(100),
+        priority: 1,
+        targets: [("a", 90), ("b", 10)]
+            .map(|(service, weight)| Target { service: service.into(), weight })
+            .into(),
+        max_attempts: 1,
+    }
+}
+
+fn deployment() -> Deployment {
+    let limits = ClientLimits {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    let routes =
+        [route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
+    Deployment::new(1, routes, [], limits)
+}
+
+/// Guards against a shorter prefix, or a route of another host, taking the request.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let d = deployment();
+    let name = |host: &str, path: &str| d.route(host, path).map(|r| r.name.to_string());
+    assert_eq!(name("h", "/a/b/c/x").as_deref(), Some("long"));
+    assert_eq!(name("H:8080", "/a/x").as_deref(), Some("short"));
+    assert_eq!(name("g", "/a/b/c/x").as_deref(), Some("other"));
+    assert_eq!(name("h", "/ab"), None);
+    assert_eq!(name("x", "/a/b/"), None);
+}
+
+/// Guards against a split that sends everything to one side.
+#[test]
+fn targets_follow_their_weights() {
+    let r = route("r", "h", "/");
+    assert_eq!(&*r.target(0.0).service, "a");
+    assert_eq!(&*r.target(0.89).service, "a");
+    assert_eq!(&*r.target(0.91).service, "b");
+    assert_eq!(&*r.target(0.999_999).service, "b");
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -12,6 +12,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(cmd::serve::command())
+        .subcommand(cmd::entry::command())
         .subcommand(cmd::demo::command())
         .subcommand(cmd::check::command())
         .subcommand(cmd::diff::command())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod demo;
 pub(crate) mod diff;
+pub(crate) mod entry;
 pub(crate) mod report;
 pub(crate) mod serve;
 pub(crate) mod stand_in;
@@ -21,6 +22,7 @@
 pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
+        Some(("entry", matches)) => entry::run(matches),
         Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("diff", matches)) => diff::run(matches),
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -27,6 +27,11 @@
             from()
             display("{e}")
         }
+        /// An entry instance that cannot be started.
+        StartEntry(e: entry::Error) {
+            from()
+            display("{e}")
+        }
         /// A log level that cannot be set.
         Log(message: String) {
             display("the log cannot be set up: {message}")
