--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -7,10 +7,10 @@
 
 use http::StatusCode;
 use model_homes::{
-    Action, Demands, LeaseRecord, Limits, Move, ServerView, Source, adapter_move, plan,
+    Action, Demands, LeaseRecord, Limits, Move, ServerView, Source, adapter_move, free_mb, plan,
 };
 use platform::Call;
-use platform_adapter::{Error, Order, OrderReply, Put, Store};
+use platform_adapter::{Error, Order, OrderReply, Put, Report, Store};
 use routes::{AdapterName, Engine, ModelName, ServiceName};
 use serde::Deserialize;
 use server_directory::{Holdings, ServerId};
@@ -55,12 +55,14 @@
 #[derive(Default)]
 struct Giver {
     demands: Demands,
-    /// Servers with orders under way.
-    ordered: HashSet<ServerId>,
+    /// Servers with orders under way, and the model that these load.
+    ordered: HashMap<ServerId, Option<ModelName>>,
     /// Loads under way: source and expected end.
     loading: HashMap<ServerId, (Source, Instant)>,
     /// No order to these servers before the deadline.
     paused: HashMap<ServerId, Instant>,
+    /// Run and number of accepted orders of the servers that were given orders.
+    accepted: HashMap<ServerId, (u64, u64)>,
     adapters_used: HashMap<(ModelName, AdapterName), Instant>,
     adapters_ordered: HashSet<(ServiceName, ModelKey)>,
     /// Arrivals at this instance that were already taken into the demand.
@@ -71,6 +73,14 @@
     told: usize,
 }
 
+impl Giver {
+    /// Whether the server's present run was asked for what it holds.
+    fn knows(&self, server: &server_directory::Server) -> bool {
+        let run = self.accepted.get(&server.entry.id).map(|(run, _)| *run);
+        run == Some(server.entry.holdings.born)
+    }
+}
+
 /// Holds the lease if nobody else does, for as long as the process lives.
 pub(crate) async fn keep_lease(cx: Rc<Entry>) {
     loop {
@@ -154,6 +164,7 @@
             tracing::info!(fence, "orders: this instance gives the orders");
         }
         take_arrivals(&cx, &mut giver.borrow_mut());
+        learn_holdings(&cx, &giver);
         if cx.authority.borrow().may_order(boot_now()).is_some() {
             plan_services(&cx, &giver);
         }
@@ -166,6 +177,42 @@
     }
 }
 
+/// Asks the servers that this instance has not asked yet what they hold. The first plan for a
+/// server must not rest on the registry, which lags and does not count orders.
+fn learn_holdings(cx: &Rc<Entry>, giver: &Rc<RefCell<Giver>>) {
+    let Some(deployment) = cx.deployment.borrow().clone() else { return };
+    let now = Instant::now();
+    let mut unknown: Vec<ServerId> = Vec::new();
+    {
+        let state = giver.borrow();
+        for server in cx.directory.borrow().servers() {
+            let id = &server.entry.id;
+            let service = deployment.services.get(&server.entry.service);
+            let is_engine = service.is_some_and(|service| service.engine.is_some());
+            let is_paused = state.paused.get(id).is_some_and(|until| *until > now);
+            if is_engine
+                && !server.entry.is_draining
+                && !state.knows(server)
+                && !state.ordered.contains_key(id)
+                && !is_paused
+            {
+                unknown.push(id.clone());
+            }
+        }
+    }
+    for server in unknown {
+        giver.borrow_mut().ordered.insert(server.clone(), None);
+        let (cx, giver) = (cx.clone(), giver.clone());
+        spawn_local(async move {
+            if refresh(&cx, &giver, &server).await.is_none() {
+                giver.borrow_mut().paused.insert(server.clone(), Instant::now() + REFUSED_PAUSE);
+            }
+            giver.borrow_mut().ordered.remove(&server);
+            cx.plan_due.notify_one();
+        });
+    }
+}
+
 fn wants_waiting(cx: &Entry) -> bool {
     let now = Instant::now();
     cx.instances.borrow().live(now).any(|status| !status.wants.is_empty())
@@ -255,7 +302,9 @@
     let plan = plan(now, &views, &giver.demands, engine, limits);
     giver.ready_at.extend(plan.ready_at);
     for chosen in &plan.moves {
-        giver.ordered.insert(chosen.server.clone());
+        giver.ordered.insert(chosen.server.clone(), Some(chosen.load.clone()));
+        let ends = now + chosen.source.load_time(&engine.models[&chosen.load]);
+        giver.loading.insert(chosen.server.clone(), (chosen.source, ends));
     }
     plan.moves
 }
@@ -281,7 +330,11 @@
                 holdings: &server.entry.holdings,
                 in_flight: 0,
                 by_model: HashMap::new(),
-                is_ordered: giver.ordered.contains(id) || is_paused || health.is_paused(now),
+                is_ordered: giver.ordered.contains_key(id)
+                    || !giver.knows(server)
+                    || is_paused
+                    || health.is_paused(now),
+                incoming: giver.ordered.get(id).cloned().flatten(),
                 loading: giver.loading.get(id).copied(),
                 is_leaving: server.entry.is_draining || server.lapses_at.is_some(),
             }
@@ -339,7 +392,7 @@
 
 /// Changes what is known of a server and tells the others.
 fn note(cx: &Entry, giver: &RefCell<Giver>, server: &str, change: impl FnOnce(&mut Holdings)) {
-    cx.directory.borrow_mut().update(server, change);
+    cx.directory.borrow_mut().update(server, Instant::now(), change);
     giver.borrow_mut().changed.insert(server.into());
     cx.servers_changed.notify_waiters();
     cx.plan_due.notify_one();
@@ -386,17 +439,45 @@
 }
 
 /// Asks a server what it holds.
-async fn report(cx: &Rc<Entry>, server: &str) -> Option<(Holdings, bool)> {
+async fn report(cx: &Rc<Entry>, server: &str) -> Option<Report> {
     let address = cx.directory.borrow().get(server)?.entry.address;
     cx.metrics.reports.inc();
     let by = Instant::now() + ORDER_TIME;
     let reply = control_call(address, server, platform_adapter::REPORT_PATH, None, by).await;
-    let Ok((StatusCode::OK, body)) = reply else { return None };
-    platform_adapter::report(&body)
+    let report = match reply {
+        Ok((StatusCode::OK, body)) => platform_adapter::report(&body),
+        _ => None,
+    };
+    match &report {
+        Some(report) => tracing::info!(server, accepted_orders = report.accepted_orders,
+            is_busy = report.is_busy, born = report.holdings.born,
+            models = ?report.holdings.model_names().collect::<Vec<_>>(),
+            in_memory = report.holdings.in_memory.len(), on_disk = report.holdings.on_disk.len(),
+            "orders: report read"),
+        None => tracing::info!(server, "orders: no report"),
+    }
+    report
 }
 
-fn sequence(cx: &Entry, server: &str) -> Option<u64> {
-    Some(cx.directory.borrow().get(server)?.entry.holdings.sequence)
+/// Orders that the server accepted, as the next order has to name them. It is asked if this
+/// instance has not given it orders yet.
+async fn accepted(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<u64> {
+    let born = cx.directory.borrow().get(server)?.entry.holdings.born;
+    if let Some((run, count)) = giver.borrow().accepted.get(server).copied()
+        && run == born
+    {
+        return Some(count);
+    }
+    refresh(cx, giver, server).await?;
+    let (run, count) = giver.borrow().accepted.get(server).copied()?;
+    (run == born).then_some(count)
+}
+
+/// The server accepted one more order.
+fn count_accepted(giver: &RefCell<Giver>, server: &str) {
+    if let Some((_, count)) = giver.borrow_mut().accepted.get_mut(server) {
+        *count += 1;
+    }
 }
 
 /// Carries out one move and marks the server free again.
@@ -419,21 +500,22 @@
 }
 
 /// Replaces what is known of a server by its own report.
-async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) {
-    if let Some((mut holdings, is_busy)) = report(cx, server).await {
-        note(cx, giver, server, |held| {
-            if is_busy {
-                holdings.loading = held.loading.take();
-            }
-            if holdings.on_disk.is_empty() && holdings.born == held.born {
-                holdings.on_disk = std::mem::take(&mut held.on_disk);
-                holdings.in_memory = std::mem::take(&mut held.in_memory);
-            }
-            *held = holdings;
-        });
-    } else {
-        note(cx, giver, server, |held| held.loading = None);
-    }
+async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<()> {
+    giver.borrow_mut().accepted.remove(server);
+    let Report { mut holdings, accepted_orders, is_busy } = report(cx, server).await?;
+    giver.borrow_mut().accepted.insert(server.into(), (holdings.born, accepted_orders));
+    note(cx, giver, server, |held| {
+        if is_busy {
+            holdings.loading = held.loading.take();
+        }
+        if holdings.on_disk.is_empty() && holdings.born == held.born {
+            holdings.on_disk = std::mem::take(&mut held.on_disk);
+            holdings.in_memory = std::mem::take(&mut held.in_memory);
+        }
+        *held = holdings;
+    });
+    // A busy server finishes an order of a former holder, and takes no other one meanwhile.
+    (!is_busy).then_some(())
 }
 
 async fn unload_then_load(
@@ -452,25 +534,31 @@
             is_load: false,
             model: model.clone(),
             adapter: None,
-            after_sequence: sequence(cx, server)?,
+            after_sequence: accepted(cx, giver, server).await?,
         };
-        match retry_while_busy(cx, server, &unload).await? {
-            Ordered::Accepted | Ordered::Holds => note(cx, giver, server, |held| {
-                held.sequence += 1;
-            }),
+        match order(cx, server, &unload).await {
+            Ordered::Accepted => count_accepted(giver, server),
+            Ordered::Holds => {}
             _ => return None,
         }
     }
     let model = engine.models.get(&chosen.load)?;
+    // What the server holds may have become known better since the plan.
+    let free = free_mb(engine, &cx.directory.borrow().get(server)?.entry.holdings);
+    if free < model.weights_mb {
+        tracing::info!(server, model = %model.name, free_mb = free as u64,
+            "orders: no room for the model; left to the next plan");
+        return None;
+    }
     let load = Order {
         is_load: true,
         model: model.name.clone(),
         adapter: None,
-        after_sequence: sequence(cx, server)?,
+        after_sequence: accepted(cx, giver, server).await?,
     };
     // The engine takes the load only once the unload is complete.
     match retry_while_busy(cx, server, &load).await? {
-        Ordered::Accepted => {}
+        Ordered::Accepted => count_accepted(giver, server),
         _ => return None,
     }
     let took = match chosen.source {
@@ -485,7 +573,6 @@
     giver.borrow_mut().loading.insert(server.into(), (chosen.source, began + took));
     let born = cx.directory.borrow().get(server)?.entry.holdings.born;
     note(cx, giver, server, |held| {
-        held.sequence += 1;
         held.loading = Some(model.name.clone());
     });
     cx.metrics.loads.inc();
@@ -503,8 +590,7 @@
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(Duration::from_millis(400));
-        // The registry shows another run, or orders that were not known here.
-        if sequence(cx, server)? != what.after_sequence {
+        if !cx.directory.borrow().is_usable(server) {
             return None;
         }
     }
@@ -532,7 +618,7 @@
                 return Some(());
             }
         }
-        if let Some((reported, is_busy)) = report(cx, server).await {
+        if let Some(Report { holdings: reported, is_busy, .. }) = report(cx, server).await {
             if reported.born != born {
                 return None;
             }
@@ -587,7 +673,7 @@
     {
         let mut state = giver.borrow_mut();
         state.adapters_ordered.insert(token.clone());
-        state.ordered.insert(chosen.server.clone());
+        state.ordered.insert(chosen.server.clone(), None);
     }
     let (cx, giver, model) = (cx.clone(), giver.clone(), key.model.clone());
     spawn_local(async move {
@@ -636,12 +722,12 @@
         is_load,
         model: model.into(),
         adapter: Some(adapter.into()),
-        after_sequence: sequence(cx, server)?,
+        after_sequence: accepted(cx, giver, server).await?,
     };
     match order(cx, server, &what).await {
-        Ordered::Accepted => note(cx, giver, server, |held| held.sequence += 1),
-        // Unloading is done at once and advances the sequence; a load that holds already is none.
-        Ordered::Holds if !is_load => note(cx, giver, server, |held| held.sequence += 1),
+        Ordered::Accepted => count_accepted(giver, server),
+        // An idle adapter is unloaded at once, which counts; a load that holds already does not.
+        Ordered::Holds if !is_load => count_accepted(giver, server),
         Ordered::Holds => {}
         Ordered::Conflict | Ordered::Failed | Ordered::Unknown => return None,
     }
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -165,7 +165,15 @@
 
 fn take_homes(cx: &Entry, homes: Homes) {
     let former = cx.authority.borrow().holder().map(Box::<str>::from);
-    cx.authority.borrow_mut().heard(&homes.from, homes.fence, homes.lease_revision, boot_now());
+    let is_current = cx.authority.borrow_mut().heard(
+        &homes.from,
+        homes.fence,
+        homes.lease_revision,
+        boot_now(),
+    );
+    if !is_current {
+        return;
+    }
     if former.as_ref() != Some(&homes.from) {
         tracing::info!(holder = %homes.from, fence = homes.fence, "peers: order giver changed");
         // It does not know yet what requests here wait for.
@@ -175,7 +183,7 @@
     {
         let mut directory = cx.directory.borrow_mut();
         for (server, holdings) in homes.holdings {
-            directory.observe(&server, holdings);
+            directory.observe(&server, holdings, now);
         }
     }
     let ready_at = homes
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -146,7 +146,7 @@
         });
         let is_draining = entry.is_draining;
         let new = (entry.is_draining, entry.holdings.born, entry.address);
-        if !directory.put(entry, object.revision) {
+        if !directory.put(entry, object.revision, Instant::now()) {
             tracing::debug!(server = %object.name, "registry: entry of a former run ignored");
             return true;
         }
--- a/components/process/model_homes/src/authority.rs
+++ b/components/process/model_homes/src/authority.rs
@@ -127,19 +127,20 @@
         }
     }
 
-    /// Another instance said that it holds the lease.
-    pub fn heard(&mut self, holder: &str, fence: u64, revision: u64, now: BootTime) {
+    /// Another instance said that it holds the lease. Returns false if a later holder is known.
+    pub fn heard(&mut self, holder: &str, fence: u64, revision: u64, now: BootTime) -> bool {
         let known = match &self.standing {
             Standing::Observing { record, .. } | Standing::Holding { record, .. } => record.fence,
             Standing::Unknown | Standing::Vacant => 0,
         };
         if fence < known || holder == &*self.me {
-            return;
+            return false;
         }
         let record =
             LeaseRecord { holder: holder.into(), fence, beat: 0, is_released: false };
         self.standing = Standing::Observing { record, revision, unchanged_since: now };
         self.next_at = now + SUSPECT_AFTER;
+        true
     }
 
     /// Lets go of the lease; no order is allowed from now on.
--- a/components/process/model_homes/src/plan.rs
+++ b/components/process/model_homes/src/plan.rs
@@ -5,10 +5,10 @@
 //! that has a copy somewhere costs little when it is asked for, and models without any copy are
 //! brought in ahead while the weight store is idle.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use routes::{Engine, Model, ModelName};
+use routes::{AdapterName, Engine, Model, ModelName};
 use server_directory::{Holdings, ServerId};
 
 use crate::demand::Demands;
@@ -51,8 +51,10 @@
     pub in_flight: u32,
     /// Requests in flight by model.
     pub by_model: HashMap<&'a str, u32>,
-    /// Orders are under way there.
+    /// No other order can be given there now.
     pub is_ordered: bool,
+    /// Model that orders under way there will load.
+    pub incoming: Option<ModelName>,
     /// Where the load under way comes from, and when it should end.
     pub loading: Option<(Source, Instant)>,
     /// It is about to leave, so that nothing is loaded there.
@@ -155,22 +157,12 @@
         Some(LAST_COPY_WORTH + rate * reload + here * 0.5 + recent * 0.5)
     }
 
-    fn used_mb(&self, holdings: &Holdings) -> f64 {
-        let mb = |model: &str| self.engine.models.get(model).map_or(0.0, |m| m.weights_mb);
-        let adapter_mb = |model: &str| self.engine.models.get(model).map_or(0.0, |m| m.adapter_mb);
-        holdings
-            .models
-            .iter()
-            .map(|(model, adapters)| mb(model) + adapter_mb(model) * adapters.len() as f64)
-            .sum()
-    }
-
     /// The cheapest models to unload so that `model` fits, and what keeping them is worth.
     fn victims(&self, server: &ServerView<'a>, model: &Model) -> Option<(Vec<ModelName>, f64)> {
         // Room for a full set of adapters is left, because those are loaded without asking.
         let adapters = self.engine.adapter_places as f64
             * self.engine.models.values().map(|m| m.adapter_mb).fold(0.0, f64::max);
-        let mut free = self.engine.weights_mb - self.used_mb(server.holdings);
+        let mut free = free_mb(self.engine, server.holdings);
         let reserve = if adapters < self.engine.weights_mb * 0.02 { adapters } else { 0.0 };
         let mut kept: Vec<(f64, &ModelName)> = server
             .holdings
@@ -215,6 +207,17 @@
     }
 }
 
+/// Accelerator memory that is left on a server, in MB.
+pub fn free_mb(engine: &Engine, holdings: &Holdings) -> f64 {
+    let size = |(model, adapters): (&ModelName, &BTreeSet<AdapterName>)| {
+        let Some(model) = engine.models.get(model) else { return 0.0 };
+        model.weights_mb + model.adapter_mb * adapters.len() as f64
+    };
+    let loading = holdings.loading.as_ref().and_then(|model| engine.models.get(model));
+    let used: f64 = holdings.models.iter().map(size).sum();
+    engine.weights_mb - used - loading.map_or(0.0, |model| model.weights_mb)
+}
+
 fn source(holdings: &Holdings, model: &str) -> Source {
     if holdings.in_memory.contains(model) {
         Source::Memory
@@ -240,7 +243,8 @@
         for model in server.holdings.models.keys() {
             *copies.entry(model).or_default() += 1;
         }
-        if let Some(model) = &server.holdings.loading {
+        let incoming = server.incoming.as_ref().or(server.holdings.loading.as_ref());
+        if let Some(model) = incoming {
             *copies.entry(model).or_default() += 1;
             let (source, ends) = server.loading.unwrap_or((Source::Store, now));
             loading.insert(model, ends);
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -1,7 +1,7 @@
 //! What is known of the backend servers, and how it ages.
 //!
 //! Two sources tell of a server: the registry, which lags, and the instance that gives the orders,
-//! which sees their outcome first. A server's own count of accepted orders tells which is newer.
+//! which sees their outcome first. While that instance is heard, its word goes first.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -22,14 +22,16 @@
 /// pages give live servers about two seconds to register again, and senders two seconds to stop.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
 
+/// How long an observation goes before the registry. Longer than the registry lags behind, and
+/// longer than the giver of orders takes to tell of every server again.
+pub const OBSERVATION_HOLDS: Duration = Duration::from_secs(6);
+
 /// What a server says that it holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Holdings {
     /// Unix milliseconds of the server's start; tells runs under one id apart.
     pub born: u64,
-    /// Orders accepted since the start.
-    pub sequence: u64,
     /// Loaded models and their loaded adapters.
     pub models: BTreeMap<ModelName, BTreeSet<AdapterName>>,
     /// Models whose weights are in the server's memory.
@@ -52,8 +54,9 @@
         self.models.values().map(BTreeSet::len).sum()
     }
 
-    fn age_rank(&self) -> (u64, u64) {
-        (self.born, self.sequence)
+    /// Names of the loaded models.
+    pub fn model_names(&self) -> impl Iterator<Item = &ModelName> {
+        self.models.keys()
     }
 }
 
@@ -87,8 +90,10 @@
     pub revision: Revision,
     /// Deadline after which a lapsed entry is dropped.
     pub lapses_at: Option<Instant>,
-    /// The holdings came from the instance that gives the orders.
-    is_observed: bool,
+    /// What the registry says that it holds.
+    pub registered: Holdings,
+    /// When the instance that gives the orders last told what the server holds.
+    observed_at: Option<Instant>,
 }
 
 /// All known servers.
@@ -114,33 +119,43 @@
     }
 
     /// Takes a registry entry. Returns false if a newer run of the server is known.
-    pub fn put(&mut self, mut entry: Entry, revision: Revision) -> bool {
-        let mut is_observed = false;
+    pub fn put(&mut self, mut entry: Entry, revision: Revision, now: Instant) -> bool {
+        let registered = entry.holdings.clone();
+        let mut observed_at = None;
         if let Some(known) = self.servers.get(&entry.id) {
             let held = &known.entry.holdings;
             if entry.holdings.born < held.born || revision < known.revision {
                 return false;
             }
-            let finishes_load = entry.holdings.age_rank() == held.age_rank()
-                && held.loading.as_ref().is_some_and(|m| entry.holdings.models.contains_key(m));
-            let is_newer = entry.holdings.age_rank() > held.age_rank();
-            if known.is_observed && !is_newer && !finishes_load {
-                entry.holdings = held.clone();
-                is_observed = true;
+            let is_same_run = entry.holdings.born == held.born;
+            let is_recent = known
+                .observed_at
+                .is_some_and(|at| now.saturating_duration_since(at) < OBSERVATION_HOLDS);
+            if is_same_run && is_recent {
+                let mut holdings = held.clone();
+                // The registry lags, but what it shows as loaded is loaded.
+                if let Some(model) = &held.loading
+                    && let Some(adapters) = entry.holdings.models.get(model)
+                {
+                    holdings.models.insert(model.clone(), adapters.clone());
+                    holdings.loading = None;
+                }
+                entry.holdings = holdings;
+                observed_at = known.observed_at;
             }
         }
-        let server = Server { revision, lapses_at: None, is_observed, entry };
+        let server = Server { revision, lapses_at: None, observed_at, registered, entry };
         self.servers.insert(server.entry.id.clone(), server);
         true
     }
 
     /// Takes what the instance that gives the orders saw of a server.
-    pub fn observe(&mut self, id: &str, holdings: Holdings) -> bool {
+    pub fn observe(&mut self, id: &str, holdings: Holdings, now: Instant) -> bool {
         let Some(server) = self.servers.get_mut(id) else { return false };
-        if holdings.age_rank() < server.entry.holdings.age_rank() {
+        if holdings.born < server.entry.holdings.born {
             return false;
         }
-        server.is_observed = true;
+        server.observed_at = Some(now);
         if server.entry.holdings == holdings {
             return false;
         }
@@ -149,11 +164,11 @@
     }
 
     /// Changes what is held, at the instance that gives the orders.
-    pub fn update(&mut self, id: &str, change: impl FnOnce(&mut Holdings)) -> Option<&Holdings> {
-        let server = self.servers.get_mut(id)?;
-        change(&mut server.entry.holdings);
-        server.is_observed = true;
-        Some(&server.entry.holdings)
+    pub fn update(&mut self, id: &str, now: Instant, change: impl FnOnce(&mut Holdings)) {
+        if let Some(server) = self.servers.get_mut(id) {
+            change(&mut server.entry.holdings);
+            server.observed_at = Some(now);
+        }
     }
 
     /// The registry no longer has the entry. After trouble with the registry a live server may
--- a/components/process/server_directory/src/tests.rs
+++ b/components/process/server_directory/src/tests.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 
-fn holdings(born: u64, sequence: u64, models: &[&str]) -> Holdings {
+fn holdings(born: u64, models: &[&str]) -> Holdings {
     let models = models.iter().map(|m| ((*m).into(), BTreeSet::new())).collect();
-    Holdings { born, sequence, models, ..Holdings::default() }
+    Holdings { born, models, ..Holdings::default() }
 }
 
 fn entry(holdings: Holdings) -> Entry {
@@ -24,35 +24,41 @@
     d.get("s1").map(|s| s.entry.holdings.models.keys().map(|m| &**m).collect()).unwrap_or_default()
 }
 
-/// Guards against a lagging registry entry undoing what the order's sender saw.
+/// Guards against a lagging registry entry undoing what the sender of the orders saw.
 #[test]
-fn an_older_entry_does_not_replace_an_observation() {
+fn an_entry_does_not_replace_a_recent_observation() {
+    let now = Instant::now();
     let mut d = Directory::default();
-    d.put(entry(holdings(1, 1, &["m1"])), 10);
-    assert!(d.observe("s1", holdings(1, 2, &["m2"])));
-    d.put(entry(holdings(1, 1, &["m1"])), 11);
+    d.put(entry(holdings(1, &["m1"])), 10, now);
+    assert!(d.observe("s1", holdings(1, &["m2"]), now));
+    d.put(entry(holdings(1, &["m1"])), 11, now + Duration::from_secs(1));
     assert_eq!(models(&d), ["m2"]);
-    d.put(entry(holdings(1, 3, &["m3"])), 12);
+    d.put(entry(holdings(1, &["m3"])), 12, now + OBSERVATION_HOLDS);
     assert_eq!(models(&d), ["m3"]);
 }
 
 /// Guards against a load that the registry shows as done but the lost order giver never confirmed.
 #[test]
-fn an_entry_of_the_same_sequence_finishes_a_load() {
+fn an_entry_finishes_a_load() {
+    let now = Instant::now();
     let mut d = Directory::default();
-    d.put(entry(holdings(1, 1, &["m1"])), 10);
-    d.observe("s1", Holdings { loading: Some("m2".into()), ..holdings(1, 2, &["m1"]) });
-    d.put(entry(holdings(1, 2, &["m1", "m2"])), 11);
+    d.put(entry(holdings(1, &["m1"])), 10, now);
+    d.observe("s1", Holdings { loading: Some("m2".into()), ..holdings(1, &["m1"]) }, now);
+    d.put(entry(holdings(1, &["m1", "m2"])), 11, now);
     assert_eq!(models(&d), ["m1", "m2"]);
 }
 
-/// Guards against entries of a former run under the same id.
+/// Guards against entries of a former run under the same id, and against what was observed of it.
 #[test]
 fn a_former_run_is_ignored() {
+    let now = Instant::now();
     let mut d = Directory::default();
-    d.put(entry(holdings(5, 0, &[])), 10);
-    assert!(!d.put(entry(holdings(4, 9, &["m1"])), 11));
-    assert!(!d.observe("s1", holdings(4, 9, &["m1"])));
+    d.put(entry(holdings(5, &[])), 10, now);
+    assert!(!d.put(entry(holdings(4, &["m1"])), 11, now));
+    assert!(!d.observe("s1", holdings(4, &["m1"]), now));
+    assert_eq!(models(&d), [""; 0]);
+    d.observe("s1", holdings(5, &["m1"]), now);
+    d.put(entry(holdings(6, &[])), 12, now);
     assert_eq!(models(&d), [""; 0]);
 }
 
@@ -62,16 +68,16 @@
 fn lapsed_entries_are_kept_for_the_grace_unless_draining() {
     let now = Instant::now();
     let mut d = Directory::default();
-    d.put(entry(holdings(1, 0, &[])), 10);
+    d.put(entry(holdings(1, &[])), 10, now);
     d.remove("s1", now, true);
     assert!(d.is_usable("s1"));
     assert!(d.expire(now + LAPSE_GRACE / 2).is_empty());
-    d.put(entry(holdings(1, 0, &[])), 11);
+    d.put(entry(holdings(1, &[])), 11, now);
     assert!(d.expire(now + LAPSE_GRACE).is_empty());
     d.remove("s1", now, true);
     assert_eq!(d.expire(now + LAPSE_GRACE).len(), 1);
 
-    d.put(Entry { is_draining: true, ..entry(holdings(1, 0, &[])) }, 12);
+    d.put(Entry { is_draining: true, ..entry(holdings(1, &[])) }, 12);
     assert!(!d.is_usable("s1"));
     d.remove("s1", now, true);
     assert!(d.is_empty());
@@ -80,8 +86,9 @@
 /// Guards against sending to a server that the registry removed in calm times.
 #[test]
 fn a_removed_entry_goes_at_once_in_calm_times() {
+    let now = Instant::now();
     let mut d = Directory::default();
-    d.put(entry(holdings(1, 0, &[])), 10);
-    d.retain_listed(&BTreeSet::new(), Instant::now(), false);
+    d.put(entry(holdings(1, &[])), 10, now);
+    d.retain_listed(&BTreeSet::new(), now, false);
     assert!(d.is_empty());
 }
