Plan nothing on the report of a busy server

Cause of LIMIT: after a restart or a change of the order giver a server may still carry out a load that the former giver ordered. Its report shows it as busy without naming the model, and the plan took the memory as free. Ruled out: applied_late (the sequence in the order guards against it).

--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -164,8 +164,8 @@
             tracing::info!(fence, "orders: this instance gives the orders");
         }
         take_arrivals(&cx, &mut giver.borrow_mut());
-        learn_holdings(&cx, &giver);
         if cx.authority.borrow().may_order(boot_now()).is_some() {
+            learn_holdings(&cx, &giver);
             plan_services(&cx, &giver);
         }
         plan_at = Instant::now() + PLAN_EVERY;
@@ -503,7 +503,11 @@
 async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<()> {
     giver.borrow_mut().accepted.remove(server);
     let Report { mut holdings, accepted_orders, is_busy } = report(cx, server).await?;
-    giver.borrow_mut().accepted.insert(server.into(), (holdings.born, accepted_orders));
+    // A busy server finishes an order of a former holder. What that loads is not known, so that
+    // no plan may rest on this report.
+    if !is_busy {
+        giver.borrow_mut().accepted.insert(server.into(), (holdings.born, accepted_orders));
+    }
     note(cx, giver, server, |held| {
         if is_busy {
             holdings.loading = held.loading.take();
@@ -514,7 +518,6 @@
         }
         *held = holdings;
     });
-    // A busy server finishes an order of a former holder, and takes no other one meanwhile.
     (!is_busy).then_some(())
 }
 
--- a/components/process/model_homes/src/authority.rs
+++ b/components/process/model_homes/src/authority.rs
@@ -21,6 +21,8 @@
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
 /// Time between two reads of a suspected lease.
 const READ_EVERY: Duration = Duration::from_millis(600);
+/// Time after which an engine's report shows every order of a former run of this instance.
+const SETTLE: Duration = Duration::from_millis(800);
 /// Slack for messages under way and for clocks of different machines that run unevenly.
 const SLACK: Duration = Duration::from_millis(300);
 
@@ -210,7 +212,7 @@
             Standing::Holding { orders_from, .. } => *orders_from,
             Standing::Unknown | Standing::Vacant => now,
             // A former run of this instance gave its orders as the same holder.
-            Standing::Observing { record: old, .. } if old.holder == self.me => now + SLACK,
+            Standing::Observing { record: old, .. } if old.holder == self.me => now + SETTLE,
             Standing::Observing { record: old, unchanged_since, .. } if old.is_released => {
                 *unchanged_since + self.turn_gap + SLACK
             }
