Find a silent store again in time; end every request before the grace period ends

Changed: watches wait 2 s, the first one after trouble 50 ms, the delay between calls in an outage is at most 0.8 s; registry changes gather for 0.9 s; a load's end is asked for with the order itself, which does not lag. Ruled out: keep-alive probes (the store's machine still answers them).

--- a/components/connection/platform/src/attempts.rs
+++ b/components/connection/platform/src/attempts.rs
@@ -123,6 +123,10 @@
         self.shared().budget.set_rates(now(), rates);
     }
 
+    pub(crate) fn set_longest_delay(&self, delay: Duration) {
+        self.shared().budget.set_longest_delay(delay);
+    }
+
     pub(crate) fn is_failing(&self) -> bool {
         self.shared().budget.is_failing()
     }
--- a/components/connection/platform/src/budget.rs
+++ b/components/connection/platform/src/budget.rs
@@ -16,7 +16,7 @@
 /// First delay after a failure.
 const FIRST_DELAY: Duration = Duration::from_millis(100);
 
-/// Longest delay between two attempts during an outage. A lease of 9 s then lapses, but every
+/// Longest delay between two attempts during an outage, unless it is set. A lease of 9 s then lapses, but every
 /// instance finds the platform again soon after the outage and spread over half this time.
 const MAX_DELAY: Duration = Duration::from_secs(4);
 
@@ -111,6 +111,8 @@
     retry_at: Instant,
     /// Until then the result of the present attempt is awaited.
     probe_until: Option<Instant>,
+    /// Longest delay between two attempts during an outage.
+    longest_delay: Duration,
 }
 
 impl Budget {
@@ -122,9 +124,15 @@
             failures: 0,
             retry_at: now,
             probe_until: None,
+            longest_delay: MAX_DELAY,
         }
     }
 
+    /// Changes the longest delay between two attempts during an outage.
+    pub fn set_longest_delay(&mut self, delay: Duration) {
+        self.longest_delay = delay;
+    }
+
     /// Changes the rates, for example with the number of instances.
     pub fn set_rates(&mut self, now: Instant, rates: Rates) {
         for (bucket, rate) in [(&mut self.reads, rates.reads), (&mut self.writes, rates.writes)] {
@@ -176,7 +184,7 @@
         if is_counted && now < self.retry_at {
             return;
         }
-        self.retry_at = now + backoff::delay(FIRST_DELAY, MAX_DELAY, self.failures, rng);
+        self.retry_at = now + backoff::delay(FIRST_DELAY, self.longest_delay, self.failures, rng);
         self.failures += 1;
         self.probe_until = None;
     }
--- a/components/connection/platform/src/client.rs
+++ b/components/connection/platform/src/client.rs
@@ -53,6 +53,11 @@
         self.attempts.set_rates(rates);
     }
 
+    /// Changes the longest delay between two attempts during an outage.
+    pub fn set_longest_delay(&self, delay: Duration) {
+        self.attempts.set_longest_delay(delay);
+    }
+
     /// Whether the last attempt to reach the platform failed.
     pub fn is_failing(&self) -> bool {
         self.attempts.is_failing()
--- a/components/process/entry/src/connection/callers.rs
+++ b/components/process/entry/src/connection/callers.rs
@@ -61,7 +61,7 @@
     tokio::pin!(connection);
     let mut phase = cx.phase.subscribe();
     let closing = async {
-        if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
+        if phase.wait_for(|phase| *phase >= Phase::Closing).await.is_err() {
             std::future::pending::<()>().await;
         }
     };
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -36,8 +36,10 @@
     Serving,
     /// Not ready, but takes what still comes in.
     Leaving,
-    /// Takes no new requests.
+    /// Takes no new requests, and refuses those that were not sent to a server yet.
     Closing,
+    /// Requests without an answer get their failure.
+    Ending,
 }
 
 /// State of the process. One thread uses it; no borrow is held across an await.
@@ -77,6 +79,14 @@
             && self.deployment.borrow().is_some()
     }
 
+    /// Waits until requests without an answer have to be failed.
+    pub(crate) async fn ending(&self) {
+        let mut phase = self.phase.subscribe();
+        if phase.wait_for(|phase| *phase >= Phase::Ending).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Takes one repeat for a service from this instance's share of the limits.
     pub(crate) fn take_repeat(&self, service: &str) -> bool {
         let instances = self.instances.borrow().count();
--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -29,14 +29,16 @@
 const LEASE_CALL_TIME: Duration = Duration::from_millis(700);
 /// Longest time for an order or a report; engines answer in a few milliseconds.
 const ORDER_TIME: Duration = Duration::from_millis(600);
-/// Time between two tries of a load while the unload before it is under way.
-const UNLOAD_POLL: Duration = Duration::from_millis(60);
+/// First time between two tries of a load while the unload before it is under way; doubles.
+const UNLOAD_POLL: Duration = Duration::from_millis(25);
 /// Longest wait for an unload, which waits for running requests to end.
 const UNLOAD_TIME: Duration = Duration::from_secs(8);
-/// Time between two reports while a load is due.
-const REPORT_EVERY: Duration = Duration::from_millis(200);
-/// Reports lag behind, so that the first one after the expected end is taken this much later.
-const REPORT_LAG: Duration = Duration::from_millis(120);
+/// First time between two questions whether a load that is due has ended; doubles up to the next.
+const LOAD_POLL: Duration = Duration::from_millis(60);
+/// Longest time between two such questions.
+const LOAD_POLL_MAX: Duration = Duration::from_millis(800);
+/// Slack after the expected end of a load before the first question.
+const LOAD_SLACK: Duration = Duration::from_millis(15);
 /// A load that takes this many times its expected time has failed.
 const LOAD_PATIENCE: u32 = 4;
 /// Time between two plans if nothing happens.
@@ -579,7 +581,7 @@
         held.loading = Some(model.name.clone());
     });
     cx.metrics.loads.inc();
-    wait_loaded(cx, giver, server, &model.name, born, began, took).await
+    wait_loaded(cx, giver, server, &load, born, began, took).await
 }
 
 /// Repeats an order while another one is under way at the server.
@@ -599,49 +601,48 @@
     }
 }
 
+/// Waits for the end of a load. The same order once more is the question: the server says that it
+/// holds, or that an order is under way, and unlike a report this does not lag.
 async fn wait_loaded(
     cx: &Rc<Entry>,
     giver: &RefCell<Giver>,
     server: &str,
-    model: &str,
+    load: &Order,
     born: u64,
     began: Instant,
     took: Duration,
 ) -> Option<()> {
     let give_up_at = began + took * LOAD_PATIENCE;
-    tokio::time::sleep_until((began + took + REPORT_LAG).into()).await;
+    let mut pause = LOAD_POLL;
+    tokio::time::sleep_until((began + took + LOAD_SLACK).into()).await;
     loop {
         {
             let directory = cx.directory.borrow();
-            let held = &directory.get(server)?.entry.holdings;
-            if held.born != born {
+            let known = directory.get(server)?;
+            if known.entry.holdings.born != born || known.entry.is_draining {
                 return None;
             }
-            if held.models.contains_key(model) && held.loading.is_none() {
-                return Some(());
-            }
         }
-        if let Some(Report { holdings: reported, is_busy, .. }) = report(cx, server).await {
-            if reported.born != born {
-                return None;
-            }
-            if !is_busy && reported.models.contains_key(model) {
+        let question = Order { after_sequence: accepted(cx, giver, server).await?, ..load.clone() };
+        match order(cx, server, &question).await {
+            Ordered::Holds => {
                 note(cx, giver, server, |held| {
                     held.loading = None;
-                    held.models.entry(model.into()).or_default();
-                    held.on_disk.insert(model.into());
-                    if !reported.on_disk.is_empty() {
-                        held.on_disk = reported.on_disk;
-                        held.in_memory = reported.in_memory;
-                    }
+                    held.models.entry(load.model.clone()).or_default();
+                    held.on_disk.insert(load.model.clone());
                 });
                 return Some(());
             }
+            // The load was lost, for example with a restart, and begins anew.
+            Ordered::Accepted => count_accepted(giver, server),
+            Ordered::Conflict | Ordered::Unknown => {}
+            Ordered::Failed => return None,
         }
         if Instant::now() >= give_up_at {
             return None;
         }
-        tokio::time::sleep(REPORT_EVERY).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LOAD_POLL_MAX);
     }
 }
 
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -26,9 +26,14 @@
 /// Instances among which the store's call rates are shared. An instance makes a few calls a
 /// second at most, so that this only bounds what a fault could cause.
 const STORE_SHARES: u32 = 16;
+/// Longest delay between two calls during an outage of the store. Its return must be found well
+/// within the three seconds after which the platform expects changes to be known again.
+const STORE_LONGEST_DELAY: Duration = Duration::from_millis(800);
 /// Time after SIGTERM in which new requests are still taken: two readiness checks take the
 /// instance out of rotation, and callers keep open connections a little longer.
 const LEAVING_TIME: Duration = Duration::from_millis(2_800);
+/// Time before the end of the grace period at which requests without an answer get their failure.
+const ENDING_SLACK: Duration = Duration::from_millis(900);
 /// Time before the end of the grace period by which the process ends.
 const GRACE_SLACK: Duration = Duration::from_millis(400);
 /// Time between two looks at the settings file, which may change without a signal.
@@ -62,12 +67,14 @@
         settings.store_writes_per_second,
         STORE_SHARES,
     );
-    Store::new(Client::new(&ClientConfig {
+    let client = Client::new(&ClientConfig {
         addresses: [settings.store].into(),
         instance: settings.name.clone(),
         rates,
         seed: rand::rng().random(),
-    }))
+    });
+    client.set_longest_delay(STORE_LONGEST_DELAY);
+    Store::new(client)
 }
 
 /// Runs an instance until SIGTERM or SIGINT. Must run inside a `LocalSet`.
@@ -137,7 +144,13 @@
     cx.authority.borrow_mut().leave();
     tokio::time::sleep_until((began + LEAVING_TIME).min(end_by).into()).await;
     cx.phase.send_replace(Phase::Closing);
+    // What still waits for a server learns that it will not be served here.
+    cx.servers_changed.notify_waiters();
+    let answer_by = began + cx.settings.grace.saturating_sub(ENDING_SLACK);
     while cx.metrics.caller_connections.get() > 0 && Instant::now() < end_by {
+        if Instant::now() >= answer_by {
+            cx.phase.send_replace(Phase::Ending);
+        }
         tokio::time::sleep(CLOSE_POLL).await;
     }
     tracing::info!(in_flight = in_flight(cx), took_ms = began.elapsed().as_millis() as u64,
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -11,17 +11,24 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::Entry;
+use super::{Entry, boot_now};
 use crate::version;
 
 /// Kind of the objects that instances register themselves under.
 const INSTANCE_KIND: &str = "entry-instances";
 
-/// Longest time that a watch waits at the store. A silent connection is found by keep-alive
-/// probes, so that the wait may be long and calls few.
-const WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Longest time that a watch waits at the store. A store that fell silent and came back never
+/// answers a watch from before, and changes must be known within about five seconds of its return.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Wait of the first watch after trouble, which only finds out whether the store answers again.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
 /// Time after the wait by which the answer of a watch must be there.
-const WATCH_SLACK: Duration = Duration::from_secs(2);
+const WATCH_SLACK: Duration = Duration::from_millis(800);
+/// Pause between two watches of the registry, in which changes gather. Senders may take two
+/// seconds to leave a server alone that says that it leaves.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(900);
+/// The same at the order giver, which plans with what it finds.
+const GIVER_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for a list or a single call.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call, besides the client's own backoff.
@@ -44,17 +51,23 @@
 trait Follower {
     const KIND: &'static str;
 
+    /// Pause after changes, in which further ones gather, so that they take one call.
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Takes the whole list.
     fn listed(&mut self, objects: Vec<StoredObject>, is_troubled: bool);
 
     /// Takes one change.
-    fn changed(&mut self, object: StoredObject, is_deleted: bool, is_troubled: bool);
+    fn changed(&mut self, object: &StoredObject, is_deleted: bool, is_troubled: bool);
 }
 
 /// Lists a kind and follows its changes for as long as the process lives.
 async fn follow<F: Follower>(cx: Rc<Entry>, mut follower: F) {
     let mut at = None;
     let mut troubled_at: Option<Instant> = None;
+    let mut has_failed = false;
     loop {
         let store: Store = cx.store.borrow().clone();
         let result = match at {
@@ -65,19 +78,25 @@
                 revision
             }),
             Some(revision) => {
-                let by = Call::by(Instant::now() + WATCH_WAIT + WATCH_SLACK);
-                let wait_ms = WATCH_WAIT.as_millis() as u64;
-                store.watch(F::KIND, revision, wait_ms, by).await.map(|changes| {
+                let wait = if has_failed { FIRST_WAIT } else { WATCH_WAIT };
+                let by = Call::by(Instant::now() + wait + WATCH_SLACK);
+                let wait_ms = wait.as_millis() as u64;
+                let watched = store.watch(F::KIND, revision, wait_ms, by).await;
+                if let Ok(changes) = &watched
+                    && !changes.changes.is_empty()
+                {
                     let is_troubled = troubled_at.is_some_and(|at| at.elapsed() < TROUBLE_TAIL);
-                    for (object, is_deleted) in changes.changes {
-                        follower.changed(object, is_deleted, is_troubled);
+                    for (object, is_deleted) in &changes.changes {
+                        follower.changed(object, *is_deleted, is_troubled);
                     }
-                    changes.at
-                })
+                    tokio::time::sleep(follower.pause()).await;
+                }
+                watched.map(|changes| changes.at)
             }
         };
         match result {
             Ok(revision) => {
+                has_failed = false;
                 if troubled_at.is_some_and(|at| at.elapsed() >= TROUBLE_TAIL) {
                     troubled_at = None;
                     tracing::info!(kind = F::KIND, revision, "store: calm again");
@@ -89,6 +108,7 @@
                     tracing::warn!(kind = F::KIND, %error, "store: lost; what is known is kept");
                     cx.metrics.store_losses.inc();
                 }
+                has_failed = true;
                 troubled_at = Some(Instant::now());
                 if matches!(error, Error::HistoryGone) {
                     at = None;
@@ -122,10 +142,10 @@
         objects.iter().for_each(|object| self.take(object));
     }
 
-    fn changed(&mut self, object: StoredObject, is_deleted: bool, _: bool) {
+    fn changed(&mut self, object: &StoredObject, is_deleted: bool, _: bool) {
         // A removed configuration stays in force until another one is written.
         if !is_deleted {
-            self.take(&object);
+            self.take(object);
         }
     }
 }
@@ -171,6 +191,11 @@
 impl Follower for RegistryFollower {
     const KIND: &'static str = SERVER_KIND;
 
+    fn pause(&self) -> Duration {
+        let is_giver = self.0.authority.borrow().held(boot_now()).is_some();
+        if is_giver { GIVER_PAUSE } else { REGISTRY_PAUSE }
+    }
+
     fn listed(&mut self, objects: Vec<StoredObject>, is_troubled: bool) {
         let usable = objects.iter().filter(|object| self.put(object));
         let listed: BTreeSet<Box<str>> = usable.map(|object| object.name.clone()).collect();
@@ -179,8 +204,8 @@
         self.changed_servers();
     }
 
-    fn changed(&mut self, object: StoredObject, is_deleted: bool, is_troubled: bool) {
-        if is_deleted || !self.put(&object) {
+    fn changed(&mut self, object: &StoredObject, is_deleted: bool, is_troubled: bool) {
+        if is_deleted || !self.put(object) {
             let now = Instant::now();
             self.0.directory.borrow_mut().remove(&object.name, now, is_troubled);
             tracing::info!(server = %object.name, revision = object.revision, is_troubled,
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -26,6 +26,8 @@
 const PATIENCE_IN_TARGETS: u32 = 2;
 /// Least patience, so that tight targets do not turn a short queue into repeats.
 const LEAST_PATIENCE: Duration = Duration::from_millis(700);
+/// Reason given for a request whose answer did not come before the instance stopped.
+const INSTANCE_ENDS: &str = "instance stops before the answer";
 /// Longest silence within a stream that can be continued elsewhere. Callers leave after two
 /// seconds, and the new server needs part of that.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_000);
@@ -156,7 +158,11 @@
         true => job.deadline.min(Instant::now() + patience),
         false => job.deadline,
     };
-    let answer = match timeout_at(until.into(), link.send(req)).await {
+    let sent = tokio::select! {
+        sent = timeout_at(until.into(), link.send(req)) => sent,
+        () = cx.ending() => return Attempted::Lost(INSTANCE_ENDS),
+    };
+    let answer = match sent {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::NotSent)) => return Attempted::NotSent,
         Ok(Err(SendError::MayHaveRun)) => {
@@ -181,14 +187,21 @@
         ServerVerdict::Answer => {}
     }
     if job.route.kind.is_stream() && parts.status.is_success() {
-        let started = start_stream(job, parts, body, link, in_flight, until).await;
+        let started = tokio::select! {
+            started = start_stream(job, parts, body, link, in_flight, until) => started,
+            () = cx.ending() => return Attempted::Lost(INSTANCE_ENDS),
+        };
         if !matches!(started, Attempted::Stream(_)) {
             cx.judge(&picked.id, |health, now| health.failed(now, 1.0));
         }
         return started;
     }
     let whole = Limited::new(body, WHOLE_ANSWER).collect();
-    match timeout_at(job.deadline.into(), whole).await {
+    let whole = tokio::select! {
+        whole = timeout_at(job.deadline.into(), whole) => whole,
+        () = cx.ending() => return Attempted::Lost(INSTANCE_ENDS),
+    };
+    match whole {
         Ok(Ok(body)) => {
             let is_failure = parts.status.is_server_error();
             cx.judge(&picked.id, |health, now| match is_failure {
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -70,7 +70,7 @@
 ) -> Response<Body> {
     let phase = *cx.phase.borrow();
     let mut answer = match admit(&cx, req, arrived).await {
-        Ok(job) if phase == Phase::Closing => {
+        Ok(job) if phase >= Phase::Closing => {
             finish(&cx, job, Failure::NotServing, Duration::ZERO)
         }
         Ok(job) => dispatch(&cx, job).await,
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -9,7 +9,7 @@
 
 use super::Job;
 use super::verdict::Failure;
-use crate::process::{Entry, ModelKey, Want};
+use crate::process::{Entry, ModelKey, Phase, Want};
 
 /// Time left below which no server can answer; the way there and back and a first step.
 const LEAST_TIME: Duration = Duration::from_millis(60);
@@ -152,6 +152,9 @@
                 *service_wait_ends.get_or_insert(latest.min(now + SERVICE_WAIT))
             }
         };
+        if *cx.phase.borrow() >= Phase::Closing {
+            return Err(NotPicked { failure: Failure::NotServing, return_in: Duration::ZERO });
+        }
         if now >= latest {
             let failure = if want.is_some() { Failure::ModelNotInTime } else { Failure::TimeOver };
             return Err(NotPicked { failure, return_in: SERVICE_WAIT });
