--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -222,4 +222,3 @@
         _ => Err(true),
     }
 }
-
--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -383,9 +383,7 @@
     let ready_in = giver
         .ready_at
         .iter()
-        .map(|(model, at)| {
-            (model.clone(), at.saturating_duration_since(now).as_millis() as u32)
-        })
+        .map(|(model, at)| (model.clone(), at.saturating_duration_since(now).as_millis() as u32))
         .collect();
     let from = cx.settings.name.clone();
     let homes = Homes { from, fence, lease_revision, holdings, ready_in };
@@ -568,7 +566,8 @@
     }
     let took = match chosen.source {
         Source::Store => {
-            let under_way = giver.borrow().loading.values().filter(|l| l.0 == Source::Store).count();
+            let under_way =
+                giver.borrow().loading.values().filter(|l| l.0 == Source::Store).count();
             let crowd = (under_way + 1) as f64 / cx.settings.concurrent_loads as f64;
             model.store_load.mul_f64(crowd.max(1.0))
         }
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -165,12 +165,8 @@
 
 fn take_homes(cx: &Entry, homes: Homes) {
     let former = cx.authority.borrow().holder().map(Box::<str>::from);
-    let is_current = cx.authority.borrow_mut().heard(
-        &homes.from,
-        homes.fence,
-        homes.lease_revision,
-        boot_now(),
-    );
+    let is_current =
+        cx.authority.borrow_mut().heard(&homes.from, homes.fence, homes.lease_revision, boot_now());
     if !is_current {
         return;
     }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -153,8 +153,11 @@
         }
         tokio::time::sleep(CLOSE_POLL).await;
     }
-    tracing::info!(in_flight = in_flight(cx), took_ms = began.elapsed().as_millis() as u64,
-        "process: stopped");
+    tracing::info!(
+        in_flight = in_flight(cx),
+        took_ms = began.elapsed().as_millis() as u64,
+        "process: stopped"
+    );
 }
 
 fn in_flight(cx: &Entry) -> u32 {
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -161,9 +161,9 @@
             return false;
         };
         let mut directory = cx.directory.borrow_mut();
-        let known = directory.get(&object.name).map(|known| {
-            (known.entry.is_draining, known.entry.holdings.born, known.entry.address)
-        });
+        let known = directory
+            .get(&object.name)
+            .map(|known| (known.entry.is_draining, known.entry.holdings.born, known.entry.address));
         let is_draining = entry.is_draining;
         let new = (entry.is_draining, entry.holdings.born, entry.address);
         if !directory.put(entry, object.revision, Instant::now()) {
--- a/components/process/entry/src/process/wants.rs
+++ b/components/process/entry/src/process/wants.rs
@@ -1,8 +1,8 @@
 //! Models that requests of this instance wait for.
 
+use routes::ServiceName;
 use std::collections::HashMap;
 use std::rc::Rc;
-use routes::ServiceName;
 
 use super::{Entry, ModelKey};
 
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use platform_adapter::{Conversation, ServerVerdict, set_for_server, verdict};
+use server_directory::ServerId;
 use tokio::time::timeout_at;
 
 use super::Job;
@@ -49,6 +50,7 @@
     /// The answer's length is not told, so that its end may be a break.
     is_unframed: bool,
     is_resumable: bool,
+    server: ServerId,
     _in_flight: InFlight,
 }
 
@@ -106,8 +108,14 @@
         }
     }
 
+    /// Closes the connection of a stream that broke off, so that the server stops its work.
+    pub(crate) fn abandon(self, cx: &Entry) {
+        cx.judge(&self.server, |health, now| health.failed(now, 1.0));
+    }
+
     /// Gives the connection back for reuse after the end of the stream.
     pub(crate) fn finish(mut self, cx: &Entry) {
+        cx.judge(&self.server, |health, now| health.answered(now));
         if let Some(link) = self.link.take().filter(|_| !self.is_unframed) {
             cx.pools.put(link);
         }
@@ -188,7 +196,7 @@
     }
     if job.route.kind.is_stream() && parts.status.is_success() {
         let started = tokio::select! {
-            started = start_stream(job, parts, body, link, in_flight, until) => started,
+            started = start_stream(job, picked, parts, body, link, in_flight, until) => started,
             () = cx.ending() => return Attempted::Lost(INSTANCE_ENDS),
         };
         if !matches!(started, Attempted::Stream(_)) {
@@ -221,6 +229,7 @@
 
 async fn start_stream(
     job: &Job,
+    picked: &Picked,
     parts: Parts,
     body: Incoming,
     link: Link,
@@ -237,6 +246,7 @@
         splitter,
         is_unframed,
         is_resumable,
+        server: picked.id.clone(),
         _in_flight: in_flight,
     };
     match source.next(until).await {
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -70,9 +70,7 @@
 ) -> Response<Body> {
     let phase = *cx.phase.borrow();
     let mut answer = match admit(&cx, req, arrived).await {
-        Ok(job) if phase >= Phase::Closing => {
-            finish(&cx, job, Failure::NotServing, Duration::ZERO)
-        }
+        Ok(job) if phase >= Phase::Closing => finish(&cx, job, Failure::NotServing, Duration::ZERO),
         Ok(job) => dispatch(&cx, job).await,
         Err(refusal) => refusal,
     };
@@ -83,8 +81,12 @@
 }
 
 fn refuse(cx: &Entry, status: StatusCode, text: &'static str, id: Option<&str>) -> Response<Body> {
-    tracing::info!(id = id.unwrap_or("-"), status = status.as_u16(), reason = text,
-        "request: refused at arrival");
+    tracing::info!(
+        id = id.unwrap_or("-"),
+        status = status.as_u16(),
+        reason = text,
+        "request: refused at arrival"
+    );
     cx.metrics
         .requests
         .get_or_create(&crate::metrics::OutcomeLabels { kind: "refused", outcome: text })
@@ -186,8 +188,8 @@
         if job.runs.has_arrived() {
             cx.metrics.repeats.inc();
         }
-        let may_move_on = job.route.kind.may_run_again()
-            && job.runs.count() + 1 < job.route.max_attempts;
+        let may_move_on =
+            job.route.kind.may_run_again() && job.runs.count() + 1 < job.route.max_attempts;
         let attempted = attempt(cx, &job, &picked, None, may_move_on).await;
         job.trace.sent(&picked, &attempted);
         match attempted {
@@ -223,6 +225,7 @@
             }
             Attempted::Stream(started) => {
                 job.runs.may_have_run();
+                job.tried.push(picked.id);
                 return stream::begin(cx, job, *started);
             }
         }
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -67,8 +67,8 @@
     let mut able: Vec<&Server> = Vec::new();
     for server in of_service {
         has_servers = true;
-        let serves = prompt
-            .is_none_or(|p| server.entry.holdings.serves(&p.model, p.adapter.as_deref()));
+        let serves =
+            prompt.is_none_or(|p| server.entry.holdings.serves(&p.model, p.adapter.as_deref()));
         if serves {
             able.push(server);
         }
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -73,7 +73,7 @@
                 job.trace.note(reason);
                 let last_event = source.last_id().map(Box::<str>::from);
                 // The connection to the former server is closed before the next one is asked.
-                drop(source);
+                source.abandon(&cx);
                 let resumed = tokio::select! {
                     () = tx.closed() => return job.trace.end(&cx, "caller_left", status),
                     resumed = resume(&cx, &mut job, last_event) => resumed,
--- a/components/process/entry/src/request/verdict/tests.rs
+++ b/components/process/entry/src/request/verdict/tests.rs
@@ -17,10 +17,7 @@
     runs.rejected();
     assert_eq!(runs.status(failure), StatusCode::SERVICE_UNAVAILABLE);
     runs.may_have_run();
-    assert!(matches!(
-        runs.status(failure),
-        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
-    ));
+    assert!(matches!(runs.status(failure), StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT));
     let answer = runs.failure(failure, Duration::ZERO);
     assert!(!answer.headers().contains_key(header::RETRY_AFTER));
 }
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -46,7 +46,15 @@
 }
 
 const SECTIONS: &[&str] = &[
-    "instance", "callers", "readiness", "metrics", "peers", "store", "orders", "repeats", "stop",
+    "instance",
+    "callers",
+    "readiness",
+    "metrics",
+    "peers",
+    "store",
+    "orders",
+    "repeats",
+    "stop",
     "log",
 ];
 
--- a/components/process/entry/src/version.rs
+++ b/components/process/entry/src/version.rs
@@ -13,9 +13,14 @@
     if former.is_some_and(|former| former >= deployment.version) {
         return;
     }
-    tracing::info!(version = deployment.version, ?former, revision,
-        routes = deployment.route_count(), services = deployment.services.len(),
-        "configuration: in force");
+    tracing::info!(
+        version = deployment.version,
+        ?former,
+        revision,
+        routes = deployment.route_count(),
+        services = deployment.services.len(),
+        "configuration: in force"
+    );
     cx.metrics.configuration_version.set(deployment.version.cast_signed());
     *cx.deployment.borrow_mut() = Some(Rc::new(deployment));
     cx.servers_changed.notify_waiters();
--- a/components/process/model_homes/src/adapters.rs
+++ b/components/process/model_homes/src/adapters.rs
@@ -46,12 +46,10 @@
             adapters.iter().map(move |a| (server.id, m.clone(), a.clone()))
         })
     });
-    let last_use = |(_, m, a): &(&str, ModelName, AdapterName)| {
-        used.get(&(m.clone(), a.clone())).copied()
-    };
+    let last_use =
+        |(_, m, a): &(&str, ModelName, AdapterName)| used.get(&(m.clone(), a.clone())).copied();
     let oldest = idle.min_by_key(last_use)?;
-    let is_idle =
-        last_use(&oldest).is_none_or(|at| now.saturating_duration_since(at) > KEEP_USED);
+    let is_idle = last_use(&oldest).is_none_or(|at| now.saturating_duration_since(at) > KEEP_USED);
     let (server, model, adapter) = oldest;
     is_idle.then(|| AdapterMove { server: server.into(), unload: Some((model, adapter)) })
 }
--- a/components/process/model_homes/src/adapters_tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of adapters.
--- a/components/process/model_homes/src/authority.rs
+++ b/components/process/model_homes/src/authority.rs
@@ -138,8 +138,7 @@
         if fence < known || holder == &*self.me {
             return false;
         }
-        let record =
-            LeaseRecord { holder: holder.into(), fence, beat: 0, is_released: false };
+        let record = LeaseRecord { holder: holder.into(), fence, beat: 0, is_released: false };
         self.standing = Standing::Observing { record, revision, unchanged_since: now };
         self.next_at = now + SUSPECT_AFTER;
         true
@@ -194,8 +193,7 @@
             self.next_at = now;
             return;
         };
-        let is_immediate =
-            record.is_released || (record.holder == self.me && !self.has_held);
+        let is_immediate = record.is_released || (record.holder == self.me && !self.has_held);
         let unchanged_since = match &self.standing {
             Standing::Observing { revision: known, unchanged_since, .. } if *known == revision => {
                 *unchanged_since
@@ -207,7 +205,13 @@
     }
 
     /// A write of `record`, sent at `sent_at`, took effect.
-    pub fn written(&mut self, record: LeaseRecord, revision: u64, sent_at: BootTime, now: BootTime) {
+    pub fn written(
+        &mut self,
+        record: LeaseRecord,
+        revision: u64,
+        sent_at: BootTime,
+        now: BootTime,
+    ) {
         let orders_from = match &self.standing {
             Standing::Holding { orders_from, .. } => *orders_from,
             Standing::Unknown | Standing::Vacant => now,
--- a/components/process/model_homes/src/authority_tests.rs
+++ b/components/process/model_homes/src/authority_tests.rs
@@ -1,1 +1,130 @@
-//! Tests of authority.
+//! Tests of the lease: orders of two holders are a whole gap apart, whatever happens to either.
+
+use std::time::Duration;
+
+use super::*;
+
+const GAP: Duration = Duration::from_secs(3);
+
+fn ms(at: u64) -> BootTime {
+    Duration::from_millis(at)
+}
+
+/// A store with one lease, as linearizable as the real one.
+#[derive(Default)]
+struct Store {
+    lease: Option<(LeaseRecord, u64)>,
+    revision: u64,
+}
+
+impl Store {
+    fn write(&mut self, expected: Option<u64>, record: LeaseRecord) -> Result<u64, ()> {
+        if self.lease.as_ref().map(|(_, at)| *at) != expected {
+            return Err(());
+        }
+        self.revision += 1;
+        self.lease = Some((record, self.revision));
+        Ok(self.revision)
+    }
+}
+
+/// Lets an instance take its next step; the store answers at once if it is reachable.
+fn step(authority: &mut Authority, store: &mut Store, now: BootTime, is_reachable: bool) {
+    match authority.next(now) {
+        Action::Wait(_) => {}
+        _ if !is_reachable => authority.failed(now),
+        Action::Read => authority.read(store.lease.clone(), now),
+        Action::Write { revision, record } => match store.write(revision, record.clone()) {
+            Ok(revision) => authority.written(record, revision, now, now),
+            Err(()) => authority.read(store.lease.clone(), now),
+        },
+    }
+}
+
+/// Guards against a start at which nobody may order for seconds although nobody ever did.
+#[test]
+fn the_first_holder_orders_at_once() {
+    let mut store = Store::default();
+    let mut a = Authority::new("a", GAP);
+    for at in 0..3 {
+        step(&mut a, &mut store, ms(at * 10), true);
+    }
+    assert_eq!(a.may_order(ms(30)), Some(1));
+    let mut b = Authority::new("b", GAP);
+    step(&mut b, &mut store, ms(40), true);
+    step(&mut b, &mut store, ms(50), true);
+    assert_eq!(b.may_order(ms(60)), None);
+    assert_eq!(b.holder(), Some("a"));
+}
+
+/// Guards against a holder that wakes from a suspension and orders under a lease that lapsed.
+#[test]
+fn a_suspended_holder_orders_nothing_when_it_wakes() {
+    let mut store = Store::default();
+    let mut a = Authority::new("a", GAP);
+    for at in 0..100 {
+        step(&mut a, &mut store, ms(at * 10), true);
+    }
+    assert!(a.may_order(ms(1_000)).is_some());
+    // The clock counts the suspension, which lasted longer than a renewal is valid.
+    assert_eq!(a.may_order(ms(4_000)), None);
+}
+
+/// Guards against turns of two holders within the gap: the first one is cut from the store at any
+/// moment, and its last order and the first one of its successor are compared.
+#[test]
+fn a_successor_waits_for_the_gap_after_the_last_possible_order() {
+    for cut_at in (500..3_000).step_by(70) {
+        let mut store = Store::default();
+        let (mut a, mut b) = (Authority::new("a", GAP), Authority::new("b", GAP));
+        let (mut last_of_a, mut first_of_b) = (None, None);
+        for now in (0..20_000).step_by(10).map(ms) {
+            step(&mut a, &mut store, now, now < ms(cut_at));
+            if now > ms(200) {
+                step(&mut b, &mut store, now, true);
+            }
+            last_of_a = a.may_order(now).map(|fence| (now, fence)).or(last_of_a);
+            first_of_b = first_of_b.or(b.may_order(now).map(|fence| (now, fence)));
+        }
+        let ((last, old), (first, new)) = (last_of_a.unwrap(), first_of_b.expect("a successor"));
+        assert!(first >= last + GAP, "cut at {cut_at}: {last:?} then {first:?}");
+        assert!(new > old);
+        assert!(first < ms(cut_at + 8_000), "cut at {cut_at}: order giver back at {first:?}");
+    }
+}
+
+/// Guards against a long break when the holder stops as planned, and against a short one.
+#[test]
+fn a_released_lease_is_taken_at_once_and_used_after_the_gap() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (Authority::new("a", GAP), Authority::new("b", GAP));
+    let (mut left_at, mut first_of_b) = (None, None);
+    for now in (0..12_000).step_by(10).map(ms) {
+        if now == ms(2_000) {
+            a.leave();
+            left_at = Some(now);
+        }
+        step(&mut a, &mut store, now, true);
+        step(&mut b, &mut store, now, true);
+        if left_at.is_some() {
+            assert_eq!(a.may_order(now), None);
+        }
+        first_of_b = first_of_b.or(b.may_order(now).map(|_| now));
+    }
+    let waited = first_of_b.expect("a successor") - left_at.unwrap();
+    assert!(waited >= GAP && waited < GAP + ms(2_500), "{waited:?}");
+}
+
+/// Guards against a successor that does not trust a message about a newer lease.
+#[test]
+fn a_message_of_a_newer_holder_ends_the_own_right() {
+    let mut store = Store::default();
+    let mut a = Authority::new("a", GAP);
+    for at in 0..3 {
+        step(&mut a, &mut store, ms(at * 10), true);
+    }
+    assert!(!a.heard("c", 0, 5, ms(40)));
+    assert!(a.may_order(ms(40)).is_some());
+    assert!(a.heard("b", 2, 9, ms(50)));
+    assert_eq!(a.may_order(ms(60)), None);
+}
--- a/components/process/model_homes/src/lib.rs
+++ b/components/process/model_homes/src/lib.rs
@@ -5,8 +5,6 @@
 mod demand;
 mod plan;
 
-#[cfg(test)]
-mod adapters_tests;
 #[cfg(test)]
 mod authority_tests;
 #[cfg(test)]
--- a/components/process/model_homes/src/plan.rs
+++ b/components/process/model_homes/src/plan.rs
@@ -148,8 +148,7 @@
             return None;
         }
         let used = demand.and_then(|d| d.used_at);
-        let is_fresh =
-            used.is_some_and(|at| self.now.saturating_duration_since(at) < KEEP_USED);
+        let is_fresh = used.is_some_and(|at| self.now.saturating_duration_since(at) < KEEP_USED);
         let recent = if is_fresh { 1.0 } else { 0.0 };
         let has_copy_left =
             server.holdings.on_disk.contains(model) || server.holdings.in_memory.contains(model);
@@ -269,7 +268,8 @@
             let is_missing = copies == 0 && demand.waiting > 0;
             let needs_more = copies > 0 && copies < planner.wanted_copies(&model.name);
             let score = waiting + planner.rate(&model.name) * RELOAD_SECONDS;
-            (is_missing || needs_more).then_some((if is_missing { score + 1.0 } else { score }, model))
+            (is_missing || needs_more)
+                .then_some((if is_missing { score + 1.0 } else { score }, model))
         })
         .collect();
     lacking.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
@@ -292,9 +292,9 @@
             _ => {
                 // Waits for a place at the weight store or for a server that is busy.
                 store_queue += 1;
-                let turn = model.store_load.mul_f64(
-                    f64::from(store_queue) / limits.store_concurrent.max(1) as f64,
-                );
+                let turn = model
+                    .store_load
+                    .mul_f64(f64::from(store_queue) / limits.store_concurrent.max(1) as f64);
                 let first = store_ends.iter().min().copied().unwrap_or(now);
                 plan.ready_at.insert(model.name.clone(), first + turn + model.store_load);
             }
--- a/components/process/model_homes/src/plan_tests.rs
+++ b/components/process/model_homes/src/plan_tests.rs
@@ -1,1 +1,178 @@
-//! Tests of plan.
+//! Tests of the placement under the loads that it answers.
+
+use super::*;
+use crate::adapters::AdapterUse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use routes::{Engine, Model};
+use server_directory::Holdings;
+
+const LIMITS: Limits = Limits { store_concurrent: 2, is_prefetching: true };
+
+/// Ten models of which three fit on a server.
+fn models() -> Engine {
+    let model = |n: u32| Model {
+        name: format!("m{n}").into(),
+        weights_mb: 70.0,
+        store_load: Duration::from_secs(6),
+        disk_load: Duration::from_millis(1_500),
+        memory_load: Duration::from_millis(600),
+        adapter_mb: 0.1,
+    };
+    Engine {
+        slots: 10,
+        weights_mb: 230.0,
+        adapter_places: 2,
+        store_loads_per_second: 4.0,
+        models: (0..10).map(model).map(|m| (m.name.clone(), m)).collect(),
+        ..Engine::default()
+    }
+}
+
+fn holdings(loaded: &[&str], on_disk: &[&str]) -> Holdings {
+    let models: BTreeMap<_, _> = loaded.iter().map(|m| ((*m).into(), BTreeSet::new())).collect();
+    let on_disk = on_disk.iter().map(|m| (*m).into()).collect();
+    Holdings { models, on_disk, ..Holdings::default() }
+}
+
+fn view<'a>(id: &'a str, holdings: &'a Holdings) -> ServerView<'a> {
+    ServerView {
+        id,
+        holdings,
+        in_flight: 0,
+        by_model: HashMap::new(),
+        is_ordered: false,
+        incoming: None,
+        loading: None,
+        is_leaving: false,
+    }
+}
+
+fn demand(model: &str, waiting: u32, arrivals: u64, now: Instant) -> Demands {
+    let mut demands = Demands::default();
+    let demand = demands.models.entry(model.into()).or_default();
+    demand.waiting = waiting;
+    demand.arrived(now, arrivals);
+    demands
+}
+
+/// Guards against the slow weight store where a server has a copy on its disk.
+#[test]
+fn a_rare_model_is_loaded_from_a_disk_that_has_it() {
+    let now = Instant::now();
+    let all = ["m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"];
+    let (a, b) = (holdings(&["m0", "m1", "m2"], &all[..5]), holdings(&["m3", "m4", "m5"], &all));
+    let servers = [view("a", &a), view("b", &b)];
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &models(), LIMITS);
+    assert_eq!(plan.moves.len(), 1, "{plan:?}");
+    let chosen = &plan.moves[0];
+    assert_eq!((&*chosen.server, &*chosen.load, chosen.source), ("b", "m9", Source::Disk));
+    assert_eq!(chosen.unload.len(), 1);
+    assert!(plan.ready_at["m9"] < now + Duration::from_secs(3));
+}
+
+/// Guards against one load for each time that the plan is made while the first one is under way.
+#[test]
+fn a_model_on_its_way_is_not_loaded_again() {
+    let now = Instant::now();
+    let all = ["m0", "m1", "m2", "m3", "m9"];
+    let (a, b) = (holdings(&["m0", "m1", "m2"], &all), holdings(&["m0", "m1", "m3"], &all));
+    let mut servers = [view("a", &a), view("b", &b)];
+    servers[0].is_ordered = true;
+    servers[0].incoming = Some("m9".into());
+    let ends = now + Duration::from_secs(1);
+    servers[0].loading = Some((Source::Disk, ends));
+    let limits = Limits { is_prefetching: false, ..LIMITS };
+    let plan = plan(now, &servers, &demand("m9", 2, 2, now), &models(), limits);
+    assert!(plan.moves.is_empty(), "{plan:?}");
+    assert_eq!(plan.ready_at["m9"], ends);
+}
+
+/// Guards against a rare model that takes the place of a busy one while idle ones could go.
+#[test]
+fn idle_models_and_surplus_copies_make_way_first() {
+    let now = Instant::now();
+    let on_disk = ["m0", "m1", "m2", "m9"];
+    let a = holdings(&["m0", "m1", "m2"], &on_disk);
+    let servers = [view("a", &a)];
+    let mut demands = demand("m9", 1, 1, now);
+    demands.models.entry("m0".into()).or_default().arrived(now, 100);
+    demands.models.entry("m1".into()).or_default().arrived(now, 20);
+    let plan = plan(now, &servers, &demands, &models(), LIMITS);
+    assert_eq!(plan.moves[0].unload, [Box::<str>::from("m2")], "{plan:?}");
+}
+
+/// Guards against a busy model with one copy, which a lost server would take away.
+#[test]
+fn a_busy_model_gets_a_second_copy() {
+    let now = Instant::now();
+    let on_disk = ["m0", "m1", "m2", "m3", "m4"];
+    let (a, b) = (holdings(&["m0", "m1", "m2"], &on_disk), holdings(&["m3", "m4"], &on_disk));
+    let servers = [view("a", &a), view("b", &b)];
+    let plan = plan(now, &servers, &demand("m0", 0, 100, now), &models(), LIMITS);
+    assert!(plan.moves.iter().any(|m| *m.load == *"m0" && *m.server == *"b"), "{plan:?}");
+}
+
+/// Guards against more loads at once than the weight store carries at full speed.
+#[test]
+fn loads_from_the_store_stay_within_its_limit() {
+    let now = Instant::now();
+    let empty = Holdings::default();
+    let ids: Vec<String> = (0..6).map(|n| format!("s{n}")).collect();
+    let servers: Vec<_> = ids.iter().map(|id| view(id, &empty)).collect();
+    let mut demands = Demands::default();
+    for n in 0..6 {
+        let demand = demands.models.entry(format!("m{n}").into()).or_default();
+        demand.waiting = 1;
+        demand.arrived(now, 1);
+    }
+    let plan = plan(now, &servers, &demands, &models(), LIMITS);
+    let from_store = plan.moves.iter().filter(|m| m.source == Source::Store).count();
+    assert_eq!(from_store, LIMITS.store_concurrent, "{plan:?}");
+    assert_eq!(plan.ready_at.len(), 6, "the others are told when their turn should come");
+}
+
+/// Guards against loads on servers that leave, that are ordered already or that have no room.
+#[test]
+fn servers_that_cannot_take_a_load_get_none() {
+    let now = Instant::now();
+    let on_disk = ["m9"];
+    let (a, b) = (holdings(&[], &on_disk), holdings(&[], &on_disk));
+    let mut servers = [view("a", &a), view("b", &b)];
+    servers[0].is_leaving = true;
+    servers[1].is_ordered = true;
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &models(), LIMITS);
+    assert!(plan.moves.is_empty(), "{plan:?}");
+    assert!(plan.ready_at.contains_key("m9"));
+}
+
+/// Guards against memory that is counted as free while a load is under way.
+#[test]
+fn a_model_that_is_being_loaded_takes_room() {
+    let held = Holdings { loading: Some("m3".into()), ..holdings(&["m0", "m1"], &[]) };
+    assert!((free_mb(&models(), &held) - 20.0).abs() < 1e-6);
+}
+
+/// Guards against an adapter that pushes out one in use, and against a full server while another
+/// one has a free place.
+#[test]
+fn adapters_go_where_there_is_room_and_push_out_the_oldest() {
+    let now = Instant::now();
+    let with = |names: &[&str]| {
+        let adapters = names.iter().map(|a| (*a).into()).collect();
+        Holdings { models: [("m0".into(), adapters)].into(), ..Holdings::default() }
+    };
+    let (full, free) = (with(&["a1", "a2"]), with(&["a3"]));
+    let used: AdapterUse = [("a1", 10), ("a2", 1)]
+        .map(|(a, ago)| (("m0".into(), a.into()), now - Duration::from_secs(ago)))
+        .into();
+    let both = [view("a", &full), view("b", &free)];
+    let chosen = adapter_move(now, &both, 2, "m0", &used).unwrap();
+    assert_eq!((&*chosen.server, chosen.unload), ("b", None));
+    let chosen = adapter_move(now, &both[..1], 2, "m0", &used).unwrap();
+    assert_eq!(chosen.unload, Some(("m0".into(), "a1".into())));
+    let all_fresh: AdapterUse = ["a1", "a2"].map(|a| (("m0".into(), a.into()), now)).into();
+    assert_eq!(adapter_move(now, &both[..1], 2, "m0", &all_fresh), None);
+    assert_eq!(adapter_move(now, &both, 2, "m7", &used), None);
+}
--- a/components/process/server_directory/src/tests.rs
+++ b/components/process/server_directory/src/tests.rs
@@ -77,7 +77,7 @@
     d.remove("s1", now, true);
     assert_eq!(d.expire(now + LAPSE_GRACE).len(), 1);
 
-    d.put(Entry { is_draining: true, ..entry(holdings(1, &[])) }, 12);
+    d.put(Entry { is_draining: true, ..entry(holdings(1, &[])) }, 12, now);
     assert!(!d.is_usable("s1"));
     d.remove("s1", now, true);
     assert!(d.is_empty());
--- a/components/request/server_choice/src/choice.rs
+++ b/components/request/server_choice/src/choice.rs
@@ -44,7 +44,8 @@
     let cost = |at: usize, c: &Candidate<'_>| {
         // A full server queues: each request beyond the slots waits for a whole one to end.
         let queued = c.in_flight.saturating_sub(c.slots.saturating_sub(1));
-        f64::from(c.in_flight) + f64::from(queued) * 4.0
+        f64::from(c.in_flight)
+            + f64::from(queued) * 4.0
             + c.failures * FAILURE_WEIGHT
             + if c.is_near { 0.0 } else { DISTANCE_WEIGHT }
             - if preferred == Some(at) { AFFINITY_LEAD } else { 0.0 }
--- /dev/null
+++ b/tests/platform_sessions/order_tests.rs
@@ -0,0 +1,92 @@
+//! Orders to engines.
+
+use std::time::Duration;
+
+use platform_stand_in::{Call, StoreFault};
+
+use crate::world::{WAIT, World, engine, eventually};
+
+fn call<'a>(id: &'a str, model: &'a str) -> Call<'a> {
+    let patience = Duration::from_secs(15);
+    Call { model: Some(model), body: Some("{}"), patience, ..Call::new(id, "/note/x") }
+}
+
+/// Guards against requests that wait for a model that nobody loads.
+#[tokio::test]
+async fn a_model_that_is_not_loaded_is_loaded_on_demand() {
+    let world = World::serving(vec![engine("e1", &["m1", "m2"])]).await;
+    let told = world.caller.call(world.entry(), &call("a1", "m3")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    let told = world.caller.call(world.entry(), &call("a2", "m4/a1")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    assert_eq!(world.servers[0].overloads(), 0);
+}
+
+/// Guards against a load without room because a former holder's load is still under way (LIMIT,
+/// found by scores of alykes-stock, day scale-1).
+#[tokio::test]
+async fn a_busy_server_gets_no_load_until_its_former_order_is_done() {
+    let mut cfg = engine("e1", &["m1"]);
+    cfg.busy_with = Some(("m2", Duration::from_millis(1_500)));
+    let world = World::serving(vec![cfg]).await;
+    let told = world.caller.call(world.entry(), &call("a1", "m3")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    assert_eq!(world.servers[0].overloads(), 0);
+}
+
+/// Guards against one load for each instance at which a model is asked for.
+#[tokio::test]
+async fn a_burst_at_several_instances_causes_one_load() {
+    let mut world =
+        World::new(vec![engine("e1", &["m1", "m2"]), engine("e2", &["m1", "m2"])]).await;
+    for _ in 0..3 {
+        world.start_instance().await;
+    }
+    let ports: Vec<_> = world.instances.iter().map(|instance| instance.ports.callers).collect();
+    let calls = ports.into_iter().enumerate().map(|(n, entry)| {
+        let caller = world.caller.clone();
+        async move { caller.call(entry, &call(&format!("a{n}"), "m3")).await }
+    });
+    for told in futures_util::future::join_all(calls).await {
+        assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    }
+    let loaded = |server: &platform_stand_in::Server| server.loaded().contains(&"m3".to_owned());
+    assert_eq!(world.servers.iter().filter(|server| loaded(server)).count(), 1);
+}
+
+/// Guards against two holders that take turns: engines here check no fencing numbers, and the
+/// settings of the test ask for 1 s between the orders of two holders.
+#[tokio::test]
+async fn a_new_holder_waits_for_the_former_one() {
+    let mut world = World::new(vec![engine("e1", &["m1", "m2"])]).await;
+    world.start_instance().await;
+    let told = world.caller.call(world.entry(), &call("a1", "m3")).await;
+    assert_eq!(told.status, Some(200), "{told:?}");
+    world.start_instance().await;
+    world.instances[0].kill();
+    let entry = world.instances[1].ports.callers;
+    let told = world.caller.call(entry, &call("a2", "m4")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    let orders = world.servers[0].orders();
+    let changes = orders.windows(2).filter(|pair| pair[0].holder != pair[1].holder);
+    let changes: Vec<_> = changes.collect();
+    assert_eq!(changes.len(), 1, "{orders:?}");
+    assert!(changes[0][1].fence > changes[0][0].fence, "{orders:?}");
+    assert!(changes[0][1].at - changes[0][0].at >= Duration::from_secs(1), "{orders:?}");
+}
+
+/// Guards against a holder that goes on ordering when it can no longer renew its lease.
+#[tokio::test]
+async fn a_holder_without_the_store_stops_ordering() {
+    let world = World::serving(vec![engine("e1", &["m1", "m2"])]).await;
+    let told = world.caller.call(world.entry(), &call("a1", "m3")).await;
+    assert_eq!(told.status, Some(200), "{told:?}");
+    world.store.set_fault(StoreFault::Silent);
+    let has_stopped = || !world.instances[0].log_lines(&["lease no longer held"]).is_empty();
+    assert!(eventually(WAIT, has_stopped).await);
+    let before = world.servers[0].orders().len();
+    let patience = Duration::from_secs(1);
+    let told = world.caller.call(world.entry(), &Call { patience, ..call("a2", "m4") }).await;
+    assert_ne!(told.status, Some(200), "{told:?}");
+    assert_eq!(world.servers[0].orders().len(), before);
+}
