--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -1,13 +1,13 @@
 //! The other instances, as their messages show them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use model_homes::InstanceName;
-use routes::{ModelName, ServiceName};
+use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
-use server_directory::{Holdings, ServerId};
+use server_directory::ServerId;
 
 use super::ModelKey;
 
@@ -21,7 +21,7 @@
 /// A message between instances, one datagram each. A lost one is made up for by the next.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Message {
-    /// What an instance does; to all others.
+    /// What an instance does; to the order giver.
     Status(Status),
     /// What the order giver knows; to all others.
     Homes(Homes),
@@ -43,14 +43,43 @@
     pub(crate) wants: Vec<(ServiceName, ModelKey, u32)>,
 }
 
-/// What the order giver knows of some servers.
+/// What a server holds, as far as requests depend on it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct Held {
+    pub(crate) server: ServerId,
+    pub(crate) born: u64,
+    pub(crate) models: Vec<(ModelName, Vec<AdapterName>)>,
+    pub(crate) loading: Option<ModelName>,
+}
+
+/// How far the order giver follows a kind of objects in the store. While its word is fresh, the
+/// others call the store only if their own mark differs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct SyncMark {
+    /// Changes with every change that the others must know of.
+    pub(crate) mark: u64,
+    /// Milliseconds since the store last confirmed it.
+    pub(crate) age_ms: u32,
+}
+
+/// What the order giver knows; to all others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) struct Homes {
     pub(crate) from: InstanceName,
     pub(crate) fence: u64,
     pub(crate) lease_revision: u64,
-    pub(crate) holdings: Vec<(ServerId, Holdings)>,
+    /// Instances that were heard lately, the sender included.
+    pub(crate) instances: u32,
+    pub(crate) registry: SyncMark,
+    pub(crate) configuration: SyncMark,
+    /// Some servers: those that changed, and the others in turn.
+    pub(crate) held: Vec<Held>,
+    /// Requests in flight from all instances, of all servers that have any. Left out of messages
+    /// that only tell of a change.
+    pub(crate) in_flight: Option<Vec<(ServerId, u32)>>,
     /// Milliseconds until models that are waited for should be loaded; all of them.
     pub(crate) ready_in: Vec<(ModelName, u32)>,
 }
@@ -69,6 +98,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct Instances {
     by_name: HashMap<InstanceName, Instance>,
+    /// Instances that the order giver heard lately.
+    told_count: usize,
+    /// Requests in flight from other instances, by server, as the order giver told last.
+    others_at: HashMap<ServerId, u32>,
+    /// What the order giver said of the registry and the configuration, and when.
+    told_marks: Option<(SyncMark, SyncMark, Instant)>,
 }
 
 impl Instances {
@@ -118,7 +153,29 @@
                 .heard_at
                 .is_some_and(|at| now.saturating_duration_since(at) < FORGET_SHARE_AFTER)
         };
-        1 + self.by_name.values().filter(|instance| shares(instance)).count()
+        let heard = 1 + self.by_name.values().filter(|instance| shares(instance)).count();
+        // Before the order giver was heard, every registered instance counts.
+        let told = if self.told_count == 0 { 1 + self.by_name.len() } else { self.told_count };
+        heard.max(told)
+    }
+
+    /// Takes what the order giver said; `own` is what this instance has in flight by server.
+    pub(crate) fn told(&mut self, homes: &Homes, own: impl Fn(&str) -> u32, now: Instant) {
+        self.told_count = homes.instances as usize;
+        self.told_marks = Some((homes.registry, homes.configuration, now));
+        if let Some(in_flight) = &homes.in_flight {
+            let others = |(id, total): &(ServerId, u32)| (id.clone(), total.saturating_sub(own(id)));
+            self.others_at = in_flight.iter().map(others).collect();
+        }
+    }
+
+    /// What the order giver said of the registry and the configuration, if it is fresh: the store
+    /// confirmed it at most `limit` ago.
+    pub(crate) fn fresh_marks(&self, now: Instant, limit: Duration) -> Option<(u64, u64)> {
+        let (registry, configuration, told_at) = self.told_marks?;
+        let age = Duration::from_millis(u64::from(registry.age_ms.max(configuration.age_ms)))
+            + now.saturating_duration_since(told_at);
+        (age < limit).then_some((registry.mark, configuration.mark))
     }
 
     /// Instances heard lately, with their newest status.
@@ -130,14 +187,28 @@
         })
     }
 
-    /// Requests in flight from the other instances at a server.
-    pub(crate) fn in_flight_at(&self, server: &str, now: Instant) -> u32 {
-        self.live(now)
-            .flat_map(|status| &status.in_flight)
-            .filter(|(id, _)| &**id == server)
-            .flat_map(|(_, models)| models)
-            .map(|(_, count)| count)
-            .sum()
+    /// Requests in flight from the other instances at a server, as far as known.
+    pub(crate) fn in_flight_at(&self, server: &str) -> u32 {
+        self.others_at.get(server).copied().unwrap_or(0)
+    }
+
+    /// Replaces what is in flight from other instances, at the order giver itself.
+    pub(crate) fn set_in_flight(&mut self, others: HashMap<ServerId, u32>) {
+        self.others_at = others;
+    }
+
+    /// Addresses of the instances that wait for one of `models`.
+    pub(crate) fn waiting_for(
+        &self,
+        models: &HashSet<ModelName>,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let names: Vec<&InstanceName> = self
+            .live(now)
+            .filter(|status| status.wants.iter().any(|(_, key, _)| models.contains(&key.model)))
+            .map(|status| &status.from)
+            .collect();
+        names.into_iter().filter_map(|name| self.address(name)).collect()
     }
 
     /// Arrivals at other instances that were not counted before.
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -42,6 +42,19 @@
     Ending,
 }
 
+/// How far this instance follows the store.
+#[derive(Debug, Default)]
+pub(crate) struct Sync {
+    /// Changes of the registry that senders of requests must know of: servers that come, leave,
+    /// restart or move.
+    pub(crate) registry_mark: Cell<u64>,
+    /// Revision of the configuration object in force.
+    pub(crate) configuration_mark: Cell<u64>,
+    /// When the store last confirmed the registry and the configuration.
+    pub(crate) registry_at: Cell<Option<Instant>>,
+    pub(crate) configuration_at: Cell<Option<Instant>>,
+}
+
 /// State of the process. One thread uses it; no borrow is held across an await.
 pub(crate) struct Entry {
     pub(crate) settings: EntrySettings,
@@ -67,6 +80,12 @@
     pub(crate) wants_changed: Notify,
     /// The order giver should plan again.
     pub(crate) plan_due: Notify,
+    /// The order giver told how far it follows the store.
+    pub(crate) marks_told: Notify,
+    /// An instance is named whose address is not known.
+    pub(crate) list_instances: Notify,
+    /// How far this instance follows the store.
+    pub(crate) sync: Sync,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) metrics: Metrics,
 }
@@ -87,6 +106,14 @@
         }
     }
 
+    /// Whether this instance's share of the limits has a repeat left for a service.
+    pub(crate) fn has_repeat(&self, service: &str) -> bool {
+        let instances = self.instances.borrow().count();
+        let mut repeats = self.repeats.borrow_mut();
+        let budget = repeats.entry(service.into()).or_default();
+        budget.has_repeat(Instant::now(), &self.settings.repeats, instances)
+    }
+
     /// Takes one repeat for a service from this instance's share of the limits.
     pub(crate) fn take_repeat(&self, service: &str) -> bool {
         let instances = self.instances.borrow().count();
--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -16,7 +16,7 @@
 use server_directory::{Holdings, ServerId};
 use tokio::task::spawn_local;
 
-use super::instances::{Homes, Message};
+use super::instances::{Held, Homes, Message, SyncMark};
 use super::peers::PeerSocket;
 use super::{Entry, ModelKey, boot_now};
 use crate::connection::control_call;
@@ -43,10 +43,12 @@
 const LOAD_PATIENCE: u32 = 4;
 /// Time between two plans if nothing happens.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
-/// Time between two messages to the other instances if nothing changes.
-const TELL_EVERY: Duration = Duration::from_millis(250);
-/// Servers that are told again in each of these messages, in turn.
-const TOLD_AGAIN: usize = 6;
+/// Least time between two plans, in which changes gather.
+const PLAN_GAP: Duration = Duration::from_millis(15);
+/// Time between two messages to all other instances.
+const TELL_EVERY: Duration = Duration::from_millis(200);
+/// All servers are told again within this many of these messages, in turn.
+const TOLD_WITHIN: usize = 15;
 /// A server that refused an order is left alone for this time.
 const REFUSED_PAUSE: Duration = Duration::from_millis(700);
 /// Part of an adapter's load time that does not depend on its size, and the rest for each MB.
@@ -171,11 +173,13 @@
             plan_services(&cx, &giver);
         }
         plan_at = Instant::now() + PLAN_EVERY;
-        let must_tell = !giver.borrow().changed.is_empty() || wants_waiting(&cx);
-        if must_tell || Instant::now() >= tell_at {
-            tell_homes(&cx, &socket, &mut giver.borrow_mut(), fence, lease_revision);
+        if Instant::now() >= tell_at {
+            tell_all(&cx, &socket, &mut giver.borrow_mut(), fence, lease_revision);
             tell_at = Instant::now() + TELL_EVERY;
+        } else {
+            tell_waiting(&cx, &socket, &mut giver.borrow_mut(), fence, lease_revision);
         }
+        tokio::time::sleep(PLAN_GAP).await;
     }
 }
 
@@ -215,11 +219,6 @@
     }
 }
 
-fn wants_waiting(cx: &Entry) -> bool {
-    let now = Instant::now();
-    cx.instances.borrow().live(now).any(|status| !status.wants.is_empty())
-}
-
 fn take_arrivals(cx: &Entry, giver: &mut Giver) {
     let now = Instant::now();
     let mut arrivals = cx.instances.borrow_mut().new_arrivals();
@@ -360,39 +359,110 @@
     views
 }
 
-fn tell_homes(cx: &Entry, socket: &PeerSocket, giver: &mut Giver, fence: u64, lease_revision: u64) {
+/// Tells all instances what changed, some of the servers again, and what is in flight.
+fn tell_all(cx: &Entry, socket: &PeerSocket, giver: &mut Giver, fence: u64, lease_revision: u64) {
     let now = Instant::now();
-    let directory = cx.directory.borrow();
-    let mut ids: Vec<&ServerId> = directory
-        .servers()
-        .filter(|server| !server.entry.holdings.models.is_empty() || server.entry.slots > 0)
-        .map(|server| &server.entry.id)
-        .collect();
+    let mut ids: Vec<ServerId> = {
+        let directory = cx.directory.borrow();
+        let engines = directory.servers().filter(|s| !s.entry.holdings.models.is_empty());
+        engines.map(|server| server.entry.id.clone()).collect()
+    };
     ids.sort();
-    let mut told: Vec<ServerId> = giver.changed.drain().collect();
-    for _ in 0..TOLD_AGAIN.min(ids.len()) {
+    let mut told: HashSet<ServerId> = giver.changed.drain().collect();
+    for _ in 0..ids.len().div_ceil(TOLD_WITHIN) {
         giver.told = (giver.told + 1) % ids.len();
-        told.push(ids[giver.told].clone());
+        told.insert(ids[giver.told].clone());
+    }
+    let mut others: HashMap<ServerId, u32> = HashMap::new();
+    for (server, models) in cx.instances.borrow().live(now).flat_map(|s| &s.in_flight) {
+        *others.entry(server.clone()).or_default() += models.iter().map(|(_, n)| n).sum::<u32>();
+    }
+    cx.instances.borrow_mut().set_in_flight(others.clone());
+    let mut totals = others;
+    for (server, models) in &cx.loads.borrow().in_flight {
+        *totals.entry(server.clone()).or_default() += models.values().sum::<u32>();
+    }
+    let in_flight = Some(totals.into_iter().collect());
+    let message = homes(cx, giver, told, in_flight, fence, lease_revision);
+    socket.send(&message, &cx.instances.borrow().addresses());
+}
+
+/// Tells the instances that wait for a model what changed for it; the others hear it with the
+/// next message to all.
+fn tell_waiting(
+    cx: &Entry,
+    socket: &PeerSocket,
+    giver: &mut Giver,
+    fence: u64,
+    lease_revision: u64,
+) {
+    let now = Instant::now();
+    let mut models: HashSet<ModelName> = giver.ready_at.keys().cloned().collect();
+    {
+        let directory = cx.directory.borrow();
+        for server in giver.changed.iter().filter_map(|id| directory.get(id)) {
+            models.extend(server.entry.holdings.model_names().cloned());
+        }
+    }
+    let to = cx.instances.borrow().waiting_for(&models, now);
+    if !to.is_empty() {
+        let told = giver.changed.clone();
+        socket.send(&homes(cx, giver, told, None, fence, lease_revision), &to);
     }
-    told.sort();
-    told.dedup();
-    let holdings = told
+}
+
+fn homes(
+    cx: &Entry,
+    giver: &Giver,
+    told: HashSet<ServerId>,
+    in_flight: Option<Vec<(ServerId, u32)>>,
+    fence: u64,
+    lease_revision: u64,
+) -> Message {
+    let now = Instant::now();
+    let directory = cx.directory.borrow();
+    let held = told
         .into_iter()
-        .filter_map(|id| Some((id.clone(), directory.get(&id)?.entry.holdings.clone())))
+        .filter_map(|id| {
+            let holdings = &directory.get(&id)?.entry.holdings;
+            let models = holdings.models.iter();
+            Some(Held {
+                born: holdings.born,
+                models: models.map(|(m, a)| (m.clone(), a.iter().cloned().collect())).collect(),
+                loading: holdings.loading.clone(),
+                server: id,
+            })
+        })
         .collect();
     let ready_in = giver
         .ready_at
         .iter()
         .map(|(model, at)| (model.clone(), at.saturating_duration_since(now).as_millis() as u32))
         .collect();
-    let from = cx.settings.name.clone();
-    let homes = Homes { from, fence, lease_revision, holdings, ready_in };
-    socket.send(&Message::Homes(homes), &cx.instances.borrow().addresses());
+    let mark = |mark: u64, at: Option<Instant>| SyncMark {
+        mark,
+        age_ms: at.map_or(u32::MAX / 2, |at| at.elapsed().as_millis() as u32),
+    };
+    let sync = &cx.sync;
+    Message::Homes(Homes {
+        from: cx.settings.name.clone(),
+        fence,
+        lease_revision,
+        instances: cx.instances.borrow().count() as u32,
+        registry: mark(sync.registry_mark.get(), sync.registry_at.get()),
+        configuration: mark(sync.configuration_mark.get(), sync.configuration_at.get()),
+        held,
+        in_flight,
+        ready_in,
+    })
 }
 
 /// Changes what is known of a server and tells the others.
 fn note(cx: &Entry, giver: &RefCell<Giver>, server: &str, change: impl FnOnce(&mut Holdings)) {
-    cx.directory.borrow_mut().update(server, Instant::now(), change);
+    let born = cx.directory.borrow().get(server).map(|s| s.entry.holdings.born);
+    if let Some(born) = born {
+        cx.directory.borrow_mut().observe(server, born, Instant::now(), change);
+    }
     giver.borrow_mut().changed.insert(server.into());
     cx.servers_changed.notify_waiters();
     cx.plan_due.notify_one();
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -13,7 +13,9 @@
 use super::{Entry, Phase, boot_now};
 
 /// Time between two status messages.
-const STATUS_EVERY: Duration = Duration::from_millis(250);
+const STATUS_EVERY: Duration = Duration::from_millis(200);
+/// Status messages that may be left out in a row while there is nothing to tell.
+const QUIET_STATUSES: u32 = 4;
 /// Least time between two status messages that a new want causes.
 const STATUS_GAP: Duration = Duration::from_millis(4);
 /// Largest datagram, in bytes; the largest that IPv4 carries is 65,507.
@@ -100,10 +102,11 @@
     }
 }
 
-/// Tells the other instances what this one does, regularly and when it waits for another model.
+/// Tells the order giver what this instance does, regularly and when it waits for another model.
 pub(crate) async fn tell(cx: Rc<Entry>, socket: Rc<PeerSocket>, run: u64) {
     let mut recent = Recent::default();
     let mut next = Instant::now();
+    let mut left_out = 0;
     loop {
         let is_want = tokio::select! {
             () = tokio::time::sleep_until(next.into()) => false,
@@ -112,22 +115,32 @@
         if is_want {
             // Requests that arrive together are told together.
             tokio::time::sleep(STATUS_GAP).await;
-            let holder = cx.authority.borrow().holder().map(Box::<str>::from);
-            let is_own = holder.as_deref() == Some(&*cx.settings.name);
-            if is_own {
+        } else {
+            next = Instant::now() + STATUS_EVERY;
+        }
+        let holder = cx.authority.borrow().holder().map(Box::<str>::from);
+        if holder.as_deref() == Some(&*cx.settings.name) {
+            if is_want {
                 cx.plan_due.notify_one();
-                continue;
-            }
-            let address = holder.and_then(|name| cx.instances.borrow().address(&name));
-            if let Some(address) = address {
-                let message = Message::Status(status(&cx, run, &mut recent));
-                socket.send(&message, &[address]);
             }
             continue;
         }
-        let to = cx.instances.borrow().addresses();
-        socket.send(&Message::Status(status(&cx, run, &mut recent)), &to);
-        next = Instant::now() + STATUS_EVERY;
+        let Some(name) = holder else { continue };
+        let Some(address) = cx.instances.borrow().address(&name) else {
+            cx.list_instances.notify_one();
+            continue;
+        };
+        let status = status(&cx, run, &mut recent);
+        let is_quiet = status.in_flight.is_empty()
+            && status.arrivals.is_empty()
+            && status.wants.is_empty()
+            && !status.is_leaving;
+        if is_quiet && !is_want && left_out < QUIET_STATUSES {
+            left_out += 1;
+            continue;
+        }
+        left_out = 0;
+        socket.send(&Message::Status(status), &[address]);
     }
 }
 
@@ -146,7 +159,7 @@
         };
         match postcard::from_bytes::<Message>(&buf[..len]) {
             Ok(Message::Status(status)) => take_status(&cx, status, from),
-            Ok(Message::Homes(homes)) => take_homes(&cx, homes),
+            Ok(Message::Homes(homes)) => take_homes(&cx, homes, from),
             Err(error) => tracing::warn!(%from, %error, "peers: message of another form"),
         }
     }
@@ -163,7 +176,7 @@
     }
 }
 
-fn take_homes(cx: &Entry, homes: Homes) {
+fn take_homes(cx: &Entry, homes: Homes, from: SocketAddr) {
     let former = cx.authority.borrow().holder().map(Box::<str>::from);
     let is_current =
         cx.authority.borrow_mut().heard(&homes.from, homes.fence, homes.lease_revision, boot_now());
@@ -176,12 +189,26 @@
         cx.wants_changed.notify_one();
     }
     let now = Instant::now();
+    {
+        let loads = cx.loads.borrow();
+        let mut instances = cx.instances.borrow_mut();
+        instances.put(&homes.from, from);
+        instances.told(&homes, |server| loads.at(server), now);
+    }
     {
         let mut directory = cx.directory.borrow_mut();
-        for (server, holdings) in homes.holdings {
-            directory.observe(&server, holdings, now);
+        for held in homes.held {
+            directory.observe(&held.server, held.born, now, |holdings| {
+                holdings.models = held
+                    .models
+                    .into_iter()
+                    .map(|(model, adapters)| (model, adapters.into_iter().collect()))
+                    .collect();
+                holdings.loading = held.loading;
+            });
         }
     }
+    cx.marks_told.notify_waiters();
     let ready_at = homes
         .ready_in
         .into_iter()
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -18,7 +18,7 @@
 use tokio::task::spawn_local;
 
 use super::peers::PeerSocket;
-use super::{Entry, Instances, Loads, Phase, Wants, orders, peers, store_sync};
+use super::{Entry, Instances, Loads, Phase, Sync, Wants, orders, peers, store_sync};
 use crate::connection::{Pools, accept_callers, accept_metrics, accept_readiness};
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
@@ -97,7 +97,7 @@
         callers = %settings.callers, store = %settings.store, "process: started");
     let cx = Rc::new(Entry {
         store: RefCell::new(store(&settings)),
-        authority: RefCell::new(Authority::new(&settings.name, settings.turn_gap)),
+        authority: RefCell::new(Authority::new(&settings.name, settings.turn_gap, settings.claim_delay())),
         settings,
         deployment: RefCell::new(None),
         directory: RefCell::new(Directory::default()),
@@ -112,6 +112,9 @@
         servers_changed: Notify::new(),
         wants_changed: Notify::new(),
         plan_due: Notify::new(),
+        marks_told: Notify::new(),
+        list_instances: Notify::new(),
+        sync: Sync::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::new(),
     });
@@ -121,6 +124,7 @@
     spawn_local(store_sync::configuration(cx.clone()));
     spawn_local(store_sync::registry(cx.clone()));
     spawn_local(store_sync::register(cx.clone()));
+    spawn_local(store_sync::list_instances(cx.clone()));
     spawn_local(store_sync::expire(cx.clone()));
     spawn_local(peers::listen(cx.clone(), peer_socket.clone()));
     spawn_local(peers::tell(cx.clone(), peer_socket.clone(), rand::rng().random()));
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -24,15 +24,23 @@
 const FIRST_WAIT: Duration = Duration::from_millis(50);
 /// Time after the wait by which the answer of a watch must be there.
 const WATCH_SLACK: Duration = Duration::from_millis(800);
-/// Pause between two watches of the registry, in which changes gather. Senders may take two
-/// seconds to leave a server alone that says that it leaves.
+/// The same at the order giver, on whose word the others rely while it is fresh.
+const GIVER_WAIT: Duration = Duration::from_millis(400);
+/// Age up to which the order giver's word on the store is fresh. A watch of its own takes its
+/// wait, and the others may take two seconds to leave a server alone that says that it leaves.
+const FRESH: Duration = Duration::from_millis(1_100);
+/// Time between two looks at the age of the order giver's word.
+const FRESH_POLL: Duration = Duration::from_millis(250);
+/// Pause between two watches of the registry, in which changes gather.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(900);
 /// The same at the order giver, which plans with what it finds.
-const GIVER_PAUSE: Duration = Duration::from_millis(250);
+const GIVER_PAUSE: Duration = Duration::from_millis(150);
 /// Longest time for a list or a single call.
 const CALL_TIME: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call, besides the client's own backoff.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Least time between two lists of the instances.
+const LIST_PAUSE: Duration = Duration::from_millis(700);
 /// Time after trouble with the store in which vanished entries may be lapsed ones.
 const TROUBLE_TAIL: Duration = Duration::from_millis(2_500);
 
@@ -56,6 +64,12 @@
         Duration::ZERO
     }
 
+    /// The order giver's mark among those of the registry and the configuration.
+    fn mark(registry_and_configuration: (u64, u64)) -> u64;
+
+    /// The store confirmed what is known.
+    fn confirmed(&self, now: Instant);
+
     /// Takes the whole list.
     fn listed(&mut self, objects: Vec<StoredObject>, is_troubled: bool);
 
@@ -66,9 +80,21 @@
 /// Lists a kind and follows its changes for as long as the process lives.
 async fn follow<F: Follower>(cx: Rc<Entry>, mut follower: F) {
     let mut at = None;
+    // The order giver's mark up to which this instance is in step.
+    let mut in_step_with = None;
     let mut troubled_at: Option<Instant> = None;
     let mut has_failed = false;
     loop {
+        let is_giver = cx.authority.borrow().held(boot_now()).is_some();
+        let told = cx.instances.borrow().fresh_marks(Instant::now(), FRESH).map(F::mark);
+        let told = told.filter(|_| !is_giver && !has_failed);
+        if at.is_some() && told.is_some() && told == in_step_with {
+            tokio::select! {
+                () = cx.marks_told.notified() => {}
+                () = tokio::time::sleep(FRESH_POLL) => {}
+            }
+            continue;
+        }
         let store: Store = cx.store.borrow().clone();
         let result = match at {
             None => store.list(F::KIND, soon()).await.map(|(objects, revision)| {
@@ -78,7 +104,12 @@
                 revision
             }),
             Some(revision) => {
-                let wait = if has_failed { FIRST_WAIT } else { WATCH_WAIT };
+                let wait = match told {
+                    _ if has_failed => FIRST_WAIT,
+                    Some(_) => Duration::ZERO,
+                    None if is_giver => GIVER_WAIT,
+                    None => WATCH_WAIT,
+                };
                 let by = Call::by(Instant::now() + wait + WATCH_SLACK);
                 let wait_ms = wait.as_millis() as u64;
                 let watched = store.watch(F::KIND, revision, wait_ms, by).await;
@@ -97,6 +128,8 @@
         match result {
             Ok(revision) => {
                 has_failed = false;
+                in_step_with = told;
+                follower.confirmed(Instant::now());
                 if troubled_at.is_some_and(|at| at.elapsed() >= TROUBLE_TAIL) {
                     troubled_at = None;
                     tracing::info!(kind = F::KIND, revision, "store: calm again");
@@ -127,7 +160,10 @@
             return;
         }
         match platform_adapter::deployment(&object.value) {
-            Ok(deployment) => version::take(&self.0, deployment, object.revision),
+            Ok(deployment) => {
+                version::take(&self.0, deployment, object.revision);
+                self.0.sync.configuration_mark.set(object.revision);
+            }
             Err(error) => {
                 tracing::error!(revision = object.revision, %error, "configuration: unusable");
             }
@@ -138,6 +174,14 @@
 impl Follower for ConfigurationFollower {
     const KIND: &'static str = CONFIGURATION_KIND;
 
+    fn mark((_, configuration): (u64, u64)) -> u64 {
+        configuration
+    }
+
+    fn confirmed(&self, now: Instant) {
+        self.0.sync.configuration_at.set(Some(now));
+    }
+
     fn listed(&mut self, objects: Vec<StoredObject>, _: bool) {
         objects.iter().for_each(|object| self.take(object));
     }
@@ -171,6 +215,7 @@
             return true;
         }
         if known != Some(new) {
+            cx.sync.registry_mark.set(object.revision);
             tracing::info!(server = %object.name, revision = object.revision, is_draining,
                 born = new.1, "registry: server changed");
             if known.is_none_or(|known| known.1 != new.1 || known.2 != new.2) {
@@ -191,6 +236,14 @@
 impl Follower for RegistryFollower {
     const KIND: &'static str = SERVER_KIND;
 
+    fn mark((registry, _): (u64, u64)) -> u64 {
+        registry
+    }
+
+    fn confirmed(&self, now: Instant) {
+        self.0.sync.registry_at.set(Some(now));
+    }
+
     fn pause(&self) -> Duration {
         let is_giver = self.0.authority.borrow().held(boot_now()).is_some();
         if is_giver { GIVER_PAUSE } else { REGISTRY_PAUSE }
@@ -208,6 +261,7 @@
         if is_deleted || !self.put(object) {
             let now = Instant::now();
             self.0.directory.borrow_mut().remove(&object.name, now, is_troubled);
+            self.0.sync.registry_mark.set(object.revision);
             tracing::info!(server = %object.name, revision = object.revision, is_troubled,
                 "registry: entry removed");
         }
@@ -226,7 +280,6 @@
         if self.0.instances.borrow_mut().put(&object.name, registration.peers) {
             tracing::info!(instance = %object.name, address = %registration.peers,
                 "peers: instance found");
-            self.0.wants_changed.notify_one();
         }
     }
 }
@@ -253,8 +306,8 @@
     }
 }
 
-/// Registers this instance and finds the others. An instance that starts later sends its first
-/// message to those it finds, so that one list is enough.
+/// Registers this instance, then lists the others. An instance that starts later sends its first
+/// message to the order giver that it finds, which then knows it.
 pub(crate) async fn register(cx: Rc<Entry>) {
     let registration = Registration { peers: cx.settings.peers };
     let name = cx.settings.name.clone();
@@ -276,16 +329,22 @@
         }
         tokio::time::sleep(RETRY_PAUSE).await;
     }
+    cx.list_instances.notify_one();
+}
+
+/// Lists the instances at the start, and when one is named whose address is not known.
+pub(crate) async fn list_instances(cx: Rc<Entry>) {
     let follower = InstanceFollower(cx.clone());
     loop {
+        cx.list_instances.notified().await;
         let store: Store = cx.store.borrow().clone();
         match store.list(INSTANCE_KIND, soon()).await {
-            Ok((objects, _)) => {
-                objects.iter().for_each(|object| follower.put(object));
-                return;
+            Ok((objects, _)) => objects.iter().for_each(|object| follower.put(object)),
+            Err(error) => {
+                tracing::warn!(%error, "peers: instances not listed yet");
+                cx.list_instances.notify_one();
             }
-            Err(error) => tracing::warn!(%error, "peers: instances not listed yet"),
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(LIST_PAUSE).await;
     }
 }
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -81,11 +81,16 @@
         self.splitter.last_id()
     }
 
-    /// Waits for the next bytes that may be passed on.
+    /// Waits for the next bytes that may be passed on. A stream that falls silent for long and may
+    /// be continued elsewhere is broken.
     pub(crate) async fn next(&mut self, deadline: Instant) -> Piece {
+        let silence_ends = Instant::now() + STREAM_SILENCE;
+        self.first(if self.is_resumable { deadline.min(silence_ends) } else { deadline }).await
+    }
+
+    /// Waits for bytes that may be passed on until `until`.
+    async fn first(&mut self, until: Instant) -> Piece {
         loop {
-            let silence_ends = Instant::now() + STREAM_SILENCE;
-            let until = if self.is_resumable { deadline.min(silence_ends) } else { deadline };
             match timeout_at(until.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
@@ -167,17 +172,17 @@
         false => job.deadline,
     };
     let sent = tokio::select! {
-        sent = timeout_at(until.into(), link.send(req)) => sent,
+        sent = patiently(cx, job, until, link.send(req)) => sent,
         () = cx.ending() => return Attempted::Lost(INSTANCE_ENDS),
     };
     let answer = match sent {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(SendError::NotSent)) => return Attempted::NotSent,
-        Ok(Err(SendError::MayHaveRun)) => {
+        Some(Ok(answer)) => answer,
+        Some(Err(SendError::NotSent)) => return Attempted::NotSent,
+        Some(Err(SendError::MayHaveRun)) => {
             cx.judge(&picked.id, |health, now| health.failed(now, 1.0));
             return Attempted::Lost("connection ended without an answer");
         }
-        Err(_) => {
+        None => {
             cx.judge(&picked.id, |health, now| health.failed(now, 1.0));
             return Attempted::Lost("no answer in time");
         }
@@ -196,7 +201,8 @@
     }
     if job.route.kind.is_stream() && parts.status.is_success() {
         let started = tokio::select! {
-            started = start_stream(job, picked, parts, body, link, in_flight, until) => started,
+            started = patiently(cx, job, until, start_stream(job, picked, parts, body, link, in_flight))
+                => started.unwrap_or(Attempted::Lost("no event in time")),
             () = cx.ending() => return Attempted::Lost(INSTANCE_ENDS),
         };
         if !matches!(started, Attempted::Stream(_)) {
@@ -227,6 +233,25 @@
     }
 }
 
+/// Waits for an answer until the deadline, or only until `patience_ends` if the request can then be
+/// sent elsewhere. A server that is merely busy would not answer a repeat any sooner, so that the
+/// wait goes on while the limits on repeats leave none.
+async fn patiently<T>(
+    cx: &Entry,
+    job: &Job,
+    patience_ends: Instant,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(answer);
+    if let Ok(answer) = timeout_at(patience_ends.into(), &mut answer).await {
+        return Some(answer);
+    }
+    if patience_ends < job.deadline && cx.has_repeat(&job.service) {
+        return None;
+    }
+    timeout_at(job.deadline.into(), answer).await.ok()
+}
+
 async fn start_stream(
     job: &Job,
     picked: &Picked,
@@ -234,7 +259,6 @@
     body: Incoming,
     link: Link,
     in_flight: InFlight,
-    until: Instant,
 ) -> Attempted {
     let is_unframed = !parts.headers.contains_key(header::CONTENT_LENGTH)
         && !parts.headers.contains_key(header::TRANSFER_ENCODING);
@@ -249,7 +273,7 @@
         server: picked.id.clone(),
         _in_flight: in_flight,
     };
-    match source.next(until).await {
+    match source.first(job.deadline).await {
         Piece::Data(first) => {
             Attempted::Stream(Box::new(Started { parts, first, has_ended: false, source }))
         }
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -101,7 +101,7 @@
         .map(|server| Candidate {
             id: &server.entry.id,
             is_near: server.entry.data_centre == cx.settings.data_centre,
-            in_flight: loads.at(&server.entry.id) + instances.in_flight_at(&server.entry.id, now),
+            in_flight: loads.at(&server.entry.id) + instances.in_flight_at(&server.entry.id),
             slots: server.entry.slots,
             failures: of(server).failures(now),
         })
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -17,6 +17,8 @@
     pub name: Box<str>,
     /// `[instance] data_centre`: where the instance runs.
     pub data_centre: Box<str>,
+    /// `[instance] cores`: processor share of the machine.
+    pub cores: f64,
     /// `[callers] address`: listener for callers.
     pub callers: SocketAddr,
     /// `[readiness] address`: listener for the readiness check.
@@ -45,6 +47,11 @@
     pub log_level: Box<str>,
 }
 
+/// Processor share below which a machine leaves the orders to larger ones if there are any.
+const SMALL_MACHINE_CORES: f64 = 0.2;
+/// How much later small machines claim the right to give orders; longer than a claim takes.
+const SMALL_MACHINE_DELAY: Duration = Duration::from_millis(900);
+
 const SECTIONS: &[&str] = &[
     "instance",
     "callers",
@@ -84,12 +91,20 @@
         diagnostics.into_result(settings)
     }
 
+    /// How much later than the largest machines this one claims the right to give orders. The
+    /// order giver needs a few per cent of a core and its link for each hundred servers.
+    pub(crate) fn claim_delay(&self) -> Duration {
+        let is_small = self.cores < SMALL_MACHINE_CORES;
+        if is_small { SMALL_MACHINE_DELAY } else { Duration::ZERO }
+    }
+
     fn read(ini: &Ini, diagnostics: &mut Diagnostics) -> Option<Self> {
         ini.check_sections(SECTIONS, &[], diagnostics);
 
         let mut r = Reader::new(ini, "instance", diagnostics);
         let name = r.required("name", value::text);
         let data_centre = r.required("data_centre", value::text);
+        let cores = r.or("cores", 1.0, decimal);
         r.finish();
 
         let mut address = |section: &str| {
@@ -132,6 +147,7 @@
         Some(Self {
             name: name?,
             data_centre: data_centre?,
+            cores,
             callers: callers?,
             readiness: readiness?,
             metrics: metrics?,
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -149,28 +149,23 @@
         true
     }
 
-    /// Takes what the instance that gives the orders saw of a server.
-    pub fn observe(&mut self, id: &str, holdings: Holdings, now: Instant) -> bool {
+    /// Takes what the instance that gives the orders saw of the run that began at `born`.
+    pub fn observe(
+        &mut self,
+        id: &str,
+        born: u64,
+        now: Instant,
+        change: impl FnOnce(&mut Holdings),
+    ) -> bool {
         let Some(server) = self.servers.get_mut(id) else { return false };
-        if holdings.born < server.entry.holdings.born {
+        if born != server.entry.holdings.born {
             return false;
         }
         server.observed_at = Some(now);
-        if server.entry.holdings == holdings {
-            return false;
-        }
-        server.entry.holdings = holdings;
+        change(&mut server.entry.holdings);
         true
     }
 
-    /// Changes what is held, at the instance that gives the orders.
-    pub fn update(&mut self, id: &str, now: Instant, change: impl FnOnce(&mut Holdings)) {
-        if let Some(server) = self.servers.get_mut(id) {
-            change(&mut server.entry.holdings);
-            server.observed_at = Some(now);
-        }
-    }
-
     /// The registry no longer has the entry. After trouble with the registry a live server may
     /// have lapsed; it then keeps serving until `now` plus the grace, unless it was leaving.
     pub fn remove(&mut self, id: &str, now: Instant, after_trouble: bool) {
--- a/components/request/server_choice/src/choice.rs
+++ b/components/request/server_choice/src/choice.rs
@@ -6,6 +6,9 @@
 /// Reading a shared part again costs about as much as a few decoding steps of these.
 const AFFINITY_LEAD: f64 = 3.0;
 
+/// Requests in flight that one request in a server's queue counts for.
+const QUEUED_WEIGHT: f64 = 4.0;
+
 /// Requests in flight that one recent failure counts for.
 const FAILURE_WEIGHT: f64 = 6.0;
 
@@ -33,24 +36,28 @@
     xxh3_64_with_seed(part.as_bytes(), xxh3_64_with_seed(model.as_bytes(), 0))
 }
 
-/// Index of the best candidate. `draw` in `0..1` breaks ties, so that instances that see the same
-/// figures do not all choose the same server.
+/// Index of the best candidate. `draw` in `0..1` picks the half of the candidates that are looked
+/// at, besides the one that keeps the prompt: the figures lag behind, and instances that all
+/// looked at all of them would send to the same server until the next figures.
 pub fn choose(candidates: &[Candidate<'_>], affinity: Option<u64>, draw: f64) -> Option<usize> {
     let preferred = affinity.and_then(|key| {
         let rank = |c: &Candidate<'_>| xxh3_64_with_seed(c.id.as_bytes(), key);
         candidates.iter().enumerate().max_by_key(|(_, c)| rank(c)).map(|(at, _)| at)
     });
     let salt = (draw * u32::MAX as f64) as u64;
-    let cost = |at: usize, c: &Candidate<'_>| {
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_key(|at| xxh3_64_with_seed(candidates[*at].id.as_bytes(), salt));
+    order.truncate(candidates.len().div_ceil(2).max(2));
+    order.extend(preferred);
+    let cost = |at: usize| {
+        let c = &candidates[at];
         // A full server queues: each request beyond the slots waits for a whole one to end.
         let queued = c.in_flight.saturating_sub(c.slots.saturating_sub(1));
         f64::from(c.in_flight)
-            + f64::from(queued) * 4.0
+            + f64::from(queued) * QUEUED_WEIGHT
             + c.failures * FAILURE_WEIGHT
             + if c.is_near { 0.0 } else { DISTANCE_WEIGHT }
             - if preferred == Some(at) { AFFINITY_LEAD } else { 0.0 }
-            + (xxh3_64_with_seed(c.id.as_bytes(), salt) % 1_000) as f64 * 0.000_3
     };
-    let costs = candidates.iter().enumerate().map(|(at, c)| (at, cost(at, c)));
-    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+    order.into_iter().min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
 }
--- a/components/request/server_choice/src/repeats.rs
+++ b/components/request/server_choice/src/repeats.rs
@@ -38,16 +38,21 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat if this instance's share of the limits has it.
-    pub fn repeat(&mut self, now: Instant, limits: &RepeatLimits, instances: usize) -> bool {
+    /// Whether this instance's share of the limits has a repeat left.
+    pub fn has_repeat(&mut self, now: Instant, limits: &RepeatLimits, instances: usize) -> bool {
         forget(&mut self.requests, now, limits.window);
         forget(&mut self.repeats, now, limits.window);
         let extra = limits.extra / instances.max(1) as f64;
         let allowed = (self.requests.len() as f64 * limits.ratio + extra) * USED_PART;
-        if (self.repeats.len() + 1) as f64 > allowed {
-            return false;
+        (self.repeats.len() + 1) as f64 <= allowed
+    }
+
+    /// Takes one repeat if one is left.
+    pub fn repeat(&mut self, now: Instant, limits: &RepeatLimits, instances: usize) -> bool {
+        let is_left = self.has_repeat(now, limits, instances);
+        if is_left {
+            self.repeats.push_back(now);
         }
-        self.repeats.push_back(now);
-        true
+        is_left
     }
 }
