Shorten the break of the orders at a change of the order giver

A successor assumed that the last renewal was as late as the last message. Changed: the holder tells how long its lease is valid.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use model_homes::InstanceName;
+use model_homes::{HeldLease, InstanceName};
 use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 use server_directory::ServerId;
@@ -69,8 +69,7 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) struct Homes {
     pub(crate) from: InstanceName,
-    pub(crate) fence: u64,
-    pub(crate) lease_revision: u64,
+    pub(crate) lease: HeldLease,
     /// Instances that were heard lately, the sender included.
     pub(crate) instances: u32,
     pub(crate) registry: SyncMark,
@@ -164,7 +163,8 @@
         self.told_count = homes.instances as usize;
         self.told_marks = Some((homes.registry, homes.configuration, now));
         if let Some(in_flight) = &homes.in_flight {
-            let others = |(id, total): &(ServerId, u32)| (id.clone(), total.saturating_sub(own(id)));
+            let others =
+                |(id, total): &(ServerId, u32)| (id.clone(), total.saturating_sub(own(id)));
             self.others_at = in_flight.iter().map(others).collect();
         }
     }
@@ -198,11 +198,7 @@
     }
 
     /// Addresses of the instances that wait for one of `models`.
-    pub(crate) fn waiting_for(
-        &self,
-        models: &HashSet<ModelName>,
-        now: Instant,
-    ) -> Vec<SocketAddr> {
+    pub(crate) fn waiting_for(&self, models: &HashSet<ModelName>, now: Instant) -> Vec<SocketAddr> {
         let names: Vec<&InstanceName> = self
             .live(now)
             .filter(|status| status.wants.iter().any(|(_, key, _)| models.contains(&key.model)))
--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -7,7 +7,8 @@
 
 use http::StatusCode;
 use model_homes::{
-    Action, Demands, LeaseRecord, Limits, Move, ServerView, Source, adapter_move, free_mb, plan,
+    Action, Demands, HeldLease, LeaseRecord, Limits, Move, ServerView, Source, adapter_move,
+    free_mb, plan,
 };
 use platform::Call;
 use platform_adapter::{Error, Order, OrderReply, Put, Report, Store};
@@ -153,7 +154,7 @@
             () = tokio::time::sleep_until(plan_at.min(tell_at).into()) => {}
             () = cx.plan_due.notified() => {}
         }
-        let Some((fence, lease_revision)) = cx.authority.borrow().held(boot_now()) else {
+        let Some(lease) = cx.authority.borrow().held(boot_now()) else {
             if was_holder {
                 tracing::warn!("orders: lease no longer held");
                 *giver.borrow_mut() = Giver::default();
@@ -165,7 +166,7 @@
         };
         if !was_holder {
             was_holder = true;
-            tracing::info!(fence, "orders: this instance gives the orders");
+            tracing::info!(fence = lease.fence, "orders: this instance gives the orders");
         }
         take_arrivals(&cx, &mut giver.borrow_mut());
         if cx.authority.borrow().may_order(boot_now()).is_some() {
@@ -174,10 +175,10 @@
         }
         plan_at = Instant::now() + PLAN_EVERY;
         if Instant::now() >= tell_at {
-            tell_all(&cx, &socket, &mut giver.borrow_mut(), fence, lease_revision);
+            tell_all(&cx, &socket, &mut giver.borrow_mut(), lease);
             tell_at = Instant::now() + TELL_EVERY;
         } else {
-            tell_waiting(&cx, &socket, &mut giver.borrow_mut(), fence, lease_revision);
+            tell_waiting(&cx, &socket, &mut giver.borrow_mut(), lease);
         }
         tokio::time::sleep(PLAN_GAP).await;
     }
@@ -360,7 +361,7 @@
 }
 
 /// Tells all instances what changed, some of the servers again, and what is in flight.
-fn tell_all(cx: &Entry, socket: &PeerSocket, giver: &mut Giver, fence: u64, lease_revision: u64) {
+fn tell_all(cx: &Entry, socket: &PeerSocket, giver: &mut Giver, lease: HeldLease) {
     let now = Instant::now();
     let mut ids: Vec<ServerId> = {
         let directory = cx.directory.borrow();
@@ -383,19 +384,13 @@
         *totals.entry(server.clone()).or_default() += models.values().sum::<u32>();
     }
     let in_flight = Some(totals.into_iter().collect());
-    let message = homes(cx, giver, told, in_flight, fence, lease_revision);
+    let message = homes(cx, giver, told, in_flight, lease);
     socket.send(&message, &cx.instances.borrow().addresses());
 }
 
 /// Tells the instances that wait for a model what changed for it; the others hear it with the
 /// next message to all.
-fn tell_waiting(
-    cx: &Entry,
-    socket: &PeerSocket,
-    giver: &mut Giver,
-    fence: u64,
-    lease_revision: u64,
-) {
+fn tell_waiting(cx: &Entry, socket: &PeerSocket, giver: &mut Giver, lease: HeldLease) {
     let now = Instant::now();
     let mut models: HashSet<ModelName> = giver.ready_at.keys().cloned().collect();
     {
@@ -407,7 +402,7 @@
     let to = cx.instances.borrow().waiting_for(&models, now);
     if !to.is_empty() {
         let told = giver.changed.clone();
-        socket.send(&homes(cx, giver, told, None, fence, lease_revision), &to);
+        socket.send(&homes(cx, giver, told, None, lease), &to);
     }
 }
 
@@ -416,8 +411,7 @@
     giver: &Giver,
     told: HashSet<ServerId>,
     in_flight: Option<Vec<(ServerId, u32)>>,
-    fence: u64,
-    lease_revision: u64,
+    lease: HeldLease,
 ) -> Message {
     let now = Instant::now();
     let directory = cx.directory.borrow();
@@ -446,8 +440,7 @@
     let sync = &cx.sync;
     Message::Homes(Homes {
         from: cx.settings.name.clone(),
-        fence,
-        lease_revision,
+        lease,
         instances: cx.instances.borrow().count() as u32,
         registry: mark(sync.registry_mark.get(), sync.registry_at.get()),
         configuration: mark(sync.configuration_mark.get(), sync.configuration_at.get()),
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -178,13 +178,12 @@
 
 fn take_homes(cx: &Entry, homes: Homes, from: SocketAddr) {
     let former = cx.authority.borrow().holder().map(Box::<str>::from);
-    let is_current =
-        cx.authority.borrow_mut().heard(&homes.from, homes.fence, homes.lease_revision, boot_now());
+    let is_current = cx.authority.borrow_mut().heard(&homes.from, homes.lease, boot_now());
     if !is_current {
         return;
     }
     if former.as_ref() != Some(&homes.from) {
-        tracing::info!(holder = %homes.from, fence = homes.fence, "peers: order giver changed");
+        tracing::info!(holder = %homes.from, fence = homes.lease.fence, "peers: order giver changed");
         // It does not know yet what requests here wait for.
         cx.wants_changed.notify_one();
     }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -97,7 +97,11 @@
         callers = %settings.callers, store = %settings.store, "process: started");
     let cx = Rc::new(Entry {
         store: RefCell::new(store(&settings)),
-        authority: RefCell::new(Authority::new(&settings.name, settings.turn_gap, settings.claim_delay())),
+        authority: RefCell::new(Authority::new(
+            &settings.name,
+            settings.turn_gap,
+            settings.claim_delay(),
+        )),
         settings,
         deployment: RefCell::new(None),
         directory: RefCell::new(Directory::default()),
--- a/components/process/entry/src/request/events.rs
+++ b/components/process/entry/src/request/events.rs
@@ -24,7 +24,8 @@
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let whole = self.partial.split_to(end_of_events(&self.partial)).freeze();
-        let mut ids = whole.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
+        let mut ids =
+            whole.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
         if let Some(id) = ids.next_back().and_then(|id| std::str::from_utf8(id).ok()) {
             self.last_id = Some(id.trim().into());
         }
--- a/components/process/model_homes/src/authority.rs
+++ b/components/process/model_homes/src/authority.rs
@@ -40,6 +40,18 @@
     pub is_released: bool,
 }
 
+/// The lease as its holder tells the other instances of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HeldLease {
+    /// Fencing number.
+    pub fence: u64,
+    /// Revision of the stored lease.
+    pub revision: u64,
+    /// Time for which the holder may still give orders without a renewal.
+    pub left: Duration,
+}
+
 #[derive(Clone, Debug)]
 enum Standing {
     /// Nothing is known of the lease.
@@ -47,7 +59,12 @@
     /// There is no lease yet.
     Vacant { since: BootTime },
     /// Another instance, or a former run of this one, holds it.
-    Observing { record: LeaseRecord, revision: u64, unchanged_since: BootTime },
+    Observing {
+        record: LeaseRecord,
+        revision: u64,
+        /// The holder gives no order after this time, unless it renewed unseen.
+        ends_by: BootTime,
+    },
     /// This instance holds it.
     Holding { record: LeaseRecord, revision: u64, valid_until: BootTime, orders_from: BootTime },
 }
@@ -110,13 +127,14 @@
         }
     }
 
-    /// Fence and revision of the lease while this instance holds it.
-    pub fn held(&self, now: BootTime) -> Option<(u64, u64)> {
+    /// The lease while this instance holds it.
+    pub fn held(&self, now: BootTime) -> Option<HeldLease> {
         match &self.standing {
             Standing::Holding { record, revision, valid_until, .. }
                 if !self.is_leaving && now < *valid_until =>
             {
-                Some((record.fence, *revision))
+                let left = *valid_until - now;
+                Some(HeldLease { fence: record.fence, revision: *revision, left })
             }
             _ => None,
         }
@@ -132,8 +150,10 @@
         }
     }
 
-    /// Another instance said that it holds the lease. Returns false if a later holder is known.
-    pub fn heard(&mut self, holder: &str, fence: u64, revision: u64, now: BootTime) -> bool {
+    /// Another instance said that it holds the lease for `left` more. Returns false if a later
+    /// holder is known.
+    pub fn heard(&mut self, holder: &str, lease: HeldLease, now: BootTime) -> bool {
+        let HeldLease { fence, revision, left } = lease;
         let known = match &self.standing {
             Standing::Observing { record, .. } | Standing::Holding { record, .. } => record.fence,
             Standing::Unknown | Standing::Vacant { .. } => 0,
@@ -142,7 +162,7 @@
             return false;
         }
         let record = LeaseRecord { holder: holder.into(), fence, beat: 0, is_released: false };
-        self.standing = Standing::Observing { record, revision, unchanged_since: now };
+        self.standing = Standing::Observing { record, revision, ends_by: now + left.min(VALIDITY) };
         self.next_at = now + SUSPECT_AFTER;
         true
     }
@@ -176,14 +196,14 @@
                 Action::Wait(*since + self.claim_delay)
             }
             Standing::Vacant { .. } => Action::Write { revision: None, record: self.claim(0) },
-            Standing::Observing { record, revision, unchanged_since } => {
-                let lapsed = now >= *unchanged_since + VALIDITY + SLACK + self.claim_delay;
-                let is_free = record.is_released && now >= *unchanged_since + self.claim_delay;
+            Standing::Observing { record, revision, ends_by } => {
+                let lapsed = now >= *ends_by + SLACK + self.claim_delay;
+                let is_free = record.is_released && now >= *ends_by + self.claim_delay;
                 let is_own = record.holder == self.me && !self.has_held;
                 if lapsed || is_free || is_own {
                     Action::Write { revision: Some(*revision), record: self.claim(record.fence) }
                 } else if record.is_released {
-                    Action::Wait(*unchanged_since + self.claim_delay)
+                    Action::Wait(*ends_by + self.claim_delay)
                 } else {
                     Action::Read
                 }
@@ -205,14 +225,14 @@
             return;
         };
         let is_immediate = record.is_released || (record.holder == self.me && !self.has_held);
-        let unchanged_since = match &self.standing {
-            Standing::Observing { revision: known, unchanged_since, .. } if *known == revision => {
-                *unchanged_since
-            }
-            _ => now,
+        let ends_by = match &self.standing {
+            Standing::Observing { revision: known, ends_by, .. } if *known == revision => *ends_by,
+            // A released lease has ended; any other one may just have been renewed.
+            _ if record.is_released => now,
+            _ => now + VALIDITY,
         };
         self.next_at = if is_immediate { now } else { now + READ_EVERY };
-        self.standing = Standing::Observing { record, revision, unchanged_since };
+        self.standing = Standing::Observing { record, revision, ends_by };
     }
 
     /// A write of `record`, sent at `sent_at`, took effect.
@@ -228,12 +248,7 @@
             Standing::Unknown | Standing::Vacant { .. } => now,
             // A former run of this instance gave its orders as the same holder.
             Standing::Observing { record: old, .. } if old.holder == self.me => now + SETTLE,
-            Standing::Observing { record: old, unchanged_since, .. } if old.is_released => {
-                *unchanged_since + self.turn_gap + SLACK
-            }
-            Standing::Observing { unchanged_since, .. } => {
-                *unchanged_since + VALIDITY + self.turn_gap + SLACK
-            }
+            Standing::Observing { ends_by, .. } => *ends_by + self.turn_gap + SLACK,
         };
         self.has_held = true;
         let valid_until = sent_at + VALIDITY;
--- a/components/process/model_homes/src/authority_tests.rs
+++ b/components/process/model_homes/src/authority_tests.rs
@@ -76,7 +76,8 @@
 fn a_successor_waits_for_the_gap_after_the_last_possible_order() {
     for cut_at in (500..3_000).step_by(70) {
         let mut store = Store::default();
-        let (mut a, mut b) = (Authority::new("a", GAP, Duration::ZERO), Authority::new("b", GAP, Duration::ZERO));
+        let (mut a, mut b) =
+            (Authority::new("a", GAP, Duration::ZERO), Authority::new("b", GAP, Duration::ZERO));
         let (mut last_of_a, mut first_of_b) = (None, None);
         for now in (0..20_000).step_by(10).map(ms) {
             step(&mut a, &mut store, now, now < ms(cut_at));
@@ -93,11 +94,43 @@
     }
 }
 
+/// Guards against a break of the orders that is longer than the lease and the gap ask for, when
+/// the holder was heard until it was cut off.
+#[test]
+fn a_successor_that_heard_the_holder_waits_no_longer_than_needed() {
+    for cut_at in (500..3_000).step_by(70) {
+        let mut store = Store::default();
+        let (mut a, mut b) =
+            (Authority::new("a", GAP, Duration::ZERO), Authority::new("b", GAP, Duration::ZERO));
+        let (mut last_of_a, mut first_of_b) = (None, None);
+        for now in (0..20_000).step_by(10).map(ms) {
+            step(&mut a, &mut store, now, now < ms(cut_at));
+            if now > ms(200) {
+                step(&mut b, &mut store, now, true);
+            }
+            if now.as_millis() % 200 == 0
+                && let Some(lease) = a.held(now)
+            {
+                b.heard("a", lease, now);
+            }
+            last_of_a = a.may_order(now).or(last_of_a.map(|(_, f)| f)).map(|f| match last_of_a {
+                Some((at, _)) if a.may_order(now).is_none() => (at, f),
+                _ => (now, f),
+            });
+            first_of_b = first_of_b.or(b.may_order(now).map(|_| now));
+        }
+        let (last, first) = (last_of_a.unwrap().0, first_of_b.expect("a successor"));
+        assert!(first >= last + GAP, "cut at {cut_at}: {last:?} then {first:?}");
+        assert!(first <= last + GAP + ms(1_000), "cut at {cut_at}: {last:?} then {first:?}");
+    }
+}
+
 /// Guards against a long break when the holder stops as planned, and against a short one.
 #[test]
 fn a_released_lease_is_taken_at_once_and_used_after_the_gap() {
     let mut store = Store::default();
-    let (mut a, mut b) = (Authority::new("a", GAP, Duration::ZERO), Authority::new("b", GAP, Duration::ZERO));
+    let (mut a, mut b) =
+        (Authority::new("a", GAP, Duration::ZERO), Authority::new("b", GAP, Duration::ZERO));
     let (mut left_at, mut first_of_b) = (None, None);
     for now in (0..12_000).step_by(10).map(ms) {
         if now == ms(2_000) {
@@ -123,8 +156,9 @@
     for at in 0..3 {
         step(&mut a, &mut store, ms(at * 10), true);
     }
-    assert!(!a.heard("c", 0, 5, ms(40)));
+    let lease = |fence| HeldLease { fence, revision: 9, left: ms(1_000) };
+    assert!(!a.heard("c", lease(0), ms(40)));
     assert!(a.may_order(ms(40)).is_some());
-    assert!(a.heard("b", 2, 9, ms(50)));
+    assert!(a.heard("b", lease(2), ms(50)));
     assert_eq!(a.may_order(ms(60)), None);
 }
--- a/components/process/model_homes/src/lib.rs
+++ b/components/process/model_homes/src/lib.rs
@@ -11,6 +11,6 @@
 mod plan_tests;
 
 pub use adapters::{AdapterMove, AdapterUse, adapter_move};
-pub use authority::{Action, Authority, BootTime, InstanceName, LeaseRecord};
+pub use authority::{Action, Authority, BootTime, HeldLease, InstanceName, LeaseRecord};
 pub use demand::{Demand, Demands};
 pub use plan::{Limits, Move, Plan, ServerView, Source, free_mb, plan};
