--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -19,7 +19,7 @@
 
 /// Longest time for a new connection. The way within a region takes a few milliseconds; one lost
 /// opening packet is sent again after a second, for which another server need not wait.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
+const CONNECT_TIME: Duration = Duration::from_millis(200);
 /// Unacknowledged data or probes for this long mean that the server cannot be reached.
 const DEAD_AFTER: Duration = Duration::from_millis(1_800);
 /// Idle time after which a connection is probed.
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -39,6 +39,10 @@
     pub(crate) in_flight: Vec<(ServerId, Vec<(ModelName, u32)>)>,
     /// Arrivals since the start, of the models that were asked for lately.
     pub(crate) arrivals: Vec<(ModelKey, u64)>,
+    /// Servers that the instance could not reach lately.
+    pub(crate) unreachable: Vec<ServerId>,
+    /// Servers that turned away a request for a model that they should have.
+    pub(crate) mistaken: Vec<ServerId>,
     /// Models that requests wait for: service, model, requests.
     pub(crate) wants: Vec<(ServiceName, ModelKey, u32)>,
 }
@@ -197,6 +201,19 @@
         self.others_at = others;
     }
 
+    /// Servers that at least two instances could not reach lately. One alone may itself be cut off.
+    pub(crate) fn unreachable(&self, now: Instant) -> HashSet<&str> {
+        let mut seen = HashSet::new();
+        let servers = self.live(now).flat_map(|status| &status.unreachable);
+        servers.filter(|server| !seen.insert(&***server)).map(|server| &**server).collect()
+    }
+
+    /// Servers whose holdings are in doubt, each once.
+    pub(crate) fn take_mistaken(&mut self) -> HashSet<ServerId> {
+        let statuses = self.by_name.values_mut().filter_map(|instance| instance.status.as_mut());
+        statuses.flat_map(|status| std::mem::take(&mut status.mistaken)).collect()
+    }
+
     /// Addresses of the instances that wait for one of `models`.
     pub(crate) fn waiting_for(&self, models: &HashSet<ModelName>, now: Instant) -> Vec<SocketAddr> {
         let names: Vec<&InstanceName> = self
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -9,7 +9,7 @@
 mod wants;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -72,6 +72,8 @@
     pub(crate) wants: RefCell<Wants>,
     pub(crate) instances: RefCell<Instances>,
     pub(crate) authority: RefCell<Authority>,
+    /// Servers that turned away a request for a model that they should have, until this is told.
+    pub(crate) mistaken: RefCell<HashSet<ServerId>>,
     /// When models that are waited for should be loaded, as the order giver says.
     pub(crate) ready_at: RefCell<HashMap<ModelName, Instant>>,
     /// Servers or their holdings changed; wakes waiting requests.
@@ -122,6 +124,19 @@
         budget.repeat(Instant::now(), &self.settings.repeats, instances)
     }
 
+    /// A server turned away a request for a model that it should have.
+    pub(crate) fn doubt(&self, server: &str, model: &str) {
+        let born = self.directory.borrow().get(server).map(|s| s.entry.holdings.born);
+        if let Some(born) = born {
+            let mut directory = self.directory.borrow_mut();
+            directory.observe(server, born, Instant::now(), |holdings| {
+                holdings.models.remove(model);
+            });
+        }
+        self.mistaken.borrow_mut().insert(server.into());
+        self.wants_changed.notify_one();
+    }
+
     /// Changes the health of a server.
     pub(crate) fn judge(&self, server: &str, change: impl FnOnce(&mut Health, Instant)) {
         let mut health = self.health.borrow_mut();
--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -7,7 +7,7 @@
 
 use http::StatusCode;
 use model_homes::{
-    Action, Demands, HeldLease, LeaseRecord, Limits, Move, ServerView, Source, adapter_move,
+    Action, Demands, HeldLease, LeaseRecord, Limits, Move, ServerView, Source, StorePace, adapter_move,
     free_mb, plan,
 };
 use platform::Call;
@@ -42,6 +42,8 @@
 const LOAD_SLACK: Duration = Duration::from_millis(15);
 /// A load that takes this many times its expected time has failed.
 const LOAD_PATIENCE: u32 = 4;
+/// Most loads from the weight store at once, however many it seems to carry.
+const MOST_CONCURRENT_LOADS: usize = 8;
 /// Time between two plans if nothing happens.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
 /// Least time between two plans, in which changes gather.
@@ -57,8 +59,8 @@
 const ADAPTER_MS_PER_MB: f64 = 0.17;
 
 /// State of the order giver.
-#[derive(Default)]
 struct Giver {
+    pace: StorePace,
     demands: Demands,
     /// Servers with orders under way, and the model that these load.
     ordered: HashMap<ServerId, Option<ModelName>>,
@@ -68,6 +70,8 @@
     paused: HashMap<ServerId, Instant>,
     /// Run and number of accepted orders of the servers that were given orders.
     accepted: HashMap<ServerId, (u64, u64)>,
+    /// Servers that were asked what they hold, with or without an answer.
+    asked: HashSet<ServerId>,
     adapters_used: HashMap<(ModelName, AdapterName), Instant>,
     adapters_ordered: HashSet<(ServiceName, ModelKey)>,
     /// Arrivals at this instance that were already taken into the demand.
@@ -79,6 +83,34 @@
 }
 
 impl Giver {
+    fn new(cx: &Entry) -> Self {
+        Self {
+            pace: StorePace::new(cx.settings.concurrent_loads, MOST_CONCURRENT_LOADS),
+            demands: Demands::default(),
+            ordered: HashMap::new(),
+            loading: HashMap::new(),
+            paused: HashMap::new(),
+            accepted: HashMap::new(),
+            asked: HashSet::new(),
+            adapters_used: HashMap::new(),
+            adapters_ordered: HashSet::new(),
+            counted: HashMap::new(),
+            ready_at: HashMap::new(),
+            changed: HashSet::new(),
+            told: 0,
+        }
+    }
+
+    /// Loads from the weight store that are under way.
+    fn store_loads(&self) -> usize {
+        self.loading.values().filter(|(source, _)| *source == Source::Store).count()
+    }
+
+    /// Whether the server was asked for what it holds. One that gives no answer is passed over.
+    fn has_tried(&self, server: &server_directory::Server) -> bool {
+        self.asked.contains(&server.entry.id)
+    }
+
     /// Whether the server's present run was asked for what it holds.
     fn knows(&self, server: &server_directory::Server) -> bool {
         let run = self.accepted.get(&server.entry.id).map(|(run, _)| *run);
@@ -145,7 +177,7 @@
 
 /// Plans and gives orders while the lease is held, and tells the other instances.
 pub(crate) async fn give(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
-    let giver = Rc::new(RefCell::new(Giver::default()));
+    let giver = Rc::new(RefCell::new(Giver::new(&cx)));
     let mut was_holder = false;
     let mut tell_at = Instant::now();
     let mut plan_at = Instant::now();
@@ -157,7 +189,7 @@
         let Some(lease) = cx.authority.borrow().held(boot_now()) else {
             if was_holder {
                 tracing::warn!("orders: lease no longer held");
-                *giver.borrow_mut() = Giver::default();
+                *giver.borrow_mut() = Giver::new(&cx);
             }
             was_holder = false;
             plan_at = Instant::now() + PLAN_EVERY;
@@ -170,6 +202,7 @@
         }
         take_arrivals(&cx, &mut giver.borrow_mut());
         if cx.authority.borrow().may_order(boot_now()).is_some() {
+            take_mistakes(&cx, &mut giver.borrow_mut());
             learn_holdings(&cx, &giver);
             plan_services(&cx, &giver);
         }
@@ -184,6 +217,18 @@
     }
 }
 
+/// Forgets what is known of servers that turned away a request for a model they should have.
+fn take_mistakes(cx: &Entry, giver: &mut Giver) {
+    let mut mistaken = std::mem::take(&mut *cx.mistaken.borrow_mut());
+    mistaken.extend(cx.instances.borrow_mut().take_mistaken());
+    for server in mistaken {
+        // While orders are under way, requests may cross them; what is held is known afterwards.
+        if !giver.ordered.contains_key(&server) && giver.accepted.remove(&server).is_some() {
+            tracing::info!(%server, "orders: holdings in doubt; asked again");
+        }
+    }
+}
+
 /// Asks the servers that this instance has not asked yet what they hold. The first plan for a
 /// server must not rest on the registry, which lags and does not count orders.
 fn learn_holdings(cx: &Rc<Entry>, giver: &Rc<RefCell<Giver>>) {
@@ -292,14 +337,20 @@
     }
     for (key, count) in wants {
         let demand = giver.demands.models.entry(key.model.clone()).or_default();
-        let is_loaded = views.iter().any(|v| v.holdings.models.contains_key(&key.model));
+        let is_loaded = views
+            .iter()
+            .any(|view| !view.is_leaving && view.holdings.models.contains_key(&key.model));
         if !is_loaded {
             demand.waiting += count;
         }
     }
     let limits = Limits {
-        store_concurrent: cx.settings.concurrent_loads,
+        store_concurrent: giver.pace.at_once(),
         is_prefetching: cx.settings.is_prefetching,
+        is_informed: directory
+            .servers()
+            .filter(|server| &*server.entry.service == service)
+            .all(|server| server.entry.is_draining || giver.has_tried(server)),
     };
     let plan = plan(now, &views, &giver.demands, engine, limits);
     giver.ready_at.extend(plan.ready_at);
@@ -320,6 +371,7 @@
 ) -> Vec<ServerView<'a>> {
     let loads = cx.loads.borrow();
     let instances = cx.instances.borrow();
+    let unreachable = instances.unreachable(now);
     let mut views: Vec<ServerView<'a>> = directory
         .servers()
         .filter(|server| &*server.entry.service == service)
@@ -338,7 +390,9 @@
                     || health.is_paused(now),
                 incoming: giver.ordered.get(id).cloned().flatten(),
                 loading: giver.loading.get(id).copied(),
-                is_leaving: server.entry.is_draining || server.lapses_at.is_some(),
+                is_leaving: server.entry.is_draining
+                    || server.lapses_at.is_some()
+                    || unreachable.contains(id),
             }
         })
         .collect();
@@ -565,7 +619,9 @@
 /// Replaces what is known of a server by its own report.
 async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<()> {
     giver.borrow_mut().accepted.remove(server);
-    let Report { mut holdings, accepted_orders, is_busy } = report(cx, server).await?;
+    let report = report(cx, server).await;
+    giver.borrow_mut().asked.insert(server.into());
+    let Report { mut holdings, accepted_orders, is_busy } = report?;
     // A busy server finishes an order of a former holder. What that loads is not known, so that
     // no plan may rest on this report.
     if !is_busy {
@@ -629,9 +685,9 @@
     }
     let took = match chosen.source {
         Source::Store => {
-            let under_way =
-                giver.borrow().loading.values().filter(|l| l.0 == Source::Store).count();
-            let crowd = (under_way + 1) as f64 / cx.settings.concurrent_loads as f64;
+            // This load is counted already, since it was planned.
+            let state = giver.borrow();
+            let crowd = state.store_loads() as f64 / state.pace.at_once() as f64;
             model.store_load.mul_f64(crowd.max(1.0))
         }
         source => source.load_time(model),
@@ -643,7 +699,16 @@
         held.loading = Some(model.name.clone());
     });
     cx.metrics.loads.inc();
-    wait_loaded(cx, giver, server, &load, born, began, took).await
+    let crowd = giver.borrow().store_loads();
+    wait_loaded(cx, giver, server, &load, born, began, took).await?;
+    if chosen.source == Source::Store {
+        let mut state = giver.borrow_mut();
+        let crowd = crowd.max(state.store_loads());
+        state.pace.ended(model.store_load, began.elapsed(), crowd);
+        tracing::info!(crowd, took_ms = began.elapsed().as_millis() as u64,
+            at_once = state.pace.at_once(), "orders: pace of the weight store");
+    }
+    Some(())
 }
 
 /// Repeats an order while another one is under way at the server.
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -75,7 +75,14 @@
         .iter()
         .map(|(service, key, count)| (service.clone(), key.clone(), count))
         .collect();
+    let now = Instant::now();
+    let health = cx.health.borrow();
+    let unreachable = health.iter().filter(|(_, health)| health.is_paused(now));
+    let unreachable = unreachable.map(|(server, _)| server.clone()).collect();
+    let mistaken = std::mem::take(&mut *cx.mistaken.borrow_mut()).into_iter().collect();
     Status {
+        unreachable,
+        mistaken,
         from: cx.settings.name.clone(),
         run,
         is_leaving: *cx.phase.borrow() != Phase::Serving,
@@ -134,6 +141,8 @@
         let is_quiet = status.in_flight.is_empty()
             && status.arrivals.is_empty()
             && status.wants.is_empty()
+            && status.unreachable.is_empty()
+            && status.mistaken.is_empty()
             && !status.is_leaving;
         if is_quiet && !is_want && left_out < QUIET_STATUSES {
             left_out += 1;
@@ -169,7 +178,7 @@
     if status.from == cx.settings.name {
         return;
     }
-    let has_wants = !status.wants.is_empty();
+    let has_wants = !status.wants.is_empty() || !status.mistaken.is_empty();
     cx.instances.borrow_mut().heard(status, from, Instant::now());
     if has_wants {
         cx.plan_due.notify_one();
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -113,6 +113,7 @@
         wants: RefCell::new(Wants::default()),
         instances: RefCell::new(Instances::default()),
         ready_at: RefCell::new(HashMap::new()),
+        mistaken: RefCell::default(),
         servers_changed: Notify::new(),
         wants_changed: Notify::new(),
         plan_due: Notify::new(),
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -29,6 +29,8 @@
 const LEAST_PATIENCE: Duration = Duration::from_millis(700);
 /// Reason given for a request whose answer did not come before the instance stopped.
 const INSTANCE_ENDS: &str = "instance stops before the answer";
+/// Reason given for a stream without events.
+const FELL_SILENT: &str = "stream fell silent";
 /// Longest silence within a stream that can be continued elsewhere. Callers leave after two
 /// seconds, and the new server needs part of that.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_000);
@@ -83,9 +85,15 @@
 
     /// Waits for the next bytes that may be passed on. A stream that falls silent for long and may
     /// be continued elsewhere is broken.
-    pub(crate) async fn next(&mut self, deadline: Instant) -> Piece {
+    pub(crate) async fn next(&mut self, cx: &Entry, job: &Job) -> Piece {
         let silence_ends = Instant::now() + STREAM_SILENCE;
-        self.first(if self.is_resumable { deadline.min(silence_ends) } else { deadline }).await
+        if self.is_resumable && job.may_run_again() && silence_ends < job.deadline {
+            let piece = self.first(silence_ends).await;
+            if !matches!(piece, Piece::Broken(FELL_SILENT)) || cx.has_repeat(&job.service) {
+                return piece;
+            }
+        }
+        self.first(job.deadline).await
     }
 
     /// Waits for bytes that may be passed on until `until`.
@@ -108,7 +116,7 @@
                     return Piece::Broken("stream ended inside an event");
                 }
                 Ok(None) => return Piece::End,
-                Err(_) => return Piece::Broken("stream fell silent"),
+                Err(_) => return Piece::Broken(FELL_SILENT),
             }
         }
     }
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -57,7 +57,7 @@
 
 impl Job {
     /// Whether the request may be sent once more after a send that may have been run.
-    fn may_run_again(&self) -> bool {
+    pub(crate) fn may_run_again(&self) -> bool {
         self.route.kind.may_run_again() && self.runs.count() < self.route.max_attempts
     }
 }
@@ -200,8 +200,13 @@
                     return finish(cx, job, Failure::NoServer, RETURN_IN);
                 }
             }
-            Attempted::NotRun(_) => {
+            Attempted::NotRun(status) => {
                 job.runs.rejected();
+                if let Some(prompt) = &job.facts.prompt
+                    && status == StatusCode::MISDIRECTED_REQUEST
+                {
+                    cx.doubt(&picked.id, &prompt.model);
+                }
                 job.tried.push(picked.id);
             }
             Attempted::Lost(_) => {
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
-use server_choice::{Candidate, affinity, choose};
+use server_choice::{Candidate, affinity, choose, queue_limit, queue_patience};
 use server_directory::{Server, ServerId};
 
 use super::Job;
@@ -15,6 +15,12 @@
 const LEAST_TIME: Duration = Duration::from_millis(60);
 /// Longest wait for a plain service without any reachable server.
 const SERVICE_WAIT: Duration = Duration::from_millis(400);
+/// Time between two looks whether a full server has a place.
+const PLACE_POLL: Duration = Duration::from_millis(40);
+/// Time between two looks whether an unreachable server should be tried again.
+const UNREACHABLE_POLL: Duration = Duration::from_millis(300);
+/// Time after which a full queue should have moved: about the run of one request.
+const FULL_RETURN: Duration = Duration::from_millis(1_200);
 /// Time after which servers that turned the request away are tried again.
 const TRY_AGAIN_AFTER: Duration = Duration::from_millis(120);
 
@@ -43,6 +49,8 @@
     Picked(Picked),
     /// Servers that could run it have turned it away.
     AllTried,
+    /// Servers that could run it have a full queue.
+    Full,
     /// Servers that could run it cannot be reached now.
     Unreachable,
     /// No server has the model.
@@ -56,6 +64,15 @@
     Some(ModelKey { model: prompt.model.clone(), adapter: prompt.adapter.clone() })
 }
 
+fn has_model(cx: &Entry, job: &Job) -> bool {
+    let Some(prompt) = &job.facts.prompt else { return false };
+    cx.directory.borrow().servers().any(|server| {
+        server.entry.service == job.service
+            && !server.entry.is_draining
+            && server.entry.holdings.serves(&prompt.model, None)
+    })
+}
+
 fn try_pick(cx: &Entry, job: &Job) -> Choice {
     let now = Instant::now();
     let directory = cx.directory.borrow();
@@ -106,6 +123,10 @@
             failures: of(server).failures(now),
         })
         .collect();
+    let limit = |c: &Candidate<'_>| queue_limit(c.slots, job.route.priority);
+    if job.has_engine && candidates.iter().all(|c| c.in_flight >= limit(c)) {
+        return Choice::Full;
+    }
     let shared = prompt.and_then(|p| Some(affinity(&p.model, p.shared_part.as_deref()?)));
     match choose(&candidates, shared, rand::rng().random()) {
         Some(at) => Choice::Picked(Picked {
@@ -123,6 +144,7 @@
 pub(crate) async fn pick(cx: &Rc<Entry>, job: &mut Job) -> Result<Picked, NotPicked> {
     let mut want: Option<Want> = None;
     let mut service_wait_ends: Option<Instant> = None;
+    let mut place_wait_ends: Option<Instant> = None;
     loop {
         // Registered before the look at the servers, so that no change is missed.
         let changed = cx.servers_changed.notified();
@@ -140,7 +162,10 @@
                 let Some(key) = key(job) else {
                     return Err(NotPicked { failure: Failure::NoServer, return_in: SERVICE_WAIT });
                 };
+                // While the model itself is loaded, only the adapter is missing, which is quick.
+                let is_loaded = has_model(cx, job);
                 let ready_at = cx.ready_at.borrow().get(&key.model).copied();
+                let ready_at = ready_at.filter(|_| !is_loaded);
                 if let Some(ready_at) = ready_at.filter(|at| *at > latest) {
                     let return_in = ready_at.saturating_duration_since(now);
                     return Err(NotPicked { failure: Failure::ModelNotInTime, return_in });
@@ -148,6 +173,23 @@
                 want.get_or_insert_with(|| Want::new(cx, &job.service, key));
                 latest
             }
+            Choice::Full => {
+                let ends = *place_wait_ends.get_or_insert_with(|| {
+                    let left = latest.saturating_duration_since(now);
+                    now + queue_patience(job.route.priority, job.route.latency_target, left)
+                });
+                if now >= ends {
+                    return Err(NotPicked { failure: Failure::Full, return_in: FULL_RETURN });
+                }
+                ends.min(now + PLACE_POLL)
+            }
+            Choice::Unreachable if job.has_engine => {
+                // The order giver brings the model to another server.
+                if let Some(key) = key(job) {
+                    want.get_or_insert_with(|| Want::new(cx, &job.service, key));
+                }
+                latest.min(now + UNREACHABLE_POLL)
+            }
             Choice::Unreachable | Choice::NoServer => {
                 *service_wait_ends.get_or_insert(latest.min(now + SERVICE_WAIT))
             }
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -57,7 +57,7 @@
         let piece = tokio::select! {
             biased;
             () = tx.closed() => return job.trace.end(&cx, "caller_left", status),
-            piece = source.next(job.deadline) => piece,
+            piece = source.next(&cx, &job) => piece,
         };
         match piece {
             Piece::Data(data) => {
--- a/components/process/entry/src/request/verdict.rs
+++ b/components/process/entry/src/request/verdict.rs
@@ -31,6 +31,8 @@
     ModelNotInTime,
     /// Servers turned it away.
     Rejected,
+    /// All servers that could run it have a full queue.
+    Full,
     /// The answer was lost.
     AnswerLost,
     /// The time was over.
@@ -45,6 +47,7 @@
             Self::NoServer => "no_server",
             Self::ModelNotInTime => "model_not_in_time",
             Self::Rejected => "rejected",
+            Self::Full => "full",
             Self::AnswerLost => "answer_lost",
             Self::TimeOver => "time_over",
             Self::NotServing => "not_serving",
--- a/components/process/entry/src/request/verdict/tests.rs
+++ b/components/process/entry/src/request/verdict/tests.rs
@@ -9,6 +9,7 @@
 #[case(Failure::NoServer)]
 #[case(Failure::ModelNotInTime)]
 #[case(Failure::Rejected)]
+#[case(Failure::Full)]
 #[case(Failure::AnswerLost)]
 #[case(Failure::TimeOver)]
 #[case(Failure::NotServing)]
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -35,7 +35,8 @@
     pub store_reads_per_second: u32,
     /// `[orders] turn_gap`: least time between the orders of two holders to one server.
     pub turn_gap: Duration,
-    /// `[orders] concurrent_loads`: loads from the weight store that run at full speed at once.
+    /// `[orders] concurrent_loads`: loads from the weight store at once, until it is learned how
+    /// many run at full speed.
     pub concurrent_loads: usize,
     /// `[orders] prefetch`: load models without a copy before they are asked for.
     pub is_prefetching: bool,
@@ -126,7 +127,7 @@
 
         let mut r = Reader::new(ini, "orders", diagnostics);
         let turn_gap_ms = r.or("turn_gap_ms", 3_000.0, decimal);
-        let concurrent_loads = r.or("concurrent_loads", 4_u32, value::number(1..=10_000));
+        let concurrent_loads = r.or("concurrent_loads", 2_u32, value::number(1..=10_000));
         let is_prefetching = r.or("prefetch", true, value::boolean);
         r.finish();
 
--- a/components/process/model_homes/src/lib.rs
+++ b/components/process/model_homes/src/lib.rs
@@ -4,13 +4,17 @@
 mod authority;
 mod demand;
 mod plan;
+mod store_pace;
 
 #[cfg(test)]
 mod authority_tests;
 #[cfg(test)]
 mod plan_tests;
+#[cfg(test)]
+mod store_pace_tests;
 
 pub use adapters::{AdapterMove, AdapterUse, adapter_move};
 pub use authority::{Action, Authority, BootTime, HeldLease, InstanceName, LeaseRecord};
 pub use demand::{Demand, Demands};
 pub use plan::{Limits, Move, Plan, ServerView, Source, free_mb, plan};
+pub use store_pace::StorePace;
--- a/components/process/model_homes/src/plan.rs
+++ b/components/process/model_homes/src/plan.rs
@@ -28,16 +28,29 @@
 /// A model is kept at least this long after it was asked for last if others can go.
 const KEEP_USED: Duration = Duration::from_millis(2_500);
 
+/// Cost of each second that a load takes, in waiting requests.
+const LOAD_SECOND_COST: f64 = 0.4;
+
+/// Cost of a load on a server whose slots are all taken, in waiting requests. All models of a
+/// server share its batch, so that a rare one would wait behind a busy one there and slow it.
+const FULL_SERVER_COST: f64 = 1.5;
+
+/// Time after which a server that carries out orders should be free for another load.
+const SERVER_TURN: Duration = Duration::from_millis(1_500);
+
 /// Time that an unload takes before the load begins, as far as it is known ahead.
 const UNLOAD_TIME: Duration = Duration::from_millis(300);
 
 /// Limits of one service's placement.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Loads from the weight store that run at full speed at once.
+    /// Loads from the weight store that may run at once.
     pub store_concurrent: usize,
     /// Whether models without a copy are loaded before they are asked for.
     pub is_prefetching: bool,
+    /// What every engine holds is known, copies in memory and on disk included. Before, nothing is
+    /// said of models for which no server was found, and nothing is loaded from the weight store.
+    pub is_informed: bool,
 }
 
 /// A server as the plan sees it.
@@ -105,6 +118,15 @@
     pub ready_at: HashMap<ModelName, Instant>,
 }
 
+/// A model that has fewer copies than its demand asks for.
+struct Lacking<'a> {
+    /// Requests that a copy would serve soon.
+    score: f64,
+    model: &'a Model,
+    /// It has no copy, and requests wait for one.
+    is_missing: bool,
+}
+
 struct Planner<'a> {
     now: Instant,
     servers: &'a [ServerView<'a>],
@@ -196,7 +218,10 @@
                 continue;
             }
             let Some((unload, worth)) = self.victims(server, model) else { continue };
-            let cost = worth + source.load_time(model).as_secs_f64() * 0.4;
+            let fill = f64::from(server.in_flight) / f64::from(self.engine.slots.max(1));
+            let cost = worth
+                + source.load_time(model).as_secs_f64() * LOAD_SECOND_COST
+                + fill * FULL_SERVER_COST;
             if best.as_ref().is_none_or(|(_, least)| cost < *least) {
                 let load = model.name.clone();
                 best = Some((Move { server: server.id.into(), unload, load, source }, cost));
@@ -227,6 +252,11 @@
     }
 }
 
+/// Cost of a load, beyond what waits for it, from which it does more harm than good.
+fn highest_cost(model: &Model) -> f64 {
+    model.store_load.as_secs_f64() * LOAD_SECOND_COST + 2.5
+}
+
 /// Plans the next moves of one service.
 pub fn plan<'a>(
     now: Instant,
@@ -258,7 +288,7 @@
     let mut plan = Plan::default();
 
     // Models that lack copies, those with the most requests that wait first.
-    let mut lacking: Vec<(f64, &Model)> = engine
+    let mut lacking: Vec<Lacking<'_>> = engine
         .models
         .values()
         .filter_map(|model| {
@@ -268,35 +298,47 @@
             let is_missing = copies == 0 && demand.waiting > 0;
             let needs_more = copies > 0 && copies < planner.wanted_copies(&model.name);
             let score = waiting + planner.rate(&model.name) * RELOAD_SECONDS;
-            (is_missing || needs_more)
-                .then_some((if is_missing { score + 1.0 } else { score }, model))
+            let score = if is_missing { score + 1.0 } else { score };
+            (is_missing || needs_more).then_some(Lacking { score, model, is_missing })
         })
         .collect();
-    lacking.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
+    lacking.sort_by(|a, b| {
+        b.score.total_cmp(&a.score).then_with(|| a.model.name.cmp(&b.model.name))
+    });
 
     let mut store_queue = 0_u32;
-    for (score, model) in lacking {
-        let has_slot = store_ends.len() < limits.store_concurrent;
+    for Lacking { score, model, is_missing } in lacking {
+        let has_slot = limits.is_informed && store_ends.len() < limits.store_concurrent;
         match planner.best(model, has_slot) {
-            Some((chosen, cost)) if cost < score + 2.5 + model.store_load.as_secs_f64() * 0.4 => {
+            Some((chosen, cost)) if cost < score + highest_cost(model) => {
                 let ready_at = now + UNLOAD_TIME + chosen.source.load_time(model);
                 if chosen.source == Source::Store {
                     store_ends.push(ready_at);
                 }
-                plan.ready_at.insert(model.name.clone(), ready_at);
+                if is_missing {
+                    plan.ready_at.insert(model.name.clone(), ready_at);
+                }
                 if let Some(server) = servers.iter().find(|s| *s.id == *chosen.server) {
                     planner.taken.insert(server.id);
                 }
                 plan.moves.push(chosen);
             }
             _ => {
-                // Waits for a place at the weight store or for a server that is busy.
-                store_queue += 1;
-                let turn = model
-                    .store_load
-                    .mul_f64(f64::from(store_queue) / limits.store_concurrent.max(1) as f64);
-                let first = store_ends.iter().min().copied().unwrap_or(now);
-                plan.ready_at.insert(model.name.clone(), first + turn + model.store_load);
+                // Waits for a server that is busy, or for a place at the weight store.
+                let near = servers.iter().filter(|server| !server.is_leaving);
+                let near = near.map(|server| source(server.holdings, &model.name)).min();
+                let ready_at = match near.unwrap_or(Source::Store) {
+                    Source::Store => {
+                        store_queue += 1;
+                        let turns = f64::from(store_queue) / limits.store_concurrent.max(1) as f64;
+                        let first = store_ends.iter().min().copied().unwrap_or(now);
+                        first + model.store_load.mul_f64(turns) + model.store_load
+                    }
+                    copy => now + SERVER_TURN + copy.load_time(model),
+                };
+                if is_missing && limits.is_informed {
+                    plan.ready_at.insert(model.name.clone(), ready_at);
+                }
             }
         }
     }
@@ -305,7 +347,7 @@
             plan.ready_at.insert(model.into(), ends.max(now));
         }
     }
-    if limits.is_prefetching && store_queue == 0 {
+    if limits.is_prefetching && limits.is_informed && store_queue == 0 {
         prefetch(&mut planner, &mut plan, store_ends.len(), limits.store_concurrent);
     }
     plan
@@ -324,7 +366,7 @@
     let room = concurrent.saturating_sub(under_way);
     for model in missing.into_iter().take(room) {
         let Some((chosen, cost)) = planner.best(model, true) else { return };
-        let victims_worth = cost - model.store_load.as_secs_f64() * 0.4;
+        let victims_worth = cost - model.store_load.as_secs_f64() * LOAD_SECOND_COST;
         // Only what is idle makes way for a model that nobody has asked for yet.
         if victims_worth > LAST_COPY_WORTH + 0.2 {
             return;
--- a/components/process/model_homes/src/plan_tests.rs
+++ b/components/process/model_homes/src/plan_tests.rs
@@ -8,7 +8,7 @@
 use routes::{Engine, Model};
 use server_directory::Holdings;
 
-const LIMITS: Limits = Limits { store_concurrent: 2, is_prefetching: true };
+const LIMITS: Limits = Limits { store_concurrent: 2, is_prefetching: true, is_informed: true };
 
 /// Ten models of which three fit on a server.
 fn models() -> Engine {
@@ -176,3 +176,49 @@
     assert_eq!(adapter_move(now, &both[..1], 2, "m0", &all_fresh), None);
     assert_eq!(adapter_move(now, &both, 2, "m7", &used), None);
 }
+
+/// Guards against requests that are refused because an order giver that has just begun does not
+/// know yet which servers have copies (seen on alykes-stock quiet-1 at 27.3 s).
+#[test]
+fn nothing_is_said_of_missing_models_before_all_servers_are_known() {
+    let now = Instant::now();
+    let empty = Holdings::default();
+    let servers = [view("a", &empty)];
+    let limits = Limits { is_informed: false, ..LIMITS };
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &models(), limits);
+    assert!(plan.moves.is_empty() && plan.ready_at.is_empty(), "{plan:?}");
+}
+
+/// Guards against a refusal of requests whose model has a copy on a server that is busy for a
+/// moment, as if it had to come from the weight store.
+#[test]
+fn a_copy_on_a_busy_server_is_waited_for() {
+    let now = Instant::now();
+    let held = holdings(&[], &["m9"]);
+    let mut servers = [view("a", &held)];
+    servers[0].is_ordered = true;
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &models(), LIMITS);
+    assert!(plan.ready_at["m9"] <= now + Duration::from_secs(3), "{plan:?}");
+}
+
+/// Guards against a rare model that is loaded where a busy one fills the slots.
+#[test]
+fn a_rare_model_goes_to_a_server_with_free_slots() {
+    let now = Instant::now();
+    let on_disk = ["m0", "m9"];
+    let (a, b) = (holdings(&["m0"], &on_disk), holdings(&["m0"], &on_disk));
+    let mut servers = [view("a", &a), view("b", &b)];
+    servers[0].in_flight = 12;
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &models(), LIMITS);
+    assert_eq!(&*plan.moves[0].server, "b", "{plan:?}");
+}
+
+/// Guards against an extra copy of a loaded model that delays its requests on paper.
+#[test]
+fn a_loaded_model_has_no_time_at_which_it_will_be_loaded() {
+    let now = Instant::now();
+    let held = holdings(&["m0"], &["m0"]);
+    let servers = [view("a", &held)];
+    let plan = plan(now, &servers, &demand("m0", 0, 400, now), &models(), LIMITS);
+    assert!(plan.ready_at.is_empty(), "{plan:?}");
+}
--- a/components/request/server_choice/src/tests.rs
+++ b/components/request/server_choice/src/tests.rs
@@ -91,3 +91,19 @@
     assert!(f64::from(sent) <= 0.2 * 800.0 + 56.0, "{sent}");
     assert!(sent > 100, "{sent}");
 }
+
+/// Guards against a server's queue that the least urgent requests fill alone.
+#[test]
+fn urgent_requests_find_room_where_others_do_not() {
+    let limits: Vec<u32> = (0..4).map(|rank| queue_limit(16, rank)).collect();
+    assert_eq!(limits, [56, 44, 32, 32]);
+}
+
+/// Guards against a refusal that comes late to a caller who cannot be served anyway.
+#[test]
+fn the_least_urgent_are_refused_early() {
+    let (target, left) = (Duration::from_millis(500), Duration::from_secs(12));
+    assert_eq!(queue_patience(2, target, left), Duration::from_millis(250));
+    assert_eq!(queue_patience(0, target, left), Duration::from_secs(6));
+    assert_eq!(queue_patience(2, target, Duration::from_millis(100)), Duration::from_millis(100));
+}
