--- a/components/process/entry/src/process/orders.rs
+++ b/components/process/entry/src/process/orders.rs
@@ -1,7 +1,7 @@
 //! Gives orders to the engines while this instance holds the lease.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 };
 use platform::Call;
 use platform_adapter::{Error, Order, OrderReply, Put, Report, Store};
-use routes::{AdapterName, Engine, ModelName, ServiceName};
+use routes::{AdapterName, Engine, Model, ModelName, ServiceName};
 use serde::Deserialize;
 use server_directory::{Holdings, ServerId};
 use tokio::task::spawn_local;
@@ -44,6 +44,8 @@
 const LOAD_PATIENCE: u32 = 4;
 /// Most loads from the weight store at once, however many it seems to carry.
 const MOST_CONCURRENT_LOADS: usize = 8;
+/// Least patience with a load: the copy in memory may be gone, and the disk is slower.
+const LEAST_LOAD_PATIENCE: Duration = Duration::from_secs(8);
 /// Time between two plans if nothing happens.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
 /// Least time between two plans, in which changes gather.
@@ -70,10 +72,14 @@
     paused: HashMap<ServerId, Instant>,
     /// Run and number of accepted orders of the servers that were given orders.
     accepted: HashMap<ServerId, (u64, u64)>,
+    /// Models that were loaded on a server, the newest first, as many as its memory keeps.
+    recent_loads: HashMap<ServerId, VecDeque<ModelName>>,
     /// Servers that were asked what they hold, with or without an answer.
     asked: HashSet<ServerId>,
     adapters_used: HashMap<(ModelName, AdapterName), Instant>,
     adapters_ordered: HashSet<(ServiceName, ModelKey)>,
+    /// Adapters that were ordered and are not known to be there yet, by server.
+    adapters_coming: HashMap<ServerId, usize>,
     /// Arrivals at this instance that were already taken into the demand.
     counted: HashMap<ModelKey, u64>,
     ready_at: HashMap<ModelName, Instant>,
@@ -91,9 +97,11 @@
             loading: HashMap::new(),
             paused: HashMap::new(),
             accepted: HashMap::new(),
+            recent_loads: HashMap::new(),
             asked: HashSet::new(),
             adapters_used: HashMap::new(),
             adapters_ordered: HashSet::new(),
+            adapters_coming: HashMap::new(),
             counted: HashMap::new(),
             ready_at: HashMap::new(),
             changed: HashSet::new(),
@@ -388,6 +396,7 @@
                     || !giver.knows(server)
                     || is_paused
                     || health.is_paused(now),
+                adapters_coming: giver.adapters_coming.get(id).copied().unwrap_or(0),
                 incoming: giver.ordered.get(id).cloned().flatten(),
                 loading: giver.loading.get(id).copied(),
                 is_leaving: server.entry.is_draining
@@ -701,6 +710,7 @@
     cx.metrics.loads.inc();
     let crowd = giver.borrow().store_loads();
     wait_loaded(cx, giver, server, &load, born, began, took).await?;
+    remember_copy(cx, giver, engine, server, model);
     if chosen.source == Source::Store {
         let mut state = giver.borrow_mut();
         let crowd = crowd.max(state.store_loads());
@@ -711,6 +721,20 @@
     Some(())
 }
 
+/// Every load leaves a copy in the server's main memory, which pushes out the least recent ones.
+fn remember_copy(cx: &Entry, giver: &RefCell<Giver>, engine: &Engine, server: &str, model: &Model) {
+    let fitting = (engine.host_memory_mb / model.weights_mb.max(1.0)) as usize;
+    let copies: BTreeSet<ModelName> = {
+        let mut state = giver.borrow_mut();
+        let loaded = state.recent_loads.entry(server.into()).or_default();
+        loaded.retain(|name| *name != model.name);
+        loaded.push_front(model.name.clone());
+        loaded.truncate(fitting);
+        loaded.iter().cloned().collect()
+    };
+    note(cx, giver, server, |held| held.in_memory = copies);
+}
+
 /// Repeats an order while another one is under way at the server.
 async fn retry_while_busy(cx: &Rc<Entry>, server: &str, what: &Order) -> Option<Ordered> {
     let until = Instant::now() + UNLOAD_TIME;
@@ -739,7 +763,7 @@
     began: Instant,
     took: Duration,
 ) -> Option<()> {
-    let give_up_at = began + took * LOAD_PATIENCE;
+    let give_up_at = began + (took * LOAD_PATIENCE).max(LEAST_LOAD_PATIENCE);
     let mut pause = LOAD_POLL;
     tokio::time::sleep_until((began + took + LOAD_SLACK).into()).await;
     loop {
@@ -805,6 +829,7 @@
         let mut state = giver.borrow_mut();
         state.adapters_ordered.insert(token.clone());
         state.ordered.insert(chosen.server.clone(), None);
+        *state.adapters_coming.entry(chosen.server.clone()).or_default() += 1;
     }
     let (cx, giver, model) = (cx.clone(), giver.clone(), key.model.clone());
     spawn_local(async move {
@@ -819,6 +844,9 @@
                 order_adapter(&cx, &giver, &server, false, &model, &adapter).await?;
             }
             order_adapter(&cx, &giver, &server, true, &model, &adapter).await?;
+            // Several adapters may be on their way to a server at once.
+            giver.borrow_mut().ordered.remove(&server);
+            cx.plan_due.notify_one();
             tokio::time::sleep(took).await;
             note(&cx, &giver, &server, |held| {
                 if let Some(adapters) = held.models.get_mut(&model) {
@@ -835,7 +863,12 @@
         }
         let mut state = giver.borrow_mut();
         state.adapters_ordered.remove(&token);
-        state.ordered.remove(&server);
+        if let Some(coming) = state.adapters_coming.get_mut(&server) {
+            *coming = coming.saturating_sub(1);
+        }
+        if !is_done {
+            state.ordered.remove(&server);
+        }
         drop(state);
         cx.plan_due.notify_one();
     });
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -175,7 +175,8 @@
     let Some(req) = request(job, picked, last_event) else { return Attempted::NotSent };
     cx.metrics.sends.inc();
     let patience = (job.route.latency_target * PATIENCE_IN_TARGETS).max(LEAST_PATIENCE);
-    let until = match may_move_on {
+    // Leaving a full server's queue for another one would only lose the place.
+    let until = match may_move_on && !picked.is_full {
         true => job.deadline.min(Instant::now() + patience),
         false => job.deadline,
     };
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -35,6 +35,8 @@
     pub(crate) in_flight: u32,
     /// Servers that could have been chosen.
     pub(crate) among: usize,
+    /// All slots are taken, so that a slow answer is no sign of a fault.
+    pub(crate) is_full: bool,
 }
 
 /// Why no server was chosen.
@@ -135,6 +137,7 @@
             revision: open[at].revision,
             in_flight: candidates[at].in_flight,
             among: candidates.len(),
+            is_full: candidates[at].in_flight >= candidates[at].slots,
         }),
         None => Choice::NoServer,
     }
--- a/components/process/model_homes/src/adapters.rs
+++ b/components/process/model_homes/src/adapters.rs
@@ -35,8 +35,8 @@
     let hosts = servers.iter().filter(|s| !s.is_ordered && s.holdings.models.contains_key(model));
     let free = hosts
         .clone()
-        .filter(|s| s.holdings.adapter_count() < places as usize)
-        .min_by_key(|s| (s.holdings.adapter_count(), s.in_flight, s.id));
+        .filter(|s| s.holdings.adapter_count() + s.adapters_coming < places as usize)
+        .min_by_key(|s| (s.holdings.adapter_count() + s.adapters_coming, s.in_flight, s.id));
     if let Some(server) = free {
         return Some(AdapterMove { server: server.id.into(), unload: None });
     }
--- a/components/process/model_homes/src/plan.rs
+++ b/components/process/model_homes/src/plan.rs
@@ -35,6 +35,10 @@
 /// server share its batch, so that a rare one would wait behind a busy one there and slow it.
 const FULL_SERVER_COST: f64 = 1.5;
 
+/// Cost of a load on a server for each adapter there. Adapters are ordered one request at a time,
+/// and a server that loads a model takes no such order meanwhile.
+const ADAPTER_COST: f64 = 0.15;
+
 /// Time after which a server that carries out orders should be free for another load.
 const SERVER_TURN: Duration = Duration::from_millis(1_500);
 
@@ -68,6 +72,8 @@
     pub is_ordered: bool,
     /// Model that orders under way there will load.
     pub incoming: Option<ModelName>,
+    /// Adapters on their way there, which take places already.
+    pub adapters_coming: usize,
     /// Where the load under way comes from, and when it should end.
     pub loading: Option<(Source, Instant)>,
     /// It is about to leave, so that nothing is loaded there.
@@ -221,7 +227,8 @@
             let fill = f64::from(server.in_flight) / f64::from(self.engine.slots.max(1));
             let cost = worth
                 + source.load_time(model).as_secs_f64() * LOAD_SECOND_COST
-                + fill * FULL_SERVER_COST;
+                + fill * FULL_SERVER_COST
+                + server.holdings.adapter_count() as f64 * ADAPTER_COST;
             if best.as_ref().is_none_or(|(_, least)| cost < *least) {
                 let load = model.name.clone();
                 best = Some((Move { server: server.id.into(), unload, load, source }, cost));
--- a/components/process/model_homes/src/plan_tests.rs
+++ b/components/process/model_homes/src/plan_tests.rs
@@ -23,6 +23,7 @@
     Engine {
         slots: 10,
         weights_mb: 230.0,
+        host_memory_mb: 150.0,
         adapter_places: 2,
         store_loads_per_second: 4.0,
         models: (0..10).map(model).map(|m| (m.name.clone(), m)).collect(),
@@ -44,6 +45,7 @@
         by_model: HashMap::new(),
         is_ordered: false,
         incoming: None,
+        adapters_coming: 0,
         loading: None,
         is_leaving: false,
     }
@@ -172,6 +174,11 @@
     assert_eq!((&*chosen.server, chosen.unload), ("b", None));
     let chosen = adapter_move(now, &both[..1], 2, "m0", &used).unwrap();
     assert_eq!(chosen.unload, Some(("m0".into(), "a1".into())));
+    // One on its way takes the free place (LIMIT, seen on all standard days in a failed trial).
+    let mut coming = both.clone();
+    coming[1].adapters_coming = 1;
+    let chosen = adapter_move(now, &coming, 2, "m0", &used).unwrap();
+    assert_eq!(chosen.unload.map(|(_, adapter)| adapter).as_deref(), Some("a3"));
     let all_fresh: AdapterUse = ["a1", "a2"].map(|a| (("m0".into(), a.into()), now)).into();
     assert_eq!(adapter_move(now, &both[..1], 2, "m0", &all_fresh), None);
     assert_eq!(adapter_move(now, &both, 2, "m7", &used), None);
--- a/components/request/server_choice/src/admission.rs
+++ b/components/request/server_choice/src/admission.rs
@@ -9,9 +9,9 @@
 /// Rank up to which requests may fill a server's queue the most; 0 is the most urgent.
 const LEAST_URGENT: u8 = 2;
 /// Requests for each slot, running and queued, up to which the least urgent requests are sent.
-const LEAST_URGENT_FILL: f64 = 2.0;
+const LEAST_URGENT_FILL: f64 = 1.5;
 /// What each rank more adds to that.
-const FILL_FOR_RANK: f64 = 0.75;
+const FILL_FOR_RANK: f64 = 0.5;
 /// Part of its latency target for which the least urgent request waits for a place. Its caller is
 /// told early when to come back instead of waiting behind more urgent ones.
 const LEAST_URGENT_WAIT: f64 = 0.5;
--- a/components/request/server_choice/src/tests.rs
+++ b/components/request/server_choice/src/tests.rs
@@ -96,7 +96,7 @@
 #[test]
 fn urgent_requests_find_room_where_others_do_not() {
     let limits: Vec<u32> = (0..4).map(|rank| queue_limit(16, rank)).collect();
-    assert_eq!(limits, [56, 44, 32, 32]);
+    assert_eq!(limits, [40, 32, 24, 24]);
 }
 
 /// Guards against a refusal that comes late to a caller who cannot be served anyway.
--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -119,6 +119,8 @@
     pub cache_tokens: u64,
     /// Accelerator memory for weights and adapters, in MB.
     pub weights_mb: f64,
+    /// Main memory of a server for copies of weights, in MB.
+    pub host_memory_mb: f64,
     /// Adapters that a server holds at most.
     pub adapter_places: u32,
     /// Loads that may begin a second at the weight store, over all servers.
