--- a/components/process/instance/src/periodic.rs
+++ b/components/process/instance/src/periodic.rs
@@ -21,9 +21,12 @@
             crate::share_objects::open(&self.cx, fencing, data_centres, nonces);
         }
         let group = limits_group(&self.cx.data_centre);
-        let Some(owner) = self.ownership.owner_hint(&group).cloned() else { return };
+        let owner = self.ownership.owner_hint(&group).cloned();
         let own = self.owned.get(&group).copied();
-        let Some(fencing) = own.or_else(|| self.announced.get(&group).copied()) else { return };
+        let fencing = own.or_else(|| self.announced.get(&group).copied());
+        let (Some(owner), Some(fencing)) = (owner, fencing) else {
+            return self.shares.put_off_request(now);
+        };
         let cfg = self.follower.current().clone();
         let Some(request) = self.shares.due_request(&self.requests, &cfg, fencing, now) else {
             return;
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -270,6 +270,13 @@
         Some(self.grantee.request(holder, now))
     }
 
+    /// Puts off a request that is due while no holder is known, so that its timer moves.
+    pub(crate) fn put_off_request(&mut self, now: Instant) {
+        if self.ask_at <= now {
+            self.ask_at = now + RETRY_INTERVAL;
+        }
+    }
+
     fn drop_inactive(&mut self, now: Instant) {
         let inactive: Vec<CustomerId> = self
             .active
