--- /dev/null
+++ b/components/process/entry/src/process/orders/giver.rs
@@ -0,0 +1,82 @@
+//! State of the order giver.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Instant;
+
+use model_homes::{Demands, Source, StorePace};
+use routes::{AdapterName, ModelName, ServiceName};
+use server_directory::{Server, ServerId};
+
+use crate::process::{Entry, ModelKey};
+
+/// Most loads from the weight store at once, however many it seems to carry.
+const MOST_CONCURRENT_LOADS: usize = 8;
+
+/// State of the order giver.
+pub(super) struct Giver {
+    pub(super) pace: StorePace,
+    pub(super) demands: Demands,
+    /// Servers with orders under way, and the model that these load.
+    pub(super) ordered: HashMap<ServerId, Option<ModelName>>,
+    /// Loads under way: source and expected end.
+    pub(super) loading: HashMap<ServerId, (Source, Instant)>,
+    /// No order to these servers before the deadline.
+    pub(super) paused: HashMap<ServerId, Instant>,
+    /// Run and number of accepted orders of the servers that were given orders.
+    pub(super) accepted: HashMap<ServerId, (u64, u64)>,
+    /// Models that were loaded on a server, the newest first, as many as its memory keeps.
+    pub(super) recent_loads: HashMap<ServerId, VecDeque<ModelName>>,
+    /// Servers that were asked what they hold, with or without an answer.
+    pub(super) asked: HashSet<ServerId>,
+    pub(super) adapters_used: HashMap<(ModelName, AdapterName), Instant>,
+    pub(super) adapters_ordered: HashSet<(ServiceName, ModelKey)>,
+    /// Adapters that were ordered and are not known to be there yet, by server.
+    pub(super) adapters_coming: HashMap<ServerId, usize>,
+    /// Arrivals at this instance that were already taken into the demand.
+    pub(super) counted: HashMap<ModelKey, u64>,
+    pub(super) ready_at: HashMap<ModelName, Instant>,
+    /// Servers whose holdings changed since the last message.
+    pub(super) changed: HashSet<ServerId>,
+    pub(super) told: usize,
+    /// Loads from the weight store that servers have accepted and not ended.
+    pub(super) store_running: usize,
+}
+
+impl Giver {
+    pub(super) fn new(cx: &Entry) -> Self {
+        Self {
+            pace: StorePace::new(cx.settings.concurrent_loads, MOST_CONCURRENT_LOADS),
+            demands: Demands::default(),
+            ordered: HashMap::new(),
+            loading: HashMap::new(),
+            paused: HashMap::new(),
+            accepted: HashMap::new(),
+            recent_loads: HashMap::new(),
+            asked: HashSet::new(),
+            adapters_used: HashMap::new(),
+            adapters_ordered: HashSet::new(),
+            adapters_coming: HashMap::new(),
+            counted: HashMap::new(),
+            ready_at: HashMap::new(),
+            changed: HashSet::new(),
+            told: 0,
+            store_running: 0,
+        }
+    }
+
+    /// Loads from the weight store that are under way.
+    pub(super) fn store_loads(&self) -> usize {
+        self.loading.values().filter(|(source, _)| *source == Source::Store).count()
+    }
+
+    /// Whether the server was asked for what it holds. One that gives no answer is passed over.
+    pub(super) fn has_tried(&self, server: &Server) -> bool {
+        self.asked.contains(&server.entry.id)
+    }
+
+    /// Whether the server's present run was asked for what it holds.
+    pub(super) fn knows(&self, server: &Server) -> bool {
+        let run = self.accepted.get(&server.entry.id).map(|(run, _)| *run);
+        run == Some(server.entry.holdings.born)
+    }
+}
