Ask a server what it holds only once its report shows the last order

Cause: a report tells the models of some hundred milliseconds ago and the present number of orders. After an order whose answer was lost, the report showed the room of a load that had begun, with the right number, and the next load was accepted when the first one ended: LIMIT.

--- a/components/process/entry/src/process/orders/adapters.rs
+++ b/components/process/entry/src/process/orders/adapters.rs
@@ -9,10 +9,9 @@
 use routes::{AdapterName, Engine, ServiceName};
 use tokio::task::spawn_local;
 
-use super::REFUSED_PAUSE;
 use super::give::views;
 use super::giver::Giver;
-use super::order::{Ordered, accepted, count_accepted, note, order, refresh};
+use super::order::{Ordered, accepted, count_accepted, doubt_holdings, note, order};
 use crate::process::{Entry, ModelKey};
 
 /// Part of an adapter's load time that does not depend on its size, and the rest for each MB.
@@ -80,8 +79,7 @@
         .await
         .is_some();
         if !is_done {
-            refresh(&cx, &giver, &server).await;
-            giver.borrow_mut().paused.insert(server.clone(), Instant::now() + REFUSED_PAUSE);
+            doubt_holdings(&cx, &giver, &server);
         }
         let mut state = giver.borrow_mut();
         state.adapters_ordered.remove(&token);
--- a/components/process/entry/src/process/orders/give.rs
+++ b/components/process/entry/src/process/orders/give.rs
@@ -23,6 +23,8 @@
 const PLAN_EVERY: Duration = Duration::from_millis(200);
 /// Least time between two plans, in which changes gather.
 const PLAN_GAP: Duration = Duration::from_millis(15);
+/// Time after which a report shows an order and its end. Reports lag by some hundred milliseconds.
+const REPORT_SETTLE: Duration = Duration::from_millis(700);
 /// Time between two messages to all other instances.
 const TELL_EVERY: Duration = Duration::from_millis(200);
 
@@ -93,11 +95,13 @@
             let service = deployment.services.get(&server.entry.service);
             let is_engine = service.is_some_and(|service| service.engine.is_some());
             let is_paused = state.paused.get(id).is_some_and(|until| *until > now);
+            let is_settling = state.ordered_at.get(id).is_some_and(|at| now < *at + REPORT_SETTLE);
             if is_engine
                 && !server.entry.is_draining
                 && !state.knows(server)
                 && !state.ordered.contains_key(id)
                 && !is_paused
+                && !is_settling
             {
                 unknown.push(id.clone());
             }
--- a/components/process/entry/src/process/orders/giver.rs
+++ b/components/process/entry/src/process/orders/giver.rs
@@ -26,6 +26,8 @@
     pub(super) accepted: HashMap<ServerId, (u64, u64)>,
     /// Models that were loaded on a server, the newest first, as many as its memory keeps.
     pub(super) recent_loads: HashMap<ServerId, VecDeque<ModelName>>,
+    /// When each server accepted an order last, or ended one.
+    pub(super) ordered_at: HashMap<ServerId, Instant>,
     /// Servers that were asked what they hold, with or without an answer.
     pub(super) asked: HashSet<ServerId>,
     pub(super) adapters_used: HashMap<(ModelName, AdapterName), Instant>,
@@ -52,6 +54,7 @@
             paused: HashMap::new(),
             accepted: HashMap::new(),
             recent_loads: HashMap::new(),
+            ordered_at: HashMap::new(),
             asked: HashSet::new(),
             adapters_used: HashMap::new(),
             adapters_ordered: HashSet::new(),
--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -9,9 +9,8 @@
 use platform_adapter::Order;
 use routes::{Engine, Model, ModelName};
 
-use super::REFUSED_PAUSE;
 use super::giver::Giver;
-use super::order::{Ordered, accepted, count_accepted, note, order, refresh};
+use super::order::{Ordered, accepted, count_accepted, doubt_holdings, note, order};
 use crate::process::Entry;
 
 /// First time between two tries of a load while the unload before it is under way; doubles.
@@ -43,8 +42,7 @@
         took_ms = began.elapsed().as_millis() as u64, unloaded = ?chosen.unload,
         "orders: move ended");
     if !is_done {
-        refresh(&cx, &giver, &server).await;
-        giver.borrow_mut().paused.insert(server.clone(), Instant::now() + REFUSED_PAUSE);
+        doubt_holdings(&cx, &giver, &server);
     }
     let mut state = giver.borrow_mut();
     state.ordered.remove(&server);
@@ -194,6 +192,7 @@
         let question = Order { after_sequence: accepted(cx, giver, server).await?, ..load.clone() };
         match order(cx, server, &question).await {
             Ordered::Holds => {
+                giver.borrow_mut().ordered_at.insert(server.into(), Instant::now());
                 note(cx, giver, server, |held| {
                     held.loading = None;
                     held.models.entry(load.model.clone()).or_default();
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -8,6 +8,7 @@
 use platform_adapter::{Order, OrderReply, Report};
 use server_directory::Holdings;
 
+use super::REFUSED_PAUSE;
 use super::giver::Giver;
 use crate::connection::control_call;
 use crate::process::{Entry, boot_now};
@@ -108,11 +109,25 @@
 
 /// The server accepted one more order.
 pub(super) fn count_accepted(giver: &RefCell<Giver>, server: &str) {
-    if let Some((_, count)) = giver.borrow_mut().accepted.get_mut(server) {
+    let mut state = giver.borrow_mut();
+    state.ordered_at.insert(server.into(), Instant::now());
+    if let Some((_, count)) = state.accepted.get_mut(server) {
         *count += 1;
     }
 }
 
+/// An order failed or its outcome is not known. The server is asked what it holds after a pause: a
+/// report lags, and one taken now could miss what the order just began.
+pub(super) fn doubt_holdings(cx: &Entry, giver: &RefCell<Giver>, server: &str) {
+    let now = Instant::now();
+    let mut state = giver.borrow_mut();
+    state.accepted.remove(server);
+    state.ordered_at.insert(server.into(), now);
+    state.paused.insert(server.into(), now + REFUSED_PAUSE);
+    drop(state);
+    note(cx, giver, server, |held| held.loading = None);
+}
+
 /// Replaces what is known of a server by its own report.
 pub(super) async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<()> {
     giver.borrow_mut().accepted.remove(server);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -87,6 +87,7 @@
         room: 2,
         event_gap: Duration::from_millis(25),
         events: 6,
+        report_lag: Duration::from_millis(200),
         busy_with: None,
     }
 }
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform_stand_in::{Call, StoreFault};
+use platform_stand_in::{Call, Fault, StoreFault};
 
 use crate::world::{WAIT, World, engine, eventually};
 
@@ -109,3 +109,33 @@
     let doubts = world.instances[0].log_lines(&["\"is_done\":false"]);
     assert!(doubts.is_empty(), "{doubts:?}");
 }
+
+/// Guards against a plan on a report that lags behind an order whose answer was lost: the server
+/// had begun the load, the report showed its room as free (LIMIT, seen once on kh-dielna-grown,
+/// hunt-f7c4-3).
+#[tokio::test]
+async fn a_lost_answer_of_an_order_is_not_settled_by_a_report_that_lags() {
+    let world = World::serving(vec![engine("e1", &["m1", "m2"])]).await;
+    let has_ordered = || !world.instances[0].log_lines(&["orders: report read"]).is_empty();
+    assert!(eventually(WAIT, has_ordered).await);
+    let caller = world.caller.clone();
+    let entry = world.entry();
+    let first = tokio::spawn(async move { caller.call(entry, &call("a0", "m3")).await });
+    // The unload is answered, the load right after it is not.
+    while world.servers[0].orders().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    world.servers[0].set_fault(Fault::LostOrderAnswers);
+    assert!(eventually(WAIT, || world.servers[0].orders().len() >= 2).await);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    world.servers[0].set_fault(Fault::None);
+    let others = (1..5).map(|n| {
+        let caller = world.caller.clone();
+        async move { caller.call(entry, &call(&format!("a{n}"), "m4")).await }
+    });
+    for told in futures_util::future::join_all(others).await {
+        assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    }
+    assert_eq!(first.await.unwrap().status, Some(200));
+    assert_eq!(world.servers[0].overloads(), 0);
+}
--- a/tests/platform_sessions/world.rs
+++ b/tests/platform_sessions/world.rs
@@ -49,6 +49,7 @@
         room: 2,
         event_gap: Duration::from_millis(20),
         events: 5,
+        report_lag: Duration::from_millis(200),
         busy_with: None,
     }
 }
