Count the grace of lapsed servers from the store's return; ask a server anew when its entry comes back

A store that is away for less than about two heartbeats lets no entry lapse, so such a loss is a departure. The grace now counts from the return of the store and is given only after an outage in which entries can lapse.

Also: a request waited no longer than 0.4 s for a model once it had seen its service without servers; the bound now starts anew when servers are back.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -173,13 +173,18 @@
         }
     }
 
-    /// What the order giver said of the registry and the configuration, if it is fresh: the store
-    /// confirmed it at most `limit` ago.
-    pub(crate) fn fresh_marks(&self, now: Instant, limit: Duration) -> Option<(u64, u64)> {
+    /// What the order giver said of the registry and the configuration, and when the store
+    /// confirmed it, if that was at most `limit` ago.
+    pub(crate) fn fresh_marks(
+        &self,
+        now: Instant,
+        limit: Duration,
+    ) -> Option<((u64, u64), Instant)> {
         let (registry, configuration, told_at) = self.told_marks?;
-        let age = Duration::from_millis(u64::from(registry.age_ms.max(configuration.age_ms)))
-            + now.saturating_duration_since(told_at);
-        (age < limit).then_some((registry.mark, configuration.mark))
+        let age = Duration::from_millis(u64::from(registry.age_ms.max(configuration.age_ms)));
+        let confirmed_at = told_at.checked_sub(age)?;
+        let is_fresh = now.saturating_duration_since(confirmed_at) < limit;
+        is_fresh.then_some(((registry.mark, configuration.mark), confirmed_at))
     }
 
     /// Instances heard lately, with their newest status.
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process.
 
+mod follow;
 mod instances;
 mod loads;
 mod orders;
--- a/components/process/entry/src/process/orders/giver.rs
+++ b/components/process/entry/src/process/orders/giver.rs
@@ -5,13 +5,31 @@
 
 use model_homes::{Demands, Source, StorePace};
 use routes::{AdapterName, ModelName, ServiceName};
-use server_directory::{Server, ServerId};
+use server_directory::{Revision, Server, ServerId};
 
 use crate::process::{Entry, ModelKey};
 
 /// Most loads from the weight store at once, however many it seems to carry.
 const MOST_CONCURRENT_LOADS: usize = 8;
 
+/// Orders that a server accepted, as the next order has to name them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AcceptedOrders {
+    /// Revision at which the server appeared. One whose entry was removed and came back is asked
+    /// again, because what it holds is then known from the registry alone, which lags.
+    pub(super) appeared: Revision,
+    /// Start of the run that accepted them.
+    pub(super) born: u64,
+    /// Their number.
+    pub(super) count: u64,
+}
+
+impl AcceptedOrders {
+    fn is_of(&self, server: &Server) -> bool {
+        self.appeared == server.appeared && self.born == server.entry.holdings.born
+    }
+}
+
 /// State of the order giver.
 pub(super) struct Giver {
     pub(super) pace: StorePace,
@@ -22,8 +40,8 @@
     pub(super) loading: HashMap<ServerId, (Source, Instant)>,
     /// No order to these servers before the deadline.
     pub(super) paused: HashMap<ServerId, Instant>,
-    /// Run and number of accepted orders of the servers that were given orders.
-    pub(super) accepted: HashMap<ServerId, (u64, u64)>,
+    /// Accepted orders of the servers that were asked for what they hold.
+    pub(super) accepted: HashMap<ServerId, AcceptedOrders>,
     /// Models that were loaded on a server, the newest first, as many as its memory keeps.
     pub(super) recent_loads: HashMap<ServerId, VecDeque<ModelName>>,
     /// When each server accepted an order last, or ended one.
@@ -77,9 +95,14 @@
         self.asked.contains(&server.entry.id)
     }
 
-    /// Whether the server's present run was asked for what it holds.
+    /// Whether the server's present run was asked for what it holds since it appeared.
     pub(super) fn knows(&self, server: &Server) -> bool {
-        let run = self.accepted.get(&server.entry.id).map(|(run, _)| *run);
-        run == Some(server.entry.holdings.born)
+        self.accepted_by(server).is_some()
+    }
+
+    /// Orders that the server's present run accepted, if that is known.
+    pub(super) fn accepted_by(&self, server: &Server) -> Option<u64> {
+        let accepted = self.accepted.get(&server.entry.id)?;
+        accepted.is_of(server).then_some(accepted.count)
     }
 }
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -9,7 +9,7 @@
 use server_directory::Holdings;
 
 use super::REFUSED_PAUSE;
-use super::giver::Giver;
+use super::giver::{AcceptedOrders, Giver};
 use crate::connection::control_call;
 use crate::process::{Entry, boot_now};
 
@@ -96,23 +96,20 @@
 /// Orders that the server accepted, as the next order has to name them. It is asked if this
 /// instance has not given it orders yet.
 pub(super) async fn accepted(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<u64> {
-    let born = cx.directory.borrow().get(server)?.entry.holdings.born;
-    if let Some((run, count)) = giver.borrow().accepted.get(server).copied()
-        && run == born
-    {
+    let known = || giver.borrow().accepted_by(cx.directory.borrow().get(server)?);
+    if let Some(count) = known() {
         return Some(count);
     }
     refresh(cx, giver, server).await?;
-    let (run, count) = giver.borrow().accepted.get(server).copied()?;
-    (run == born).then_some(count)
+    known()
 }
 
 /// The server accepted one more order.
 pub(super) fn count_accepted(giver: &RefCell<Giver>, server: &str) {
     let mut state = giver.borrow_mut();
     state.ordered_at.insert(server.into(), Instant::now());
-    if let Some((_, count)) = state.accepted.get_mut(server) {
-        *count += 1;
+    if let Some(accepted) = state.accepted.get_mut(server) {
+        accepted.count += 1;
     }
 }
 
@@ -131,13 +128,16 @@
 /// Replaces what is known of a server by its own report.
 pub(super) async fn refresh(cx: &Rc<Entry>, giver: &RefCell<Giver>, server: &str) -> Option<()> {
     giver.borrow_mut().accepted.remove(server);
+    // If the entry is removed and comes back meanwhile, the report does not count.
+    let appeared = cx.directory.borrow().get(server)?.appeared;
     let report = report(cx, server).await;
     giver.borrow_mut().asked.insert(server.into());
     let Report { mut holdings, accepted_orders, is_busy } = report?;
     // A busy server finishes an order of a former holder. What that loads is not known, so that
     // no plan may rest on this report.
     if !is_busy {
-        giver.borrow_mut().accepted.insert(server.into(), (holdings.born, accepted_orders));
+        let accepted = AcceptedOrders { appeared, born: holdings.born, count: accepted_orders };
+        giver.borrow_mut().accepted.insert(server.into(), accepted);
     }
     note(cx, giver, server, |held| {
         if is_busy {
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -173,7 +173,11 @@
         changed.as_mut().enable();
         let now = Instant::now();
         let latest = job.deadline - LEAST_TIME.min(job.deadline.saturating_duration_since(now));
-        let until = match try_pick(cx, job) {
+        let choice = try_pick(cx, job);
+        if !matches!(choice, Choice::NoServer | Choice::Unreachable) {
+            service_wait_ends = None;
+        }
+        let until = match choice {
             Choice::Picked(picked) => return Ok(picked),
             Choice::AllTried => {
                 job.tried.clear();
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -33,6 +33,8 @@
     pub store_writes_per_second: u32,
     /// `[store] reads_per_second`, over all instances.
     pub store_reads_per_second: u32,
+    /// `[registry] heartbeat`: interval at which backend servers renew their registry entries.
+    pub heartbeat: Duration,
     /// `[orders] turn_gap`: least time between the orders of two holders to one server.
     pub turn_gap: Duration,
     /// `[orders] concurrent_loads`: loads from the weight store at once, until it is learned how
@@ -60,6 +62,7 @@
     "metrics",
     "peers",
     "store",
+    "registry",
     "orders",
     "repeats",
     "stop",
@@ -125,6 +128,10 @@
         let reads = r.or("reads_per_second", 2_000.0, decimal);
         r.finish();
 
+        let mut r = Reader::new(ini, "registry", diagnostics);
+        let heartbeat_ms = r.or("heartbeat_ms", 1_200.0, decimal);
+        r.finish();
+
         let mut r = Reader::new(ini, "orders", diagnostics);
         let turn_gap_ms = r.or("turn_gap_ms", 3_000.0, decimal);
         let concurrent_loads = r.or("concurrent_loads", 2_u32, value::number(1..=10_000));
@@ -156,6 +163,7 @@
             store: store?,
             store_writes_per_second: writes as u32,
             store_reads_per_second: reads as u32,
+            heartbeat: Duration::from_secs_f64(heartbeat_ms / 1_000.0),
             turn_gap: Duration::from_secs_f64(turn_gap_ms / 1_000.0),
             concurrent_loads: concurrent_loads as usize,
             is_prefetching,
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -10,18 +10,17 @@
 use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+mod contact;
 #[cfg(test)]
 mod tests;
 
+pub use contact::{Contact, LAPSE_GRACE};
+
 /// Id of a backend server; a restarted server may have its former id.
 pub type ServerId = Box<str>;
 /// Revision of the registry at which an entry was written.
 pub type Revision = u64;
 
-/// How long an entry is kept that lapsed while the registry was out of order. The platform's
-/// pages give live servers about two seconds to register again, and senders two seconds to stop.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(1_700);
-
 /// How long an observation goes before the registry. Longer than the registry lags behind, and
 /// longer than the giver of orders takes to tell of every server again.
 pub const OBSERVATION_HOLDS: Duration = Duration::from_secs(6);
@@ -75,8 +74,6 @@
     pub slots: u32,
     /// It takes no new requests.
     pub is_draining: bool,
-    /// Time left until it is gone, if it is taken away at short notice.
-    pub leaves_in: Option<Duration>,
     /// What it holds.
     pub holdings: Holdings,
 }
@@ -88,10 +85,11 @@
     pub entry: Entry,
     /// Revision of the entry.
     pub revision: Revision,
+    /// Revision at which the server appeared, or appeared again after its entry was removed. What
+    /// was known of it before is lost then, although its run may be the same.
+    pub appeared: Revision,
     /// Deadline after which a lapsed entry is dropped.
     pub lapses_at: Option<Instant>,
-    /// What the registry says that it holds.
-    pub registered: Holdings,
     /// When the instance that gives the orders last told what the server holds.
     observed_at: Option<Instant>,
 }
@@ -120,13 +118,14 @@
 
     /// Takes a registry entry. Returns false if a newer run of the server is known.
     pub fn put(&mut self, mut entry: Entry, revision: Revision, now: Instant) -> bool {
-        let registered = entry.holdings.clone();
         let mut observed_at = None;
+        let mut appeared = revision;
         if let Some(known) = self.servers.get(&entry.id) {
             let held = &known.entry.holdings;
             if entry.holdings.born < held.born || revision < known.revision {
                 return false;
             }
+            appeared = known.appeared;
             let is_same_run = entry.holdings.born == held.born;
             let is_recent = known
                 .observed_at
@@ -144,7 +143,7 @@
                 observed_at = known.observed_at;
             }
         }
-        let server = Server { revision, lapses_at: None, observed_at, registered, entry };
+        let server = Server { revision, appeared, lapses_at: None, observed_at, entry };
         self.servers.insert(server.entry.id.clone(), server);
         true
     }
@@ -166,23 +165,26 @@
         true
     }
 
-    /// The registry no longer has the entry. After trouble with the registry a live server may
-    /// have lapsed; it then keeps serving until `now` plus the grace, unless it was leaving.
-    pub fn remove(&mut self, id: &str, now: Instant, after_trouble: bool) {
+    /// The registry no longer has the entry. If the entry may have lapsed, the server is used until
+    /// `lapses_until`, unless it was leaving; see [`Contact`].
+    pub fn remove(&mut self, id: &str, lapses_until: Option<Instant>) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        if after_trouble && !server.entry.is_draining {
-            server.lapses_at.get_or_insert(now + LAPSE_GRACE);
-        } else {
-            self.servers.remove(id);
+        match lapses_until {
+            Some(until) if !server.entry.is_draining => {
+                server.lapses_at.get_or_insert(until);
+            }
+            _ => {
+                self.servers.remove(id);
+            }
         }
     }
 
     /// Replaces the list: entries that are not in `listed` are removed.
-    pub fn retain_listed(&mut self, listed: &BTreeSet<ServerId>, now: Instant, trouble: bool) {
+    pub fn retain_listed(&mut self, listed: &BTreeSet<ServerId>, lapses_until: Option<Instant>) {
         let missing: Vec<ServerId> =
             self.servers.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in missing {
-            self.remove(&id, now, trouble);
+            self.remove(&id, lapses_until);
         }
     }
 
--- a/components/process/server_directory/src/tests.rs
+++ b/components/process/server_directory/src/tests.rs
@@ -15,7 +15,6 @@
         data_centre: "a".into(),
         slots: 4,
         is_draining: false,
-        leaves_in: None,
         holdings,
     }
 }
@@ -71,19 +70,20 @@
 #[test]
 fn lapsed_entries_are_kept_for_the_grace_unless_draining() {
     let now = Instant::now();
+    let until = Some(now + LAPSE_GRACE);
     let mut d = Directory::default();
     d.put(entry(holdings(1, &[])), 10, now);
-    d.remove("s1", now, true);
+    d.remove("s1", until);
     assert!(d.is_usable("s1"));
     assert!(d.expire(now + LAPSE_GRACE / 2).is_empty());
     d.put(entry(holdings(1, &[])), 11, now);
     assert!(d.expire(now + LAPSE_GRACE).is_empty());
-    d.remove("s1", now, true);
+    d.remove("s1", until);
     assert_eq!(d.expire(now + LAPSE_GRACE).len(), 1);
 
     d.put(Entry { is_draining: true, ..entry(holdings(1, &[])) }, 12, now);
     assert!(!d.is_usable("s1"));
-    d.remove("s1", now, true);
+    d.remove("s1", until);
     assert!(d.is_empty());
 }
 
@@ -93,6 +93,54 @@
     let now = Instant::now();
     let mut d = Directory::default();
     d.put(entry(holdings(1, &[])), 10, now);
-    d.retain_listed(&BTreeSet::new(), now, false);
+    d.retain_listed(&BTreeSet::new(), None);
     assert!(d.is_empty());
 }
+
+/// Guards against planning with what was known of a server before its entry was removed (LIMIT,
+/// found by a hunt on alykes-stock with `late_orders_and_lost_holder`): the entry that comes back
+/// shows the same run, but its holdings lag behind.
+#[test]
+fn a_server_whose_entry_comes_back_has_appeared_anew() {
+    let now = Instant::now();
+    let mut d = Directory::default();
+    d.put(entry(holdings(1, &["m1"])), 10, now);
+    d.put(entry(holdings(1, &["m1"])), 11, now);
+    assert_eq!(d.get("s1").map(|s| s.appeared), Some(10));
+    observe(&mut d, holdings(1, &["m1", "m2"]), now);
+    d.remove("s1", None);
+    d.put(entry(holdings(1, &["m1"])), 13, now);
+    assert_eq!(d.get("s1").map(|s| s.appeared), Some(13));
+}
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Guards against using a server that left for longer than the two seconds after its leaving,
+/// because this instance had a failed call to a store that was otherwise in order (DRAIN, found by
+/// a hunt on alykes-stock, trouble-1 with seed 462956477409: used for 2.17 s).
+#[test]
+fn a_short_loss_of_the_registry_lets_no_entry_lapse() {
+    let now = Instant::now();
+    let mut contact = Contact::new(HEARTBEAT);
+    contact.confirmed(now);
+    let back = now + Duration::from_millis(1_900);
+    contact.confirmed(back);
+    assert_eq!(contact.lapses_until(back), None);
+}
+
+/// Guards against taking live servers for gone after an outage, and against a grace that counts
+/// from when the loss is seen: a server that is missing two seconds after the return is gone.
+#[test]
+fn after_an_outage_the_grace_counts_from_the_return() {
+    let now = Instant::now();
+    let mut contact = Contact::new(HEARTBEAT);
+    contact.confirmed(now);
+    let back = now + Duration::from_millis(2_400);
+    contact.confirmed(back);
+    let until = back + LAPSE_GRACE;
+    assert_eq!(contact.lapses_until(back), Some(until));
+    let later = back + Duration::from_millis(1_900);
+    contact.confirmed(later);
+    assert_eq!(contact.lapses_until(later), Some(until));
+    assert_eq!(contact.lapses_until(until), None);
+}
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -139,3 +139,23 @@
     assert_eq!(first.await.unwrap().status, Some(200));
     assert_eq!(world.servers[0].overloads(), 0);
 }
+
+/// Guards against orders that rest on the registry, which lags: the entry of a live server is
+/// removed and comes back with what the server held before the last orders (LIMIT, found by a hunt
+/// on alykes-stock with the day `late_orders_and_lost_holder`).
+#[tokio::test]
+async fn a_server_whose_entry_comes_back_is_asked_what_it_holds() {
+    let world = World::serving(vec![engine("e1", &["m1"])]).await;
+    let outdated = world.servers[0].entry(false);
+    let told = world.caller.call(world.entry(), &call("a1", "m3")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    world.store.delete("servers", "e1");
+    let is_removed = || !world.instances[0].log_lines(&["entry removed", "e1"]).is_empty();
+    assert!(eventually(WAIT, is_removed).await);
+    world.store.put("servers", "e1", outdated);
+    for (id, model) in [("a2", "m4"), ("a3", "m2")] {
+        let told = world.caller.call(world.entry(), &call(id, model)).await;
+        assert_eq!((told.status, told.is_complete), (Some(200), true), "{model}: {told:?}");
+    }
+    assert_eq!(world.servers[0].overloads(), 0);
+}
