Keep a model while requests that waited for it are being sent

The plan valued a model by its arrivals, which were seconds ago, and by the requests in flight, of which the order giver hears with the next status only.

Change: requests that wait for a model count as a claim on it also after a server has it, until their instance tells that they are in flight; a claimed model is not unloaded.

Ruled out: the order of the loads, and loads that failed (8 of 220 moves).

--- a/components/process/entry/src/process/orders/give.rs
+++ b/components/process/entry/src/process/orders/give.rs
@@ -183,7 +183,7 @@
     let directory = cx.directory.borrow();
     let views = views(cx, giver, &directory, service, now);
     for demand in giver.demands.models.values_mut() {
-        (demand.waiting, demand.in_flight) = (0, 0);
+        (demand.waiting, demand.claimed, demand.in_flight) = (0, 0, 0);
     }
     for view in &views {
         for (model, count) in &view.by_model {
@@ -195,8 +195,9 @@
         let is_loaded = views
             .iter()
             .any(|view| !view.is_leaving && view.holdings.models.contains_key(&key.model));
-        if !is_loaded {
-            demand.waiting += count;
+        match is_loaded {
+            true => demand.claimed += count,
+            false => demand.waiting += count,
         }
     }
     let limits = Limits {
--- a/components/process/model_homes/src/demand.rs
+++ b/components/process/model_homes/src/demand.rs
@@ -13,6 +13,9 @@
 pub struct Demand {
     /// Requests that wait until a server has the model.
     pub waiting: u32,
+    /// Requests that wait for the model or one of its adapters as far as told, although a server
+    /// has the model already: their instances are only just sending them.
+    pub claimed: u32,
     /// Requests in flight.
     pub in_flight: u32,
     /// Last arrival.
--- a/components/process/model_homes/src/plan.rs
+++ b/components/process/model_homes/src/plan.rs
@@ -175,7 +175,7 @@
             return Some(0.05 + here * 0.02 + rate * 0.005);
         }
         let demand = self.demands.of(model);
-        if demand.is_some_and(|d| d.waiting > 0) {
+        if demand.is_some_and(|d| d.waiting > 0 || d.claimed > 0) {
             return None;
         }
         let used = demand.and_then(|d| d.used_at);
--- a/components/process/model_homes/src/plan_tests.rs
+++ b/components/process/model_homes/src/plan_tests.rs
@@ -116,6 +116,26 @@
     assert!(plan.moves.iter().any(|m| *m.load == *"m0" && *m.server == *"b"), "{plan:?}");
 }
 
+/// Guards against unloading a model right after its load, before the requests that waited for it
+/// are sent: many rare models are asked for at once, and each one's arrival is seconds ago (seen on
+/// kh-dielna trouble-3, where models were unloaded 20 ms after their load and loaded elsewhere).
+#[test]
+fn a_model_whose_waiting_requests_are_about_to_be_sent_stays() {
+    let now = Instant::now();
+    let on_disk = ["m0", "m1", "m2", "m9"];
+    let a = holdings(&["m0", "m1", "m2"], &on_disk);
+    let servers = [view("a", &a)];
+    let mut demands = demand("m9", 1, 1, now);
+    for model in ["m0", "m1"] {
+        demands.models.entry(model.into()).or_default().claimed = 1;
+    }
+    let chosen = plan(now, &servers, &demands, &models(), LIMITS);
+    assert_eq!(chosen.moves[0].unload, [Box::<str>::from("m2")], "{chosen:?}");
+    demands.models.entry("m2".into()).or_default().claimed = 1;
+    let chosen = plan(now, &servers, &demands, &models(), LIMITS);
+    assert!(chosen.moves.is_empty(), "{chosen:?}");
+}
+
 /// Guards against more loads at once than the weight store carries at full speed.
 #[test]
 fn loads_from_the_store_stay_within_its_limit() {
