Tell callers of streams when to come back before they leave, and keep wanted what they come back for

And a refused request no longer counted as waiting, so that its model was not loaded when the caller came back.

Change: the wait for a server ends before the caller leaves; it is refused (not run) with a time to return. What a refused caller waited for stays wanted until it should be back.

The new test fails if refused requests no longer count as waiting.

--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -138,6 +138,11 @@
         self.wants_changed.notify_one();
     }
 
+    /// Requests in flight at a server from all instances, as far as known.
+    pub(crate) fn in_flight_at(&self, server: &str) -> u32 {
+        self.loads.borrow().at(server) + self.instances.borrow().in_flight_at(server)
+    }
+
     /// Changes the health of a server.
     pub(crate) fn judge(&self, server: &str, change: impl FnOnce(&mut Health, Instant)) {
         let mut health = self.health.borrow_mut();
--- a/components/process/entry/src/process/wants.rs
+++ b/components/process/entry/src/process/wants.rs
@@ -1,10 +1,14 @@
 //! Models that requests of this instance wait for.
 
-use routes::ServiceName;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
+
+use routes::ServiceName;
+use tokio::task::spawn_local;
 
 use super::{Entry, ModelKey};
+use crate::request::Job;
 
 /// Models and adapters that are waited for, by service.
 #[derive(Debug, Default)]
@@ -26,7 +30,22 @@
 }
 
 impl Want {
-    pub(crate) fn new(cx: &Rc<Entry>, service: &str, key: ModelKey) -> Self {
+    /// What a request waits for; `None` if it is for no model.
+    pub(crate) fn of(cx: &Rc<Entry>, job: &Job) -> Option<Self> {
+        let prompt = job.prompt()?;
+        let key = ModelKey { model: prompt.model.clone(), adapter: prompt.adapter.clone() };
+        Some(Self::new(cx, &job.service, key))
+    }
+
+    /// Keeps the model wanted for a caller who was told to come back.
+    pub(crate) fn keep_until(self, until: Instant) {
+        spawn_local(async move {
+            tokio::time::sleep_until(until.into()).await;
+            drop(self);
+        });
+    }
+
+    fn new(cx: &Rc<Entry>, service: &str, key: ModelKey) -> Self {
         let key = (ServiceName::from(service), key);
         let mut wants = cx.wants.borrow_mut();
         let count = wants.waiting.entry(key.clone()).or_default();
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod stream;
 mod trace;
 mod verdict;
+mod wait;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,7 +16,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use platform_adapter::{RequestFacts, strip, without_connection_headers};
+use platform_adapter::{Prompt, RequestFacts, strip, without_connection_headers};
 use rand::Rng;
 use routes::{Route, ServiceName};
 use server_directory::ServerId;
@@ -23,9 +24,9 @@
 use crate::connection::Body;
 use crate::process::{Entry, ModelKey, Phase};
 use attempt::{Attempted, attempt};
-use select::pick;
 use trace::Trace;
 use verdict::{Failure, Runs, plain};
+use wait::pick;
 
 /// Longest time that a caller may take to send a body.
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -49,6 +50,9 @@
     pub(crate) body: Bytes,
     /// The answer must be there by then.
     pub(crate) deadline: Instant,
+    /// A server must have been found by then: the caller of a stream leaves earlier than at the
+    /// deadline if no event comes.
+    pub(crate) offer_by: Instant,
     pub(crate) runs: Runs,
     /// Servers that are not tried again for now.
     pub(crate) tried: Vec<ServerId>,
@@ -56,6 +60,11 @@
 }
 
 impl Job {
+    /// What the request asks of a model; `None` at a plain service.
+    pub(crate) fn prompt(&self) -> Option<&Prompt> {
+        self.facts.prompt.as_ref().filter(|_| self.has_engine)
+    }
+
     /// Whether the request may be sent once more after a send that may have been run.
     pub(crate) fn may_run_again(&self) -> bool {
         self.route.kind.may_run_again() && self.runs.count() < self.route.max_attempts
@@ -145,6 +154,8 @@
         let key = ModelKey { model: prompt.model.clone(), adapter: prompt.adapter.clone() };
         *cx.loads.borrow_mut().arrivals.entry(key).or_default() += 1;
     }
+    let deadline = arrived + patience;
+    let offer_by = route.event_patience().map_or(deadline, |first| deadline.min(arrived + first));
     let path = parts.uri.path_and_query().cloned();
     let trace = Trace::new(&facts, &route, &service, deployment.version, arrived);
     Ok(Job {
@@ -156,7 +167,8 @@
         method: parts.method,
         headers: parts.headers,
         body,
-        deadline: arrived + patience,
+        deadline,
+        offer_by,
         runs: Runs::default(),
         tried: Vec::new(),
         trace,
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -14,7 +14,7 @@
 
 use super::Job;
 use super::attempt::{Attempted, Piece, Started, StreamSource, attempt};
-use super::select::pick;
+use super::wait::pick;
 use crate::connection::{Body, BrokenOff};
 use crate::process::Entry;
 
@@ -108,8 +108,8 @@
 /// Continues a stream after `last_event` at another server.
 async fn resume(cx: &Rc<Entry>, job: &mut Job, last_event: Option<Box<str>>) -> Option<Started> {
     let last_event = last_event.or_else(|| job.facts.last_event.clone());
-    let give_up_at = job.deadline.min(Instant::now() + RESUME_TIME);
-    while job.may_run_again() && Instant::now() < give_up_at {
+    job.offer_by = job.deadline.min(Instant::now() + RESUME_TIME);
+    while job.may_run_again() && Instant::now() < job.offer_by {
         if !cx.take_repeat(&job.service) {
             tokio::time::sleep(REPEAT_POLL).await;
             continue;
--- a/components/process/entry/src/request/verdict.rs
+++ b/components/process/entry/src/request/verdict.rs
@@ -10,7 +10,7 @@
 
 /// Longest random addition to the time after which a caller should come back, so that callers
 /// that were refused together do not come back together.
-const RETURN_SPREAD: Duration = Duration::from_millis(600);
+pub(super) const RETURN_SPREAD: Duration = Duration::from_millis(600);
 
 /// What is known of the runs of one request. Only this type picks the status of a failure: a
 /// status that promises that the request was not run is told only if no server may have run it.
--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -55,6 +55,13 @@
     pub weight: u32,
 }
 
+/// Least time for which a caller of a stream waits for the next event, the first included.
+const LEAST_EVENT_PATIENCE: Duration = Duration::from_secs(2);
+/// The same in latency targets, and in longest pauses between two events; the longest of the three
+/// counts. The figures are those of the users' pages.
+const EVENT_PATIENCE_IN_TARGETS: u32 = 4;
+const EVENT_PATIENCE_IN_GAPS: u32 = 8;
+
 /// How requests of one host and path prefix are served.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -70,6 +77,8 @@
     pub timeout: Duration,
     /// Time within which a response earns its full benefit.
     pub latency_target: Duration,
+    /// Longest pause between two events of a stream that is still on time.
+    pub event_gap: Duration,
     /// Rank among routes; 0 is the most urgent.
     pub priority: u8,
     /// Never empty; at least one weight is positive.
@@ -91,6 +100,15 @@
         }
         &self.targets[self.targets.len() - 1]
     }
+
+    /// Time without an event after which the caller of a stream leaves, the first event included;
+    /// `None` if the answer is no stream.
+    pub fn event_patience(&self) -> Option<Duration> {
+        let longest = LEAST_EVENT_PATIENCE
+            .max(self.latency_target * EVENT_PATIENCE_IN_TARGETS)
+            .max(self.event_gap * EVENT_PATIENCE_IN_GAPS);
+        self.kind.is_stream().then_some(longest)
+    }
 }
 
 /// A base model that a service can serve.
--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -10,6 +10,7 @@
         kind: CallKind::Idempotent,
         timeout: Duration::from_secs(1),
         latency_target: Duration::from_millis(100),
+        event_gap: Duration::from_millis(250),
         priority: 1,
         targets: [("a", 90), ("b", 10)]
             .map(|(service, weight)| Target { service: service.into(), weight })
@@ -51,3 +52,22 @@
     assert_eq!(&*r.target(0.91).service, "b");
     assert_eq!(&*r.target(0.999_999).service, "b");
 }
+
+/// Guards against holding a request for a caller that has left: callers of streams leave after a
+/// time without an event that may be far shorter than their deadline.
+#[test]
+fn the_patience_of_a_streams_caller_is_the_longest_of_three() {
+    let patience = |target, gap, kind| {
+        let route = Route {
+            kind,
+            latency_target: Duration::from_millis(target),
+            event_gap: Duration::from_millis(gap),
+            ..route("r", "h", "/")
+        };
+        route.event_patience().map(|patience| patience.as_millis())
+    };
+    assert_eq!(patience(100, 100, CallKind::Stream), Some(2_000));
+    assert_eq!(patience(4_000, 250, CallKind::Stream), Some(16_000));
+    assert_eq!(patience(500, 300, CallKind::ResumableStream), Some(2_400));
+    assert_eq!(patience(500, 300, CallKind::Idempotent), None);
+}
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use platform_stand_in::{Call, Fault, StoreFault};
+use platform_stand_in::{Call, Fault, Model, StoreFault, configuration};
 
-use crate::world::{WAIT, World, engine, eventually};
+use crate::world::{ROUTES, WAIT, World, engine, eventually};
 
 fn call<'a>(id: &'a str, model: &'a str) -> Call<'a> {
     let patience = Duration::from_secs(15);
@@ -159,3 +159,35 @@
     }
     assert_eq!(world.servers[0].overloads(), 0);
 }
+
+/// Guards against holding callers of streams until they leave, and against forgetting what they
+/// were told to come back for: two models are asked for at once that one server loads one after
+/// the other, each in more than the two seconds for which the callers wait.
+#[tokio::test]
+async fn what_refused_callers_come_back_for_is_loaded_meanwhile() {
+    const SLOW: &[(&str, f64)] = &[("slow1", 2.5), ("slow2", 2.5), ("m1", 0.3), ("m2", 0.3)];
+    let mut cfg = engine("e1", &["m1", "m2"]);
+    let models = SLOW.iter();
+    cfg.models =
+        models.map(|(name, s)| Model { name, disk_load: Duration::from_secs_f64(*s) }).collect();
+    let mut world = World::new(vec![cfg]).await;
+    world.store.put("config", "main", configuration(4, ROUTES, SLOW));
+    world.start_instance().await;
+    let impatient = |id, model| Call { path: "/chat/x", ..call(id, model) };
+    let (first, second) = (impatient("a1", "slow1"), impatient("a2", "slow2"));
+    let told = tokio::join!(
+        world.caller.call(world.entry(), &first),
+        world.caller.call(world.entry(), &second)
+    );
+    for told in [told.0, told.1] {
+        assert_eq!(told.status, Some(503), "{told:?}");
+        assert!(told.retry_after.is_some_and(|seconds| seconds > 0.0), "{told:?}");
+    }
+    let are_loaded = || {
+        let loaded = world.servers[0].loaded();
+        ["slow1", "slow2"].iter().all(|model| loaded.iter().any(|name| name == model))
+    };
+    assert!(eventually(WAIT, are_loaded).await, "{:?}", world.servers[0].loaded());
+    let told = world.caller.call(world.entry(), &call("a3", "slow2")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+}
