Space the begin of loads by the configured rate; hand the learned pace on

Cause: CEILING rested on few loads at once only; the configured rate was decoded and not used, so that short loads on a deployment with a low rate could exceed it. A new order giver began again with two loads at once, although its predecessor had learned that the weight store carries more.

The order giver's messages carry the number of loads at once, from which a successor starts.

No broken rule is known from this; the tests are two_order_givers_in_a_row_stay_within_the_rate and a_load_after_a_pause_begins_at_once.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -80,6 +80,8 @@
     pub(crate) configuration: SyncMark,
     /// Some servers: those that changed, and the others in turn.
     pub(crate) held: Vec<Held>,
+    /// Loads from the weight store that should run at once, as learned.
+    pub(crate) store_at_once: u8,
     /// Requests in flight from all instances, of all servers that have any. Left out of messages
     /// that only tell of a change.
     pub(crate) in_flight: Option<Vec<(ServerId, u32)>>,
@@ -103,6 +105,8 @@
     by_name: HashMap<InstanceName, Instance>,
     /// Instances that the order giver heard lately.
     told_count: usize,
+    /// Loads from the weight store that should run at once, as an order giver learned it.
+    told_store_pace: Option<usize>,
     /// Requests in flight from other instances, by server, as the order giver told last.
     others_at: HashMap<ServerId, u32>,
     /// What the order giver said of the registry and the configuration, and when.
@@ -165,6 +169,7 @@
     /// Takes what the order giver said; `own` is what this instance has in flight by server.
     pub(crate) fn told(&mut self, homes: &Homes, own: impl Fn(&str) -> u32, now: Instant) {
         self.told_count = homes.instances as usize;
+        self.told_store_pace = Some(usize::from(homes.store_at_once));
         self.told_marks = Some((homes.registry, homes.configuration, now));
         if let Some(in_flight) = &homes.in_flight {
             let others =
@@ -173,6 +178,11 @@
         }
     }
 
+    /// Loads from the weight store that should run at once, as the last order giver learned it.
+    pub(crate) fn told_store_pace(&self) -> Option<usize> {
+        self.told_store_pace.filter(|at_once| *at_once > 0)
+    }
+
     /// What the order giver said of the registry and the configuration, and when the store
     /// confirmed it, if that was at most `limit` ago.
     pub(crate) fn fresh_marks(
--- a/components/process/entry/src/process/orders/give.rs
+++ b/components/process/entry/src/process/orders/give.rs
@@ -42,7 +42,10 @@
         let Some(lease) = cx.authority.borrow().held(boot_now()) else {
             if was_holder {
                 tracing::warn!("orders: lease no longer held");
-                *giver.borrow_mut() = Giver::new(&cx);
+                let former = giver.replace(Giver::new(&cx));
+                // What was learned of the weight store holds on.
+                let mut state = giver.borrow_mut();
+                (state.pace, state.store_rate) = (former.pace, former.store_rate);
             }
             was_holder = false;
             plan_at = Instant::now() + PLAN_EVERY;
--- a/components/process/entry/src/process/orders/giver.rs
+++ b/components/process/entry/src/process/orders/giver.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Instant;
 
-use model_homes::{Demands, Source, StorePace};
+use model_homes::{Demands, Source, StorePace, StoreRate};
 use routes::{AdapterName, ModelName, ServiceName};
 use server_directory::{Revision, Server, ServerId};
 
@@ -33,6 +33,7 @@
 /// State of the order giver.
 pub(super) struct Giver {
     pub(super) pace: StorePace,
+    pub(super) store_rate: StoreRate,
     pub(super) demands: Demands,
     /// Servers with orders under way, and the model that these load.
     pub(super) ordered: HashMap<ServerId, Option<ModelName>>,
@@ -64,8 +65,11 @@
 
 impl Giver {
     pub(super) fn new(cx: &Entry) -> Self {
+        let told = cx.instances.borrow().told_store_pace();
+        let at_once = told.unwrap_or(cx.settings.concurrent_loads);
         Self {
-            pace: StorePace::new(cx.settings.concurrent_loads, MOST_CONCURRENT_LOADS),
+            pace: StorePace::new(at_once.min(MOST_CONCURRENT_LOADS), MOST_CONCURRENT_LOADS),
+            store_rate: StoreRate::new(Instant::now()),
             demands: Demands::default(),
             ordered: HashMap::new(),
             loading: HashMap::new(),
--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -83,6 +83,11 @@
             "orders: no room for the model; left to the next plan");
         return None;
     }
+    if chosen.source == Source::Store {
+        let rate = engine.store_loads_per_second;
+        let begin = giver.borrow_mut().store_rate.book(Instant::now(), rate);
+        tokio::time::sleep_until(begin.into()).await;
+    }
     let load = Order {
         is_load: true,
         model: model.name.clone(),
--- a/components/process/entry/src/process/orders/tell.rs
+++ b/components/process/entry/src/process/orders/tell.rs
@@ -100,6 +100,7 @@
         registry: mark(sync.registry_mark.get(), sync.registry_at.get()),
         configuration: mark(sync.configuration_mark.get(), sync.configuration_at.get()),
         held,
+        store_at_once: giver.pace.at_once() as u8,
         in_flight,
         ready_in,
     })
--- a/components/process/model_homes/src/lib.rs
+++ b/components/process/model_homes/src/lib.rs
@@ -17,4 +17,4 @@
 pub use authority::{Action, Authority, BootTime, HeldLease, InstanceName, LeaseRecord};
 pub use demand::{Demand, Demands};
 pub use plan::{Limits, Move, Plan, ServerView, Source, free_mb, plan};
-pub use store_pace::StorePace;
+pub use store_pace::{StorePace, StoreRate};
--- a/components/process/model_homes/src/plan_tests.rs
+++ b/components/process/model_homes/src/plan_tests.rs
@@ -27,7 +27,6 @@
         adapter_places: 2,
         store_loads_per_second: 4.0,
         models: (0..10).map(model).map(|m| (m.name.clone(), m)).collect(),
-        ..Engine::default()
     }
 }
 
--- a/components/process/model_homes/src/store_pace.rs
+++ b/components/process/model_homes/src/store_pace.rs
@@ -1,6 +1,7 @@
-//! Pattern: a weight store whose loads get slower in proportion beyond a number that nobody tells.
+//! Pattern: a weight store whose loads get slower in proportion beyond a number that nobody tells,
+//! and which allows only so many of them to begin a second.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Part by which a load may take longer than its nominal time and still count as full speed.
 const TOLERANCE: f64 = 1.25;
@@ -35,3 +36,35 @@
         }
     }
 }
+
+/// Loads that may begin at once after a pause, beside the steady rate. The users' rules allow three
+/// loads and a tenth of the rate more than the rate in a window of some seconds; half of the three
+/// are left to the former order giver, whose last loads its successor does not know.
+const BURST: f64 = 1.5;
+
+/// Spaces the begin of loads from the weight store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreRate {
+    /// When the loads that began so far would all have begun at the steady rate.
+    paid_until: Instant,
+}
+
+impl StoreRate {
+    /// No load began before `now`.
+    pub fn new(now: Instant) -> Self {
+        Self { paid_until: now }
+    }
+
+    /// Books one load at a rate of `per_second` loads and returns when it may begin. A rate of zero
+    /// stands for none.
+    pub fn book(&mut self, now: Instant, per_second: f64) -> Instant {
+        if per_second <= 0.0 {
+            return now;
+        }
+        let interval = Duration::from_secs_f64(1.0 / per_second);
+        let ahead = interval.mul_f64(BURST - 1.0);
+        let due = self.paid_until.max(now);
+        self.paid_until = due + interval;
+        due.checked_sub(ahead).map_or(now, |begin| begin.max(now))
+    }
+}
--- a/components/process/model_homes/src/store_pace_tests.rs
+++ b/components/process/model_homes/src/store_pace_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of how the weight store's pace is learned.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::*;
 
@@ -28,3 +28,34 @@
     assert_eq!(learn(100.0, 9), 8);
     assert!((4..=5).contains(&learn(4.0, 9)));
 }
+
+/// Begins of loads that are all wanted at once, in seconds after `now`.
+fn begins(now: Instant, per_second: f64, loads: usize) -> Vec<f64> {
+    let mut rate = StoreRate::new(now);
+    (0..loads).map(|_| (rate.book(now, per_second) - now).as_secs_f64()).collect()
+}
+
+/// Guards against more loads in a window than the weight store allows (CEILING), also if one order
+/// giver takes over from another in the middle of it.
+#[test]
+fn two_order_givers_in_a_row_stay_within_the_rate() {
+    const WINDOW: f64 = 5.0;
+    let now = Instant::now();
+    for per_second in [0.2, 0.5, 1.0, 4.2, 26.0] {
+        let allowed = per_second * WINDOW * 1.1 + 3.0;
+        for takeover in [1.0, 2.5, 4.0] {
+            let former = begins(now, per_second, 200).into_iter().filter(|at| *at < takeover);
+            let next = begins(now, per_second, 200).into_iter().map(|at| at + takeover);
+            let began = former.chain(next.filter(|at| *at < WINDOW)).count();
+            assert!(began as f64 <= allowed, "{per_second}: {began} of {allowed}");
+        }
+    }
+}
+
+/// Guards against a single load that waits, and against a limit where none is told.
+#[test]
+fn a_load_after_a_pause_begins_at_once() {
+    let now = Instant::now();
+    assert_eq!(begins(now, 0.5, 1), [0.0]);
+    assert_eq!(begins(now, 0.0, 3), [0.0; 3]);
+}
