Use or remove what was decoded and not used; count requests whose callers left

Connections kept for a server are this instance's part of half of what the server accepts from all; the token counts are in a request's log line; dropped log lines are on the metrics page; requests whose callers left were logged and not counted. The time limit for a head and the size of an engine's cache are no longer decoded: the HTTP library measures the head with the idle timeout, and nothing decides by the cache's size.

--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use callers::accept_callers;
 pub(crate) use operators::{accept_metrics, accept_readiness};
-pub(crate) use server::{Link, Pools, SendError, control_call};
+pub(crate) use server::{KEPT_PER_SERVER, Link, Pools, SendError, control_call};
 
 use http_body_util::combinators::UnsyncBoxBody;
 use quick_error::quick_error;
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -30,8 +30,8 @@
 const UNNAMED_IDLE: Duration = Duration::from_millis(150);
 /// Longest idle time, whatever the server allows.
 const LONGEST_IDLE: Duration = Duration::from_secs(10);
-/// Idle connections kept for one server.
-const KEPT_PER_SERVER: usize = 12;
+/// Most idle connections kept for one server, whatever it accepts.
+pub(crate) const KEPT_PER_SERVER: usize = 12;
 /// Largest body of an answer to an order or a report, in bytes.
 const CONTROL_BODY: usize = 1 << 20;
 
@@ -91,6 +91,11 @@
         Ok(Self { server: server.into(), sender, task, used_at: now, reuse_until: now })
     }
 
+    /// Server at the other end.
+    pub(crate) fn server(&self) -> &str {
+        &self.server
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
@@ -162,8 +167,8 @@
         Some(links.remove(at))
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub(crate) fn put(&self, mut link: Link) {
+    /// Keeps a connection whose answer was read to its end, if fewer than `most` are kept.
+    pub(crate) fn put(&self, mut link: Link, most: usize) {
         let now = Instant::now();
         if link.sender.is_closed() || link.reuse_until <= now {
             return;
@@ -171,7 +176,7 @@
         link.used_at = now;
         let mut pools = self.idle.borrow_mut();
         let links = pools.entry(link.server.clone()).or_default();
-        if links.len() < KEPT_PER_SERVER {
+        if links.len() < most {
             links.push(link);
         }
     }
--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -33,10 +33,12 @@
     pub(crate) store_losses: Counter,
     pub(crate) caller_connections: Gauge,
     pub(crate) configuration_version: Gauge,
+    log_lines_dropped: Gauge,
+    dropped_lines: Box<dyn Fn() -> usize>,
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(dropped_lines: impl Fn() -> usize + 'static) -> Self {
         let mut registry = Registry::with_prefix("sequoiawell");
         let requests = Family::<OutcomeLabels, Counter>::default();
         // From 1 ms to about 33 s, which covers the longest patience of callers.
@@ -67,8 +69,12 @@
         };
         let caller_connections = gauge("caller_connections", "Open connections of callers");
         let configuration_version = gauge("configuration_version", "Configuration in force");
+        let log_lines_dropped =
+            gauge("log_lines_dropped", "Log lines dropped because nobody read standard output");
         Self {
             registry,
+            log_lines_dropped,
+            dropped_lines: Box::new(dropped_lines),
             requests,
             first_byte,
             sends,
@@ -84,6 +90,7 @@
 
     /// The metrics as text.
     pub(crate) fn encode(&self) -> String {
+        self.log_lines_dropped.set((self.dropped_lines)() as i64);
         let mut text = String::new();
         if let Err(error) = prometheus_client::encoding::text::encode(&mut text, &self.registry) {
             tracing::error!(%error, "metrics: not encoded");
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -21,7 +21,7 @@
 use server_directory::{Directory, ServerId};
 use tokio::sync::{Notify, watch};
 
-use crate::connection::Pools;
+use crate::connection::{KEPT_PER_SERVER, Link, Pools};
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
@@ -143,6 +143,25 @@
         self.loads.borrow().at(server) + self.instances.borrow().in_flight_at(server)
     }
 
+    /// Keeps an idle connection for the next request.
+    pub(crate) fn keep(&self, link: Link) {
+        let most = self.kept_connections(link.server());
+        self.pools.put(link, most);
+    }
+
+    /// Idle connections that this instance keeps to a server: its part of half of what the server
+    /// accepts from all instances. The other half is left for requests in flight.
+    fn kept_connections(&self, server: &str) -> usize {
+        let directory = self.directory.borrow();
+        let deployment = self.deployment.borrow();
+        let service = directory
+            .get(server)
+            .and_then(|server| deployment.as_ref()?.services.get(&server.entry.service));
+        let accepted = service.map_or(u32::MAX, |service| service.max_connections) as usize;
+        let instances = self.instances.borrow().count();
+        (accepted / 2 / instances).clamp(1, KEPT_PER_SERVER)
+    }
+
     /// Changes the health of a server.
     pub(crate) fn judge(&self, server: &str, change: impl FnOnce(&mut Health, Instant)) {
         let mut health = self.health.borrow_mut();
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -77,12 +77,17 @@
     Store::new(client)
 }
 
-/// Runs an instance until SIGTERM or SIGINT. Must run inside a `LocalSet`.
+/// Runs an instance until SIGTERM or SIGINT. Must run inside a `LocalSet`. `dropped_lines` counts
+/// the log lines that were dropped so far.
 ///
 /// # Errors
 ///
 /// Fails if an address cannot be bound or a signal handler cannot be set.
-pub async fn run(settings: EntrySettings, path: &Path) -> Result<(), Error> {
+pub async fn run(
+    settings: EntrySettings,
+    path: &Path,
+    dropped_lines: impl Fn() -> usize + 'static,
+) -> Result<(), Error> {
     let callers = bind("callers", settings.callers).await?;
     let readiness = bind("readiness", settings.readiness).await?;
     let metrics = bind("metrics", settings.metrics).await?;
@@ -121,7 +126,7 @@
         list_instances: Notify::new(),
         sync: Sync::default(),
         phase: watch::Sender::new(Phase::Serving),
-        metrics: Metrics::new(),
+        metrics: Metrics::new(dropped_lines),
     });
     spawn_local(accept_callers(cx.clone(), callers));
     spawn_local(accept_readiness(cx.clone(), readiness));
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -132,7 +132,7 @@
     pub(crate) fn finish(mut self, cx: &Entry) {
         cx.judge(&self.server, |health, now| health.answered(now));
         if let Some(link) = self.link.take().filter(|_| !self.is_unframed) {
-            cx.pools.put(link);
+            cx.keep(link);
         }
     }
 }
@@ -232,7 +232,7 @@
                 true => health.failed(now, 0.5),
                 false => health.answered(now),
             });
-            cx.pools.put(link);
+            cx.keep(link);
             Attempted::Whole(parts, body.to_bytes())
         }
         Ok(Err(_)) => {
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -79,7 +79,7 @@
 ) -> Response<Body> {
     let phase = *cx.phase.borrow();
     let mut answer = match admit(&cx, req, arrived).await {
-        Ok(job) if phase >= Phase::Closing => finish(&cx, job, Failure::NotServing, Duration::ZERO),
+        Ok(job) if phase >= Phase::Closing => finish(job, Failure::NotServing, Duration::ZERO),
         Ok(job) => dispatch(&cx, job).await,
         Err(refusal) => refusal,
     };
@@ -157,7 +157,7 @@
     let deadline = arrived + patience;
     let offer_by = route.event_patience().map_or(deadline, |first| deadline.min(arrived + first));
     let path = parts.uri.path_and_query().cloned();
-    let trace = Trace::new(&facts, &route, &service, deployment.version, arrived);
+    let trace = Trace::new(cx, &facts, &route, &service, deployment.version, arrived);
     Ok(Job {
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         facts,
@@ -175,9 +175,9 @@
     })
 }
 
-fn finish(cx: &Entry, mut job: Job, failure: Failure, return_in: Duration) -> Response<Body> {
+fn finish(mut job: Job, failure: Failure, return_in: Duration) -> Response<Body> {
     let answer = job.runs.failure(failure, return_in);
-    job.trace.end(cx, failure.as_str(), answer.status());
+    job.trace.end(failure.as_str(), answer.status());
     answer
 }
 
@@ -195,7 +195,7 @@
         let picked = match pick(cx, &mut job).await {
             Ok(picked) => picked,
             Err(_) if last_answer.is_some() => break,
-            Err(not) => return finish(cx, job, not.failure, not.return_in),
+            Err(not) => return finish(job, not.failure, not.return_in),
         };
         if job.runs.has_arrived() {
             cx.metrics.repeats.inc();
@@ -209,7 +209,7 @@
                 job.tried.push(picked.id);
                 not_sent += 1;
                 if not_sent >= MAX_NOT_SENT {
-                    return finish(cx, job, Failure::NoServer, RETURN_IN);
+                    return finish(job, Failure::NoServer, RETURN_IN);
                 }
             }
             Attempted::NotRun(status) => {
@@ -225,7 +225,7 @@
                 job.runs.may_have_run();
                 job.tried.push(picked.id);
                 if Instant::now() >= job.deadline {
-                    return finish(cx, job, Failure::TimeOver, RETURN_IN);
+                    return finish(job, Failure::TimeOver, RETURN_IN);
                 }
                 if !job.may_run_again() {
                     break;
@@ -249,8 +249,8 @@
     }
     match last_answer {
         Some((parts, body)) => whole(cx, job, parts, body),
-        None if job.runs.count() > 0 => finish(cx, job, Failure::AnswerLost, RETURN_IN),
-        None => finish(cx, job, Failure::Rejected, RETURN_IN),
+        None if job.runs.count() > 0 => finish(job, Failure::AnswerLost, RETURN_IN),
+        None => finish(job, Failure::Rejected, RETURN_IN),
     }
 }
 
@@ -262,7 +262,7 @@
     body: Bytes,
 ) -> Response<Body> {
     job.trace.first_byte(cx);
-    job.trace.end(cx, "answered", parts.status);
+    job.trace.end("answered", parts.status);
     without_connection_headers(&mut parts.headers);
     if job.method != Method::HEAD {
         parts.headers.remove(header::CONTENT_LENGTH);
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -42,7 +42,7 @@
         tracing::debug!("stream: caller gone before its first event");
     }
     if has_ended {
-        job.trace.end(cx, "answered", parts.status);
+        job.trace.end("answered", parts.status);
         source.finish(cx);
     } else {
         spawn_local(relay(cx.clone(), job, parts.status, source, tx));
@@ -61,17 +61,17 @@
     loop {
         let piece = tokio::select! {
             biased;
-            () = tx.closed() => return job.trace.end(&cx, "caller_left", status),
+            () = tx.closed() => return job.trace.end("caller_left", status),
             piece = source.next(&cx, &job) => piece,
         };
         match piece {
             Piece::Data(data) => {
                 if tx.send(Ok(Frame::data(data))).await.is_err() {
-                    return job.trace.end(&cx, "caller_left", status);
+                    return job.trace.end("caller_left", status);
                 }
             }
             Piece::End => {
-                job.trace.end(&cx, "answered", status);
+                job.trace.end("answered", status);
                 return source.finish(&cx);
             }
             Piece::Broken(reason) => {
@@ -80,11 +80,11 @@
                 // The connection to the former server is closed before the next one is asked.
                 source.abandon(&cx);
                 let resumed = tokio::select! {
-                    () = tx.closed() => return job.trace.end(&cx, "caller_left", status),
+                    () = tx.closed() => return job.trace.end("caller_left", status),
                     resumed = resume(&cx, &mut job, last_event) => resumed,
                 };
                 let Some(started) = resumed else {
-                    job.trace.end(&cx, "broke_off", status);
+                    job.trace.end("broke_off", status);
                     if tx.send(Err(BrokenOff::Incomplete)).await.is_err() {
                         tracing::debug!("stream: caller gone as well");
                     }
@@ -93,10 +93,10 @@
                 if !started.first.is_empty()
                     && tx.send(Ok(Frame::data(started.first))).await.is_err()
                 {
-                    return job.trace.end(&cx, "caller_left", status);
+                    return job.trace.end("caller_left", status);
                 }
                 if started.has_ended {
-                    job.trace.end(&cx, "answered", status);
+                    job.trace.end("answered", status);
                     return started.source.finish(&cx);
                 }
                 source = started.source;
--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -5,6 +5,8 @@
 
 use http::StatusCode;
 use platform_adapter::RequestFacts;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use routes::{CallKind, DeploymentVersion, Route};
 
 use super::attempt::Attempted;
@@ -18,10 +20,13 @@
 /// Collects the decisions for one request. It writes exactly one line, at the end or when the
 /// request is dropped because its caller left.
 pub(crate) struct Trace {
+    requests: Family<OutcomeLabels, Counter>,
     id: Box<str>,
     route: Box<str>,
     service: Box<str>,
     model: Box<str>,
+    /// Tokens of the prompt, and most tokens of the answer.
+    tokens: (u64, u64),
     kind: &'static str,
     version: DeploymentVersion,
     arrived: Instant,
@@ -45,15 +50,18 @@
 
 impl Trace {
     pub(crate) fn new(
+        cx: &Entry,
         facts: &RequestFacts,
         route: &Route,
         service: &str,
         version: DeploymentVersion,
         arrived: Instant,
     ) -> Self {
-        let model = facts.prompt.as_ref().map_or("", |prompt| &*prompt.model);
-        let adapter = facts.prompt.as_ref().and_then(|prompt| prompt.adapter.as_deref());
+        let prompt = facts.prompt.as_ref();
+        let model = prompt.map_or("", |prompt| &*prompt.model);
+        let adapter = prompt.and_then(|prompt| prompt.adapter.as_deref());
         Self {
+            requests: cx.metrics.requests.clone(),
             id: facts.attempt_id.clone(),
             route: route.name.clone(),
             service: service.into(),
@@ -61,6 +69,7 @@
                 Some(adapter) => format!("{model}/{adapter}").into(),
                 None => model.into(),
             },
+            tokens: prompt.map_or((0, 0), |p| (p.prompt_tokens, p.output_tokens)),
             kind: kind_name(route.kind),
             version,
             arrived,
@@ -102,18 +111,19 @@
     }
 
     /// Writes the line.
-    pub(crate) fn end(&mut self, cx: &Entry, outcome: &'static str, status: StatusCode) {
-        let labels = OutcomeLabels { kind: self.kind, outcome };
-        cx.metrics.requests.get_or_create(&labels).inc();
+    pub(crate) fn end(&mut self, outcome: &'static str, status: StatusCode) {
         self.write(outcome, status.as_u16());
     }
 
-    fn write(&mut self, outcome: &str, status: u16) {
+    fn write(&mut self, outcome: &'static str, status: u16) {
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
+        let labels = OutcomeLabels { kind: self.kind, outcome };
+        self.requests.get_or_create(&labels).inc();
         tracing::info!(id = %self.id, route = %self.route, service = %self.service,
-            model = %self.model, kind = self.kind, version = self.version, outcome, status,
+            model = %self.model, prompt_tokens = self.tokens.0, answer_tokens = self.tokens.1,
+            kind = self.kind, version = self.version, outcome, status,
             first_byte_ms = self.first_byte_ms, took_ms = ms(self.arrived),
             steps = %self.steps, "request: ended");
     }
--- a/components/process/telemetry/src/log.rs
+++ b/components/process/telemetry/src/log.rs
@@ -44,9 +44,10 @@
 }
 
 impl LogGuard {
-    /// Lines that were dropped because standard output was not read.
-    pub fn dropped_lines(&self) -> usize {
-        self.dropped.dropped_lines()
+    /// Counts the lines that were dropped because standard output was not read.
+    pub fn dropped_lines(&self) -> impl Fn() -> usize + 'static {
+        let dropped = self.dropped.clone();
+        move || dropped.dropped_lines()
     }
 }
 
--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -133,8 +133,6 @@
 pub struct Engine {
     /// Requests that one server runs at once.
     pub slots: u32,
-    /// Tokens that the running requests and cached prompts of one server share.
-    pub cache_tokens: u64,
     /// Accelerator memory for weights and adapters, in MB.
     pub weights_mb: f64,
     /// Main memory of a server for copies of weights, in MB.
@@ -165,9 +163,8 @@
     pub max_header_bytes: usize,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
-    /// Time from the first to the last byte of a head.
-    pub header_timeout: Duration,
-    /// Time that a connection may be idle.
+    /// Time that a connection may be idle. It also bounds the time for a head, because the HTTP
+    /// library measures both with one timer.
     pub idle_timeout: Duration,
 }
 
--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -20,12 +20,8 @@
 }
 
 fn deployment() -> Deployment {
-    let limits = ClientLimits {
-        max_header_bytes: 1,
-        max_body_bytes: 1,
-        header_timeout: Duration::ZERO,
-        idle_timeout: Duration::ZERO,
-    };
+    let limits =
+        ClientLimits { max_header_bytes: 1, max_body_bytes: 1, idle_timeout: Duration::ZERO };
     let routes =
         [route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
     Deployment::new(1, routes, [], limits)
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -27,9 +27,9 @@
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, Failure> {
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let settings = EntrySettings::load(&path)?;
-    let _log = telemetry::init_json_stdout(&settings.log_level)
+    let log = telemetry::init_json_stdout(&settings.log_level)
         .map_err(|e| Failure::Log(e.to_string()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, entry::run(settings, &path))?;
+    LocalSet::new().block_on(&runtime, entry::run(settings, &path, log.dropped_lines()))?;
     Ok(ExitCode::SUCCESS)
 }
