--- a/benches/policy/trace.rs
+++ b/benches/policy/trace.rs
@@ -123,7 +123,7 @@
 
     fn kovac_day(&mut self, day: u64) {
         let scale = self.site.scale;
-        // The workshop opens at eight and customers wait already.
+        // The workshop opens at eight and client accounts wait already.
         for model in sample(self.rng, self.site.names.len(), 12 * scale) {
             let at = day + 8 * HOUR + self.rng.random_range(0..2 * MINUTE);
             self.session(model, at, REPAIR_QUOTE);
@@ -163,7 +163,7 @@
         }
     }
 
-    /// A customer at the counter: a few requests, one after the other.
+    /// A client account at the counter: a few requests, one after the other.
     fn session(&mut self, model: usize, at: u64, class: Class) {
         let mut at = at;
         for _ in 0..self.rng.random_range(2..=4) {
--- a/benches/slopes/fleet.rs
+++ b/benches/slopes/fleet.rs
@@ -68,7 +68,7 @@
     pub(crate) list_encoded: Vec<u8>,
     pub(crate) platform: PlatformModel,
     pub(crate) catalogue: Arc<Catalogue>,
-    pub(crate) contracts: BTreeMap<CustomerId, Arc<Contract>>,
+    pub(crate) contracts: BTreeMap<ClientAccountId, Arc<Contract>>,
     pub(crate) apply: Option<Apply>,
     /// When each version was accepted.
     pub(crate) accepted: BTreeMap<ConfigurationVersion, Instant>,
--- a/benches/slopes/fleet_changes.rs
+++ b/benches/slopes/fleet_changes.rs
@@ -8,7 +8,7 @@
 
 use crate::event::Event;
 use crate::fleet::{Fleet, MIN_SLEEP, PLATFORM, WATCH_TIME};
-use crate::scale::{adapter_name, customer_name, customers};
+use crate::scale::{adapter_name, client_account_name, client_accounts};
 
 impl Fleet {
     pub(crate) fn random_adapter(&mut self) -> AdapterId {
@@ -42,8 +42,8 @@
         if !self.accepted.is_empty() {
             let again = self.now + Duration::from_secs_f64(1.0 / per_second);
             self.schedule(again, None, Event::Change);
-            let customer = customer_name(self.rng.random_range(0..customers()));
-            if let Some(contract) = self.contracts.get_mut(&customer) {
+            let client_account = client_account_name(self.rng.random_range(0..client_accounts()));
+            if let Some(contract) = self.contracts.get_mut(&client_account) {
                 let contract = Arc::make_mut(contract);
                 contract.limits.requests_per_second += 1;
             }
--- a/benches/slopes/node.rs
+++ b/benches/slopes/node.rs
@@ -326,9 +326,9 @@
         if call != 0 {
             return;
         }
-        // One line of about 60 bytes per customer and model that had work in this hour.
+        // One line of about 60 bytes per client account and model that had work in this hour.
         let lines: Vec<(u32, &str)> = (0..ARRIVALS_PER_SECOND as u32)
-            .map(|n| (n, "customer-000/model-0000/version-00000/tokens-0000000000"))
+            .map(|n| (n, "account-0000/model-0000/version-00000/tokens-0000000000"))
             .collect();
         let value = types::object::encode(&lines);
         let key = ObjectKey::new("work", self.id.name.clone());
--- a/benches/slopes/scale.rs
+++ b/benches/slopes/scale.rs
@@ -17,8 +17,8 @@
 /// Requests that one replica runs at one time.
 pub(crate) const BATCH: u32 = 32;
 
-/// Customers of a fleet.
-const CUSTOMERS: usize = 400;
+/// Client accounts of a fleet.
+const CLIENT_ACCOUNTS: usize = 400;
 
 /// Size of a fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,15 +95,18 @@
         }
     }
 
-    /// Contracts that divide the models and adapters between the customers.
-    pub(crate) fn contracts(&self, catalogue: &Catalogue) -> BTreeMap<CustomerId, Arc<Contract>> {
+    /// Contracts that divide the models and adapters between the client accounts.
+    pub(crate) fn contracts(
+        &self,
+        catalogue: &Catalogue,
+    ) -> BTreeMap<ClientAccountId, Arc<Contract>> {
         let contract = |n: usize| {
             let models: BTreeSet<ModelId> =
-                catalogue.models.keys().skip(n).step_by(CUSTOMERS).cloned().collect();
+                catalogue.models.keys().skip(n).step_by(CLIENT_ACCOUNTS).cloned().collect();
             let adapters = models.iter().map(|m| (m.clone(), catalogue.models[m].adapters.clone()));
-            let share = WHOLE_BASIS_POINTS / CUSTOMERS as u32;
+            let share = WHOLE_BASIS_POINTS / CLIENT_ACCOUNTS as u32;
             Contract {
-                customer: customer_name(n),
+                client_account: client_account_name(n),
                 key_hashes: BTreeSet::from([format!("{n:064x}").into()]),
                 adapters: adapters.collect(),
                 models,
@@ -119,7 +122,7 @@
                 services: BTreeSet::new(),
             }
         };
-        (0..CUSTOMERS).map(|n| (customer_name(n), Arc::new(contract(n)))).collect()
+        (0..CLIENT_ACCOUNTS).map(|n| (client_account_name(n), Arc::new(contract(n)))).collect()
     }
 }
 
@@ -146,10 +149,10 @@
     format!("ad-{n:05}").into()
 }
 
-pub(crate) fn customer_name(n: usize) -> CustomerId {
-    format!("customer-{n:03}").into()
+pub(crate) fn client_account_name(n: usize) -> ClientAccountId {
+    format!("account-{n:04}").into()
 }
 
-pub(crate) fn customers() -> usize {
-    CUSTOMERS
+pub(crate) fn client_accounts() -> usize {
+    CLIENT_ACCOUNTS
 }
--- a/components/connection/front/src/arrival.rs
+++ b/components/connection/front/src/arrival.rs
@@ -10,8 +10,8 @@
 
 use crate::Problem;
 
-/// Customers by the SHA-256 hash of their bearer keys.
-pub type KeyTable = HashMap<Box<str>, CustomerId>;
+/// Client accounts by the SHA-256 hash of their bearer keys.
+pub type KeyTable = HashMap<Box<str>, ClientAccountId>;
 
 /// The SHA-256 hash of a bearer key in lower-case hex.
 pub fn hash_key(key: &str) -> Box<str> {
@@ -45,8 +45,8 @@
 pub struct Arrival {
     /// Identifier, also sent to the caller.
     pub request: RequestId,
-    /// Customer whose key the caller presented.
-    pub customer: CustomerId,
+    /// Client account whose key the caller presented.
+    pub client_account: ClientAccountId,
     /// The `Authorization` header, to forward the request to another data centre.
     pub authorization: Secret,
     /// Set if another instance forwarded the request; it is not forwarded again.
@@ -68,7 +68,7 @@
 /// What a caller asks for.
 #[derive(Debug)]
 pub enum Call {
-    /// The list of models that the customer may use.
+    /// The list of models that the client account may use.
     Models,
     /// A completion by a model.
     Completion {
--- a/components/connection/front/src/callers.rs
+++ b/components/connection/front/src/callers.rs
@@ -124,7 +124,7 @@
     ) -> Result<Arrival, Problem> {
         let arrived_at = Instant::now();
         let (head, body) = req.into_parts();
-        let customer = self.authenticate(&head.headers)?;
+        let client_account = self.authenticate(&head.headers)?;
         let route = parse::route(&head.method, &head.uri)?;
         let deadline = parse::deadline(&head.headers, arrived_at)?;
         let class = parse::class(&head.headers)?;
@@ -147,7 +147,7 @@
         let authorization = head.headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
         Ok(Arrival {
             request,
-            customer,
+            client_account,
             authorization: Secret::new(authorization.unwrap_or_default()),
             is_forwarded: head.headers.contains_key(FORWARDED_HEADER),
             arrived_at,
@@ -159,15 +159,16 @@
         })
     }
 
-    fn authenticate(&self, headers: &http::HeaderMap) -> Result<CustomerId, Problem> {
+    fn authenticate(&self, headers: &http::HeaderMap) -> Result<ClientAccountId, Problem> {
         let unknown = |detail: &str| Problem::new(Refusal::not_run(Reason::UnknownKey), detail);
-        let key = parse::bearer_key(headers)
-            .ok_or_else(|| unknown("send the customer's key as `Authorization: Bearer KEY`"))?;
+        let key = parse::bearer_key(headers).ok_or_else(|| {
+            unknown("send the client account's key as `Authorization: Bearer KEY`")
+        })?;
         self.keys
             .borrow()
             .get(&hash_key(key))
             .cloned()
-            .ok_or_else(|| unknown("the bearer key belongs to no customer"))
+            .ok_or_else(|| unknown("the bearer key belongs to no client account"))
     }
 
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Problem> {
--- a/components/connection/front/src/problem.rs
+++ b/components/connection/front/src/problem.rs
@@ -97,11 +97,13 @@
     match reason {
         Reason::BadRequest => "The request is malformed",
         Reason::UnknownKey => "The bearer key is missing or unknown",
-        Reason::UnknownModel => "The model, adapter or service is not available to this customer",
+        Reason::UnknownModel => {
+            "The model, adapter or service is not available to this client account"
+        }
         Reason::BodyTooLarge => "The body is too large",
         Reason::DeadlineUnreachable => "The deadline cannot be met",
         Reason::DeadlinePassed => "The deadline has passed",
-        Reason::LimitReached => "The customer's limit is used up",
+        Reason::LimitReached => "The client account's limit is used up",
         Reason::QueueFull => "The queue is full",
         Reason::NoCapacity => "No backend server can take the request",
         Reason::BackendFailed => "The backend server failed",
--- a/components/process/burn/src/alert_tests.rs
+++ b/components/process/burn/src/alert_tests.rs
@@ -25,7 +25,7 @@
 #[case::ticket_least(9_900, [(5, 0), (9, 1), (47, 3)], Alert::Ticket, None)]
 #[case::ticket_at_the_rate(9_900, [(5, 0), (94, 6), (940, 60)], Alert::Ticket, None)]
 #[case::ticket_below_the_rate(9_900, [(5, 0), (94, 6), (941, 59)], Alert::None, None)]
-#[case::outage_of_a_quiet_customer(9_900, [(0, 1), (0, 10), (0, 60)], Alert::Ticket, Some(Alert::Page))]
+#[case::outage_of_a_quiet_client_account(9_900, [(0, 1), (0, 10), (0, 60)], Alert::Ticket, Some(Alert::Page))]
 fn an_alert_needs_its_number_of_requests(
     #[case] objective: u32,
     #[case] windows: [(u32, u32); 3],
@@ -36,7 +36,7 @@
     assert_eq!((raised, held.map(|held| held.alert)), (expected, held_back));
 }
 
-/// Requests of three windows, each contained in the next, of customers with and without traffic.
+/// Requests of three windows, each contained in the next, of client accounts with and without traffic.
 fn windows() -> impl Strategy<Value = [Counts; 3]> {
     let part = || prop_oneof![(0u32..400, 0u32..80), (0u32..5, 0u32..2)];
     (part(), part(), part()).prop_map(|(a, b, c)| {
--- a/components/process/burn/src/html.rs
+++ b/components/process/burn/src/html.rs
@@ -34,8 +34,8 @@
         self.write_notes(&mut html);
         self.write_table(&mut html);
         for row in &self.rows {
-            let (customer, class) = (escape(&row.customer), escape(&row.class));
-            let _ = writeln!(html, "<h2>{customer}, {class}</h2>");
+            let (client_account, class) = (escape(&row.client_account), escape(&row.class));
+            let _ = writeln!(html, "<h2>{client_account}, {class}</h2>");
             plot(row, &mut html);
         }
         html.push_str("</body>\n</html>\n");
@@ -46,7 +46,7 @@
         if self.uncounted > 0 {
             let _ = writeln!(
                 html,
-                "<p>{} requests were not counted; there are too many customers and classes.</p>",
+                "<p>{} requests were not counted; there are too many client accounts and classes.</p>",
                 self.uncounted
             );
         }
@@ -57,7 +57,7 @@
 
     fn write_table(&self, html: &mut String) {
         html.push_str(
-            "<table>\n<tr><th>customer</th><th>class</th><th>objective</th><th>burn 5m</th>",
+            "<table>\n<tr><th>client account</th><th>class</th><th>objective</th><th>burn 5m</th>",
         );
         html.push_str("<th>burn 1h</th><th>burn 6h</th><th>budget left</th><th>alert</th></tr>\n");
         for row in &self.rows {
@@ -65,7 +65,7 @@
             let _ = write!(
                 html,
                 "<tr class=\"{class}\"><td>{}</td><td>{}</td>",
-                escape(&row.customer),
+                escape(&row.client_account),
                 escape(&row.class)
             );
             let _ = write!(html, "<td>{}</td>", percentage(row.objective.into()));
--- a/components/process/burn/src/report.rs
+++ b/components/process/burn/src/report.rs
@@ -22,11 +22,11 @@
     pub burn_rate_milli: u64,
 }
 
-/// One customer and class.
+/// One client account and class.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BurnRow {
-    /// The customer.
-    pub customer: CustomerId,
+    /// The client account.
+    pub client_account: ClientAccountId,
     /// The class.
     pub class: ClassId,
     /// Part of requests that must be good, in basis points.
@@ -45,12 +45,12 @@
     pub history_milli: Vec<Option<u64>>,
 }
 
-/// Burn of all customers and classes.
+/// Burn of all client accounts and classes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct BurnReport {
-    /// Rows sorted by customer and class.
+    /// Rows sorted by client account and class.
     pub rows: Vec<BurnRow>,
-    /// Requests that were not counted because there were too many customers and classes.
+    /// Requests that were not counted because there were too many client accounts and classes.
     pub uncounted: u64,
     /// Instances whose counts are missing from the report, each with the reason.
     pub missing: Vec<Box<str>>,
@@ -87,7 +87,7 @@
     });
     let (alert, held_back) = alert(sums, series.objective);
     BurnRow {
-        customer: series.customer.clone(),
+        client_account: series.client_account.clone(),
         class: series.class.clone(),
         objective: series.objective,
         windows: windows.collect(),
@@ -132,7 +132,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut table = vec![
             [
-                "customer",
+                "client account",
                 "class",
                 "objective",
                 "burn 5m",
@@ -163,7 +163,7 @@
         if self.uncounted > 0 {
             writeln!(
                 f,
-                "note: {} requests were not counted; there are too many customers and classes",
+                "note: {} requests were not counted; there are too many client accounts and classes",
                 self.uncounted
             )?;
         }
@@ -192,7 +192,7 @@
 fn cells(row: &BurnRow) -> [String; 10] {
     let long = &row.windows[LONG];
     [
-        row.customer.to_string(),
+        row.client_account.to_string(),
         row.class.to_string(),
         percentage(row.objective.into()),
         rate(row.windows[SHORT].burn_rate_milli),
--- a/components/process/burn/src/report_tests.rs
+++ b/components/process/burn/src/report_tests.rs
@@ -7,10 +7,10 @@
 use crate::state::{BurnState, SeriesState};
 use crate::window::Counts;
 
-fn series(customer: &str, objective: u32, windows: [(u32, u32); 3]) -> SeriesState {
+fn series(client_account: &str, objective: u32, windows: [(u32, u32); 3]) -> SeriesState {
     let windows = windows.map(|(good, bad)| vec![(1, Counts { good, bad })]);
     SeriesState {
-        customer: customer.into(),
+        client_account: client_account.into(),
         class: "interactive".into(),
         version: 1,
         objective,
@@ -60,7 +60,7 @@
     let mut report = report(vec![series("foremen", 9_900, [(9, 1), (99, 1), (995, 5)])]);
     report.missing.push("127.0.0.1:9: connection refused".into());
     let expected = "\
-customer  class        objective  burn 5m  burn 1h  burn 6h  good 6h  bad 6h  budget left  alert
+client account  class        objective  burn 5m  burn 1h  burn 6h  good 6h  bad 6h  budget left  alert
 foremen   interactive     99.00%    10.00     1.00     0.50      995       5       50.00%  none
 missing: 127.0.0.1:9: connection refused
 ";
@@ -72,7 +72,7 @@
 fn each_format_shows_an_alert_that_too_few_requests_hold_back() {
     let report = report(vec![series("inspectors", 9_900, [(0, 2), (3, 2), (60, 4)])]);
     let expected = "\
-customer    class        objective  burn 5m  burn 1h  burn 6h  good 6h  bad 6h  budget left  alert
+client account    class        objective  burn 5m  burn 1h  burn 6h  good 6h  bad 6h  budget left  alert
 inspectors  interactive     99.00%   100.00    40.00     6.25       60       4     -525.00%  ticket (page held back: 2 bad of 5 requests in 1h, needs 3 of 20)
 ";
     assert_eq!(report.to_string(), expected);
--- a/components/process/burn/src/state.rs
+++ b/components/process/burn/src/state.rs
@@ -14,18 +14,18 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BurnState {
-    /// Counts by customer and class, sorted by both.
+    /// Counts by client account and class, sorted by both.
     pub series: Vec<SeriesState>,
-    /// Requests that were not counted because there were too many customers and classes.
+    /// Requests that were not counted because there were too many client accounts and classes.
     pub uncounted: u64,
 }
 
-/// Counts of one customer and class.
+/// Counts of one client account and class.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SeriesState {
-    /// The customer.
-    pub customer: CustomerId,
+    /// The client account.
+    pub client_account: ClientAccountId,
     /// The class.
     pub class: ClassId,
     /// Configuration version that `objective` comes from.
@@ -40,9 +40,9 @@
     /// Adds the counts of another instance.
     pub fn merge(&mut self, other: &Self) {
         let own = std::mem::take(&mut self.series);
-        let mut merged = BTreeMap::<(CustomerId, ClassId), SeriesState>::new();
+        let mut merged = BTreeMap::<(ClientAccountId, ClassId), SeriesState>::new();
         for series in own.into_iter().chain(other.series.iter().cloned()) {
-            match merged.entry((series.customer.clone(), series.class.clone())) {
+            match merged.entry((series.client_account.clone(), series.class.clone())) {
                 Entry::Vacant(entry) => {
                     entry.insert(series);
                 }
--- a/components/process/burn/src/state_tests.rs
+++ b/components/process/burn/src/state_tests.rs
@@ -12,11 +12,11 @@
     let mut burn = Burn::new(start);
     let mut sorted = requests.to_vec();
     sorted.sort();
-    for (time, customer, good) in sorted {
-        let objective = Objective { version: u64::from(customer % 2), objective: 9_000 };
+    for (time, client_account, good) in sorted {
+        let objective = Objective { version: u64::from(client_account % 2), objective: 9_000 };
         burn.record(
             start + Duration::from_secs(time),
-            &format!("c{customer}"),
+            &format!("c{client_account}"),
             "x",
             objective,
             good,
@@ -62,7 +62,7 @@
 /// Guards against a panic on a state from an instance with other windows.
 #[test]
 fn a_state_with_missing_windows_is_merged() {
-    let json = r#"{"series":[{"customer":"c0","class":"x","version":1,"objective":9000,"windows":[]}],"uncounted":0}"#;
+    let json = r#"{"series":[{"client_account":"c0","class":"x","version":1,"objective":9000,"windows":[]}],"uncounted":0}"#;
     let mut foreign: BurnState = serde_json::from_str(json).unwrap();
     foreign.merge(&state(&[(1, 0, false)]));
     assert_eq!(foreign.series[0].sum(2).bad, 1);
--- a/components/process/burn/src/tracker.rs
+++ b/components/process/burn/src/tracker.rs
@@ -18,11 +18,11 @@
     pub objective: BasisPoints,
 }
 
-/// Good and bad requests per customer and class, in bounded memory.
+/// Good and bad requests per client account and class, in bounded memory.
 #[derive(Clone, Debug)]
 pub struct Burn {
     start: Instant,
-    series: BTreeMap<(CustomerId, ClassId), Series>,
+    series: BTreeMap<(ClientAccountId, ClassId), Series>,
     uncounted: u64,
 }
 
@@ -42,13 +42,13 @@
     pub fn record(
         &mut self,
         now: Instant,
-        customer: &str,
+        client_account: &str,
         class: &str,
         objective: Objective,
         good: bool,
     ) {
         let elapsed = now.saturating_duration_since(self.start);
-        let key = (customer.into(), class.into());
+        let key = (client_account.into(), class.into());
         if !self.series.contains_key(&key) && self.series.len() >= MAX_SERIES {
             self.uncounted += 1;
             return;
@@ -69,16 +69,19 @@
 
     /// Drops the series of classes that the configuration no longer has.
     pub fn retain(&mut self, configuration: &Configuration) {
-        self.series.retain(|(customer, class), _| {
-            configuration.contracts.get(customer).is_some_and(|c| c.classes.contains_key(class))
+        self.series.retain(|(client_account, class), _| {
+            configuration
+                .contracts
+                .get(client_account)
+                .is_some_and(|c| c.classes.contains_key(class))
         });
     }
 
     /// The counts by age, to be merged with those of other instances.
     pub fn state(&self, now: Instant) -> BurnState {
         let elapsed = now.saturating_duration_since(self.start);
-        let series = self.series.iter().map(|((customer, class), series)| SeriesState {
-            customer: customer.clone(),
+        let series = self.series.iter().map(|((client_account, class), series)| SeriesState {
+            client_account: client_account.clone(),
             class: class.clone(),
             version: series.objective.version,
             objective: series.objective.objective,
--- a/components/process/burn/src/tracker_tests.rs
+++ b/components/process/burn/src/tracker_tests.rs
@@ -33,9 +33,9 @@
     assert_eq!((state.series[0].version, state.series[0].objective), (3, 9_900));
 }
 
-/// Guards against windows that keep counts after their end, and series of removed customers.
+/// Guards against windows that keep counts after their end, and series of removed client accounts.
 #[test]
-fn old_requests_and_removed_customers_are_dropped() {
+fn old_requests_and_removed_client_accounts_are_dropped() {
     let start = Instant::now();
     let mut burn = Burn::new(start);
     burn.record(start, "a", "batch", OBJECTIVE, false);
--- a/components/process/instance/src/bookings.rs
+++ b/components/process/instance/src/bookings.rs
@@ -36,12 +36,12 @@
         }
         let class = cfg
             .contracts
-            .get(&finished.customer)
+            .get(&finished.client_account)
             .and_then(|contract| contract.classes.get(&finished.class));
         if let Some(class) = class {
             let objective = Objective { version: finished.version, objective: class.objective };
-            let (customer, class) = (&finished.customer, &finished.class);
-            self.burn.record(now, customer, class, objective, finished.in_time);
+            let (client_account, class) = (&finished.client_account, &finished.class);
+            self.burn.record(now, client_account, class, objective, finished.in_time);
         }
     }
 
@@ -56,7 +56,7 @@
             Some(reason) => format!("{reason:?}"),
         };
         let labels = OutcomeLabels {
-            customer: finished.customer.to_string(),
+            client_account: finished.client_account.to_string(),
             class: finished.class.to_string(),
             outcome,
         };
--- a/components/process/instance/src/contract_history.rs
+++ b/components/process/instance/src/contract_history.rs
@@ -1,4 +1,4 @@
-//! Contract versions by customer, for requests that were admitted under earlier configurations.
+//! Contract versions by client account, for requests that were admitted under earlier configurations.
 
 use accounting::records::ContractVersion;
 use types::prelude::*;
@@ -16,10 +16,10 @@
 }
 
 /// Amendments of each contract. A whole map per configuration version would take 40 KB each with 300
-/// customers, and 900 MB a day.
+/// client accounts, and 900 MB a day.
 #[derive(Debug, Default)]
 pub(crate) struct ContractHistory {
-    customers: BTreeMap<CustomerId, Vec<Amendment>>,
+    client_accounts: BTreeMap<ClientAccountId, Vec<Amendment>>,
 }
 
 impl ContractHistory {
@@ -27,11 +27,11 @@
     pub(crate) fn adopted(
         &mut self,
         version: ConfigurationVersion,
-        contracts: &BTreeMap<CustomerId, ContractVersion>,
+        contracts: &BTreeMap<ClientAccountId, ContractVersion>,
         now: Instant,
     ) {
-        for (customer, contract) in contracts {
-            let amendments = self.customers.entry(customer.clone()).or_default();
+        for (client_account, contract) in contracts {
+            let amendments = self.client_accounts.entry(client_account.clone()).or_default();
             if amendments.last().is_some_and(|last| last.contract == *contract) {
                 continue;
             }
@@ -43,13 +43,13 @@
         }
     }
 
-    /// The contract of a customer in a configuration version under which it had one.
+    /// The contract of a client account in a configuration version under which it had one.
     pub(crate) fn get(
         &self,
-        customer: &str,
+        client_account: &str,
         version: ConfigurationVersion,
     ) -> Option<&ContractVersion> {
-        let amendments = self.customers.get(customer)?;
+        let amendments = self.client_accounts.get(client_account)?;
         let amendment = amendments.iter().rev().find(|amendment| amendment.version <= version);
         amendment.map(|amendment| &amendment.contract)
     }
--- a/components/process/instance/src/contract_history_tests.rs
+++ b/components/process/instance/src/contract_history_tests.rs
@@ -19,8 +19,10 @@
     adopt(4, hours(1), &[("a", "a4"), ("b", "b3")]);
     adopt(6, hours(2), &[("a", "a6")]);
     adopt(7, hours(50), &[("a", "a7"), ("b", "b7")]);
-    let of = |customer: &str, version| history.get(customer, version).map(|hash| hash.to_string());
-    for (customer, version, expected) in [
+    let of = |client_account: &str, version| {
+        history.get(client_account, version).map(|hash| hash.to_string())
+    };
+    for (client_account, version, expected) in [
         ("a", 4, Some("a4")),
         ("a", 5, Some("a4")),
         ("a", 6, Some("a6")),
@@ -31,6 +33,10 @@
         // Amended at hour 1 and forgotten two days later.
         ("a", 3, None),
     ] {
-        assert_eq!(of(customer, version).as_deref(), expected, "{customer} in version {version}");
+        assert_eq!(
+            of(client_account, version).as_deref(),
+            expected,
+            "{client_account} in version {version}"
+        );
     }
 }
--- a/components/process/instance/src/control.rs
+++ b/components/process/instance/src/control.rs
@@ -246,7 +246,7 @@
         let keys: KeyTable = cfg
             .contracts
             .values()
-            .flat_map(|c| c.key_hashes.iter().map(|hash| (hash.clone(), c.customer.clone())))
+            .flat_map(|c| c.key_hashes.iter().map(|hash| (hash.clone(), c.client_account.clone())))
             .collect();
         self.key_table.send_replace(keys.into());
         self.requests.configure(cfg.clone());
--- a/components/process/instance/src/event.rs
+++ b/components/process/instance/src/event.rs
@@ -55,7 +55,7 @@
     ShareOffer {
         fencing: FencingNumber,
         from: DataCentreId,
-        lengths: Option<BTreeMap<CustomerId, u64>>,
+        lengths: Option<BTreeMap<ClientAccountId, u64>>,
     },
     /// The deletion of a segment of a key range ended.
     SegmentDeleted { range: u32, number: u64, gone: bool },
--- a/components/process/instance/src/finished.rs
+++ b/components/process/instance/src/finished.rs
@@ -8,7 +8,7 @@
 /// A request that has ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Finished {
-    pub(crate) customer: CustomerId,
+    pub(crate) client_account: ClientAccountId,
     pub(crate) class: ClassId,
     /// The model; `None` for calls of plain services.
     pub(crate) model: Option<ModelId>,
@@ -41,7 +41,7 @@
         };
         let first_in_time = first_token_at.is_some_and(|at| at <= admitted.first_token_by);
         Self {
-            customer: admitted.customer.clone(),
+            client_account: admitted.client_account.clone(),
             class: admitted.class.clone(),
             model,
             version: admitted.version,
@@ -56,14 +56,14 @@
 
     /// A request that was refused on arrival.
     pub(crate) fn refused(
-        customer: CustomerId,
+        client_account: ClientAccountId,
         job: &Job,
         cfg: &Configuration,
         refusal: &Refusal,
     ) -> Self {
-        let class = cfg.contracts.get(&customer).map(|c| c.default_class.clone());
+        let class = cfg.contracts.get(&client_account).map(|c| c.default_class.clone());
         Self {
-            customer,
+            client_account,
             class: class.unwrap_or_default(),
             model: match job {
                 Job::Completion(job) => Some(job.target.model.clone()),
--- a/components/process/instance/src/message.rs
+++ b/components/process/instance/src/message.rs
@@ -74,7 +74,7 @@
     /// Answer to `Share`; `None` if nothing can be granted now.
     Share(Option<ShareGrant>),
     /// Answer to `ShareWants`: lengths that the receiver may expect within some 30 s.
-    ShareOffer(BTreeMap<CustomerId, u64>),
+    ShareOffer(BTreeMap<ClientAccountId, u64>),
 }
 
 /// Parts of limits that a data centre misses.
@@ -83,8 +83,8 @@
 pub struct ShareWants {
     /// Data centre of the sender.
     pub data_centre: DataCentreId,
-    /// Missing lengths by customer; at most `admission::shares::MAX_ASKED`.
-    pub unmet: BTreeMap<CustomerId, u64>,
+    /// Missing lengths by client account; at most `admission::shares::MAX_ASKED`.
+    pub unmet: BTreeMap<ClientAccountId, u64>,
 }
 
 /// Requests of one model that arrived at one instance.
@@ -134,7 +134,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClaimMessage {
-    /// Hash of the customer's key.
+    /// Hash of the client account's key.
     pub key: KeyHash,
     /// Hash of the call, which must be the same under one key.
     pub fingerprint: Fingerprint,
@@ -163,7 +163,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FinishMessage {
-    /// Hash of the customer's key.
+    /// Hash of the client account's key.
     pub key: KeyHash,
     /// The granted claim.
     pub claim: ClaimId,
--- a/components/process/instance/src/models.rs
+++ b/components/process/instance/src/models.rs
@@ -1,4 +1,4 @@
-//! The list of models that a customer may use.
+//! The list of models that a client account may use.
 
 use front::{Problem, Reply};
 use http::header::CONTENT_TYPE;
@@ -19,9 +19,9 @@
     owned_by: &'static str,
 }
 
-/// Lists models and adapters of a customer in the form that callers' client libraries expect.
-pub(crate) fn list(cfg: &Configuration, customer: &str) -> Reply {
-    let Some(contract) = cfg.contracts.get(customer) else {
+/// Lists models and adapters of a client account in the form that callers' client libraries expect.
+pub(crate) fn list(cfg: &Configuration, client_account: &str) -> Reply {
+    let Some(contract) = cfg.contracts.get(client_account) else {
         let refusal = Refusal::not_run(Reason::UnknownKey);
         return Reply::Refused(Problem::new(refusal, "the contract has ended"));
     };
--- a/components/process/instance/src/operators.rs
+++ b/components/process/instance/src/operators.rs
@@ -56,7 +56,7 @@
 /// Service-level figures are worked out when they are asked for, so that they cost nothing between.
 pub(crate) fn encode(metrics: &Metrics, burn: &BurnState) -> Result<String, std::fmt::Error> {
     const THOUSANDTHS: f64 = 1_000.0;
-    // Series of customers and classes that are gone must not stay at their last value.
+    // Series of client accounts and classes that are gone must not stay at their last value.
     metrics.burn_rate.clear();
     metrics.budget_left.clear();
     metrics.alert.clear();
@@ -64,10 +64,10 @@
     metrics.burn_requests.clear();
     metrics.burn_bad_requests.clear();
     for row in BurnReport::new(burn).rows {
-        let (customer, class) = (row.customer.to_string(), row.class.to_string());
+        let (client_account, class) = (row.client_account.to_string(), row.class.to_string());
         for window in &row.windows {
             let labels = BurnLabels {
-                customer: customer.clone(),
+                client_account: client_account.clone(),
                 class: class.clone(),
                 window: window.window.to_owned(),
             };
@@ -77,7 +77,7 @@
             metrics.burn_requests.get_or_create(&labels).set(good + bad);
             metrics.burn_bad_requests.get_or_create(&labels).set(bad);
         }
-        let labels = BudgetLabels { customer, class };
+        let labels = BudgetLabels { client_account, class };
         let left = row.budget_left as f64 / f64::from(WHOLE_BASIS_POINTS);
         metrics.budget_left.get_or_create(&labels).set(left);
         metrics.alert.get_or_create(&labels).set(level(row.alert));
--- a/components/process/instance/src/requests.rs
+++ b/components/process/instance/src/requests.rs
@@ -87,9 +87,9 @@
         self.cfg = cfg;
     }
 
-    /// Sets the part of a customer's limits that this instance may use.
-    pub(crate) fn set_limits(&mut self, customer: &str, limits: LocalLimits, now: Instant) {
-        self.admission.set_limits(customer, limits, now);
+    /// Sets the part of a client account's limits that this instance may use.
+    pub(crate) fn set_limits(&mut self, client_account: &str, limits: LocalLimits, now: Instant) {
+        self.admission.set_limits(client_account, limits, now);
     }
 
     /// Requests that wait and requests that run.
@@ -105,11 +105,12 @@
 
     /// Takes a request of a caller.
     pub(crate) fn on_arrival(&mut self, cx: &Context, arrival: Arrival, now: Instant) {
-        let Arrival { request, customer, arrived_at, deadline, class, call, reply, .. } = arrival;
+        let Arrival { request, client_account, arrived_at, deadline, class, call, reply, .. } =
+            arrival;
         let (authorization, idempotency_key) = (arrival.authorization, arrival.idempotency_key);
         let job = match call {
             Call::Models => {
-                let _ = reply.send(crate::models::list(&self.cfg, &customer));
+                let _ = reply.send(crate::models::list(&self.cfg, &client_account));
                 return;
             }
             Call::Completion { path, target, stream, prompt, body } => {
@@ -126,7 +127,7 @@
             Call::Service { service, method, path, content_type, body } => {
                 let idempotent = self.is_idempotent(&service, method.as_str(), &path);
                 let key = idempotency_key.filter(|_| !idempotent).map(|key| {
-                    let scope = format!("{customer}/{service}");
+                    let scope = format!("{client_account}/{service}");
                     let fingerprint = Fingerprint::new(method.as_str(), &path, &body);
                     (KeyHash::new(&scope, &key), fingerprint)
                 });
@@ -144,7 +145,7 @@
         };
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        let offer = self.offer(ticket, customer.clone(), class, deadline, &job, now);
+        let offer = self.offer(ticket, client_account.clone(), class, deadline, &job, now);
         let queue = offer.queue.clone();
         let earliest = offer.earliest_first_token;
         match self.admission.offer(offer, now) {
@@ -174,7 +175,7 @@
             Err(refusal) => {
                 tracing::debug!("admission: {request} refused: {:?}", refusal.reason);
                 let detail = crate::details::refusal(&refusal, earliest, now);
-                self.finished.push(Finished::refused(customer, &job, &self.cfg, &refusal));
+                self.finished.push(Finished::refused(client_account, &job, &self.cfg, &refusal));
                 let _ = reply.send(Reply::Refused(Problem::new(refusal, detail)));
             }
         }
@@ -239,7 +240,7 @@
     fn offer(
         &self,
         ticket: Ticket,
-        customer: CustomerId,
+        client_account: ClientAccountId,
         class: Option<ClassId>,
         complete_by: Option<Instant>,
         job: &Job,
@@ -255,7 +256,7 @@
         let tokens = u32::try_from(body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
         Offer {
             ticket,
-            customer,
+            client_account,
             class,
             earliest_first_token: self.earliest_first_token(&queue, now),
             queue,
--- a/components/process/instance/src/share_moves.rs
+++ b/components/process/instance/src/share_moves.rs
@@ -62,7 +62,7 @@
         let lengths = mover.on_asked(holder, &wants.data_centre, &wants.unmet, now);
         if !lengths.is_empty() {
             tracing::info!(
-                "shares: parts for {} customers promised to {}",
+                "shares: parts for {} client accounts promised to {}",
                 lengths.len(),
                 wants.data_centre
             );
@@ -105,7 +105,7 @@
         &self,
         fencing: FencingNumber,
         to: DataCentreId,
-        unmet: BTreeMap<CustomerId, u64>,
+        unmet: BTreeMap<ClientAccountId, u64>,
         now: Instant,
     ) {
         let Some(address) = self.limits_holder_of(&to, now) else { return };
--- a/components/process/instance/src/shares.rs
+++ b/components/process/instance/src/shares.rs
@@ -13,15 +13,15 @@
 pub(crate) const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between attempts to get a first grant, or to read the share object.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a customer counts as active after its last request. Messages and the holder's work grow
-/// with the active customers.
+/// How long a client account counts as active after its last request. Messages and the holder's work grow
+/// with the active client accounts.
 const ACTIVE_TIME: Duration = Duration::from_secs(300);
-/// Longest time that the first request of a customer waits for a grant, which takes some 2 ms.
+/// Longest time that the first request of a client account waits for a grant, which takes some 2 ms.
 const HOLD_TIME: Duration = Duration::from_secs(1);
 /// Requests that wait for a grant at one time.
 const MAX_HELD: usize = 1024;
 
-/// A request whose customer has no share on this instance yet.
+/// A request whose client account has no share on this instance yet.
 struct Held {
     arrival: Arrival,
     until: Instant,
@@ -39,8 +39,8 @@
     ask_at: Instant,
     /// An answer is waited for until then.
     in_flight: Option<Instant>,
-    /// Until when each customer counts as active.
-    active: HashMap<CustomerId, Instant>,
+    /// Until when each client account counts as active.
+    active: HashMap<ClientAccountId, Instant>,
     waiting: Vec<Held>,
     /// Instances of the data centre in the platform's list.
     listed: BTreeSet<InstanceId>,
@@ -48,8 +48,8 @@
     handed_over: Option<HolderState>,
     /// State that this instance hands over.
     pub(crate) to_hand_over: Option<HolderState>,
-    /// Customers for which admission has limits.
-    limited: HashSet<CustomerId>,
+    /// Client accounts for which admission has limits.
+    limited: HashSet<ClientAccountId>,
 }
 
 impl Shares {
@@ -181,16 +181,18 @@
         self.grantee.ends_at().is_some_and(|ends_at| now < ends_at)
     }
 
-    /// Takes a request in. The first one of a customer without a share waits for a grant.
+    /// Takes a request in. The first one of a client account without a share waits for a grant.
     pub(crate) fn take_in(
         &mut self,
         arrival: Arrival,
         cfg: &Configuration,
         now: Instant,
     ) -> Option<Arrival> {
-        let Some(contract) = cfg.contracts.get(&arrival.customer) else { return Some(arrival) };
-        self.active.insert(arrival.customer.clone(), now + ACTIVE_TIME);
-        let limits = self.grantee.limits(&arrival.customer, &contract.limits, now);
+        let Some(contract) = cfg.contracts.get(&arrival.client_account) else {
+            return Some(arrival);
+        };
+        self.active.insert(arrival.client_account.clone(), now + ACTIVE_TIME);
+        let limits = self.grantee.limits(&arrival.client_account, &contract.limits, now);
         if limits != LocalLimits::default() || self.waiting.len() >= MAX_HELD {
             return Some(arrival);
         }
@@ -199,14 +201,14 @@
         None
     }
 
-    /// Requests that need not wait any longer, because their customer has a share or because they
+    /// Requests that need not wait any longer, because their client account has a share or because they
     /// have waited long enough.
     pub(crate) fn release(&mut self, cfg: &Configuration, now: Instant) -> Vec<Arrival> {
         let grantee = &self.grantee;
         let has_share = |arrival: &Arrival| {
-            let contract = cfg.contracts.get(&arrival.customer);
+            let contract = cfg.contracts.get(&arrival.client_account);
             contract.is_none_or(|contract| {
-                let limits = grantee.limits(&arrival.customer, &contract.limits, now);
+                let limits = grantee.limits(&arrival.client_account, &contract.limits, now);
                 limits != LocalLimits::default()
             })
         };
@@ -224,15 +226,15 @@
 
     /// Sets what this instance may use.
     pub(crate) fn apply(&mut self, requests: &mut Requests, cfg: &Configuration, now: Instant) {
-        for (customer, contract) in &cfg.contracts {
-            let limits = self.grantee.limits(customer, &contract.limits, now);
-            // The first limits that admission gets also fill the customer's token bucket.
-            if limits != LocalLimits::default() || self.limited.contains(customer) {
-                requests.set_limits(customer, limits, now);
-                self.limited.insert(customer.clone());
+        for (client_account, contract) in &cfg.contracts {
+            let limits = self.grantee.limits(client_account, &contract.limits, now);
+            // The first limits that admission gets also fill the client account's token bucket.
+            if limits != LocalLimits::default() || self.limited.contains(client_account) {
+                requests.set_limits(client_account, limits, now);
+                self.limited.insert(client_account.clone());
             }
         }
-        self.limited.retain(|customer| cfg.contracts.contains_key(customer));
+        self.limited.retain(|client_account| cfg.contracts.contains_key(client_account));
     }
 
     /// Whether the share object has to be read now.
@@ -257,13 +259,14 @@
             return None;
         }
         self.drop_inactive(now);
-        for customer in self.active.keys() {
-            let Some(contract) = cfg.contracts.get(customer) else { continue };
-            let (waiting, running) = requests.admission.load(customer);
-            let held = self.waiting.iter().filter(|h| h.arrival.customer == *customer).count();
+        for client_account in self.active.keys() {
+            let Some(contract) = cfg.contracts.get(client_account) else { continue };
+            let (waiting, running) = requests.admission.load(client_account);
+            let held =
+                self.waiting.iter().filter(|h| h.arrival.client_account == *client_account).count();
             let queued = waiting + held as u64;
             let need = LocalLimits { rate_milli: 0, concurrent: running + queued, queued };
-            self.grantee.want(customer, need, &contract.limits);
+            self.grantee.want(client_account, need, &contract.limits);
         }
         self.in_flight = Some(now + SHARE_TIMEOUT);
         self.ask_at = now + RETRY_INTERVAL;
@@ -278,15 +281,15 @@
     }
 
     fn drop_inactive(&mut self, now: Instant) {
-        let inactive: Vec<CustomerId> = self
+        let inactive: Vec<ClientAccountId> = self
             .active
             .iter()
             .filter(|(_, until)| **until <= now)
             .map(|(c, _)| c.clone())
             .collect();
-        for customer in inactive {
-            self.active.remove(&customer);
-            self.grantee.forget(&customer);
+        for client_account in inactive {
+            self.active.remove(&client_account);
+            self.grantee.forget(&client_account);
         }
     }
 
--- a/components/process/instance/src/usage.rs
+++ b/components/process/instance/src/usage.rs
@@ -27,7 +27,7 @@
 /// Work that one run of this instance has counted in the present hour.
 pub(crate) struct Usage {
     contracts: ContractHistory,
-    work: BTreeMap<(Minute, ModelId, CustomerId, ContractVersion), u64>,
+    work: BTreeMap<(Minute, ModelId, ClientAccountId, ContractVersion), u64>,
     versions: VersionLog,
     deaths: Vec<Death>,
     flush_at: Instant,
@@ -68,10 +68,10 @@
 
     /// Notes when a configuration version was adopted.
     pub(crate) fn adopted(&mut self, cfg: &Configuration, now: Instant, wall: SystemTime) {
-        let contracts: BTreeMap<CustomerId, ContractVersion> = cfg
+        let contracts: BTreeMap<ClientAccountId, ContractVersion> = cfg
             .contracts
             .iter()
-            .map(|(customer, contract)| (customer.clone(), content_hash(&**contract)))
+            .map(|(client_account, contract)| (client_account.clone(), content_hash(&**contract)))
             .collect();
         self.contracts.adopted(cfg.version, &contracts, now);
         let record = VersionRecord { version: cfg.version, adopted_at: wall, contracts };
@@ -107,12 +107,12 @@
     /// Counts the work of a request.
     pub(crate) fn count(&mut self, finished: &Finished, wall: SystemTime) {
         let Some(model) = finished.model.clone().filter(|_| finished.tokens > 0) else { return };
-        let contract = self.contracts.get(&finished.customer, finished.version);
+        let contract = self.contracts.get(&finished.client_account, finished.version);
         let Some(contract) = contract.cloned() else {
-            tracing::error!("accounting: no contract of {} to book under", finished.customer);
+            tracing::error!("accounting: no contract of {} to book under", finished.client_account);
             return;
         };
-        let key = (minute(wall), model, finished.customer.clone(), contract);
+        let key = (minute(wall), model, finished.client_account.clone(), contract);
         *self.work.entry(key).or_default() += finished.tokens;
         self.generation += 1;
     }
@@ -190,13 +190,14 @@
     }
 
     fn run(&mut self, closed: bool, now: Instant, wall: SystemTime) -> Run {
-        let work = self.work.iter().map(|((minute, model, customer, contract), tokens)| Work {
-            minute: *minute,
-            model: model.clone(),
-            customer: customer.clone(),
-            contract_version: contract.clone(),
-            tokens: *tokens,
-        });
+        let work =
+            self.work.iter().map(|((minute, model, client_account, contract), tokens)| Work {
+                minute: *minute,
+                model: model.clone(),
+                client_account: client_account.clone(),
+                contract_version: contract.clone(),
+                tokens: *tokens,
+            });
         Run {
             flushed_until: wall,
             closed,
--- a/components/process/instance/src/usage_tests.rs
+++ b/components/process/instance/src/usage_tests.rs
@@ -10,7 +10,7 @@
 
 fn finished(tokens: u64) -> Finished {
     Finished {
-        customer: "a".into(),
+        client_account: "a".into(),
         class: "batch".into(),
         model: Some("m".into()),
         version: 1,
@@ -24,7 +24,7 @@
 
 fn configuration() -> Configuration {
     let contract = Contract {
-        customer: "a".into(),
+        client_account: "a".into(),
         key_hashes: BTreeSet::new(),
         models: BTreeSet::new(),
         adapters: BTreeMap::new(),
--- a/components/process/telemetry/src/metrics.rs
+++ b/components/process/telemetry/src/metrics.rs
@@ -15,12 +15,12 @@
 const WAIT_BUCKETS_SECONDS: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0];
 
-/// Labels of finished requests. Customers and classes are bounded by the contracts; models and
+/// Labels of finished requests. Client accounts and classes are bounded by the contracts; models and
 /// adapters are never labels, because there are tens of thousands of them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabels {
-    /// The customer.
-    pub customer: String,
+    /// The client account.
+    pub client_account: String,
     /// The urgency class.
     pub class: String,
     /// `answered`, or the reason of the refusal.
@@ -30,8 +30,8 @@
 /// Labels of a burn rate.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BurnLabels {
-    /// The customer.
-    pub customer: String,
+    /// The client account.
+    pub client_account: String,
     /// The urgency class.
     pub class: String,
     /// The window: `5m`, `1h` or `6h`.
@@ -41,8 +41,8 @@
 /// Labels of an error budget.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BudgetLabels {
-    /// The customer.
-    pub customer: String,
+    /// The client account.
+    pub client_account: String,
     /// The urgency class.
     pub class: String,
 }
@@ -79,7 +79,7 @@
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
-    /// Finished requests by customer, class and outcome.
+    /// Finished requests by client account, class and outcome.
     pub requests: Family<OutcomeLabels, Counter>,
     /// Time from arrival to the first token.
     pub first_token: Histogram,
--- a/components/process/telemetry/src/metrics_tests.rs
+++ b/components/process/telemetry/src/metrics_tests.rs
@@ -9,7 +9,7 @@
 fn counted_events_appear_in_the_text() {
     let metrics = Metrics::new();
     let labels = OutcomeLabels {
-        customer: "alykes".into(),
+        client_account: "alykes".into(),
         class: "interactive".into(),
         outcome: "answered".into(),
     };
@@ -18,7 +18,7 @@
     metrics.first_token.observe(0.3);
     let text = metrics.encode().unwrap();
     assert!(text.contains(
-        "sequoiawell_requests_total{customer=\"alykes\",class=\"interactive\",outcome=\"answered\"} 1"
+        "sequoiawell_requests_total{client_account=\"alykes\",class=\"interactive\",outcome=\"answered\"} 1"
     ));
     assert!(text.contains("sequoiawell_loads_total{source=\"Disk\"} 2"));
     assert!(text.contains("sequoiawell_first_token_seconds_count 1"));
--- a/components/process/types/src/contract.rs
+++ b/components/process/types/src/contract.rs
@@ -14,29 +14,29 @@
 /// The whole, in basis points.
 pub const WHOLE_BASIS_POINTS: BasisPoints = 10_000;
 
-/// One customer's contract.
+/// One client account's contract.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Contract {
-    /// Name of the customer; unique within a configuration.
-    pub customer: CustomerId,
-    /// SHA-256 hashes of the bearer keys, lower-case hex. No two customers share one.
+    /// Name of the client account; unique within a configuration.
+    pub client_account: ClientAccountId,
+    /// SHA-256 hashes of the bearer keys, lower-case hex. No two client accounts share one.
     pub key_hashes: BTreeSet<Box<str>>,
-    /// Models that the customer may use. Each is declared in the catalogue.
+    /// Models that the client account may use. Each is declared in the catalogue.
     pub models: BTreeSet<ModelId>,
-    /// Adapters that the customer may use, by model. Each model is also in `models`.
+    /// Adapters that the client account may use, by model. Each model is also in `models`.
     pub adapters: BTreeMap<ModelId, BTreeSet<AdapterId>>,
     /// Urgency classes. Never empty.
     pub classes: BTreeMap<ClassId, UrgencyClass>,
     /// Class of requests that name none; a key of `classes`.
     pub default_class: ClassId,
-    /// Share of capacity. The shares of all customers add up to the whole.
+    /// Share of capacity. The shares of all client accounts add up to the whole.
     pub capacity_share: BasisPoints,
-    /// Share of cost. The shares of all customers add up to the whole.
+    /// Share of cost. The shares of all client accounts add up to the whole.
     pub cost_share: BasisPoints,
     /// Limits over all data centres.
     pub limits: Limits,
-    /// Plain services that the customer may call.
+    /// Plain services that the client account may call.
     pub services: BTreeSet<ServiceId>,
 }
 
@@ -56,7 +56,7 @@
     pub worth_milli: u32,
 }
 
-/// Limits of one customer over all data centres.
+/// Limits of one client account over all data centres.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
@@ -168,8 +168,8 @@
 pub struct Configuration {
     /// Version; zero before the first accepted configuration.
     pub version: ConfigurationVersion,
-    /// Contracts by customer.
-    pub contracts: BTreeMap<CustomerId, Arc<Contract>>,
+    /// Contracts by client account.
+    pub contracts: BTreeMap<ClientAccountId, Arc<Contract>>,
     /// Models, services and deployment settings.
     pub catalogue: Arc<Catalogue>,
 }
--- a/components/process/types/src/ids.rs
+++ b/components/process/types/src/ids.rs
@@ -4,8 +4,8 @@
 pub type InstanceId = Box<str>;
 /// Name of a data centre.
 pub type DataCentreId = Box<str>;
-/// Name of a customer.
-pub type CustomerId = Box<str>;
+/// Name of a client account.
+pub type ClientAccountId = Box<str>;
 /// Name of a model.
 pub type ModelId = Box<str>;
 /// Name of an adapter; unique only together with its model.
--- a/components/process/types/src/verdict.rs
+++ b/components/process/types/src/verdict.rs
@@ -20,7 +20,7 @@
 pub enum Reason {
     /// The request is malformed.
     BadRequest,
-    /// The bearer key is missing or belongs to no customer.
+    /// The bearer key is missing or belongs to no client account.
     UnknownKey,
     /// The contract does not allow the model, adapter or service, or nobody declares it.
     UnknownModel,
@@ -30,7 +30,7 @@
     DeadlineUnreachable,
     /// The deadline passed while the request waited.
     DeadlinePassed,
-    /// The customer's limit is used up.
+    /// The client account's limit is used up.
     LimitReached,
     /// The queue is full.
     QueueFull,
--- a/components/request/admission/benches/queue.rs
+++ b/components/request/admission/benches/queue.rs
@@ -9,9 +9,9 @@
 
 const QUEUED: [u64; 3] = [1_000, 10_000, 100_000];
 const ADAPTERS: [usize; 2] = [5_400, 54_000];
-const CUSTOMERS: [usize; 3] = [10, 100, 1_000];
+const CLIENT_ACCOUNTS: [usize; 3] = [10, 100, 1_000];
 const MODELS: usize = 1_100;
-const QUEUE_CUSTOMERS: usize = 20;
+const QUEUE_CLIENT_ACCOUNTS: usize = 20;
 const ROUNDS: u64 = 200_000;
 const INSTANCES: usize = 40;
 const ROOMY: LocalLimits =
@@ -30,8 +30,8 @@
             );
         }
     }
-    for customers in CUSTOMERS {
-        measure_shares(customers)?;
+    for client_accounts in CLIENT_ACCOUNTS {
+        measure_shares(client_accounts)?;
     }
     Ok(())
 }
@@ -53,22 +53,22 @@
         worth_milli: 1,
     };
     let contract = |index: usize| {
-        let customer: CustomerId = format!("customer-{index}").into();
+        let client_account: ClientAccountId = format!("account-{index}").into();
         let contract = Contract {
-            customer: customer.clone(),
+            client_account: client_account.clone(),
             key_hashes: BTreeSet::new(),
             models: (0..MODELS).map(model).collect(),
             adapters: by_model.clone(),
             classes: BTreeMap::from([("batch".into(), class.clone())]),
             default_class: "batch".into(),
-            capacity_share: WHOLE_BASIS_POINTS / QUEUE_CUSTOMERS as u32,
-            cost_share: WHOLE_BASIS_POINTS / QUEUE_CUSTOMERS as u32,
+            capacity_share: WHOLE_BASIS_POINTS / QUEUE_CLIENT_ACCOUNTS as u32,
+            cost_share: WHOLE_BASIS_POINTS / QUEUE_CLIENT_ACCOUNTS as u32,
             limits: LIMITS,
             services: BTreeSet::new(),
         };
-        (customer, Arc::new(contract))
+        (client_account, Arc::new(contract))
     };
-    let contracts = (0..QUEUE_CUSTOMERS).map(contract).collect();
+    let contracts = (0..QUEUE_CLIENT_ACCOUNTS).map(contract).collect();
     Arc::new(Configuration { version: 1, contracts, catalogue: Arc::default() })
 }
 
@@ -76,8 +76,8 @@
 fn measure_queue(cfg: &Arc<Configuration>, adapters: usize, queued: u64) -> Duration {
     let start = Instant::now();
     let mut admission = Admission::new(cfg.clone());
-    for customer in cfg.contracts.keys() {
-        admission.set_limits(customer, ROOMY, start);
+    for client_account in cfg.contracts.keys() {
+        admission.set_limits(client_account, ROOMY, start);
     }
     let offer = |ticket: u64, now: Instant| {
         // Every other request is for model 0, to which one adapter in `MODELS` belongs.
@@ -86,7 +86,7 @@
         let index = spread as usize % (adapters / step) * step;
         Offer {
             ticket,
-            customer: format!("customer-{}", spread as usize % QUEUE_CUSTOMERS).into(),
+            client_account: format!("account-{}", spread as usize % QUEUE_CLIENT_ACCOUNTS).into(),
             class: None,
             queue: QueueKey::Model(model(index)),
             adapter: Some(format!("adapter-{index}").into()),
@@ -114,15 +114,15 @@
 }
 
 /// Prints the size of a request and a grant and the holder's time for one grant.
-fn measure_shares(customers: usize) -> Result<(), Box<dyn Error>> {
+fn measure_shares(client_accounts: usize) -> Result<(), Box<dyn Error>> {
     let now = Instant::now();
     let mut holder = Holder::new(1, Holding::even(0, 9), now);
     let mut grantees: Vec<Grantee> = (0..INSTANCES)
         .map(|index| {
             let mut grantee = Grantee::new(&format!("instance-{index}"), 1);
-            for customer in 0..customers {
+            for client_account in 0..client_accounts {
                 let need = LocalLimits { rate_milli: 500, concurrent: 1, queued: 1 };
-                grantee.want(&format!("customer-{customer}"), need, &LIMITS);
+                grantee.want(&format!("account-{client_account}"), need, &LIMITS);
             }
             grantee
         })
@@ -146,7 +146,7 @@
     }
     let grants = f64::from(RENEWALS / 2) * INSTANCES as f64;
     println!(
-        "{customers} customers, {INSTANCES} instances: request {request_bytes} bytes, \
+        "{client_accounts} client accounts, {INSTANCES} instances: request {request_bytes} bytes, \
          grant {grant_bytes} bytes, {:.0} us a grant at first, {:.0} us later",
         first.as_secs_f64() * 1e6 / grants,
         steady.as_secs_f64() * 1e6 / grants
--- a/components/request/admission/src/admission.rs
+++ b/components/request/admission/src/admission.rs
@@ -5,7 +5,7 @@
 use types::prelude::*;
 
 use crate::bucket::Bucket;
-use crate::fair_queue::{CustomerIndex, FairQueue};
+use crate::fair_queue::{ClientAccountIndex, FairQueue};
 use crate::request::{Admitted, Expired, LocalLimits, Offer, QueueKey, Ticket, Waiting};
 
 /// Queues, limits and deadlines of one instance.
@@ -14,8 +14,8 @@
 #[derive(Debug)]
 pub struct Admission {
     cfg: Arc<Configuration>,
-    customers: Vec<Customer>,
-    index: HashMap<CustomerId, CustomerIndex>,
+    client_accounts: Vec<ClientAccount>,
+    index: HashMap<ClientAccountId, ClientAccountIndex>,
     requests: HashMap<Ticket, Tracked>,
     queues: HashMap<QueueKey, FairQueue>,
     deadlines: BTreeSet<(Instant, Ticket)>,
@@ -26,10 +26,10 @@
 }
 
 #[derive(Debug)]
-struct Customer {
+struct ClientAccount {
     limits: LocalLimits,
     bucket: Bucket,
-    /// Capacity share in the latest configuration that names the customer.
+    /// Capacity share in the latest configuration that names the client account.
     weight: BasisPoints,
     waiting: u64,
     running: u64,
@@ -37,10 +37,10 @@
 
 #[derive(Debug)]
 struct Tracked {
-    customer: CustomerIndex,
+    client_account: ClientAccountIndex,
     request: Admitted,
     place: Place,
-    /// The customer was charged for the work, so a second turn is free.
+    /// The client account was charged for the work, so a second turn is free.
     charged: bool,
 }
 
@@ -52,11 +52,11 @@
 }
 
 impl Admission {
-    /// An empty queue under `cfg`. A customer can queue nothing before `set_limits`.
+    /// An empty queue under `cfg`. A client account can queue nothing before `set_limits`.
     pub fn new(cfg: Arc<Configuration>) -> Self {
         Self {
             cfg,
-            customers: Vec::new(),
+            client_accounts: Vec::new(),
             index: HashMap::new(),
             requests: HashMap::new(),
             queues: HashMap::new(),
@@ -74,23 +74,23 @@
         self.cfg = cfg;
         for (name, contract) in &self.cfg.contracts {
             if let Some(index) = self.index.get(name) {
-                self.customers[*index as usize].weight = contract.capacity_share;
+                self.client_accounts[*index as usize].weight = contract.capacity_share;
             }
         }
     }
 
-    /// Sets the part of a customer's limits that this instance may use from now on.
-    pub fn set_limits(&mut self, customer: &str, limits: LocalLimits, now: Instant) {
-        if let Some(index) = self.index.get(customer) {
-            let customer = &mut self.customers[*index as usize];
-            customer.limits = limits;
-            customer.bucket.set_rate(limits.rate_milli, now);
+    /// Sets the part of a client account's limits that this instance may use from now on.
+    pub fn set_limits(&mut self, client_account: &str, limits: LocalLimits, now: Instant) {
+        if let Some(index) = self.index.get(client_account) {
+            let client_account = &mut self.client_accounts[*index as usize];
+            client_account.limits = limits;
+            client_account.bucket.set_rate(limits.rate_milli, now);
             return;
         }
-        let weight = self.cfg.contracts.get(customer).map_or(0, |c| c.capacity_share);
+        let weight = self.cfg.contracts.get(client_account).map_or(0, |c| c.capacity_share);
         let bucket = Bucket::new(&limits, now);
-        self.index.insert(customer.into(), self.customers.len() as CustomerIndex);
-        self.customers.push(Customer { limits, bucket, weight, waiting: 0, running: 0 });
+        self.index.insert(client_account.into(), self.client_accounts.len() as ClientAccountIndex);
+        self.client_accounts.push(ClientAccount { limits, bucket, weight, waiting: 0, running: 0 });
     }
 
     /// Queues a request or refuses it at once with a true `not_run`.
@@ -103,19 +103,19 @@
             let refusal = Refusal::not_run(Reason::DeadlineUnreachable);
             return Err(refusal.with_retry_at(offer.earliest_first_token));
         }
-        let Some(&index) = self.index.get(&offer.customer) else {
+        let Some(&index) = self.index.get(&offer.client_account) else {
             return Err(Refusal::not_run(Reason::LimitReached));
         };
-        let customer = &mut self.customers[index as usize];
-        if customer.waiting >= customer.limits.queued {
+        let client_account = &mut self.client_accounts[index as usize];
+        if client_account.waiting >= client_account.limits.queued {
             return Err(Refusal::not_run(Reason::QueueFull));
         }
-        customer
+        client_account
             .bucket
             .take(now)
             .map_err(|at| Refusal { retry_at: at, ..Refusal::not_run(Reason::LimitReached) })?;
         let tracked = Tracked {
-            customer: index,
+            client_account: index,
             request: request.clone(),
             place: Place::Queue,
             charged: false,
@@ -128,15 +128,15 @@
     pub fn next(&mut self, queue: &QueueKey, now: Instant) -> Option<Admitted> {
         self.advance(now);
         let waiting = self.queues.get_mut(queue)?;
-        let customers = &self.customers;
-        let has_room = |index: CustomerIndex| {
-            let customer = &customers[index as usize];
-            customer.running < customer.limits.concurrent
+        let client_accounts = &self.client_accounts;
+        let has_room = |index: ClientAccountIndex| {
+            let client_account = &client_accounts[index as usize];
+            client_account.running < client_account.limits.concurrent
         };
         let (index, ticket) = waiting.first(has_room)?;
         let mut tracked = self.detach(ticket)?;
         if !tracked.charged {
-            let weight = self.customers[index as usize].weight;
+            let weight = self.client_accounts[index as usize].weight;
             if let Some(waiting) = self.queues.get_mut(queue) {
                 waiting.charge(index, tracked.request.work, weight);
             }
@@ -222,15 +222,16 @@
         self.queues.keys()
     }
 
-    /// Requests that wait and requests in progress of one customer.
-    pub fn load(&self, customer: &str) -> (u64, u64) {
-        let customer = self.index.get(customer).map(|index| &self.customers[*index as usize]);
-        customer.map_or((0, 0), |c| (c.waiting, c.running))
+    /// Requests that wait and requests in progress of one client account.
+    pub fn load(&self, client_account: &str) -> (u64, u64) {
+        let client_account =
+            self.index.get(client_account).map(|index| &self.client_accounts[*index as usize]);
+        client_account.map_or((0, 0), |c| (c.waiting, c.running))
     }
 
     /// The terms under which a request is admitted in the present configuration.
     fn terms(&self, offer: &Offer, now: Instant) -> Result<Admitted, Reason> {
-        let contract = self.cfg.contracts.get(&offer.customer).ok_or(Reason::UnknownKey)?;
+        let contract = self.cfg.contracts.get(&offer.client_account).ok_or(Reason::UnknownKey)?;
         let allowed = match (&offer.queue, &offer.adapter) {
             (QueueKey::Service(service), _) => contract.services.contains(service),
             (QueueKey::Model(model), None) => contract.models.contains(model),
@@ -247,7 +248,7 @@
         let complete_by = offer.complete_by.map_or(target, |at| at.min(target));
         Ok(Admitted {
             ticket: offer.ticket,
-            customer: offer.customer.clone(),
+            client_account: offer.client_account.clone(),
             class: class_id.clone(),
             queue: offer.queue.clone(),
             adapter: offer.adapter.clone(),
@@ -292,14 +293,17 @@
     }
 
     fn insert(&mut self, tracked: Tracked) {
-        let Tracked { customer, request, place, .. } = &tracked;
+        let Tracked { client_account, request, place, .. } = &tracked;
         let ticket = request.ticket;
-        let owner = &mut self.customers[*customer as usize];
+        let owner = &mut self.client_accounts[*client_account as usize];
         match place {
             Place::Running => owner.running += 1,
             Place::Queue => {
                 owner.waiting += 1;
-                self.queues.entry(request.queue.clone()).or_default().push(*customer, request);
+                self.queues
+                    .entry(request.queue.clone())
+                    .or_default()
+                    .push(*client_account, request);
             }
             Place::Delayed(until) => {
                 owner.waiting += 1;
@@ -313,13 +317,13 @@
     fn detach(&mut self, ticket: Ticket) -> Option<Tracked> {
         let tracked = self.requests.remove(&ticket)?;
         self.deadlines.remove(&(tracked.deadline(), ticket));
-        let owner = &mut self.customers[tracked.customer as usize];
+        let owner = &mut self.client_accounts[tracked.client_account as usize];
         match tracked.place {
             Place::Running => owner.running -= 1,
             Place::Queue => {
                 owner.waiting -= 1;
                 if let Some(waiting) = self.queues.get_mut(&tracked.request.queue) {
-                    waiting.remove(tracked.customer, &tracked.request);
+                    waiting.remove(tracked.client_account, &tracked.request);
                 }
             }
             Place::Delayed(until) => {
--- a/components/request/admission/src/fair_queue.rs
+++ b/components/request/admission/src/fair_queue.rs
@@ -1,4 +1,4 @@
-//! Start-time fair queueing between customers that wait for the same model or service.
+//! Start-time fair queueing between client accounts that wait for the same model or service.
 
 use std::cmp::Reverse;
 
@@ -6,13 +6,13 @@
 
 use crate::request::{Admitted, Ticket};
 
-/// Index of a customer within one `Admission`.
-pub(crate) type CustomerIndex = u32;
+/// Index of a client account within one `Admission`.
+pub(crate) type ClientAccountIndex = u32;
 
 /// Virtual time per unit of work at weight 1. A share of the whole still advances by 104 a unit.
 const SCALE: u128 = 1 << 20;
 
-/// Order of a customer's own requests: deadline, then priority, then arrival.
+/// Order of a client account's own requests: deadline, then priority, then arrival.
 type Rank = (Instant, Reverse<u8>, Ticket);
 
 /// Requests that wait for one queue key.
@@ -20,10 +20,10 @@
 pub(crate) struct FairQueue {
     /// Start tag of the request served last; never falls while requests wait.
     virtual_time: u128,
-    /// Customers seen since the queue was last empty.
-    flows: HashMap<CustomerIndex, Flow>,
-    /// Customers with waiting requests by start tag.
-    order: BTreeSet<(u128, CustomerIndex)>,
+    /// Client accounts seen since the queue was last empty.
+    flows: HashMap<ClientAccountIndex, Flow>,
+    /// Client accounts with waiting requests by start tag.
+    order: BTreeSet<(u128, ClientAccountIndex)>,
     /// Deadlines of all waiting requests.
     deadlines: BTreeSet<(Instant, Ticket)>,
     worth_milli: u64,
@@ -31,7 +31,7 @@
 
 #[derive(Debug, Default)]
 struct Flow {
-    /// Start tag of the customer's next request.
+    /// Start tag of the client account's next request.
     tag: u128,
     requests: BTreeSet<Rank>,
 }
@@ -53,38 +53,39 @@
         self.deadlines.first().map(|(at, _)| *at)
     }
 
-    pub(crate) fn push(&mut self, customer: CustomerIndex, request: &Admitted) {
-        let flow = self.flows.entry(customer).or_default();
+    pub(crate) fn push(&mut self, client_account: ClientAccountIndex, request: &Admitted) {
+        let flow = self.flows.entry(client_account).or_default();
         if flow.requests.is_empty() {
-            // A customer that was idle starts at the present virtual time, without saved credit.
+            // A client account that was idle starts at the present virtual time, without saved credit.
             flow.tag = flow.tag.max(self.virtual_time);
-            self.order.insert((flow.tag, customer));
+            self.order.insert((flow.tag, client_account));
         }
         flow.requests.insert(rank(request));
         self.deadlines.insert((request.first_token_by, request.ticket));
         self.worth_milli += u64::from(request.worth_milli);
     }
 
-    pub(crate) fn remove(&mut self, customer: CustomerIndex, request: &Admitted) {
-        if let Some(flow) = self.flows.get_mut(&customer) {
+    pub(crate) fn remove(&mut self, client_account: ClientAccountIndex, request: &Admitted) {
+        if let Some(flow) = self.flows.get_mut(&client_account) {
             flow.requests.remove(&rank(request));
             if flow.requests.is_empty() {
-                self.order.remove(&(flow.tag, customer));
+                self.order.remove(&(flow.tag, client_account));
             }
         }
         self.deadlines.remove(&(request.first_token_by, request.ticket));
         self.worth_milli -= u64::from(request.worth_milli);
     }
 
-    /// The customer and request to serve next among customers that are `eligible`.
+    /// The client account and request to serve next among client accounts that are `eligible`.
     pub(crate) fn first(
         &mut self,
-        eligible: impl Fn(CustomerIndex) -> bool,
-    ) -> Option<(CustomerIndex, Ticket)> {
-        let passed_over = self.order.iter().take_while(|(_, customer)| !eligible(*customer));
+        eligible: impl Fn(ClientAccountIndex) -> bool,
+    ) -> Option<(ClientAccountIndex, Ticket)> {
+        let passed_over =
+            self.order.iter().take_while(|(_, client_account)| !eligible(*client_account));
         let passed_over: Vec<_> = passed_over.copied().collect();
-        let (tag, customer) = *self.order.iter().nth(passed_over.len())?;
-        // A customer at its own limit gives up its turn; otherwise it could later make up for all
+        let (tag, client_account) = *self.order.iter().nth(passed_over.len())?;
+        // A client account at its own limit gives up its turn; otherwise it could later make up for all
         // the time it was held back and starve the others.
         for (old, held_back) in passed_over {
             self.order.remove(&(old, held_back));
@@ -92,17 +93,17 @@
             self.flows.entry(held_back).or_default().tag = tag;
         }
         self.virtual_time = self.virtual_time.max(tag);
-        let flow = self.flows.get(&customer)?;
-        flow.requests.first().map(|(_, _, ticket)| (customer, *ticket))
+        let flow = self.flows.get(&client_account)?;
+        flow.requests.first().map(|(_, _, ticket)| (client_account, *ticket))
     }
 
-    /// Charges a customer for work that it was given.
-    pub(crate) fn charge(&mut self, customer: CustomerIndex, work: u32, weight: u32) {
-        let Some(flow) = self.flows.get_mut(&customer) else { return };
-        let queued = self.order.remove(&(flow.tag, customer));
+    /// Charges a client account for work that it was given.
+    pub(crate) fn charge(&mut self, client_account: ClientAccountIndex, work: u32, weight: u32) {
+        let Some(flow) = self.flows.get_mut(&client_account) else { return };
+        let queued = self.order.remove(&(flow.tag, client_account));
         flow.tag += u128::from(work.max(1)) * SCALE / u128::from(weight.max(1));
         if queued {
-            self.order.insert((flow.tag, customer));
+            self.order.insert((flow.tag, client_account));
         }
     }
 }
--- a/components/request/admission/src/request.rs
+++ b/components/request/admission/src/request.rs
@@ -19,8 +19,8 @@
 pub struct Offer {
     /// The request's number.
     pub ticket: Ticket,
-    /// Customer that the bearer key belongs to.
-    pub customer: CustomerId,
+    /// Client account that the bearer key belongs to.
+    pub client_account: ClientAccountId,
     /// Class from the header; `None` selects the contract's default class.
     pub class: Option<ClassId>,
     /// What the request queues for.
@@ -40,8 +40,8 @@
 pub struct Admitted {
     /// The request's number.
     pub ticket: Ticket,
-    /// Customer of the request.
-    pub customer: CustomerId,
+    /// Client account of the request.
+    pub client_account: ClientAccountId,
     /// Class of the request.
     pub class: ClassId,
     /// What the request queues for.
@@ -84,7 +84,7 @@
     pub worth_milli: u64,
 }
 
-/// Part of one customer's limits that this instance may use.
+/// Part of one client account's limits that this instance may use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LocalLimits {
     /// Thousandths of requests a second.
--- a/components/request/admission/src/shares/grantee.rs
+++ b/components/request/admission/src/shares/grantee.rs
@@ -11,8 +11,8 @@
 pub struct Grantee {
     instance: InstanceId,
     incarnation: Incarnation,
-    parts: BTreeMap<CustomerId, Parts>,
-    wanted: BTreeMap<CustomerId, u64>,
+    parts: BTreeMap<ClientAccountId, Parts>,
+    wanted: BTreeMap<ClientAccountId, u64>,
     fencing: FencingNumber,
     applied: u64,
     ends_at: Option<Instant>,
@@ -37,10 +37,10 @@
         }
     }
 
-    /// Sets the units of use that the instance expects to need. A customer that was active lately
+    /// Sets the units of use that the instance expects to need. A client account that was active lately
     /// is to be given even with no need, to get a part of what nobody wants. For any other, the
     /// first request has to wait for a grant.
-    pub fn want(&mut self, customer: &str, need: LocalLimits, limits: &Limits) {
+    pub fn want(&mut self, client_account: &str, need: LocalLimits, limits: &Limits) {
         let length = |units: u64, limit: u64| match limit {
             0 => 0,
             limit => (units.min(limit) * WHOLE).div_ceil(limit),
@@ -48,13 +48,13 @@
         let wanted = length(need.rate_milli, u64::from(limits.requests_per_second) * 1_000)
             .max(length(need.concurrent, limits.concurrent_requests.into()))
             .max(length(need.queued, limits.queued_requests.into()));
-        self.wanted.insert(customer.into(), wanted);
+        self.wanted.insert(client_account.into(), wanted);
     }
 
-    /// Stops asking for a customer that was not active lately. Messages and the holder's work
-    /// grow with the customers that are asked for.
-    pub fn forget(&mut self, customer: &str) {
-        self.wanted.remove(customer);
+    /// Stops asking for a client account that was not active lately. Messages and the holder's work
+    /// grow with the client accounts that are asked for.
+    pub fn forget(&mut self, client_account: &str) {
+        self.wanted.remove(client_account);
     }
 
     /// The request to send now to the holder with this fencing number.
@@ -90,9 +90,9 @@
         true
     }
 
-    /// Limits of a customer that this instance may use now.
-    pub fn limits(&self, customer: &str, limits: &Limits, now: Instant) -> LocalLimits {
-        let Some(parts) = self.parts.get(customer).filter(|_| self.is_valid(now)) else {
+    /// Limits of a client account that this instance may use now.
+    pub fn limits(&self, client_account: &str, limits: &Limits, now: Instant) -> LocalLimits {
+        let Some(parts) = self.parts.get(client_account).filter(|_| self.is_valid(now)) else {
             return LocalLimits::default();
         };
         LocalLimits {
--- a/components/request/admission/src/shares/hand_over.rs
+++ b/components/request/admission/src/shares/hand_over.rs
@@ -28,7 +28,7 @@
     /// Whether the parts are granted, and not only left over from an earlier grant.
     pub is_granted: bool,
     /// The parts.
-    pub parts: BTreeMap<CustomerId, Parts>,
+    pub parts: BTreeMap<ClientAccountId, Parts>,
     /// How long they may be used, the margin included.
     pub remaining_ms: u64,
 }
--- a/components/request/admission/src/shares/holder.rs
+++ b/components/request/admission/src/shares/holder.rs
@@ -18,7 +18,7 @@
 /// Interval at which a grantee asks again.
 pub const RENEW_INTERVAL: Duration = Duration::from_secs(5);
 
-/// An instance's request to the holder, for all customers at once.
+/// An instance's request to the holder, for all client accounts at once.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ShareRequest {
@@ -36,9 +36,9 @@
     /// Fencing number of the holder that gave this grant.
     pub fencing: FencingNumber,
     /// Parts that it still holds from an earlier holder.
-    pub held: BTreeMap<CustomerId, Parts>,
-    /// Length of the parts that it wants. A customer that is not listed gets nothing.
-    pub wanted: BTreeMap<CustomerId, u64>,
+    pub held: BTreeMap<ClientAccountId, Parts>,
+    /// Length of the parts that it wants. A client account that is not listed gets nothing.
+    pub wanted: BTreeMap<ClientAccountId, u64>,
 }
 
 /// The holder's answer; it replaces everything that the instance held.
@@ -56,14 +56,14 @@
     /// The holder's fencing number.
     pub fencing: FencingNumber,
     /// Parts granted.
-    pub parts: BTreeMap<CustomerId, Parts>,
+    pub parts: BTreeMap<ClientAccountId, Parts>,
     /// Remaining validity, counted from the time at which the request was sent.
     pub term_ms: u64,
 }
 
 /// The owner of the group `limits/DATA_CENTRE`. It may answer only while it owns the group.
 ///
-/// No point of a customer's span is ever in two places out of: free, granted to one instance, and
+/// No point of a client account's span is ever in two places out of: free, granted to one instance, and
 /// retired (no longer granted, but perhaps still in use by an instance that missed the change).
 #[derive(Debug)]
 pub struct Holder {
@@ -92,8 +92,8 @@
 pub(super) struct Grant {
     pub(super) incarnation: Incarnation,
     pub(super) serial: u64,
-    pub(super) parts: BTreeMap<CustomerId, Parts>,
-    pub(super) wanted: BTreeMap<CustomerId, u64>,
+    pub(super) parts: BTreeMap<ClientAccountId, Parts>,
+    pub(super) wanted: BTreeMap<ClientAccountId, u64>,
     pub(super) ends_at: Instant,
 }
 
@@ -103,7 +103,7 @@
     pub(super) incarnation: Incarnation,
     /// Serial number of the grant that took the parts away.
     pub(super) replaced_by: u64,
-    pub(super) parts: BTreeMap<CustomerId, Parts>,
+    pub(super) parts: BTreeMap<ClientAccountId, Parts>,
     pub(super) until: Instant,
 }
 
@@ -192,10 +192,9 @@
         let granted = self.grants.values().filter(|g| g.ends_at > now).map(|g| &g.parts);
         let retired = self.retired.iter().filter(|r| r.until > now).map(|r| &r.parts);
         self.knows_all_grants(now)
-            && granted
-                .chain(retired)
-                .flatten()
-                .all(|(customer, used)| used.intersection(parts.parts(customer)).is_empty())
+            && granted.chain(retired).flatten().all(|(client_account, used)| {
+                used.intersection(parts.parts(client_account)).is_empty()
+            })
     }
 
     /// Answers a request; `None` if another holder is meant.
@@ -215,16 +214,16 @@
             wanted: request.wanted.clone(),
             ends_at: now + term + GRANT_MARGIN,
         };
-        let customers: BTreeSet<CustomerId> =
+        let client_accounts: BTreeSet<ClientAccountId> =
             grant.parts.keys().chain(grant.wanted.keys()).cloned().collect();
         self.wants.add(&grant.wanted);
         let may_add = self.knows_all_grants(now) && !self.is_lapsed;
-        for customer in customers {
-            let parts = self.resize(&customer, &grant, may_add);
+        for client_account in client_accounts {
+            let parts = self.resize(&client_account, &grant, may_add);
             if parts.is_empty() {
-                grant.parts.remove(&customer);
+                grant.parts.remove(&client_account);
             } else {
-                grant.parts.insert(customer, parts);
+                grant.parts.insert(client_account, parts);
             }
         }
         if let Some(previous) = previous {
@@ -243,29 +242,29 @@
         Some(reply)
     }
 
-    /// Customers of whose limits more is wanted than the data centre holds, with the length that
+    /// Client accounts of whose limits more is wanted than the data centre holds, with the length that
     /// is missing. To be asked of other data centres.
-    pub fn unmet(&self) -> BTreeMap<CustomerId, u64> {
-        let missing = self.wants.totals().map(|(customer, total)| {
-            (customer.clone(), total.saturating_sub(self.grantable(customer).length()))
+    pub fn unmet(&self) -> BTreeMap<ClientAccountId, u64> {
+        let missing = self.wants.totals().map(|(client_account, total)| {
+            (client_account.clone(), total.saturating_sub(self.grantable(client_account).length()))
         });
         missing.filter(|(_, length)| *length > 0).collect()
     }
 
     /// What this data centre can give to one with these unmet wants: at most half of what its own
     /// instances do not want, and preferably parts that none of them holds.
-    pub fn donation(&self, unmet: &BTreeMap<CustomerId, u64>) -> Holding {
+    pub fn donation(&self, unmet: &BTreeMap<ClientAccountId, u64>) -> Holding {
         let mut donation = Holding::default();
-        for (customer, missing) in unmet {
-            let grantable = self.grantable(customer);
-            let spare = grantable.length().saturating_sub(self.wants.total(customer));
-            let free = grantable.minus(&self.in_use(customer));
+        for (client_account, missing) in unmet {
+            let grantable = self.grantable(client_account);
+            let spare = grantable.length().saturating_sub(self.wants.total(client_account));
+            let free = grantable.minus(&self.in_use(client_account));
             let length = (spare / 2).min(*missing);
             let from_free = free.take(length.min(free.length()));
             let rest = grantable.minus(&free).take(length - from_free.length());
             let parts = from_free.union(&rest);
             if !parts.is_empty() {
-                donation.by_customer.insert(customer.clone(), parts);
+                donation.by_client_account.insert(client_account.clone(), parts);
             }
         }
         donation
@@ -301,20 +300,20 @@
     }
 
     /// Parts that the instance holds from the predecessor and that nobody else does.
-    fn confirmed(&self, request: &ShareRequest) -> BTreeMap<CustomerId, Parts> {
-        let confirm = |(customer, held): (&CustomerId, &Parts)| {
-            let own = held.intersection(self.holding.parts(customer));
-            (customer.clone(), own.minus(&self.in_use(customer)))
+    fn confirmed(&self, request: &ShareRequest) -> BTreeMap<ClientAccountId, Parts> {
+        let confirm = |(client_account, held): (&ClientAccountId, &Parts)| {
+            let own = held.intersection(self.holding.parts(client_account));
+            (client_account.clone(), own.minus(&self.in_use(client_account)))
         };
         request.held.iter().map(confirm).collect()
     }
 
-    /// The parts of one customer's limits that `grant` is to have.
-    fn resize(&self, customer: &str, grant: &Grant, may_add: bool) -> Parts {
-        let grantable = self.grantable(customer);
-        let own = grant.parts.get(customer).map(|own| own.intersection(&grantable));
+    /// The parts of one client account's limits that `grant` is to have.
+    fn resize(&self, client_account: &str, grant: &Grant, may_add: bool) -> Parts {
+        let grantable = self.grantable(client_account);
+        let own = grant.parts.get(client_account).map(|own| own.intersection(&grantable));
         let own = own.unwrap_or_default();
-        let target = self.target(customer, grant, grantable.length());
+        let target = self.target(client_account, grant, grantable.length());
         let length = own.length();
         if !may_add || length == target {
             return own;
@@ -322,31 +321,31 @@
         if length > target {
             return own.take(target);
         }
-        let free = grantable.minus(&self.in_use(customer)).minus(&own);
+        let free = grantable.minus(&self.in_use(client_account)).minus(&own);
         own.union(&free.take(target - length))
     }
 
     /// Length due to `grant`: what it wants as far as max-min fairness allows, and part of what
     /// nobody wants, so that an unexpected first request does not have to wait. Half of that
     /// stays with the holder for sudden wants.
-    fn target(&self, customer: &str, grant: &Grant, total: u64) -> u64 {
-        let Some(own) = grant.wanted.get(customer).copied() else { return 0 };
-        if self.wants.total(customer) > total {
-            let others = self.grants.values().filter_map(|grant| grant.wanted.get(customer));
+    fn target(&self, client_account: &str, grant: &Grant, total: u64) -> u64 {
+        let Some(own) = grant.wanted.get(client_account).copied() else { return 0 };
+        if self.wants.total(client_account) > total {
+            let others = self.grants.values().filter_map(|grant| grant.wanted.get(client_account));
             return own.min(level(others.copied().chain([own]).collect(), total));
         }
-        let left = total - self.wants.total(customer);
-        own + left / (2 * self.wants.instances(customer).max(1))
+        let left = total - self.wants.total(client_account);
+        own + left / (2 * self.wants.instances(client_account).max(1))
     }
 
-    fn grantable(&self, customer: &str) -> Parts {
-        self.holding.parts(customer).minus(self.withheld.parts(customer))
+    fn grantable(&self, client_account: &str) -> Parts {
+        self.holding.parts(client_account).minus(self.withheld.parts(client_account))
     }
 
-    fn in_use(&self, customer: &str) -> Parts {
+    fn in_use(&self, client_account: &str) -> Parts {
         let granted = self.grants.values().map(|grant| &grant.parts);
         let retired = self.retired.iter().map(|retired| &retired.parts);
-        Parts::union_all(granted.chain(retired).filter_map(|parts| parts.get(customer)))
+        Parts::union_all(granted.chain(retired).filter_map(|parts| parts.get(client_account)))
     }
 
     /// Keeps what `new` takes away from the instance until the instance cannot use it any more.
--- a/components/request/admission/src/shares/mover.rs
+++ b/components/request/admission/src/shares/mover.rs
@@ -12,10 +12,10 @@
 /// Time for which received parts are not given away again. It is several times the duration of a
 /// move, so that parts do not swing between data centres whose wants rise and fall.
 pub const KEEP_TIME: Duration = Duration::from_secs(60);
-/// Smallest part of one customer's limits that is moved. It bounds the pieces into which a limit
+/// Smallest part of one client account's limits that is moved. It bounds the pieces into which a limit
 /// can fall apart, and with them the size of the share objects.
 pub const MIN_PART: u64 = WHOLE / 256;
-/// Customers in one request to another data centre; bounds its size to some 2 KB.
+/// Client accounts in one request to another data centre; bounds its size to some 2 KB.
 pub const MAX_ASKED: usize = 32;
 /// Time between two requests to the same data centre.
 const ASK_INTERVAL: Duration = Duration::from_secs(10);
@@ -46,8 +46,8 @@
     Ask {
         /// The data centre.
         to: DataCentreId,
-        /// Missing lengths by customer.
-        unmet: BTreeMap<CustomerId, u64>,
+        /// Missing lengths by client account.
+        unmet: BTreeMap<ClientAccountId, u64>,
     },
     /// Tell the holder of another data centre that `share/OWN` has changed. Losses are tolerated.
     Tell(DataCentreId),
@@ -73,7 +73,7 @@
 /// Parts that another data centre has promised.
 #[derive(Debug)]
 struct Promise {
-    lengths: BTreeMap<CustomerId, u64>,
+    lengths: BTreeMap<ClientAccountId, u64>,
     until: Instant,
 }
 
@@ -90,9 +90,9 @@
     is_lapsed: bool,
     donation: Option<Donation>,
     promises: BTreeMap<DataCentreId, Promise>,
-    unmet_since: BTreeMap<CustomerId, Instant>,
-    /// Received parts of these customers are kept until then.
-    kept_until: BTreeMap<CustomerId, Instant>,
+    unmet_since: BTreeMap<ClientAccountId, Instant>,
+    /// Received parts of these client accounts are kept until then.
+    kept_until: BTreeMap<ClientAccountId, Instant>,
     asked_at: BTreeMap<DataCentreId, Instant>,
     /// The answer to a request is waited for until then.
     asking_until: Option<Instant>,
@@ -215,8 +215,8 @@
         now: Instant,
     ) {
         let gained = share.holding.minus(holder.holding());
-        let gained = gained.by_customer.into_iter().filter(|(_, parts)| !parts.is_empty());
-        self.kept_until.extend(gained.map(|(customer, _)| (customer, now + KEEP_TIME)));
+        let gained = gained.by_client_account.into_iter().filter(|(_, parts)| !parts.is_empty());
+        self.kept_until.extend(gained.map(|(client_account, _)| (client_account, now + KEEP_TIME)));
         let is_received = |from: &DataCentreId| share.received.values().any(|d| d == from);
         self.promises.retain(|from, _| !is_received(from));
         holder.set_holding(share.holding.clone());
@@ -280,19 +280,24 @@
         &mut self,
         holder: &mut Holder,
         from: &str,
-        unmet: &BTreeMap<CustomerId, u64>,
+        unmet: &BTreeMap<ClientAccountId, u64>,
         now: Instant,
-    ) -> BTreeMap<CustomerId, u64> {
+    ) -> BTreeMap<ClientAccountId, u64> {
         if self.is_lapsed || self.donation.is_some() || self.stored.is_none() {
             return BTreeMap::new();
         }
         self.kept_until.retain(|_, until| now < *until);
-        let is_moved = |customer: &CustomerId| !self.kept_until.contains_key(customer);
-        let asked = unmet.iter().filter(|(customer, _)| is_moved(customer)).take(MAX_ASKED);
+        let is_moved =
+            |client_account: &ClientAccountId| !self.kept_until.contains_key(client_account);
+        let asked =
+            unmet.iter().filter(|(client_account, _)| is_moved(client_account)).take(MAX_ASKED);
         let mut holding = holder.donation(&asked.map(|(c, n)| (c.clone(), *n)).collect());
-        holding.by_customer.retain(|_, parts| parts.length() >= MIN_PART);
-        let lengths: BTreeMap<_, _> =
-            holding.by_customer.iter().map(|(c, parts)| (c.clone(), parts.length())).collect();
+        holding.by_client_account.retain(|_, parts| parts.length() >= MIN_PART);
+        let lengths: BTreeMap<_, _> = holding
+            .by_client_account
+            .iter()
+            .map(|(c, parts)| (c.clone(), parts.length()))
+            .collect();
         if !lengths.is_empty() {
             holder.withhold(&holding);
             self.donation = Some(Donation { to: from.into(), holding, until: now + DONATION_TIME });
@@ -304,7 +309,7 @@
     pub fn on_offer(
         &mut self,
         from: &str,
-        lengths: Option<BTreeMap<CustomerId, u64>>,
+        lengths: Option<BTreeMap<ClientAccountId, u64>>,
         now: Instant,
     ) {
         self.asking_until = None;
@@ -326,24 +331,27 @@
         now: Instant,
     ) -> Option<MoveAction> {
         let mut unmet = holder.unmet();
-        self.unmet_since.retain(|customer, _| unmet.contains_key(customer));
-        for customer in unmet.keys() {
-            self.unmet_since.entry(customer.clone()).or_insert(now);
+        self.unmet_since.retain(|client_account, _| unmet.contains_key(client_account));
+        for client_account in unmet.keys() {
+            self.unmet_since.entry(client_account.clone()).or_insert(now);
         }
         self.promises.retain(|_, promise| now < promise.until);
         if self.asking_until.is_some_and(|until| now < until) {
             return None;
         }
         let is_due = |since: &Instant| now >= *since + UNMET_TIME;
-        unmet.retain(|customer, _| self.unmet_since.get(customer).is_some_and(is_due));
-        for (customer, length) in self.promises.values().flat_map(|promise| &promise.lengths) {
-            if let Some(missing) = unmet.get_mut(customer) {
+        unmet.retain(|client_account, _| self.unmet_since.get(client_account).is_some_and(is_due));
+        for (client_account, length) in self.promises.values().flat_map(|promise| &promise.lengths)
+        {
+            if let Some(missing) = unmet.get_mut(client_account) {
                 *missing = missing.saturating_sub(*length);
             }
         }
         let wanted = unmet.into_iter().filter(|(_, missing)| *missing > 0);
-        let unmet: BTreeMap<_, _> =
-            wanted.map(|(customer, n)| (customer, n.max(MIN_PART))).take(MAX_ASKED).collect();
+        let unmet: BTreeMap<_, _> = wanted
+            .map(|(client_account, n)| (client_account, n.max(MIN_PART)))
+            .take(MAX_ASKED)
+            .collect();
         let may_ask = |other: &&DataCentreId| {
             let asked_at = self.asked_at.get(*other);
             asked_at.is_none_or(|at| now >= *at + ASK_INTERVAL)
--- a/components/request/admission/src/shares/standing.rs
+++ b/components/request/admission/src/shares/standing.rs
@@ -5,14 +5,14 @@
 
 use super::parts::Parts;
 
-/// Parts of every customer's limits.
+/// Parts of every client account's limits.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Holding {
-    /// Parts for customers without an entry of their own.
+    /// Parts for client accounts without an entry of their own.
     pub default: Parts,
-    /// Parts by customer.
-    pub by_customer: BTreeMap<CustomerId, Parts>,
+    /// Parts by client account.
+    pub by_client_account: BTreeMap<ClientAccountId, Parts>,
 }
 
 /// Parts on their way to another data centre.
@@ -53,17 +53,20 @@
 impl Holding {
     /// Part `index` of `count` equal parts of every limit.
     pub fn even(index: u64, count: u64) -> Self {
-        Self { default: Parts::even(index, count), by_customer: BTreeMap::new() }
+        Self { default: Parts::even(index, count), by_client_account: BTreeMap::new() }
     }
 
-    /// Parts of one customer's limits only.
-    pub fn of_customer(customer: &str, parts: Parts) -> Self {
-        Self { default: Parts::none(), by_customer: BTreeMap::from([(customer.into(), parts)]) }
+    /// Parts of one client account's limits only.
+    pub fn of_client_account(client_account: &str, parts: Parts) -> Self {
+        Self {
+            default: Parts::none(),
+            by_client_account: BTreeMap::from([(client_account.into(), parts)]),
+        }
     }
 
-    /// Parts of one customer's limits.
-    pub fn parts(&self, customer: &str) -> &Parts {
-        self.by_customer.get(customer).unwrap_or(&self.default)
+    /// Parts of one client account's limits.
+    pub fn parts(&self, client_account: &str) -> &Parts {
+        self.by_client_account.get(client_account).unwrap_or(&self.default)
     }
 
     /// Parts in either holding.
@@ -86,12 +89,14 @@
 
     fn combine(&self, other: &Self, f: impl Fn(&Parts, &Parts) -> Parts) -> Self {
         let default = f(&self.default, &other.default);
-        let customers = self.by_customer.keys().chain(other.by_customer.keys());
-        let by_customer = customers
-            .map(|customer| (customer.clone(), f(self.parts(customer), other.parts(customer))))
+        let client_accounts = self.by_client_account.keys().chain(other.by_client_account.keys());
+        let by_client_account = client_accounts
+            .map(|client_account| {
+                (client_account.clone(), f(self.parts(client_account), other.parts(client_account)))
+            })
             .filter(|(_, parts)| *parts != default)
             .collect();
-        Self { default, by_customer }
+        Self { default, by_client_account }
     }
 }
 
--- a/components/request/admission/tests/mover_properties/faults.rs
+++ b/components/request/admission/tests/mover_properties/faults.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// Guards against a customer that gets only its data centre's part of a limit although nobody uses
+/// Guards against a client account that gets only its data centre's part of a limit although nobody uses
 /// the rest.
 #[test]
 fn unused_parts_of_others_arrive_where_they_are_wanted() {
--- a/components/request/admission/tests/mover_properties/main.rs
+++ b/components/request/admission/tests/mover_properties/main.rs
@@ -251,10 +251,10 @@
 
     /// Units granted, and the parts of the objects and of the transfers under way.
     fn check(&self) {
-        for customer in ["c0", "c1"] {
+        for client_account in ["c0", "c1"] {
             let (mut concurrent, mut points) = (0, 0);
             for grantee in &self.grantees {
-                let part = grantee.limits(customer, &LIMITS, self.now);
+                let part = grantee.limits(client_account, &LIMITS, self.now);
                 concurrent += part.concurrent;
                 points += part.queued;
             }
@@ -264,8 +264,9 @@
             let under_way = shares().flat_map(|share| &share.given).filter(|transfer| {
                 !self.stored[index(&transfer.to)].1.received.contains_key(&transfer.nonce)
             });
-            let held = shares().map(|share| share.holding.parts(customer));
-            let all: Vec<_> = held.chain(under_way.map(|t| t.holding.parts(customer))).collect();
+            let held = shares().map(|share| share.holding.parts(client_account));
+            let all: Vec<_> =
+                held.chain(under_way.map(|t| t.holding.parts(client_account))).collect();
             let sum: u64 = all.iter().map(|parts| parts.length()).sum();
             assert_eq!(sum, WHOLE, "parts lost or created");
             assert_eq!(Parts::union_all(all), Parts::whole(), "parts lost or created");
--- a/components/request/admission/tests/queue.rs
+++ b/components/request/admission/tests/queue.rs
@@ -65,9 +65,9 @@
     ));
 }
 
-/// Guards against serving a customer's batch work before its more urgent requests.
+/// Guards against serving a client account's batch work before its more urgent requests.
 #[test]
-fn earliest_deadline_goes_first_within_a_customer() {
+fn earliest_deadline_goes_first_within_a_client_account() {
     let now = Instant::now();
     let mut admission = admission(&[10_000], ROOMY, now);
     admission.offer(Offer { class: Some("batch".into()), ..offer(1, 0, now) }, now).unwrap();
@@ -78,7 +78,7 @@
     assert_eq!(order, [2, 3, 1]);
 }
 
-/// Guards against a customer that exceeds one of its limits, and against a wrong reason.
+/// Guards against a client account that exceeds one of its limits, and against a wrong reason.
 #[test]
 fn each_limit_is_enforced_by_itself() {
     let now = Instant::now();
@@ -114,9 +114,9 @@
     assert_eq!(refusal.retry_at, Some(now + ms(19_000)), "no token was earned meanwhile");
 }
 
-/// Guards against a customer at its own limit that later makes up for the time and starves others.
+/// Guards against a client account at its own limit that later makes up for the time and starves others.
 #[test]
-fn customer_held_back_by_its_limit_saves_no_credit() {
+fn client_account_held_back_by_its_limit_saves_no_credit() {
     let now = Instant::now();
     let mut admission = admission(&[5_000, 5_000], ROOMY, now);
     admission.set_limits("c0", LocalLimits { concurrent: 0, ..ROOMY }, now);
@@ -124,11 +124,11 @@
         admission.offer(offer(ticket, (ticket % 2) as usize, now), now).unwrap();
     }
     for _ in 0..100 {
-        assert_eq!(&*admission.next(&queue(0), now).unwrap().customer, "c1");
+        assert_eq!(&*admission.next(&queue(0), now).unwrap().client_account, "c1");
     }
     admission.set_limits("c0", ROOMY, now);
     let next: Vec<_> = (0..20).filter_map(|_| admission.next(&queue(0), now)).collect();
-    let own = next.iter().filter(|request| &*request.customer == "c0").count();
+    let own = next.iter().filter(|request| &*request.client_account == "c0").count();
     assert!((9..=11).contains(&own), "served {own} of 20");
 }
 
--- a/components/request/admission/tests/queue_properties.rs
+++ b/components/request/admission/tests/queue_properties.rs
@@ -9,7 +9,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Offer { customer: usize, model: usize, batch: bool, header_ms: u64 },
+    Offer { client_account: usize, model: usize, batch: bool, header_ms: u64 },
     Next { model: usize },
     Finish { pick: usize },
     Requeue { pick: usize, delay_ms: u64 },
@@ -20,7 +20,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         4 => (0..3usize, 0..2usize, any::<bool>(), 1..5_000u64).prop_map(
-            |(customer, model, batch, header_ms)| Step::Offer { customer, model, batch, header_ms }
+            |(client_account, model, batch, header_ms)| Step::Offer { client_account, model, batch, header_ms }
         ),
         3 => (0..2usize).prop_map(|model| Step::Next { model }),
         1 => any::<usize>().prop_map(|pick| Step::Finish { pick }),
@@ -74,16 +74,16 @@
                 (!of.is_empty()).then(|| *of[pick % of.len()].0)
             };
             match step {
-                Step::Offer { customer, model, batch, header_ms } => {
+                Step::Offer { client_account, model, batch, header_ms } => {
                     let offer = Offer {
                         class: batch.then(|| "batch".into()),
                         queue: queue(model),
                         complete_by: Some(now + ms(header_ms)),
-                        ..offer(ticket, customer, now)
+                        ..offer(ticket, client_account, now)
                     };
                     match admission.offer(offer, now) {
                         Ok(request) => {
-                            admitted_at.push((customer, now));
+                            admitted_at.push((client_account, now));
                             known.insert(
                                 ticket,
                                 Known { request, running: false, may_have_run: false },
@@ -97,7 +97,7 @@
                         prop_assert!(request.first_token_by > now);
                         let entry = known.get_mut(&request.ticket).expect("unknown request");
                         prop_assert!(!entry.running);
-                        prop_assert_eq!(&entry.request.customer, &request.customer);
+                        prop_assert_eq!(&entry.request.client_account, &request.client_account);
                         entry.running = true;
                     }
                 }
@@ -134,19 +134,19 @@
                     now = end;
                 }
             }
-            for customer in 0..3 {
+            for client_account in 0..3 {
                 let of = |running: bool| {
-                    let own = |k: &&Known| *k.request.customer == *format!("c{customer}");
+                    let own = |k: &&Known| *k.request.client_account == *format!("c{client_account}");
                     known.values().filter(own).filter(|k| k.running == running).count() as u64
                 };
-                let load = admission.load(&format!("c{customer}"));
+                let load = admission.load(&format!("c{client_account}"));
                 prop_assert_eq!(load, (of(false), of(true)));
                 prop_assert!(load.1 <= limits.concurrent);
             }
         }
         prop_assert!(known.is_empty(), "requests were dropped");
-        for (index, (customer, from)) in admitted_at.iter().enumerate() {
-            let own = admitted_at[index..].iter().filter(|(c, _)| c == customer);
+        for (index, (client_account, from)) in admitted_at.iter().enumerate() {
+            let own = admitted_at[index..].iter().filter(|(c, _)| c == client_account);
             for (count, (_, to)) in (1u64..).zip(own) {
                 let seconds = (*to - *from).as_secs_f64();
                 prop_assert!(count as f64 <= 3.5 * (1.0 + seconds) + 1e-6);
@@ -154,7 +154,7 @@
         }
     }
 
-    /// Guards against unfair division: customers that always wait receive work in proportion to
+    /// Guards against unfair division: client accounts that always wait receive work in proportion to
     /// their shares, up to one request of each.
     #[test]
     fn service_is_proportional_to_shares_within_one_request(
@@ -165,21 +165,21 @@
         let mut admission = admission(&shares, ROOMY, now);
         let largest = f64::from(*works.iter().max().unwrap());
         let mut tickets = 0..;
-        let mut add = |admission: &mut Admission, customer: usize| {
+        let mut add = |admission: &mut Admission, client_account: usize| {
             let ticket: Ticket = tickets.next().unwrap();
             let work = works[ticket as usize % works.len()];
-            admission.offer(Offer { work, ..offer(ticket, customer, now) }, now).unwrap();
+            admission.offer(Offer { work, ..offer(ticket, client_account, now) }, now).unwrap();
         };
-        for customer in 0..shares.len() {
-            add(&mut admission, customer);
-            add(&mut admission, customer);
+        for client_account in 0..shares.len() {
+            add(&mut admission, client_account);
+            add(&mut admission, client_account);
         }
         let mut served = vec![0.0; shares.len()];
         for _ in 0..300 {
             let request = admission.next(&queue(0), now).unwrap();
-            let customer: usize = request.customer[1..].parse().unwrap();
-            served[customer] += f64::from(request.work);
-            add(&mut admission, customer);
+            let client_account: usize = request.client_account[1..].parse().unwrap();
+            served[client_account] += f64::from(request.work);
+            add(&mut admission, client_account);
             for (a, b) in (0..shares.len()).flat_map(|a| (0..a).map(move |b| (a, b))) {
                 let (a_share, b_share) = (f64::from(shares[a]), f64::from(shares[b]));
                 let gap = (served[a] / a_share - served[b] / b_share).abs();
--- a/components/request/admission/tests/share_properties.rs
+++ b/components/request/admission/tests/share_properties.rs
@@ -20,7 +20,7 @@
     Apply { pick: usize },
     Restart { at: usize },
     Takeover { centre: usize },
-    Withhold { centre: usize, quarter: u64, one_customer: bool },
+    Withhold { centre: usize, quarter: u64, one_client_account: bool },
     Donate { centre: usize, quarter: u64, crash: bool },
     Give { centre: usize, to: usize, crash: bool },
     Sync { worker: usize, crash: bool },
@@ -46,8 +46,8 @@
         2 => any::<usize>().prop_map(|pick| Step::Apply { pick }),
         1 => at().prop_map(|at| Step::Restart { at }),
         1 => (0..CENTRES).prop_map(|centre| Step::Takeover { centre }),
-        1 => (0..CENTRES, 0..4u64, any::<bool>()).prop_map(|(centre, quarter, one_customer)| {
-            Step::Withhold { centre, quarter, one_customer }
+        1 => (0..CENTRES, 0..4u64, any::<bool>()).prop_map(|(centre, quarter, one_client_account)| {
+            Step::Withhold { centre, quarter, one_client_account }
         }),
         2 => (0..CENTRES, 0..4u64, any::<bool>())
             .prop_map(|(centre, quarter, crash)| Step::Donate { centre, quarter, crash }),
@@ -140,9 +140,9 @@
         let now = self.now();
         match step {
             Step::Want { at, concurrent } => {
-                for customer in ["c0", "c1"] {
+                for client_account in ["c0", "c1"] {
                     let need = LocalLimits { concurrent, ..LocalLimits::default() };
-                    self.grantees[at].want(customer, need, &LIMITS);
+                    self.grantees[at].want(client_account, need, &LIMITS);
                 }
             }
             Step::Renew { at } => {
@@ -180,11 +180,11 @@
                 centre.holder = Holder::new(centre.fencing, holding, now);
                 centre.withheld = None;
             }
-            Step::Withhold { centre, quarter, one_customer } => {
+            Step::Withhold { centre, quarter, one_client_account } => {
                 let parts = Parts::even(quarter, 4);
-                let donation = match one_customer {
-                    true => Holding::of_customer("c0", parts),
-                    false => Holding { default: parts, by_customer: BTreeMap::new() },
+                let donation = match one_client_account {
+                    true => Holding::of_client_account("c0", parts),
+                    false => Holding { default: parts, by_client_account: BTreeMap::new() },
                 };
                 let centre = &mut self.centres[centre];
                 if let Some(earlier) = centre.withheld.take() {
@@ -196,7 +196,7 @@
                 centre.withheld = Some(donation);
             }
             Step::Donate { centre, quarter, crash } => {
-                self.run(Step::Withhold { centre, quarter, one_customer: crash });
+                self.run(Step::Withhold { centre, quarter, one_client_account: crash });
                 self.run(Step::Give { centre, to: 1 - centre, crash });
                 self.run(Step::Sync { worker: 2 * (1 - centre), crash: false });
             }
@@ -245,7 +245,7 @@
     }
 
     fn check(&self) {
-        for customer in ["c0", "c1"] {
+        for client_account in ["c0", "c1"] {
             let all = self
                 .grantees
                 .iter()
@@ -253,7 +253,7 @@
                 .chain(self.paused.iter().map(|(at, grantee)| (*at, grantee)));
             let (mut rate, mut concurrent, mut points) = (0, 0, 0);
             for (at, grantee) in all {
-                let part = grantee.limits(customer, &LIMITS, self.clock(at));
+                let part = grantee.limits(client_account, &LIMITS, self.clock(at));
                 rate += part.rate_milli;
                 concurrent += part.concurrent;
                 points += part.queued;
@@ -261,13 +261,14 @@
             assert!(rate <= 2_000 && concurrent <= 5, "over the limit: {rate}, {concurrent}");
             assert!(points <= u32::MAX.into(), "parts overlap: {points}");
 
-            let stored = self.centres.iter().map(|c| c.stored.holding.parts(customer).clone());
+            let stored =
+                self.centres.iter().map(|c| c.stored.holding.parts(client_account).clone());
             let under_way = self.centres.iter().flat_map(|c| &c.stored.given).filter(|transfer| {
                 let is_receiver = |c: &&Centre| c.stored.data_centre == transfer.to;
                 let receiver = self.centres.iter().find(is_receiver).unwrap();
                 !receiver.stored.received.contains_key(&transfer.nonce)
             });
-            let parts = stored.chain(under_way.map(|t| t.holding.parts(customer).clone()));
+            let parts = stored.chain(under_way.map(|t| t.holding.parts(client_account).clone()));
             let (sum, union) = parts.fold((0, Parts::none()), |(sum, union), parts| {
                 (sum + parts.length(), union.union(&parts))
             });
@@ -278,8 +279,8 @@
 
 fn grantee(at: usize, incarnation: Incarnation) -> Grantee {
     let mut grantee = Grantee::new(&format!("i{at}"), incarnation);
-    for customer in ["c0", "c1"] {
-        grantee.want(customer, LocalLimits { concurrent: 2, ..Default::default() }, &LIMITS);
+    for client_account in ["c0", "c1"] {
+        grantee.want(client_account, LocalLimits { concurrent: 2, ..Default::default() }, &LIMITS);
     }
     grantee
 }
--- a/components/request/admission/tests/shares.rs
+++ b/components/request/admission/tests/shares.rs
@@ -37,7 +37,7 @@
 fn move_that_is_repeated_after_a_crash_neither_loses_nor_creates_parts() {
     let donor = StandingShare::new("d1", Holding::even(0, 2), 1);
     let receiver = StandingShare::new("d2", Holding::even(1, 2), 2);
-    let donor = donor.give("d2", &Holding::of_customer("c0", Parts::even(0, 4)), 3).unwrap();
+    let donor = donor.give("d2", &Holding::of_client_account("c0", Parts::even(0, 4)), 3).unwrap();
     assert_eq!(donor.holding.parts("c0"), &Parts::even(1, 4));
     let received = receiver.receive(&donor.given[0], 4).unwrap();
     assert_eq!(received.holding.parts("c0").length(), WHOLE / 4 * 3);
@@ -193,7 +193,7 @@
     let wanted = holder.donation(&missing);
     assert!(wanted.parts("c0").is_empty(), "all of it is wanted here");
     assert_eq!(wanted.parts("c1").length(), WHOLE / 2, "half of what nobody wants");
-    let donation = Holding::of_customer("c0", Parts::even(1, 2));
+    let donation = Holding::of_client_account("c0", Parts::even(1, 2));
     holder.withhold(&donation);
     assert!(!holder.is_free(&donation, now));
     assert_eq!(renew(&mut holder, &mut a, 1, now + ms(1)), 4);
--- a/components/request/admission/tests/support/mod.rs
+++ b/components/request/admission/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) const MODELS: [&str; 2] = ["salt", "ledger"];
 
-/// Customers `c0`, `c1`, … with the given capacity shares.
+/// Client accounts `c0`, `c1`, … with the given capacity shares.
 pub(crate) fn configuration(
     version: ConfigurationVersion,
     shares: &[BasisPoints],
@@ -20,9 +20,9 @@
         worth_milli: 10,
     };
     let contract = |(index, share): (usize, &BasisPoints)| {
-        let customer: CustomerId = format!("c{index}").into();
+        let client_account: ClientAccountId = format!("c{index}").into();
         let contract = Contract {
-            customer: customer.clone(),
+            client_account: client_account.clone(),
             key_hashes: BTreeSet::new(),
             models: MODELS.iter().map(|model| (*model).into()).collect(),
             adapters: BTreeMap::from([("salt".into(), BTreeSet::from(["brine".into()]))]),
@@ -36,7 +36,7 @@
             limits: LIMITS,
             services: BTreeSet::new(),
         };
-        (customer, Arc::new(contract))
+        (client_account, Arc::new(contract))
     };
     let contracts = shares.iter().enumerate().map(contract).collect();
     Arc::new(Configuration { version, contracts, catalogue: Arc::default() })
@@ -60,10 +60,10 @@
     QueueKey::Model(MODELS[model].into())
 }
 
-pub(crate) fn offer(ticket: Ticket, customer: usize, now: Instant) -> Offer {
+pub(crate) fn offer(ticket: Ticket, client_account: usize, now: Instant) -> Offer {
     Offer {
         ticket,
-        customer: format!("c{customer}").into(),
+        client_account: format!("c{client_account}").into(),
         class: None,
         queue: queue(0),
         adapter: None,
--- a/components/request/idempotency/benches/records.rs
+++ b/components/request/idempotency/benches/records.rs
@@ -107,7 +107,7 @@
 }
 
 fn key(token: Token) -> KeyHash {
-    KeyHash::new("customer", &token.to_string())
+    KeyHash::new("client_account", &token.to_string())
 }
 
 fn claim(token: Token, now: Instant, wall: SystemTime) -> Claim {
--- a/components/request/idempotency/src/key.rs
+++ b/components/request/idempotency/src/key.rs
@@ -6,7 +6,7 @@
 /// Key ranges in all; each has one owner through the group `keys/N`.
 pub const KEY_RANGES: u32 = 32;
 
-/// First half of the SHA-256 of customer and idempotency key, lower-case hex.
+/// First half of the SHA-256 of client account and idempotency key, lower-case hex.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(Box<str>);
@@ -17,9 +17,9 @@
 pub struct Fingerprint(Box<str>);
 
 impl KeyHash {
-    /// Hashes a customer's key; equal keys of two customers differ.
-    pub fn new(customer: &str, key: &str) -> Self {
-        Self(half_digest(&[customer.as_bytes(), key.as_bytes()]))
+    /// Hashes a client account's key; equal keys of two client accounts differ.
+    pub fn new(client_account: &str, key: &str) -> Self {
+        Self(half_digest(&[client_account.as_bytes(), key.as_bytes()]))
     }
 
     /// The hash as text.
--- a/components/request/idempotency/tests/faults.rs
+++ b/components/request/idempotency/tests/faults.rs
@@ -227,9 +227,9 @@
     assert!(!platform.objects.is_empty(), "the highest number is never used again");
 }
 
-/// Guards against equal hashes of different customers' keys, and against ranges without keys.
+/// Guards against equal hashes of different client accounts' keys, and against ranges without keys.
 #[test]
-fn keys_are_separate_per_customer_and_spread_over_all_ranges() {
+fn keys_are_separate_per_client_account_and_spread_over_all_ranges() {
     assert_ne!(KeyHash::new("a", "bc"), KeyHash::new("ab", "c"));
     let ranges: BTreeSet<u32> =
         (0..1_000).map(|n| range_of(&KeyHash::new("c", &n.to_string()))).collect();
--- a/components/version/accounting/src/ledger.rs
+++ b/components/version/accounting/src/ledger.rs
@@ -43,8 +43,8 @@
     pub(crate) runs: BTreeMap<RunKey, RunState>,
     /// Versions by number, each with the earliest time of adoption in milliseconds.
     pub(crate) versions: BTreeMap<ConfigurationVersion, VersionState>,
-    /// Contracts by customer and content hash.
-    pub(crate) contracts: BTreeMap<(CustomerId, ContractVersion), ContractTerms>,
+    /// Contracts by client account and content hash.
+    pub(crate) contracts: BTreeMap<(ClientAccountId, ContractVersion), ContractTerms>,
 }
 
 /// Counted work of one model.
@@ -56,7 +56,7 @@
 /// Who counted work for whom.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WorkKey {
-    pub(crate) customer: CustomerId,
+    pub(crate) client_account: ClientAccountId,
     pub(crate) contract_version: ContractVersion,
     pub(crate) run: RunKey,
 }
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct VersionState {
     pub(crate) adopted_at: u64,
-    pub(crate) contracts: BTreeMap<CustomerId, ContractVersion>,
+    pub(crate) contracts: BTreeMap<ClientAccountId, ContractVersion>,
 }
 
 /// The part of a contract that the split needs.
@@ -145,7 +145,7 @@
         state.closed |= run.closed;
         for work in run.work.iter() {
             let work_key = WorkKey {
-                customer: work.customer.clone(),
+                client_account: work.client_account.clone(),
                 contract_version: work.contract_version.clone(),
                 run: key.clone(),
             };
@@ -190,16 +190,16 @@
     pub fn add_contract(&mut self, hash: &str, contract: &Contract) -> Result<(), Error> {
         let terms =
             ContractTerms { cost_share: contract.cost_share, models: contract.models.clone() };
-        let key = (contract.customer.clone(), hash.into());
+        let key = (contract.client_account.clone(), hash.into());
         let known = self.contracts.entry(key).or_insert_with(|| terms.clone());
         if *known == terms { Ok(()) } else { Err(Error::Contract(hash.into())) }
     }
 
     /// Contracts that versions name and that are not in the ledger yet.
-    pub fn missing_contracts(&self) -> BTreeSet<(CustomerId, ContractVersion)> {
+    pub fn missing_contracts(&self) -> BTreeSet<(ClientAccountId, ContractVersion)> {
         let named = self.versions.values().flat_map(|v| &v.contracts);
         named
-            .map(|(customer, hash)| (customer.clone(), hash.clone()))
+            .map(|(client_account, hash)| (client_account.clone(), hash.clone()))
             .filter(|key| !self.contracts.contains_key(key))
             .collect()
     }
--- a/components/version/accounting/src/ledger_tests.rs
+++ b/components/version/accounting/src/ledger_tests.rs
@@ -24,7 +24,7 @@
         .iter()
         .map(|l| {
             (
-                l.customer.as_deref().unwrap_or("-"),
+                l.client_account.as_deref().unwrap_or("-"),
                 l.contract_version.as_deref().unwrap_or("-"),
                 row(l),
             )
--- a/components/version/accounting/src/lib.rs
+++ b/components/version/accounting/src/lib.rs
@@ -1,4 +1,4 @@
-//! Usage and the split of accelerator time between customers.
+//! Usage and the split of accelerator time between client accounts.
 //!
 //! A [`Ledger`] takes records in any order and any number of times: intervals of replicas, counted
 //! work, versions of the configuration and contracts. [`Ledger::report`] splits the accelerator time
@@ -9,10 +9,10 @@
 //! - The time of a model in a minute is the sum over its replicas of the overlap with the minute
 //!   times the replica's accelerators.
 //! - If any work was counted for the model in the minute, the time is split by counted tokens over
-//!   customers and contract versions. Remainders go to the largest fractions first.
-//! - Otherwise the minute is idle. Its time is split over the customers whose contracts permit the
+//!   client accounts and contract versions. Remainders go to the largest fractions first.
+//! - Otherwise the minute is idle. Its time is split over the client accounts whose contracts permit the
 //!   model, by their cost shares in the configuration in effect at the start of the minute.
-//! - Time that no rule gives to a customer is shown as unattributed and never spread over others.
+//! - Time that no rule gives to a client account is shown as unattributed and never spread over others.
 //! - An amended contract counts from the first minute that begins after its version took effect.
 //!   Versions take effect in their order, so a late or early clock moves no earlier minute. The
 //!   very first version counts from the minute in which it was adopted.
--- a/components/version/accounting/src/lists.rs
+++ b/components/version/accounting/src/lists.rs
@@ -36,8 +36,8 @@
     }
 }
 
-fn order(work: &Work) -> (&ModelId, Minute, &CustomerId, &ContractVersion) {
-    (&work.model, work.minute, &work.customer, &work.contract_version)
+fn order(work: &Work) -> (&ModelId, Minute, &ClientAccountId, &ContractVersion) {
+    (&work.model, work.minute, &work.client_account, &work.contract_version)
 }
 
 impl Deref for WorkList {
@@ -54,8 +54,8 @@
 struct CompactWork {
     /// Minutes are counted from here.
     first_minute: Minute,
-    /// Customers with their contract versions.
-    contracts: Vec<(CustomerId, ContractVersion)>,
+    /// Client accounts with their contract versions.
+    contracts: Vec<(ClientAccountId, ContractVersion)>,
     /// By model: minute, index of the contract, tokens.
     models: BTreeMap<ModelId, Vec<(u64, u32, u64)>>,
 }
@@ -66,7 +66,7 @@
         let mut compact = Self { first_minute, contracts: Vec::new(), models: BTreeMap::new() };
         let mut indices = BTreeMap::new();
         for work in list.0 {
-            let contract = (work.customer, work.contract_version);
+            let contract = (work.client_account, work.contract_version);
             let index = *indices.entry(contract).or_insert_with_key(|contract| {
                 compact.contracts.push(contract.clone());
                 // Each contract takes more than 64 bytes, so that 32 bits number all that fit.
@@ -87,13 +87,13 @@
         for (model, entries) in compact.models {
             for (minute, index, tokens) in entries {
                 let contract = usize::try_from(index).ok().and_then(|n| compact.contracts.get(n));
-                let (customer, contract_version) =
+                let (client_account, contract_version) =
                     contract.cloned().ok_or(ListError::Contract(index))?;
                 let minute = compact.first_minute.saturating_add(minute);
                 list.push(Work {
                     minute,
                     model: model.clone(),
-                    customer,
+                    client_account,
                     contract_version,
                     tokens,
                 });
@@ -115,7 +115,7 @@
     latest: Contracts,
 }
 
-type Contracts = BTreeMap<CustomerId, ContractVersion>;
+type Contracts = BTreeMap<ClientAccountId, ContractVersion>;
 
 impl FromIterator<VersionRecord> for VersionList {
     fn from_iter<I: IntoIterator<Item = VersionRecord>>(versions: I) -> Self {
@@ -168,14 +168,14 @@
     adopted_at: SystemTime,
     /// Contracts that are new or amended.
     changed: Contracts,
-    /// Customers without a contract from here on.
-    removed: Vec<CustomerId>,
+    /// Client accounts without a contract from here on.
+    removed: Vec<ClientAccountId>,
 }
 
 impl CompactVersion {
     fn apply(&self, contracts: &mut Contracts) {
         contracts.extend(self.changed.iter().map(|(c, hash)| (c.clone(), hash.clone())));
-        contracts.retain(|customer, _| !self.removed.contains(customer));
+        contracts.retain(|client_account, _| !self.removed.contains(client_account));
     }
 }
 
--- a/components/version/accounting/src/lists_tests.rs
+++ b/components/version/accounting/src/lists_tests.rs
@@ -52,11 +52,11 @@
     let minutes = 29_900_000..29_900_060;
     let counted = minutes.flat_map(|minute| (0..200).map(move |n| (minute, n)));
     let counted =
-        counted.map(|(minute, n)| work(minute, &model(n), "customer", &hash(n % 5), 123_456));
-    let mut contracts: BTreeMap<CustomerId, Box<str>> =
-        (0..300).map(|n| (format!("customer-{n}").into(), hash(n))).collect();
+        counted.map(|(minute, n)| work(minute, &model(n), "client_account", &hash(n % 5), 123_456));
+    let mut contracts: BTreeMap<ClientAccountId, Box<str>> =
+        (0..300).map(|n| (format!("account-{n}").into(), hash(n))).collect();
     let versions = (0..917).map(|version| {
-        contracts.insert(format!("customer-{}", version % 300).into(), hash(1_000 + version));
+        contracts.insert(format!("account-{}", version % 300).into(), hash(1_000 + version));
         VersionRecord { version, adopted_at: at(1_796_292_000_000), contracts: contracts.clone() }
     });
     let mut hour = run(0, counted.collect());
--- a/components/version/accounting/src/output.rs
+++ b/components/version/accounting/src/output.rs
@@ -8,19 +8,19 @@
 
 use crate::report::{CostLine, CostReport};
 
-/// Stands for the customer of unattributed time.
+/// Stands for the client account of unattributed time.
 const UNATTRIBUTED: &str = "(unattributed)";
 
 /// Hex digits of a contract version that the table shows.
 const SHORT_HASH: usize = 8;
 
 impl CostReport {
-    /// The lines as CSV with a header. Amounts are whole accelerator-milliseconds; the customer and
+    /// The lines as CSV with a header. Amounts are whole accelerator-milliseconds; the client account and
     /// contract version of unattributed time are empty.
     pub fn to_csv(&self) -> Result<String, csv::Error> {
         let mut writer = csv::Writer::from_writer(Vec::new());
         writer.write_record([
-            "customer",
+            "client_account",
             "model",
             "contract_version",
             "tokens",
@@ -31,7 +31,7 @@
         ])?;
         for line in &self.lines {
             writer.write_record([
-                line.customer.as_deref().unwrap_or_default(),
+                line.client_account.as_deref().unwrap_or_default(),
                 &line.model,
                 line.contract_version.as_deref().unwrap_or_default(),
                 &line.tokens.to_string(),
@@ -50,11 +50,11 @@
         serde_json::to_string_pretty(self)
     }
 
-    /// Accelerator-milliseconds by customer; unattributed time is under `None`.
-    pub fn by_customer(&self) -> BTreeMap<Option<CustomerId>, u64> {
+    /// Accelerator-milliseconds by client account; unattributed time is under `None`.
+    pub fn by_client_account(&self) -> BTreeMap<Option<ClientAccountId>, u64> {
         let mut sums = BTreeMap::new();
         for line in &self.lines {
-            *sums.entry(line.customer.clone()).or_default() += line.total_ms();
+            *sums.entry(line.client_account.clone()).or_default() += line.total_ms();
         }
         sums
     }
@@ -64,8 +64,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write_table(f, &self.rows())?;
         writeln!(f, "\ntotal: {} accelerator-seconds", seconds(self.total_ms))?;
-        for (customer, ms) in self.by_customer() {
-            let name = customer.as_deref().unwrap_or(UNATTRIBUTED);
+        for (client_account, ms) in self.by_client_account() {
+            let name = client_account.as_deref().unwrap_or(UNATTRIBUTED);
             let part = (u128::from(ms) * 10_000 + u128::from(self.total_ms) / 2)
                 / u128::from(self.total_ms.max(1));
             writeln!(f, "  {name}: {} ({}.{:02}%)", seconds(ms), part / 100, part % 100)?;
@@ -93,8 +93,16 @@
 
 impl CostReport {
     fn rows(&self) -> Vec<[String; 8]> {
-        let head =
-            ["customer", "model", "contract", "tokens", "busy s", "idle s", "total s", "flagged s"];
+        let head = [
+            "client account",
+            "model",
+            "contract",
+            "tokens",
+            "busy s",
+            "idle s",
+            "total s",
+            "flagged s",
+        ];
         let mut rows = vec![head.map(String::from)];
         rows.extend(self.lines.iter().map(row));
         rows
@@ -104,7 +112,7 @@
 fn row(line: &CostLine) -> [String; 8] {
     let version = line.contract_version.as_deref().unwrap_or("-");
     [
-        line.customer.as_deref().unwrap_or(UNATTRIBUTED).into(),
+        line.client_account.as_deref().unwrap_or(UNATTRIBUTED).into(),
         line.model.to_string(),
         version.get(..SHORT_HASH).unwrap_or(version).into(),
         line.tokens.to_string(),
--- a/components/version/accounting/src/output_tests.rs
+++ b/components/version/accounting/src/output_tests.rs
@@ -21,7 +21,7 @@
 /// Guards against columns that are dropped or moved, and against commas that break a row.
 #[test]
 fn csv_has_whole_amounts_and_quotes_names() {
-    let expected = "customer,model,contract_version,tokens,busy_ms,idle_ms,total_ms,flagged_ms\n\
+    let expected = "client_account,model,contract_version,tokens,busy_ms,idle_ms,total_ms,flagged_ms\n\
                     ,x,,0,0,1500,1500,0\n\
                     \"a,b\",m,0123456789abcdef,12,60000,30000,90000,30000\n";
     assert_eq!(report().to_csv().unwrap(), expected);
@@ -31,7 +31,7 @@
 #[test]
 fn the_table_shows_sums_and_flags() {
     let expected = "\
-customer        model  contract  tokens  busy s  idle s  total s  flagged s
+client account        model  contract  tokens  busy s  idle s  total s  flagged s
 (unattributed)  x      -              0   0.000   1.500    1.500      0.000
 a,b             m      01234567      12  60.000  30.000   90.000     30.000
 
@@ -49,6 +49,6 @@
 fn json_holds_the_whole_report() {
     let json: serde_json::Value = serde_json::from_str(&report().to_json().unwrap()).unwrap();
     assert_eq!(json["total_ms"], 91_500);
-    assert_eq!(json["lines"][0]["customer"], serde_json::Value::Null);
+    assert_eq!(json["lines"][0]["client_account"], serde_json::Value::Null);
     assert_eq!(json["gaps"][0]["instance"], "i");
 }
--- a/components/version/accounting/src/property_tests.rs
+++ b/components/version/accounting/src/property_tests.rs
@@ -10,7 +10,7 @@
 
 const END: u64 = 300_000;
 const MODELS: [&str; 3] = ["m", "n", "o"];
-const CUSTOMERS: [&str; 3] = ["a", "b", "c"];
+const CLIENT_ACCOUNTS: [&str; 3] = ["a", "b", "c"];
 
 /// One record as it is read from the platform.
 #[derive(Clone, Debug)]
@@ -59,15 +59,15 @@
             records.extend(pieces.map(Record::Interval));
         }
         for (n, (adopted_at, shares)) in self.versions.iter().enumerate() {
-            let hashes = CUSTOMERS.map(|c| format!("{c}{n}"));
-            for ((customer, share), hash) in CUSTOMERS.iter().zip(shares).zip(&hashes) {
+            let hashes = CLIENT_ACCOUNTS.map(|c| format!("{c}{n}"));
+            for ((client_account, share), hash) in CLIENT_ACCOUNTS.iter().zip(shares).zip(&hashes) {
                 records.push(Record::Contract(
                     hash.as_str().into(),
-                    contract(customer, *share, &MODELS[..2]),
+                    contract(client_account, *share, &MODELS[..2]),
                 ));
             }
             let named: Vec<_> =
-                CUSTOMERS.into_iter().zip(hashes.iter().map(String::as_str)).collect();
+                CLIENT_ACCOUNTS.into_iter().zip(hashes.iter().map(String::as_str)).collect();
             records.push(Record::Version(version(n as u64 + 1, *adopted_at, &named)));
         }
         for run in 0..self.events.len() {
@@ -98,15 +98,15 @@
     /// The run's record as flushed at a time.
     fn run(&self, run: usize, until: u64) -> Run {
         let mut counters = BTreeMap::<_, u64>::new();
-        for (time, model, customer, tokens) in &self.events[run] {
+        for (time, model, client_account, tokens) in &self.events[run] {
             if *time < until {
-                *counters.entry((time / MINUTE_MS, *model, *customer)).or_default() += tokens;
+                *counters.entry((time / MINUTE_MS, *model, *client_account)).or_default() += tokens;
             }
         }
         let work = counters.into_iter().map(|((minute, m, c), tokens)| Work {
             minute,
             model: MODELS[m].into(),
-            customer: CUSTOMERS[c].into(),
+            client_account: CLIENT_ACCOUNTS[c].into(),
             contract_version: "h".into(),
             tokens,
         });
--- a/components/version/accounting/src/records.rs
+++ b/components/version/accounting/src/records.rs
@@ -16,7 +16,7 @@
 /// Minutes since the Unix epoch.
 pub type Minute = u64;
 
-/// Content hash of a contract, as in the object name `contract/CUSTOMER@HASH`. Equal content has
+/// Content hash of a contract, as in the object name `contract/CLIENT_ACCOUNT@HASH`. Equal content has
 /// one hash, so the number of cost lines grows with amendments of a contract and not with every
 /// version of the whole configuration.
 pub type ContractVersion = Box<str>;
@@ -49,15 +49,15 @@
     pub intervals: Vec<Interval>,
 }
 
-/// Work of one instance for one model, customer and contract version in one minute.
+/// Work of one instance for one model, client account and contract version in one minute.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
     /// The minute in which the work was counted.
     pub minute: Minute,
     /// The model.
     pub model: ModelId,
-    /// The customer.
-    pub customer: CustomerId,
+    /// The client account.
+    pub client_account: ClientAccountId,
     /// Contract version under which the requests were admitted.
     pub contract_version: ContractVersion,
     /// Tokens counted so far in this minute by this run of the instance. Only grows, so that a
@@ -97,8 +97,8 @@
     pub version: ConfigurationVersion,
     /// When the writer adopted it. The earliest record of a version counts.
     pub adopted_at: SystemTime,
-    /// Contract version of each customer. The same in all records of one version.
-    pub contracts: BTreeMap<CustomerId, ContractVersion>,
+    /// Contract version of each client account. The same in all records of one version.
+    pub contracts: BTreeMap<ClientAccountId, ContractVersion>,
 }
 
 /// The death of a run, as another instance observed it.
--- a/components/version/accounting/src/report.rs
+++ b/components/version/accounting/src/report.rs
@@ -9,11 +9,11 @@
 use crate::records::{ContractVersion, FLUSH_INTERVAL, MINUTE_MS, Minute, millis};
 use crate::split::largest_remainder;
 
-/// Cost of one customer for one model under one contract version.
+/// Cost of one client account for one model under one contract version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct CostLine {
-    /// The customer; `None` for time that no rule gives to a customer.
-    pub customer: Option<CustomerId>,
+    /// The client account; `None` for time that no rule gives to a client account.
+    pub client_account: Option<ClientAccountId>,
     /// The model.
     pub model: ModelId,
     /// The contract version; `None` for unattributed time.
@@ -58,7 +58,7 @@
     pub to_ms: u64,
 }
 
-/// The split of a period. Lines are sorted by customer, model and contract version, and their
+/// The split of a period. Lines are sorted by client account, model and contract version, and their
 /// totals add up to `total_ms` exactly.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct CostReport {
@@ -77,7 +77,7 @@
     pub gaps: Vec<Gap>,
 }
 
-type LineKey = (Option<CustomerId>, ModelId, Option<ContractVersion>);
+type LineKey = (Option<ClientAccountId>, ModelId, Option<ContractVersion>);
 
 /// Accelerator-milliseconds of one model by minute.
 type Pools = BTreeMap<Minute, u64>;
@@ -99,8 +99,11 @@
             report.unmatched_tokens += self.unmatched_tokens(model, &period, &pools);
             for (minute, pool) in pools {
                 for share in self.split(minute, model, pool) {
-                    let key =
-                        (share.customer.clone(), model.clone(), share.contract_version.clone());
+                    let key = (
+                        share.client_account.clone(),
+                        model.clone(),
+                        share.contract_version.clone(),
+                    );
                     let line = lines.entry(key).or_insert_with(|| empty_line(&share, model));
                     line.add(&share, flagged.contains(&minute));
                 }
@@ -134,15 +137,21 @@
     fn split(&self, minute: Minute, model: &ModelId, pool: u64) -> Vec<Share> {
         let by_work = self.split_by_work(minute, model, pool);
         by_work.or_else(|| self.split_idle(minute, model, pool)).unwrap_or_else(|| {
-            vec![Share { customer: None, contract_version: None, tokens: 0, ms: pool, idle: true }]
+            vec![Share {
+                client_account: None,
+                contract_version: None,
+                tokens: 0,
+                ms: pool,
+                idle: true,
+            }]
         })
     }
 
     fn split_by_work(&self, minute: Minute, model: &ModelId, pool: u64) -> Option<Vec<Share>> {
         let counters = self.work.get(model)?.get(&minute)?;
-        let mut tokens = BTreeMap::<(&CustomerId, &ContractVersion), u64>::new();
+        let mut tokens = BTreeMap::<(&ClientAccountId, &ContractVersion), u64>::new();
         for (key, count) in counters {
-            *tokens.entry((&key.customer, &key.contract_version)).or_default() += count;
+            *tokens.entry((&key.client_account, &key.contract_version)).or_default() += count;
         }
         let weights: Vec<_> = tokens.values().copied().collect();
         let parts = largest_remainder(pool, &weights)?;
@@ -154,11 +163,11 @@
     fn split_idle(&self, minute: Minute, model: &ModelId, pool: u64) -> Option<Vec<Share>> {
         let version = self.version_in(minute)?;
         let mut entitled = Vec::new();
-        for (customer, hash) in &version.contracts {
+        for (client_account, hash) in &version.contracts {
             // A contract that cannot be read may hold a share. To split without it would be a guess.
-            let terms = self.contracts.get(&(customer.clone(), hash.clone()))?;
+            let terms = self.contracts.get(&(client_account.clone(), hash.clone()))?;
             if terms.models.contains(model) {
-                entitled.push(((customer, hash), u64::from(terms.cost_share)));
+                entitled.push(((client_account, hash), u64::from(terms.cost_share)));
             }
         }
         let weights: Vec<_> = entitled.iter().map(|(_, share)| *share).collect();
@@ -251,7 +260,7 @@
 
 /// Part of one pool.
 struct Share {
-    customer: Option<CustomerId>,
+    client_account: Option<ClientAccountId>,
     contract_version: Option<ContractVersion>,
     tokens: u64,
     ms: u64,
@@ -259,10 +268,10 @@
 }
 
 impl Share {
-    fn of(who: (&CustomerId, &ContractVersion), tokens: u64, ms: u64, idle: bool) -> Self {
-        let (customer, version) = who;
+    fn of(who: (&ClientAccountId, &ContractVersion), tokens: u64, ms: u64, idle: bool) -> Self {
+        let (client_account, version) = who;
         Self {
-            customer: Some(customer.clone()),
+            client_account: Some(client_account.clone()),
             contract_version: Some(version.clone()),
             tokens,
             ms,
@@ -273,7 +282,7 @@
 
 fn empty_line(share: &Share, model: &ModelId) -> CostLine {
     CostLine {
-        customer: share.customer.clone(),
+        client_account: share.client_account.clone(),
         model: model.clone(),
         contract_version: share.contract_version.clone(),
         tokens: 0,
--- a/components/version/accounting/src/test_data.rs
+++ b/components/version/accounting/src/test_data.rs
@@ -28,14 +28,14 @@
 pub(crate) fn work(
     minute: Minute,
     model: &str,
-    customer: &str,
+    client_account: &str,
     version: &str,
     tokens: u64,
 ) -> Work {
     Work {
         minute,
         model: model.into(),
-        customer: customer.into(),
+        client_account: client_account.into(),
         contract_version: version.into(),
         tokens,
     }
@@ -69,9 +69,9 @@
 }
 
 /// A contract with a cost share and models.
-pub(crate) fn contract(customer: &str, cost_share: BasisPoints, models: &[&str]) -> Contract {
+pub(crate) fn contract(client_account: &str, cost_share: BasisPoints, models: &[&str]) -> Contract {
     Contract {
-        customer: customer.into(),
+        client_account: client_account.into(),
         key_hashes: BTreeSet::new(),
         models: models.iter().map(|m| (*m).into()).collect(),
         adapters: BTreeMap::new(),
--- a/components/version/configuration/src/apply.rs
+++ b/components/version/configuration/src/apply.rs
@@ -214,11 +214,11 @@
     /// Objects that the new head names and the present one does not.
     fn new_objects(&self, base: &Hashes) -> Vec<NewObject> {
         let mut objects = Vec::new();
-        for (customer, hash) in &self.hashes.contracts {
-            if base.contracts.get(customer) != Some(hash)
-                && let Some(contract) = self.proposal.contracts.get(customer)
+        for (client_account, hash) in &self.hashes.contracts {
+            if base.contracts.get(client_account) != Some(hash)
+                && let Some(contract) = self.proposal.contracts.get(client_account)
             {
-                let key = ObjectKey::new("contract", format!("{customer}@{hash}"));
+                let key = ObjectKey::new("contract", format!("{client_account}@{hash}"));
                 objects.push(NewObject { key, value: encode(&**contract) });
             }
         }
--- a/components/version/configuration/src/changes.rs
+++ b/components/version/configuration/src/changes.rs
@@ -7,14 +7,14 @@
 /// Hashes of everything in a version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Hashes {
-    pub(crate) contracts: BTreeMap<CustomerId, ContentHash>,
+    pub(crate) contracts: BTreeMap<ClientAccountId, ContentHash>,
     pub(crate) catalogue: ContentHash,
 }
 
 impl Hashes {
     /// Hashes of a configuration.
     pub(crate) fn of(
-        contracts: &BTreeMap<CustomerId, std::sync::Arc<Contract>>,
+        contracts: &BTreeMap<ClientAccountId, std::sync::Arc<Contract>>,
         catalogue: &Catalogue,
     ) -> Self {
         let contracts =
@@ -42,16 +42,16 @@
 /// What has to be done to get from one version to another.
 pub(crate) fn changes(from: &Hashes, to: &Hashes) -> BTreeMap<Box<str>, Change> {
     let mut changes = BTreeMap::new();
-    for (customer, hash) in &to.contracts {
-        let change = match from.contracts.get(customer) {
+    for (client_account, hash) in &to.contracts {
+        let change = match from.contracts.get(client_account) {
             Some(old) if old == hash => continue,
             Some(_) => Change::Changed(hash.clone()),
             None => Change::Added(hash.clone()),
         };
-        changes.insert(format!("contract/{customer}").into(), change);
+        changes.insert(format!("contract/{client_account}").into(), change);
     }
-    for customer in from.contracts.keys().filter(|c| !to.contracts.contains_key(*c)) {
-        changes.insert(format!("contract/{customer}").into(), Change::Removed);
+    for client_account in from.contracts.keys().filter(|c| !to.contracts.contains_key(*c)) {
+        changes.insert(format!("contract/{client_account}").into(), Change::Removed);
     }
     if from.catalogue != to.catalogue {
         let change = match from.catalogue.is_empty() {
--- a/components/version/configuration/src/follower.rs
+++ b/components/version/configuration/src/follower.rs
@@ -389,7 +389,7 @@
         self.last_call += 1;
         self.reading_head = Some(self.last_call);
         let key = head_key();
-        // The head lists all customers, 33 KB for 400. It is read again as long as its version is
+        // The head lists all client accounts, 33 KB for 400. It is read again as long as its version is
         // not in effect, since loading may have to start over.
         let request = match self.last_head {
             Some((known, version)) if version <= self.current.version => {
--- a/components/version/configuration/src/head.rs
+++ b/components/version/configuration/src/head.rs
@@ -16,8 +16,8 @@
 pub struct Head {
     /// Version of the configuration; grows by one with each accepted change.
     pub version: ConfigurationVersion,
-    /// Hash of the contract of each customer; the object is `contract/CUSTOMER@HASH`.
-    pub contracts: BTreeMap<CustomerId, ContentHash>,
+    /// Hash of the contract of each client account; the object is `contract/CLIENT_ACCOUNT@HASH`.
+    pub contracts: BTreeMap<ClientAccountId, ContentHash>,
     /// Hash of the catalogue; the object is `catalogue/HASH`.
     pub catalogue: ContentHash,
     /// Nonce of the write.
--- a/components/version/configuration/src/loading.rs
+++ b/components/version/configuration/src/loading.rs
@@ -11,7 +11,7 @@
 /// What was asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Part {
-    Contract(CustomerId),
+    Contract(ClientAccountId),
     Catalogue,
 }
 
@@ -23,7 +23,7 @@
     calls: BTreeMap<CallId, Part>,
     /// Objects whose read failed.
     failed: Vec<Part>,
-    contracts: BTreeMap<CustomerId, Arc<Contract>>,
+    contracts: BTreeMap<ClientAccountId, Arc<Contract>>,
     catalogue: Option<Arc<Catalogue>>,
 }
 
@@ -39,12 +39,12 @@
             head,
         };
         let mut wanted = Vec::new();
-        for (customer, hash) in &loading.head.contracts {
-            match current.contracts.get(customer) {
-                Some(contract) if known.contracts.get(customer) == Some(hash) => {
-                    loading.contracts.insert(customer.clone(), Arc::clone(contract));
+        for (client_account, hash) in &loading.head.contracts {
+            match current.contracts.get(client_account) {
+                Some(contract) if known.contracts.get(client_account) == Some(hash) => {
+                    loading.contracts.insert(client_account.clone(), Arc::clone(contract));
                 }
-                _ => wanted.push(Part::Contract(customer.clone())),
+                _ => wanted.push(Part::Contract(client_account.clone())),
             }
         }
         if known.catalogue == loading.head.catalogue {
@@ -63,9 +63,9 @@
     /// The call that reads a part.
     pub(crate) fn request(&self, part: &Part) -> ObjectCall {
         let key = match part {
-            Part::Contract(customer) => {
-                let hash = self.head.contracts.get(customer).map_or("", |hash| hash);
-                ObjectKey::new("contract", format!("{customer}@{hash}"))
+            Part::Contract(client_account) => {
+                let hash = self.head.contracts.get(client_account).map_or("", |hash| hash);
+                ObjectKey::new("contract", format!("{client_account}@{hash}"))
             }
             Part::Catalogue => ObjectKey::new("catalogue", self.head.catalogue.clone()),
         };
@@ -85,8 +85,8 @@
             _ => &[],
         };
         let is_read = match &part {
-            Part::Contract(customer) => decode(value).is_some_and(|contract| {
-                self.contracts.insert(customer.clone(), Arc::new(contract));
+            Part::Contract(client_account) => decode(value).is_some_and(|contract| {
+                self.contracts.insert(client_account.clone(), Arc::new(contract));
                 true
             }),
             Part::Catalogue => decode(value).is_some_and(|catalogue| {
--- a/components/version/configuration/src/message.rs
+++ b/components/version/configuration/src/message.rs
@@ -72,8 +72,8 @@
     pub to: ConfigurationVersion,
     /// Contracts that are new or changed.
     pub changed: Vec<Arc<Contract>>,
-    /// Customers that were removed.
-    pub removed: Vec<CustomerId>,
+    /// Client accounts that were removed.
+    pub removed: Vec<ClientAccountId>,
     /// The catalogue, if it changed.
     pub catalogue: Option<Arc<Catalogue>>,
     /// Digest of the resulting head; a mismatch discards the update.
--- a/components/version/configuration/src/outcome.rs
+++ b/components/version/configuration/src/outcome.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Proposal {
     /// All contracts.
-    pub contracts: BTreeMap<CustomerId, Arc<Contract>>,
+    pub contracts: BTreeMap<ClientAccountId, Arc<Contract>>,
     /// The catalogue.
     pub catalogue: Arc<Catalogue>,
     /// The version that the operator's files are based on; `None` accepts the present one. If
@@ -71,7 +71,7 @@
     pub ours: BTreeMap<Box<str>, Change>,
 }
 
-/// Change of one contract (`contract/CUSTOMER`) or of the catalogue (`catalogue`).
+/// Change of one contract (`contract/CLIENT_ACCOUNT`) or of the catalogue (`catalogue`).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     /// New, with this hash.
--- a/components/version/configuration/src/updates.rs
+++ b/components/version/configuration/src/updates.rs
@@ -34,17 +34,17 @@
     /// The difference from `have` to the present version, if it is still known.
     pub(crate) fn since(&self, have: ConfigurationVersion) -> Option<Update> {
         let first = self.updates.iter().position(|update| update.from == have)?;
-        let mut changed: BTreeMap<CustomerId, Arc<Contract>> = BTreeMap::new();
+        let mut changed: BTreeMap<ClientAccountId, Arc<Contract>> = BTreeMap::new();
         let mut removed = BTreeSet::new();
         let mut catalogue = None;
         for update in self.updates.iter().skip(first) {
             for contract in &update.changed {
-                removed.remove(&contract.customer);
-                changed.insert(contract.customer.clone(), Arc::clone(contract));
+                removed.remove(&contract.client_account);
+                changed.insert(contract.client_account.clone(), Arc::clone(contract));
             }
-            for customer in &update.removed {
-                changed.remove(customer);
-                removed.insert(customer.clone());
+            for client_account in &update.removed {
+                changed.remove(client_account);
+                removed.insert(client_account.clone());
             }
             catalogue = update.catalogue.clone().or(catalogue);
         }
@@ -62,9 +62,10 @@
 
 /// The difference between two versions.
 pub(crate) fn difference(old: (&Configuration, &Hashes), new: (&Configuration, &Hashes)) -> Update {
-    let is_changed =
-        |customer: &CustomerId| old.1.contracts.get(customer) != new.1.contracts.get(customer);
-    let changed = new.0.contracts.iter().filter(|(customer, _)| is_changed(customer));
+    let is_changed = |client_account: &ClientAccountId| {
+        old.1.contracts.get(client_account) != new.1.contracts.get(client_account)
+    };
+    let changed = new.0.contracts.iter().filter(|(client_account, _)| is_changed(client_account));
     let removed = old.0.contracts.keys().filter(|c| !new.0.contracts.contains_key(*c));
     Update {
         from: old.0.version,
@@ -99,13 +100,13 @@
         false => (current.clone(), hashes.clone()),
     };
     configuration.version = update.to;
-    for customer in &update.removed {
-        configuration.contracts.remove(customer);
-        hashes.contracts.remove(customer);
+    for client_account in &update.removed {
+        configuration.contracts.remove(client_account);
+        hashes.contracts.remove(client_account);
     }
     for contract in &update.changed {
-        hashes.contracts.insert(contract.customer.clone(), contract_hash(contract));
-        configuration.contracts.insert(contract.customer.clone(), Arc::clone(contract));
+        hashes.contracts.insert(contract.client_account.clone(), contract_hash(contract));
+        configuration.contracts.insert(contract.client_account.clone(), Arc::clone(contract));
     }
     if let Some(catalogue) = &update.catalogue {
         hashes.catalogue = catalogue_hash(catalogue);
--- a/components/version/configuration/tests/configuration.rs
+++ b/components/version/configuration/tests/configuration.rs
@@ -52,9 +52,9 @@
     format!("i{index}").into()
 }
 
-fn proposal(customers: usize, changed: usize, mark: u32) -> Proposal {
+fn proposal(client_accounts: usize, changed: usize, mark: u32) -> Proposal {
     let contract = |n: usize| Contract {
-        customer: format!("c{n}").into(),
+        client_account: format!("c{n}").into(),
         key_hashes: BTreeSet::new(),
         models: BTreeSet::new(),
         adapters: BTreeMap::new(),
@@ -65,7 +65,7 @@
         limits: Limits { requests_per_second: 1, concurrent_requests: 1, queued_requests: 1 },
         services: BTreeSet::new(),
     };
-    let contracts = (0..customers).map(|n| (format!("c{n}").into(), Arc::new(contract(n))));
+    let contracts = (0..client_accounts).map(|n| (format!("c{n}").into(), Arc::new(contract(n))));
     Proposal { contracts: contracts.collect(), catalogue: Arc::default(), based_on: None }
 }
 
@@ -359,8 +359,8 @@
             let from = net.start + Duration::from_secs_f64(at);
             net.platform.faults.absent.push(from..from + Duration::from_secs_f64(time));
         }
-        for (wait, customer, mark) in changes {
-            net.apply(proposal(6, customer, mark));
+        for (wait, client_account, mark) in changes {
+            net.apply(proposal(6, client_account, mark));
             net.run_for(wait);
         }
         restarts.into_iter().for_each(|node| net.restart(node));
--- a/components/version/configuration/tests/spread.rs
+++ b/components/version/configuration/tests/spread.rs
@@ -14,7 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use types::object::{CallId, Condition, ObjectAnswer, ObjectCall, ObjectKey, decode};
 use types::prelude::{
-    Catalogue, ConfigurationVersion, Contract, CustomerId, InstanceId, Limits, UrgencyClass,
+    Catalogue, ClientAccountId, ConfigurationVersion, Contract, InstanceId, Limits, UrgencyClass,
 };
 
 /// The platform: objects with versions, and every head that was ever accepted.
@@ -72,7 +72,7 @@
     }
 }
 
-fn contract(customer: &str, limit: u32) -> Arc<Contract> {
+fn contract(client_account: &str, limit: u32) -> Arc<Contract> {
     let class = UrgencyClass {
         first_token: Duration::from_secs(1),
         completion: Duration::from_secs(2),
@@ -81,7 +81,7 @@
         worth_milli: 1,
     };
     Arc::new(Contract {
-        customer: customer.into(),
+        client_account: client_account.into(),
         key_hashes: BTreeSet::new(),
         models: BTreeSet::new(),
         adapters: BTreeMap::new(),
@@ -96,8 +96,8 @@
 
 fn proposal(limits: &[u32]) -> Proposal {
     let contracts = limits.iter().enumerate().map(|(n, limit)| {
-        let name = format!("customer-{n}");
-        (CustomerId::from(name.as_str()), contract(&name, *limit))
+        let name = format!("account-{n}");
+        (ClientAccountId::from(name.as_str()), contract(&name, *limit))
     });
     Proposal {
         contracts: contracts.collect(),
--- a/components/version/contracts/src/contract_file.rs
+++ b/components/version/contracts/src/contract_file.rs
@@ -1,4 +1,4 @@
-//! One customer's contract file.
+//! One client account's contract file.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -8,7 +8,7 @@
 /// Class of requests that name none, unless the contract says otherwise.
 pub const DEFAULT_CLASS: &str = "interactive";
 
-const SECTIONS: &[&str] = &["customer", "limits", "adapters"];
+const SECTIONS: &[&str] = &["client_account", "limits", "adapters"];
 const KINDS: &[&str] = &["class"];
 
 /// What a contract file holds.
@@ -24,15 +24,15 @@
 ///
 /// Faults of single values are reported here; faults against other values, other contracts or the
 /// catalogue are found by [`problems`](crate::problems).
-pub fn contract(customer: &str, ini: &Ini, diagnostics: &mut Diagnostics) -> Draft {
+pub fn contract(client_account: &str, ini: &Ini, diagnostics: &mut Diagnostics) -> Draft {
     ini.check_sections(SECTIONS, KINDS, diagnostics);
-    if value::name(customer).is_err() {
+    if value::name(client_account).is_err() {
         let message = format!(
-            "the file name \"{customer}\" is no name of a customer; use letters, digits, dots, hyphens and underscores"
+            "the file name \"{client_account}\" is no name of a client account; use letters, digits, dots, hyphens and underscores"
         );
         diagnostics.push_file(&ini.file, message);
     }
-    let mut r = Reader::new(ini, "customer", diagnostics);
+    let mut r = Reader::new(ini, "client_account", diagnostics);
     let key_hashes = unique(&mut r, "keys", key_hash);
     let models = unique(&mut r, "models", value::name);
     let services = unique(&mut r, "services", value::name);
@@ -41,7 +41,7 @@
     let default_class = r.or("default_class", DEFAULT_CLASS.into(), value::name);
     r.finish();
     let contract = Contract {
-        customer: customer.into(),
+        client_account: client_account.into(),
         key_hashes,
         models,
         adapters: adapters(ini, diagnostics),
--- a/components/version/contracts/src/diff.rs
+++ b/components/version/contracts/src/diff.rs
@@ -19,7 +19,7 @@
 /// What happened to one contract or to the catalogue.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ObjectDiff {
-    /// `contract CUSTOMER` or `catalogue`.
+    /// `contract CLIENT_ACCOUNT` or `catalogue`.
     pub object: Box<str>,
     /// Hash of the old content; `None` if the object is new.
     pub old_hash: Option<Box<str>>,
@@ -55,10 +55,10 @@
     let catalogue = |c: &Configuration| Some(c.catalogue.clone()).filter(|c| **c != none);
     let (from, to) = (catalogue(old), catalogue(new));
     objects.extend(object_diff("catalogue", from.as_deref(), to.as_deref()));
-    let customers: BTreeSet<_> = old.contracts.keys().chain(new.contracts.keys()).collect();
-    for customer in customers {
-        let name = format!("contract {customer}");
-        let (old, new) = (old.contracts.get(customer), new.contracts.get(customer));
+    let client_accounts: BTreeSet<_> = old.contracts.keys().chain(new.contracts.keys()).collect();
+    for client_account in client_accounts {
+        let name = format!("contract {client_account}");
+        let (old, new) = (old.contracts.get(client_account), new.contracts.get(client_account));
         objects.extend(object_diff(&name, old.map(|c| &**c), new.map(|c| &**c)));
     }
     Diff { objects }
@@ -211,8 +211,8 @@
     hash.get(..8).unwrap_or(hash)
 }
 
-/// Hash of every contract, by customer.
-pub fn contract_hashes(configuration: &Configuration) -> BTreeMap<CustomerId, Box<str>> {
+/// Hash of every contract, by client account.
+pub fn contract_hashes(configuration: &Configuration) -> BTreeMap<ClientAccountId, Box<str>> {
     configuration
         .contracts
         .iter()
--- a/components/version/contracts/src/diff_tests.rs
+++ b/components/version/contracts/src/diff_tests.rs
@@ -76,7 +76,7 @@
             let mut c = Configuration::default();
             let names = |n: usize| ["a", "b", "c"].into_iter().take(n).map(Box::from);
             let contract = Contract {
-                customer: "x".into(),
+                client_account: "x".into(),
                 key_hashes: BTreeSet::new(),
                 models: names(models).collect(),
                 adapters: BTreeMap::new(),
--- a/components/version/contracts/src/directory.rs
+++ b/components/version/contracts/src/directory.rs
@@ -46,10 +46,10 @@
             Problem::Shares(message) | Problem::Overall(message) => {
                 diagnostics.push_file(&directory, message)
             }
-            Problem::Undeclared(customer, section, key, message)
-            | Problem::Contract(customer, section, key, message) => {
+            Problem::Undeclared(client_account, section, key, message)
+            | Problem::Contract(client_account, section, key, message) => {
                 locate(
-                    &inis[&*format!("{customer}.ini")],
+                    &inis[&*format!("{client_account}.ini")],
                     &section,
                     &key,
                     &message,
@@ -67,9 +67,9 @@
 /// Reads one contract file by itself; the catalogue and other contracts are not looked at.
 pub fn read_contract(path: &Path) -> Result<Contract, Diagnostics> {
     let mut diagnostics = Diagnostics::new();
-    let customer = path.file_stem().unwrap_or_default().to_string_lossy();
+    let client_account = path.file_stem().unwrap_or_default().to_string_lossy();
     let Some(ini) = Ini::read(path, &mut diagnostics) else { return Err(diagnostics) };
-    let contract = contract_file::contract(&customer, &ini, &mut diagnostics).contract;
+    let contract = contract_file::contract(&client_account, &ini, &mut diagnostics).contract;
     for problem in problems_within(&contract) {
         if let Problem::Contract(_, section, key, message) = problem {
             locate(&ini, &section, &key, &message, &mut diagnostics);
@@ -104,10 +104,10 @@
             catalogue = catalogue_file::catalogue(ini, diagnostics);
             continue;
         }
-        let customer = name.strip_suffix(".ini").unwrap_or(name);
-        let draft = contract_file::contract(customer, ini, diagnostics);
+        let client_account = name.strip_suffix(".ini").unwrap_or(name);
+        let draft = contract_file::contract(client_account, ini, diagnostics);
         has_shares &= draft.has_shares;
-        contracts.insert(draft.contract.customer.clone(), Arc::new(draft.contract));
+        contracts.insert(draft.contract.client_account.clone(), Arc::new(draft.contract));
     }
     (Configuration { version: 0, contracts, catalogue: Arc::new(catalogue) }, has_shares)
 }
--- a/components/version/contracts/src/directory_tests.rs
+++ b/components/version/contracts/src/directory_tests.rs
@@ -48,11 +48,11 @@
     let prefix = dir.path().display().to_string();
     let lines: Vec<_> = text.lines().map(|l| l.replace(&prefix, "DIR")).collect();
     let expected = [
-        "DIR: the capacity shares of all customers add up to 90%, not 100% (a 60%, b 30%)",
-        "DIR: the cost shares of all customers add up to 90%, not 100% (a 60%, b 30%)",
-        "DIR/a.ini:3: [customer] models: the catalogue declares no model \"taly\"; did you mean \"tally\"?",
+        "DIR: the capacity shares of all client accounts add up to 90%, not 100% (a 60%, b 30%)",
+        "DIR: the cost shares of all client accounts add up to 90%, not 100% (a 60%, b 30%)",
+        "DIR/a.ini:3: [client_account] models: the catalogue declares no model \"taly\"; did you mean \"tally\"?",
         "DIR/a.ini:15: [class interactive] completion: the answer cannot be complete before its first token",
-        "DIR/b.ini:2: [customer] keys: customer a has the same key 5ac13cbf…",
+        "DIR/b.ini:2: [client_account] keys: client account a has the same key 5ac13cbf…",
         "DIR/b.ini:8: [adapters] summary: the catalogue declares no adapter \"barnn\" of this model; did you mean \"barn\"?",
         "DIR/b.ini:13: [class interactive] worth: the key is missing",
         "DIR/b.ini:18: [class interactive] wort: unknown key; did you mean \"worth\"?",
--- a/components/version/contracts/src/test_data.rs
+++ b/components/version/contracts/src/test_data.rs
@@ -39,7 +39,7 @@
 pub(crate) fn contract(key: &str, share: &str) -> String {
     format!(
         "\
-[customer]
+[client_account]
 keys = {key}
 models = summary, tally
 services = ledger
--- a/components/version/contracts/src/validate.rs
+++ b/components/version/contracts/src/validate.rs
@@ -13,13 +13,13 @@
     /// A broken rule, and the section and key that break it.
     #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
     pub enum Problem {
-        /// In a customer's contract.
-        Contract(customer: CustomerId, section: Box<str>, key: Box<str>, message: Box<str>) {
-            display("customer {customer}: [{section}] {key}: {message}")
+        /// In a client account's contract.
+        Contract(client_account: ClientAccountId, section: Box<str>, key: Box<str>, message: Box<str>) {
+            display("client account {client_account}: [{section}] {key}: {message}")
         }
-        /// In a customer's contract: the catalogue does not declare what it names.
-        Undeclared(customer: CustomerId, section: Box<str>, key: Box<str>, message: Box<str>) {
-            display("customer {customer}: [{section}] {key}: {message}")
+        /// In a client account's contract: the catalogue does not declare what it names.
+        Undeclared(client_account: ClientAccountId, section: Box<str>, key: Box<str>, message: Box<str>) {
+            display("client account {client_account}: [{section}] {key}: {message}")
         }
         /// In the catalogue.
         Catalogue(section: Box<str>, key: Box<str>, message: Box<str>) {
@@ -67,14 +67,14 @@
 }
 
 fn at(contract: &Contract, section: &str, key: &str, message: String) -> Problem {
-    Problem::Contract(contract.customer.clone(), section.into(), key.into(), message.into())
+    Problem::Contract(contract.client_account.clone(), section.into(), key.into(), message.into())
 }
 
 fn contract_problems(contract: &Contract, catalogue: &Catalogue, problems: &mut Vec<Problem>) {
     problems.extend(problems_within(contract));
     let mut report = |section: &str, key: &str, message: String| {
         problems.push(Problem::Undeclared(
-            contract.customer.clone(),
+            contract.client_account.clone(),
             section.into(),
             key.into(),
             message.into(),
@@ -82,12 +82,16 @@
     };
     for model in contract.models.iter().filter(|m| !catalogue.models.contains_key(*m)) {
         let near = suggestion(model, catalogue.models.keys().map(|m| &**m));
-        report("customer", "models", format!("the catalogue declares no model \"{model}\"{near}"));
+        report(
+            "client_account",
+            "models",
+            format!("the catalogue declares no model \"{model}\"{near}"),
+        );
     }
     for service in contract.services.iter().filter(|s| !catalogue.services.contains_key(*s)) {
         let near = suggestion(service, catalogue.services.keys().map(|s| &**s));
         report(
-            "customer",
+            "client_account",
             "services",
             format!("the catalogue declares no service \"{service}\"{near}"),
         );
@@ -107,14 +111,18 @@
 
 fn own_problems(contract: &Contract, report: &mut impl FnMut(&str, &str, String)) {
     if contract.key_hashes.is_empty() {
-        report("customer", "keys", "the customer needs at least one key".into());
+        report("client_account", "keys", "the client account needs at least one key".into());
     }
     if contract.models.is_empty() && contract.services.is_empty() {
-        report("customer", "models", "the contract permits neither a model nor a service".into());
+        report(
+            "client_account",
+            "models",
+            "the contract permits neither a model nor a service".into(),
+        );
     }
     if contract.capacity_share == 0 {
         report(
-            "customer",
+            "client_account",
             "capacity_share",
             "the share must be more than 0%, or no request is ever served".into(),
         );
@@ -128,14 +136,14 @@
 fn class_problems(contract: &Contract, report: &mut impl FnMut(&str, &str, String)) {
     if contract.classes.is_empty() {
         report(
-            "customer",
+            "client_account",
             "default_class",
             "the contract needs at least one section [class NAME]".into(),
         );
     } else if !contract.classes.contains_key(&contract.default_class) {
         let near = suggestion(&contract.default_class, contract.classes.keys().map(|c| &**c));
         report(
-            "customer",
+            "client_account",
             "default_class",
             format!("there is no class \"{}\"{near}", contract.default_class),
         );
@@ -197,10 +205,10 @@
         if sum != u64::from(WHOLE_BASIS_POINTS) {
             let parts: Vec<_> = contracts
                 .values()
-                .map(|c| format!("{} {}", c.customer, percent(share(c).into())))
+                .map(|c| format!("{} {}", c.client_account, percent(share(c).into())))
                 .collect();
             let message = format!(
-                "the {kind} shares of all customers add up to {}, not 100% ({})",
+                "the {kind} shares of all client accounts add up to {}, not 100% ({})",
                 percent(sum),
                 parts.join(", ")
             );
@@ -214,11 +222,11 @@
         for hash in &contract.key_hashes {
             if let Some(other) = holders.insert(hash, contract) {
                 let message = format!(
-                    "customer {} has the same key {}…",
-                    other.customer,
+                    "client account {} has the same key {}…",
+                    other.client_account,
                     &hash[..hash.len().min(8)]
                 );
-                problems.push(at(contract, "customer", "keys", message));
+                problems.push(at(contract, "client_account", "keys", message));
             }
         }
     }
--- a/components/version/contracts/src/validate_tests.rs
+++ b/components/version/contracts/src/validate_tests.rs
@@ -29,8 +29,8 @@
 #[case::completion(|c: &mut Contract| class(c).completion = Duration::from_secs(1), "before its first token")]
 #[case::no_objective(|c: &mut Contract| class(c).objective = 0, "error budget")]
 #[case::no_budget(|c: &mut Contract| class(c).objective = 10_000, "error budget")]
-#[case::capacity(|c: &mut Contract| c.capacity_share -= 1, "capacity shares of all customers add up to 99.99%")]
-#[case::cost(|c: &mut Contract| c.cost_share += 1, "cost shares of all customers add up to 100.01%")]
+#[case::capacity(|c: &mut Contract| c.capacity_share -= 1, "capacity shares of all client accounts add up to 99.99%")]
+#[case::cost(|c: &mut Contract| c.cost_share += 1, "cost shares of all client accounts add up to 100.01%")]
 #[case::same_key(|c: &mut Contract| { c.key_hashes.insert(KEY_B.into()); }, "has the same key")]
 fn a_broken_rule_in_a_contract_is_found(#[case] change: fn(&mut Contract), #[case] expected: &str) {
     let mut configuration = valid("rule");
@@ -60,7 +60,7 @@
     assert!(found[0].to_string().contains(expected), "{found:?}");
 }
 
-/// Guards against an empty directory that would remove every customer.
+/// Guards against an empty directory that would remove every client account.
 #[test]
 fn a_configuration_without_contracts_is_refused() {
     assert_eq!(problems(&Configuration::default()).len(), 1);
--- a/src/accepted.rs
+++ b/src/accepted.rs
@@ -75,9 +75,9 @@
         };
         let head = head.value;
         let mut accepted = Configuration { version: head.version, ..Configuration::default() };
-        for (customer, hash) in &head.contracts {
-            let contract = self.contract(customer, hash).await?;
-            accepted.contracts.insert(customer.clone(), Arc::new(contract));
+        for (client_account, hash) in &head.contracts {
+            let contract = self.contract(client_account, hash).await?;
+            accepted.contracts.insert(client_account.clone(), Arc::new(contract));
         }
         accepted.catalogue =
             Arc::new(self.existing(ObjectKey::new("catalogue", head.catalogue)).await?);
@@ -85,8 +85,12 @@
     }
 
     /// Reads one contract.
-    pub(crate) async fn contract(&self, customer: &str, hash: &str) -> Result<Contract, Failure> {
-        self.existing(ObjectKey::new("contract", format!("{customer}@{hash}"))).await
+    pub(crate) async fn contract(
+        &self,
+        client_account: &str,
+        hash: &str,
+    ) -> Result<Contract, Failure> {
+        self.existing(ObjectKey::new("contract", format!("{client_account}@{hash}"))).await
     }
 }
 
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -82,8 +82,8 @@
 
 fn describe_contract(contract: &Contract) -> String {
     format!(
-        "contract of customer {} by itself; check its directory for the catalogue and other contracts",
-        contract.customer
+        "contract of client account {} by itself; check its directory for the catalogue and other contracts",
+        contract.client_account
     )
 }
 
--- a/src/cmd/demo/world.rs
+++ b/src/cmd/demo/world.rs
@@ -209,11 +209,11 @@
     let mut diagnostics = Diagnostics::new();
     let catalogue = catalogue(&mut diagnostics);
     let mut contracts = BTreeMap::new();
-    for (customer, text) in CONTRACTS {
-        let file = format!("samples/demo/{customer}.ini");
+    for (client_account, text) in CONTRACTS {
+        let file = format!("samples/demo/{client_account}.ini");
         let ini = Ini::parse(&file, text, &mut diagnostics);
-        let contract = contract_file::contract(customer, &ini, &mut diagnostics).contract;
-        contracts.insert(contract.customer.clone(), Arc::new(contract));
+        let contract = contract_file::contract(client_account, &ini, &mut diagnostics).contract;
+        contracts.insert(contract.client_account.clone(), Arc::new(contract));
     }
     let (contracts, catalogue) = diagnostics.into_result(Some((contracts, catalogue)))?;
     let proposal = Proposal { contracts, catalogue: Arc::new(catalogue), based_on: None };
--- a/src/cmd/report/burn.rs
+++ b/src/cmd/report/burn.rs
@@ -12,7 +12,7 @@
 /// Describes the command.
 pub(super) fn command() -> Command {
     Command::new("burn")
-        .about("Shows burn rates, error budgets and alerts per customer and class")
+        .about("Shows burn rates, error budgets and alerts per client account and class")
         .arg(args::operators_arg())
         .arg(args::format_arg(&["text", "json", "html"]))
 }
--- a/src/cmd/report/cost.rs
+++ b/src/cmd/report/cost.rs
@@ -1,4 +1,4 @@
-//! `report cost`: accelerator time per customer, model and contract version.
+//! `report cost`: accelerator time per client account, model and contract version.
 
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime};
@@ -23,7 +23,7 @@
         Arg::new(name).long(name).value_name("TIME").value_parser(parse_time).help(help)
     };
     Command::new("cost")
-        .about("Shows accelerator time per customer, model and contract version")
+        .about("Shows accelerator time per client account, model and contract version")
         .arg(time(
             "from",
             "Begin of the period, such as 2026-12-03T00:00:00Z [default: 24 h before the end]",
@@ -78,10 +78,10 @@
     for lease in platform.list::<LeaseObject>("lease").await? {
         ledger.add_running(&lease.value.instance, lease.value.incarnation);
     }
-    for (customer, hash) in ledger.missing_contracts() {
-        let contract = platform.contract(&customer, &hash).await?;
+    for (client_account, hash) in ledger.missing_contracts() {
+        let contract = platform.contract(&client_account, &hash).await?;
         let added = ledger.add_contract(&hash, &contract);
-        added.map_err(|e| Failure::Records(format!("contract/{customer}@{hash}"), e))?;
+        added.map_err(|e| Failure::Records(format!("contract/{client_account}@{hash}"), e))?;
     }
     Ok(ledger.report(from, to, now))
 }
--- a/tests/apply_command_tests.rs
+++ b/tests/apply_command_tests.rs
@@ -97,10 +97,10 @@
 fn accept(platform: &Platform, dir: &Path, version: u64) {
     let accepted = contracts::read_directory(dir).unwrap_or_else(|e| panic!("{e}"));
     let mut head = Head { version, nonce: 1, ..Head::default() };
-    for (customer, contract) in &accepted.contracts {
+    for (client_account, contract) in &accepted.contracts {
         let hash = contract_hash(contract);
-        platform.put_object("contract", &format!("{customer}@{hash}"), &json!(contract));
-        head.contracts.insert(customer.clone(), hash);
+        platform.put_object("contract", &format!("{client_account}@{hash}"), &json!(contract));
+        head.contracts.insert(client_account.clone(), hash);
     }
     head.catalogue = catalogue_hash(&accepted.catalogue);
     platform.put_object("catalogue", &head.catalogue, &json!(accepted.catalogue));
--- a/tests/deployment/fault_tests.rs
+++ b/tests/deployment/fault_tests.rs
@@ -38,7 +38,7 @@
 }
 
 // Guards against late orders of an owner that wakes after its lease has lapsed. If the paused
-// instance held the limits too, its successor refuses customers that have no share with it yet.
+// instance held the limits too, its successor refuses client accounts that have no share with it yet.
 #[rstest]
 #[case::with_a_share(true)]
 #[ignore = "KNOWN-RED.txt, entry 3"]
--- a/tests/deployment/serving_tests.rs
+++ b/tests/deployment/serving_tests.rs
@@ -124,7 +124,7 @@
     engine.counters().loads_started.get(model).copied().unwrap_or_default()
 }
 
-// Guards against a customer that gets only its data centre's part of a limit although the other
+// Guards against a client account that gets only its data centre's part of a limit although the other
 // data centre does not use its own.
 #[rstest]
 #[tokio::test]
--- a/tests/operating_page_tests.rs
+++ b/tests/operating_page_tests.rs
@@ -93,7 +93,7 @@
     ];
     let contract = file(&rows("### 4.1"), &required)
         .replace("[class NAME]", "[class interactive]")
-        .replace("[customer]", "[customer]\nmodels = NAME");
+        .replace("[client_account]", "[client_account]\nmodels = NAME");
     let catalogue = file(&rows("### 4.2"), &required);
     let dir = std::env::temp_dir().join(format!("operating-page-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a temporary directory");
--- a/tests/operators_command_tests.rs
+++ b/tests/operators_command_tests.rs
@@ -15,10 +15,15 @@
     serve(vec![answer("/status", status), answer("/burn", burn)])
 }
 
-fn series(customer: &str, class: &str, objective: u32, windows: [(u32, u32); 3]) -> SeriesState {
+fn series(
+    client_account: &str,
+    class: &str,
+    objective: u32,
+    windows: [(u32, u32); 3],
+) -> SeriesState {
     let counts = |(good, bad)| vec![(3, burn::Counts { good, bad })];
     SeriesState {
-        customer: customer.into(),
+        client_account: client_account.into(),
         class: class.into(),
         version: 4,
         objective,
--- a/tests/platform_command_tests.rs
+++ b/tests/platform_command_tests.rs
@@ -34,10 +34,10 @@
 /// Stores a configuration as accepted.
 async fn accept(address: SocketAddr, configuration: &Configuration) {
     let mut head = Head { version: configuration.version, nonce: 1, ..Head::default() };
-    for (customer, contract) in &configuration.contracts {
+    for (client_account, contract) in &configuration.contracts {
         let hash = contract_hash(contract);
-        put(address, &format!("contract/{customer}@{hash}"), &**contract).await;
-        head.contracts.insert(customer.clone(), hash);
+        put(address, &format!("contract/{client_account}@{hash}"), &**contract).await;
+        head.contracts.insert(client_account.clone(), hash);
     }
     head.catalogue = catalogue_hash(&configuration.catalogue);
     put(address, &format!("catalogue/{}", head.catalogue), &*configuration.catalogue).await;
@@ -159,13 +159,13 @@
     let mut records = Vec::new();
     for (version, configuration, adopted_at) in [(7, &before, 0), (8, &after, 610)] {
         let mut contracts = std::collections::BTreeMap::new();
-        for (customer, contract) in &configuration.contracts {
+        for (client_account, contract) in &configuration.contracts {
             let hash = contract_hash(contract);
-            let key = format!("contract/{customer}@{hash}");
-            if version == 7 || before.contracts.get(customer) != Some(contract) {
+            let key = format!("contract/{client_account}@{hash}");
+            if version == 7 || before.contracts.get(client_account) != Some(contract) {
                 put(address, &key, &**contract).await;
             }
-            contracts.insert(customer.clone(), hash);
+            contracts.insert(client_account.clone(), hash);
         }
         records.push(VersionRecord { version, adopted_at: at(adopted_at), contracts });
     }
@@ -203,13 +203,13 @@
         ..DecisionObject::default()
     };
     put(address, "decision/north-a", &decision).await;
-    let hash = |configuration: &Configuration, customer: &str| {
-        contract_hash(&configuration.contracts[customer])
+    let hash = |configuration: &Configuration, client_account: &str| {
+        contract_hash(&configuration.contracts[client_account])
     };
-    let work = |second: u64, model: &str, customer: &str, version: Box<str>, tokens| Work {
+    let work = |second: u64, model: &str, client_account: &str, version: Box<str>, tokens| Work {
         minute: (TEN + second) / 60,
         model: model.into(),
-        customer: customer.into(),
+        client_account: client_account.into(),
         contract_version: version,
         tokens,
     };
