Change the order giver with shorter pauses of the orders

A want that is kept for a refused caller ends when the model is loaded, so that a loaded model is not held for a caller who may not come back.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -25,6 +25,8 @@
     Status(Status),
     /// What the order giver knows; to all others.
     Homes(Homes),
+    /// The order giver released its lease; to the instance that should claim it.
+    Released,
 }
 
 /// What an instance does.
@@ -35,6 +37,10 @@
     /// Drawn at each start, so that counts of a former run are not compared.
     pub(crate) run: u64,
     pub(crate) is_leaving: bool,
+    /// Its machine is too small for the orders if there are larger ones.
+    pub(crate) is_small: bool,
+    /// Seconds since its start.
+    pub(crate) up_for_s: u32,
     /// Requests in flight by server and model.
     pub(crate) in_flight: Vec<(ServerId, Vec<(ModelName, u32)>)>,
     /// Arrivals since the start, of the models that were asked for lately.
@@ -206,6 +212,14 @@
         })
     }
 
+    /// Instance that should give the orders after this one, which stops. When instances are stopped
+    /// in turn, the one that started last has been stopped already.
+    pub(crate) fn successor(&self, now: Instant) -> Option<&InstanceName> {
+        let candidates = self.live(now).filter(|status| !status.is_leaving);
+        let rank = |status: &&Status| (status.is_small, status.up_for_s);
+        candidates.min_by_key(rank).map(|status| &status.from)
+    }
+
     /// Requests in flight from the other instances at a server, as far as known.
     pub(crate) fn in_flight_at(&self, server: &str) -> u32 {
         self.others_at.get(server).copied().unwrap_or(0)
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -87,6 +87,9 @@
     pub(crate) marks_told: Notify,
     /// An instance is named whose address is not known.
     pub(crate) list_instances: Notify,
+    /// Something is to be done for the lease of the order giver at once.
+    pub(crate) lease_due: Notify,
+    pub(crate) started_at: Instant,
     /// How far this instance follows the store.
     pub(crate) sync: Sync,
     pub(crate) phase: watch::Sender<Phase>,
--- a/components/process/entry/src/process/orders/give.rs
+++ b/components/process/entry/src/process/orders/give.rs
@@ -231,6 +231,7 @@
     let loads = cx.loads.borrow();
     let instances = cx.instances.borrow();
     let unreachable = instances.unreachable(now);
+    let (authority, boot) = (cx.authority.borrow(), boot_now());
     let mut views: Vec<ServerView<'a>> = directory
         .servers()
         .filter(|server| &*server.entry.service == service)
@@ -246,6 +247,7 @@
                 is_ordered: giver.ordered.contains_key(id)
                     || !giver.knows(server)
                     || is_paused
+                    || !authority.is_open(id, boot)
                     || health.is_paused(now),
                 adapters_coming: giver.adapters_coming.get(id).copied().unwrap_or(0),
                 incoming: giver.ordered.get(id).cloned().flatten(),
--- a/components/process/entry/src/process/orders/lease.rs
+++ b/components/process/entry/src/process/orders/lease.rs
@@ -8,16 +8,20 @@
 use platform_adapter::{Error, Put, Store, StoredObject};
 use serde::Deserialize;
 
+use crate::process::instances::Message;
+use crate::process::peers::PeerSocket;
 use crate::process::{Entry, boot_now};
 
 /// Kind and name of the lease object.
 const LEASE_KIND: &str = "order-leases";
 const LEASE_NAME: &str = "engines";
+/// Longest time between two looks at what is due for the lease.
+const LONGEST_SLEEP: Duration = Duration::from_millis(300);
 /// Longest time for a call about the lease; a third of the time it is valid.
 const LEASE_CALL_TIME: Duration = Duration::from_millis(700);
 
 /// Holds the lease if nobody else does, for as long as the process lives.
-pub(crate) async fn keep_lease(cx: Rc<Entry>) {
+pub(crate) async fn keep_lease(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
     loop {
         let now = boot_now();
         let action = cx.authority.borrow().next(now);
@@ -25,7 +29,10 @@
         let by = Call::lease_by(Instant::now() + LEASE_CALL_TIME);
         match action {
             Action::Wait(until) => {
-                tokio::time::sleep(until.saturating_sub(now).min(Duration::from_millis(300))).await;
+                tokio::select! {
+                    () = tokio::time::sleep(until.saturating_sub(now).min(LONGEST_SLEEP)) => {}
+                    () = cx.lease_due.notified() => {}
+                }
             }
             Action::Read => match store.get(LEASE_KIND, LEASE_NAME, by).await {
                 Ok(found) => found_lease(&cx, found),
@@ -38,7 +45,7 @@
                 };
                 match written {
                     Ok(Put::Written(revision)) => {
-                        let is_claim = record.beat == 0;
+                        let (is_claim, is_released) = (record.beat == 0, record.is_released);
                         let fence = record.fence;
                         let mut authority = cx.authority.borrow_mut();
                         authority.written(record, revision, now, boot_now());
@@ -46,6 +53,10 @@
                             tracing::info!(fence, revision, "orders: lease claimed");
                             cx.plan_due.notify_one();
                         }
+                        drop(authority);
+                        if is_released {
+                            tell_release(&cx, &socket, fence);
+                        }
                     }
                     Ok(Put::Conflict(Some(object))) => found_lease(&cx, Some(object)),
                     Ok(Put::Conflict(None)) => cx.authority.borrow_mut().read(None, boot_now()),
@@ -56,6 +67,16 @@
     }
 }
 
+/// Tells the instance that should give the orders next that the lease is free.
+fn tell_release(cx: &Entry, socket: &PeerSocket, fence: u64) {
+    let instances = cx.instances.borrow();
+    let Some(successor) = instances.successor(Instant::now()) else { return };
+    tracing::info!(successor = %successor, fence, "orders: lease released");
+    if let Some(address) = instances.address(successor) {
+        socket.send(&Message::Released, &[address]);
+    }
+}
+
 fn found_lease(cx: &Entry, found: Option<StoredObject>) {
     let lease = found.and_then(|object| {
         let record = LeaseRecord::deserialize(&object.value).ok()?;
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -51,7 +51,7 @@
     };
     // The right to order is checked when the order is about to leave.
     let body = || {
-        let fence = cx.authority.borrow().may_order(boot_now())?;
+        let fence = cx.authority.borrow_mut().order(server, boot_now())?;
         Some(platform_adapter::order_body(order, &cx.settings.name, fence))
     };
     cx.metrics.orders.inc();
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -86,6 +86,8 @@
         from: cx.settings.name.clone(),
         run,
         is_leaving: *cx.phase.borrow() != Phase::Serving,
+        is_small: cx.settings.is_small(),
+        up_for_s: cx.started_at.elapsed().as_secs() as u32,
         in_flight,
         arrivals,
         wants,
@@ -169,6 +171,10 @@
         match postcard::from_bytes::<Message>(&buf[..len]) {
             Ok(Message::Status(status)) => take_status(&cx, status, from),
             Ok(Message::Homes(homes)) => take_homes(&cx, homes, from),
+            Ok(Message::Released) => {
+                cx.authority.borrow_mut().heard_release();
+                cx.lease_due.notify_one();
+            }
             Err(error) => tracing::warn!(%from, %error, "peers: message of another form"),
         }
     }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -124,6 +124,8 @@
         plan_due: Notify::new(),
         marks_told: Notify::new(),
         list_instances: Notify::new(),
+        lease_due: Notify::new(),
+        started_at: Instant::now(),
         sync: Sync::default(),
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::new(dropped_lines),
@@ -138,7 +140,7 @@
     spawn_local(store_sync::expire(cx.clone()));
     spawn_local(peers::listen(cx.clone(), peer_socket.clone()));
     spawn_local(peers::tell(cx.clone(), peer_socket.clone(), rand::rng().random()));
-    spawn_local(orders::keep_lease(cx.clone()));
+    spawn_local(orders::keep_lease(cx.clone(), peer_socket.clone()));
     spawn_local(orders::give(cx.clone(), peer_socket));
     spawn_local(follow_settings(cx.clone(), path.to_owned(), hangup));
     tokio::select! {
@@ -156,6 +158,7 @@
     tracing::info!(in_flight = in_flight(cx), "process: stopping; no longer ready");
     cx.phase.send_replace(Phase::Leaving);
     cx.authority.borrow_mut().leave();
+    cx.lease_due.notify_one();
     tokio::time::sleep_until((began + LEAVING_TIME).min(end_by).into()).await;
     cx.phase.send_replace(Phase::Closing);
     // What still waits for a server learns that it will not be served here.
--- a/components/process/entry/src/process/wants.rs
+++ b/components/process/entry/src/process/wants.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use routes::ServiceName;
 use tokio::task::spawn_local;
@@ -10,6 +10,9 @@
 use super::{Entry, ModelKey};
 use crate::request::Job;
 
+/// Time between two looks whether what a refused caller should come back for is loaded.
+const LOADED_POLL: Duration = Duration::from_millis(100);
+
 /// Models and adapters that are waited for, by service.
 #[derive(Debug, Default)]
 pub(crate) struct Wants {
@@ -37,14 +40,26 @@
         Some(Self::new(cx, &job.service, key))
     }
 
-    /// Keeps the model wanted for a caller who was told to come back.
+    /// Keeps the model wanted for a caller who was told to come back, until it is loaded. A loaded
+    /// model is not held for the caller: others that wait now would be refused for that.
     pub(crate) fn keep_until(self, until: Instant) {
         spawn_local(async move {
-            tokio::time::sleep_until(until.into()).await;
-            drop(self);
+            while Instant::now() < until && !self.is_loaded() {
+                tokio::time::sleep(LOADED_POLL).await;
+            }
         });
     }
 
+    fn is_loaded(&self) -> bool {
+        let (service, key) = &self.key;
+        let directory = self.cx.directory.borrow();
+        directory.servers().any(|server| {
+            server.entry.service == *service
+                && !server.entry.is_draining
+                && server.entry.holdings.serves(&key.model, key.adapter.as_deref())
+        })
+    }
+
     fn new(cx: &Rc<Entry>, service: &str, key: ModelKey) -> Self {
         let key = (ServiceName::from(service), key);
         let mut wants = cx.wants.borrow_mut();
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -98,8 +98,12 @@
     /// How much later than the largest machines this one claims the right to give orders. The
     /// order giver needs a few per cent of a core and its link for each hundred servers.
     pub(crate) fn claim_delay(&self) -> Duration {
-        let is_small = self.cores < SMALL_MACHINE_CORES;
-        if is_small { SMALL_MACHINE_DELAY } else { Duration::ZERO }
+        if self.is_small() { SMALL_MACHINE_DELAY } else { Duration::ZERO }
+    }
+
+    /// Whether the machine leaves the orders to larger ones if there are any.
+    pub(crate) fn is_small(&self) -> bool {
+        self.cores < SMALL_MACHINE_CORES
     }
 
     fn read(ini: &Ini, diagnostics: &mut Diagnostics) -> Option<Self> {
--- /dev/null
+++ b/components/process/model_homes/src/last_orders.rs
@@ -0,0 +1,74 @@
+//! Which servers got orders lately, so that a planned change of the order giver pauses the orders
+//! to these servers only.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use server_directory::ServerId;
+
+use crate::authority::BootTime;
+
+/// Age of the last order to a server, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OrderAge {
+    /// The server.
+    pub server: ServerId,
+    /// Milliseconds since the order.
+    pub age_ms: u32,
+}
+
+/// When each server got an order last from this holder of the lease.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LastOrders {
+    at: HashMap<ServerId, BootTime>,
+}
+
+impl LastOrders {
+    /// An order leaves for the server.
+    pub(crate) fn note(&mut self, server: &str, now: BootTime) {
+        match self.at.get_mut(server) {
+            Some(at) => *at = now,
+            None => {
+                self.at.insert(server.into(), now);
+            }
+        }
+    }
+
+    /// Orders of the last `within`.
+    pub(crate) fn ages(&self, now: BootTime, within: Duration) -> Box<[OrderAge]> {
+        let age = |at: BootTime| now.saturating_sub(at);
+        let recent = self.at.iter().filter(|(_, at)| age(**at) < within);
+        recent
+            .map(|(server, at)| OrderAge {
+                server: server.clone(),
+                age_ms: u32::try_from(age(*at).as_millis()).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+}
+
+/// Servers that a successor must leave alone until a whole gap after the last order of its
+/// predecessor.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClosedServers {
+    until: HashMap<ServerId, BootTime>,
+}
+
+impl ClosedServers {
+    /// The predecessor told the ages of its orders; `read_at` is when this was read, which is after
+    /// it was told, so that the orders are at least that old.
+    pub(crate) fn after(ages: &[OrderAge], read_at: BootTime, gap: Duration) -> Self {
+        let until = |order: &OrderAge| {
+            let age = Duration::from_millis(u64::from(order.age_ms));
+            (order.server.clone(), (read_at + gap).saturating_sub(age))
+        };
+        Self { until: ages.iter().map(until).collect() }
+    }
+
+    /// Whether the server may be given orders.
+    pub(crate) fn is_open(&self, server: &str, now: BootTime) -> bool {
+        self.until.get(server).is_none_or(|until| now >= *until)
+    }
+}
--- a/components/process/model_homes/src/lib.rs
+++ b/components/process/model_homes/src/lib.rs
@@ -3,6 +3,7 @@
 mod adapters;
 mod authority;
 mod demand;
+mod last_orders;
 mod plan;
 mod store_pace;
 
@@ -16,5 +17,6 @@
 pub use adapters::{AdapterMove, AdapterUse, adapter_move};
 pub use authority::{Action, Authority, BootTime, HeldLease, InstanceName, LeaseRecord};
 pub use demand::{Demand, Demands};
+pub use last_orders::OrderAge;
 pub use plan::{Limits, Move, Plan, ServerView, Source, free_mb, plan};
 pub use store_pace::{StorePace, StoreRate};
--- a/components/version/accounting/src/output_tests.rs
+++ b/components/version/accounting/src/output_tests.rs
@@ -31,7 +31,7 @@
 #[test]
 fn the_table_shows_sums_and_flags() {
     let expected = "\
-client account        model  contract  tokens  busy s  idle s  total s  flagged s
+client account  model  contract  tokens  busy s  idle s  total s  flagged s
 (unattributed)  x      -              0   0.000   1.500    1.500      0.000
 a,b             m      01234567      12  60.000  30.000   90.000     30.000
 
