Spread the copies of a model over data centres

Change: the first copy of a model in a data centre is worth half a waiting request more, for the choice of a server and of what makes way.

--- a/components/process/entry/src/process/orders/give.rs
+++ b/components/process/entry/src/process/orders/give.rs
@@ -241,6 +241,7 @@
             let is_paused = giver.paused.get(id).is_some_and(|until| *until > now);
             ServerView {
                 id,
+                data_centre: &server.entry.data_centre,
                 holdings: &server.entry.holdings,
                 in_flight: 0,
                 by_model: HashMap::new(),
--- a/components/process/model_homes/src/plan.rs
+++ b/components/process/model_homes/src/plan.rs
@@ -39,6 +39,10 @@
 /// and a server that loads a model takes no such order meanwhile.
 const ADAPTER_COST: f64 = 0.15;
 
+/// Worth of the first copy of a model in a data centre, beside its copies elsewhere, in waiting
+/// requests. Data centres are cut off from each other.
+const SPREAD_WORTH: f64 = 0.5;
+
 /// Part of the worth of one more copy that what it displaces may have.
 const COPY_ADVANTAGE: f64 = 0.5;
 
@@ -65,6 +69,8 @@
 pub struct ServerView<'a> {
     /// Its id.
     pub id: &'a str,
+    /// Data centre in which it runs.
+    pub data_centre: &'a str,
     /// What it holds.
     pub holdings: &'a Holdings,
     /// Requests in flight from all instances.
@@ -142,6 +148,8 @@
     demands: &'a Demands,
     engine: &'a Engine,
     copies: HashMap<&'a str, usize>,
+    /// Copies by model and data centre.
+    copies_in: HashMap<(&'a str, &'a str), usize>,
     has_traffic: bool,
     taken: HashSet<&'a str>,
 }
@@ -172,7 +180,9 @@
         let rate = self.rate(model);
         if copies > self.wanted_copies(model).max(1) {
             // A copy beyond the need; with requests on it the unload takes longer.
-            return Some(0.05 + here * 0.02 + rate * 0.005);
+            let is_only_one_there = self.copies_at(model, server) <= 1;
+            let spread = if is_only_one_there { SPREAD_WORTH } else { 0.0 };
+            return Some(0.05 + spread + here * 0.02 + rate * 0.005);
         }
         let demand = self.demands.of(model);
         if demand.is_some_and(|d| d.waiting > 0 || d.claimed > 0) {
@@ -187,6 +197,11 @@
         Some(LAST_COPY_WORTH + rate * reload + here * 0.5 + recent * 0.5)
     }
 
+    /// Copies of a model in the server's data centre, that server included.
+    fn copies_at(&self, model: &str, server: &ServerView<'a>) -> usize {
+        self.copies_in.get(&(model, server.data_centre)).copied().unwrap_or(0)
+    }
+
     /// The cheapest models to unload so that `model` fits, and what keeping them is worth.
     fn victims(&self, server: &ServerView<'a>, model: &Model) -> Option<(Vec<ModelName>, f64)> {
         // Room for a full set of adapters is left, because those are loaded without asking.
@@ -228,7 +243,9 @@
             }
             let Some((unload, worth)) = self.victims(server, model) else { continue };
             let fill = f64::from(server.in_flight) / f64::from(self.engine.slots.max(1));
+            let crowded = if self.copies_at(&model.name, server) > 0 { SPREAD_WORTH } else { 0.0 };
             let cost = worth
+                + crowded
                 + source.load_time(model).as_secs_f64() * LOAD_SECOND_COST
                 + fill * FULL_SERVER_COST
                 + server.holdings.adapter_count() as f64 * ADAPTER_COST;
@@ -279,15 +296,16 @@
     limits: Limits,
 ) -> Plan {
     let mut copies: HashMap<&str, usize> = HashMap::new();
+    let mut copies_in: HashMap<(&str, &str), usize> = HashMap::new();
     let mut loading: HashMap<&str, Instant> = HashMap::new();
     let mut store_ends: Vec<Instant> = Vec::new();
     for server in servers.iter().filter(|s| !s.is_leaving) {
-        for model in server.holdings.models.keys() {
+        let incoming = server.incoming.as_ref().or(server.holdings.loading.as_ref());
+        for model in server.holdings.models.keys().chain(incoming) {
             *copies.entry(model).or_default() += 1;
+            *copies_in.entry((model, server.data_centre)).or_default() += 1;
         }
-        let incoming = server.incoming.as_ref().or(server.holdings.loading.as_ref());
         if let Some(model) = incoming {
-            *copies.entry(model).or_default() += 1;
             let (source, ends) = server.loading.unwrap_or((Source::Store, now));
             loading.insert(model, ends);
             if source == Source::Store {
@@ -296,8 +314,16 @@
         }
     }
     let has_traffic = demands.per_second(now) > 1.0;
-    let mut planner =
-        Planner { now, servers, demands, engine, copies, has_traffic, taken: HashSet::new() };
+    let mut planner = Planner {
+        now,
+        servers,
+        demands,
+        engine,
+        copies,
+        copies_in,
+        has_traffic,
+        taken: HashSet::new(),
+    };
     let mut plan = Plan::default();
 
     // Models that lack copies, those with the most requests that wait first.
--- a/components/process/model_homes/src/plan_tests.rs
+++ b/components/process/model_homes/src/plan_tests.rs
@@ -39,6 +39,7 @@
 fn view<'a>(id: &'a str, holdings: &'a Holdings) -> ServerView<'a> {
     ServerView {
         id,
+        data_centre: "north",
         holdings,
         in_flight: 0,
         by_model: HashMap::new(),
@@ -135,6 +136,43 @@
     assert!(chosen.moves.is_empty(), "{chosen:?}");
 }
 
+/// Guards against losing all copies of a busy model with one data centre: the second copy goes
+/// elsewhere, also if a server next to the first one is as good.
+#[test]
+fn copies_of_a_busy_model_spread_over_data_centres() {
+    let now = Instant::now();
+    let on_disk = ["m0", "m1", "m2", "m3", "m4"];
+    let a = holdings(&["m0"], &on_disk);
+    let (b, c) = (holdings(&["m1"], &on_disk), holdings(&["m2"], &on_disk));
+    let mut servers = [view("a", &a), view("b", &b), view("c", &c)];
+    servers[2].data_centre = "south";
+    let chosen = plan(now, &servers, &demand("m0", 0, 100, now), &models(), LIMITS);
+    let target = chosen.moves.iter().find(|m| *m.load == *"m0").map(|m| &*m.server);
+    assert_eq!(target, Some("c"), "{chosen:?}");
+}
+
+/// Guards against giving up a surplus copy that is the only one in its data centre.
+#[test]
+fn surplus_copies_go_where_another_one_is_near() {
+    let now = Instant::now();
+    let on_disk = ["m0", "m9"];
+    let others = [["m1", "m2"], ["m3", "m4"], ["m5", "m6"], ["m7", "m8"]];
+    let held = others.map(|[x, y]| holdings(&["m0", x, y], &on_disk));
+    let mut servers: Vec<_> =
+        ["a", "b", "c", "d"].iter().zip(&held).map(|(id, held)| view(id, held)).collect();
+    servers[0].data_centre = "south";
+    let mut demands = demand("m9", 1, 1, now);
+    for model in others.as_flattened() {
+        demands.models.entry((*model).into()).or_default().claimed = 1;
+    }
+    demands.models.entry("m0".into()).or_default().arrived(now, 4);
+    let limits = Limits { is_prefetching: false, ..LIMITS };
+    let chosen = plan(now, &servers, &demands, &models(), limits);
+    assert_eq!(chosen.moves.len(), 1, "{chosen:?}");
+    assert_eq!(chosen.moves[0].unload, [Box::<str>::from("m0")], "{chosen:?}");
+    assert_ne!(&*chosen.moves[0].server, "a", "{chosen:?}");
+}
+
 /// Guards against more loads at once than the weight store carries at full speed.
 #[test]
 fn loads_from_the_store_stay_within_its_limit() {
