Tell at a release also of orders before the holder's own

Found by reading: a release named the holder's own orders only.

Change: the release carries the orders that still close servers for the leaving holder, and a time for all servers while the orders of a former run or of a lost holder are not known one by one. The new test fails without either.

--- a/components/process/model_homes/src/authority.rs
+++ b/components/process/model_homes/src/authority.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::last_orders::{ClosedServers, LastOrders, OrderAge};
+use crate::last_orders::{ClosedServers, LastOrders, OrderAge, millis};
 
 /// Name of an instance.
 pub type InstanceName = Box<str>;
@@ -44,9 +44,13 @@
     pub beat: u64,
     /// The holder has stopped giving orders.
     pub is_released: bool,
-    /// Orders of the last seconds before a release. No other server got one since.
+    /// Orders of the last seconds before a release, those of former holders included.
     #[serde(default)]
     pub last_orders: Box<[OrderAge]>,
+    /// Milliseconds after a release in which no other holder may order any server, because the
+    /// orders of a former run or of a lost holder are not known one by one.
+    #[serde(default)]
+    pub all_wait_ms: u32,
 }
 
 /// The lease as its holder tells the other instances of it.
@@ -80,6 +84,8 @@
         revision: u64,
         valid_until: BootTime,
         orders_from: BootTime,
+        /// When another holder might give its first order to a server that is not named.
+        others_from: BootTime,
         closed: ClosedServers,
     },
 }
@@ -226,20 +232,17 @@
             return Action::Wait(self.next_at);
         }
         match &self.standing {
-            Standing::Holding { record, revision, .. } => {
+            Standing::Holding { record, revision, others_from, closed, .. } => {
                 if self.is_leaving && record.is_released {
                     return Action::Wait(now + SUSPECT_AFTER);
                 }
-                let last_orders = match self.is_leaving {
-                    true => self.orders.ages(now, self.turn_gap + SLACK),
-                    false => Box::default(),
-                };
-                let record = LeaseRecord {
-                    beat: record.beat + 1,
-                    is_released: self.is_leaving,
-                    last_orders,
-                    ..record.clone()
-                };
+                let mut record = LeaseRecord { beat: record.beat + 1, ..record.clone() };
+                if self.is_leaving {
+                    let gap = self.turn_gap + SLACK;
+                    record.is_released = true;
+                    record.last_orders = self.orders.ages(closed, now, gap);
+                    record.all_wait_ms = millis(others_from.saturating_sub(now));
+                }
                 Action::Write { revision: Some(*revision), record }
             }
             _ if self.is_leaving => Action::Wait(now + SUSPECT_AFTER),
@@ -306,22 +309,26 @@
     ) {
         let gap = self.turn_gap + SLACK;
         let open = ClosedServers::default;
-        let (orders_from, closed) = match &self.standing {
-            Standing::Holding { orders_from, closed, .. } => (*orders_from, closed.clone()),
-            Standing::Unknown | Standing::Vacant { .. } => (now, open()),
+        let (orders_from, others_from, closed) = match &self.standing {
+            Standing::Holding { orders_from, others_from, closed, .. } => {
+                (*orders_from, *others_from, closed.clone())
+            }
+            Standing::Unknown | Standing::Vacant { .. } => (now, now, open()),
             // A former run of this instance gave its orders as the same holder.
             Standing::Observing { record: old, .. } if old.holder == self.me => {
-                (now + SETTLE, open())
+                (now + SETTLE, now + gap, open())
             }
-            Standing::Observing { record: old, ends_by, .. } if old.is_released => {
-                (now, ClosedServers::after(&old.last_orders, *ends_by, gap))
+            Standing::Observing { record: old, ends_by: read_at, .. } if old.is_released => {
+                let from = *read_at + Duration::from_millis(u64::from(old.all_wait_ms));
+                (from, from, ClosedServers::after(&old.last_orders, *read_at, gap))
             }
-            Standing::Observing { ends_by, .. } => (*ends_by + gap, open()),
+            Standing::Observing { ends_by, .. } => (*ends_by + gap, *ends_by + gap, open()),
         };
         self.has_held = true;
         self.is_store_lost = false;
         let valid_until = sent_at + VALIDITY;
-        self.standing = Standing::Holding { record, revision, valid_until, orders_from, closed };
+        self.standing =
+            Standing::Holding { record, revision, valid_until, orders_from, others_from, closed };
         self.next_at = sent_at + RENEW_EVERY;
     }
 
--- a/components/process/model_homes/src/authority_tests.rs
+++ b/components/process/model_homes/src/authority_tests.rs
@@ -67,7 +67,7 @@
 
     /// Five times a second `a` tells `b` that it holds the lease.
     fn tell(&mut self, now: BootTime) {
-        if now.as_millis() % 200 == 0
+        if now.as_millis().is_multiple_of(200)
             && let Some(lease) = self.a.held(now)
         {
             self.b.heard("a", lease, now);
@@ -183,6 +183,42 @@
     }
 }
 
+/// Guards against a release that forgets orders of before: those of a former run of the same
+/// instance, and those of a holder before it that still close a server.
+#[test]
+fn a_release_tells_of_orders_before_the_holders_own() {
+    const ORDERED_AT: u64 = 1_000;
+    for is_restarted in [true, false] {
+        let mut pair = Pair::new();
+        let mut c = Authority::new("c", GAP, Duration::ZERO);
+        let mut first_of_c = None;
+        for now in (0..12_000).step_by(10).map(ms) {
+            match now.as_millis() as u64 {
+                ORDERED_AT => assert!(pair.a.order("s", now).is_some()),
+                // The former run ends and the next one begins, or the lease is handed on.
+                1_100 if is_restarted => pair.a = Authority::new("a", GAP, Duration::ZERO),
+                1_100 => pair.a.leave(),
+                1_110 if !is_restarted => pair.b.heard_release(),
+                2_000 if is_restarted => pair.a.leave(),
+                1_500 if !is_restarted => pair.b.leave(),
+                _ => {}
+            }
+            pair.step_a(now, true);
+            if !is_restarted {
+                pair.step_b(now, true);
+            }
+            let is_released = pair.store.lease.as_ref().is_some_and(|(r, _)| r.is_released);
+            let has_left = now > ms(if is_restarted { 2_000 } else { 1_500 });
+            if has_left && is_released || c.held(now).is_some() {
+                step(&mut c, &mut pair.store, now, true);
+            }
+            first_of_c = first_of_c.or(c.order("s", now).map(|_| now));
+        }
+        let first = first_of_c.expect("a successor");
+        assert!(first >= ms(ORDERED_AT) + GAP, "restarted {is_restarted}: {first:?}");
+    }
+}
+
 /// Guards against a change of the order giver after an outage of the store, which would pause the
 /// orders for a whole gap although the former holder lives.
 #[test]
--- a/components/process/model_homes/src/last_orders.rs
+++ b/components/process/model_homes/src/last_orders.rs
@@ -19,6 +19,11 @@
     pub age_ms: u32,
 }
 
+/// Whole milliseconds of a time that is far below the largest number.
+pub(crate) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// When each server got an order last from this holder of the lease.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LastOrders {
@@ -36,15 +41,21 @@
         }
     }
 
-    /// Orders of the last `within`.
-    pub(crate) fn ages(&self, now: BootTime, within: Duration) -> Box<[OrderAge]> {
-        let age = |at: BootTime| now.saturating_sub(at);
-        let recent = self.at.iter().filter(|(_, at)| age(**at) < within);
-        recent
-            .map(|(server, at)| OrderAge {
-                server: server.clone(),
-                age_ms: u32::try_from(age(*at).as_millis()).unwrap_or(u32::MAX),
-            })
+    /// Orders of the last `gap`, and those of the predecessor that still close a server.
+    pub(crate) fn ages(
+        &self,
+        closed: &ClosedServers,
+        now: BootTime,
+        gap: Duration,
+    ) -> Box<[OrderAge]> {
+        let own = self.at.iter().map(|(server, at)| (server, now.saturating_sub(*at)));
+        let of_predecessor = closed
+            .until
+            .iter()
+            .map(|(server, until)| (server, gap.saturating_sub(until.saturating_sub(now))));
+        own.chain(of_predecessor)
+            .filter(|(_, age)| *age < gap)
+            .map(|(server, age)| OrderAge { server: server.clone(), age_ms: millis(age) })
             .collect()
     }
 }
@@ -60,11 +71,14 @@
     /// The predecessor told the ages of its orders; `read_at` is when this was read, which is after
     /// it was told, so that the orders are at least that old.
     pub(crate) fn after(ages: &[OrderAge], read_at: BootTime, gap: Duration) -> Self {
-        let until = |order: &OrderAge| {
+        let mut until = HashMap::new();
+        for order in ages {
             let age = Duration::from_millis(u64::from(order.age_ms));
-            (order.server.clone(), (read_at + gap).saturating_sub(age))
-        };
-        Self { until: ages.iter().map(until).collect() }
+            let ends = (read_at + gap).saturating_sub(age);
+            let known = until.entry(order.server.clone()).or_insert(ends);
+            *known = ends.max(*known);
+        }
+        Self { until }
     }
 
     /// Whether the server may be given orders.
