--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -172,6 +172,7 @@
             Ok(Message::Status(status)) => take_status(&cx, status, from),
             Ok(Message::Homes(homes)) => take_homes(&cx, homes, from),
             Ok(Message::Released) => {
+                tracing::info!(%from, "orders: told that the lease is free");
                 cx.authority.borrow_mut().heard_release();
                 cx.lease_due.notify_one();
             }
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use platform_stand_in::{Call, Fault, Model, StoreFault, configuration};
+use rustix::process::Signal;
 
 use crate::world::{ROUTES, WAIT, World, engine, eventually};
 
@@ -67,6 +68,31 @@
     let entry = world.instances[1].ports.callers;
     let told = world.caller.call(entry, &call("a2", "m4")).await;
     assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    assert_turns_are_a_gap_apart(&world);
+}
+
+/// Guards against a planned stop after which nobody gives orders until the others look by
+/// themselves, and against a successor that follows too soon at a server.
+#[tokio::test]
+async fn a_planned_stop_hands_the_orders_over() {
+    let mut world = World::new(vec![engine("e1", &["m1", "m2"])]).await;
+    world.start_instance().await;
+    world.start_instance().await;
+    let entry = world.instances[1].ports.callers;
+    let told = world.caller.call(entry, &call("a1", "m3")).await;
+    assert_eq!(told.status, Some(200), "{told:?}");
+    let giver = usize::from(world.instances[0].log_lines(&["gives the orders"]).is_empty());
+    world.instances[giver].signal(Signal::TERM);
+    let successor = &world.instances[1 - giver];
+    let is_told = || !successor.log_lines(&["told that the lease is free"]).is_empty();
+    assert!(eventually(WAIT, is_told).await);
+    let told = world.caller.call(successor.ports.callers, &call("a2", "m4")).await;
+    assert_eq!((told.status, told.is_complete), (Some(200), true), "{told:?}");
+    assert_turns_are_a_gap_apart(&world);
+}
+
+/// The settings of the test ask for 1 s between the orders of two holders to a server.
+fn assert_turns_are_a_gap_apart(world: &World) {
     let orders = world.servers[0].orders();
     let changes = orders.windows(2).filter(|pair| pair[0].holder != pair[1].holder);
     let changes: Vec<_> = changes.collect();
