--- a/components/process/model_homes/src/lib.rs
+++ b/components/process/model_homes/src/lib.rs
@@ -6,6 +6,7 @@
 mod last_orders;
 mod plan;
 mod store_pace;
+mod value;
 
 #[cfg(test)]
 mod authority_tests;
@@ -18,5 +19,6 @@
 pub use authority::{Action, Authority, BootTime, HeldLease, InstanceName, LeaseRecord};
 pub use demand::{Demand, Demands};
 pub use last_orders::OrderAge;
-pub use plan::{Limits, Move, Plan, ServerView, Source, free_mb, plan};
+pub use plan::{Limits, Move, Plan, ServerView, Source, plan};
 pub use store_pace::{StorePace, StoreRate};
+pub use value::free_mb;
