Let the next run of a holder keep what its predecessor still had to wait for

Change: each renewal and claim says how long all servers must wait and which ones are closed; the next run of the same holder waits for it.

--- a/components/process/model_homes/src/authority.rs
+++ b/components/process/model_homes/src/authority.rs
@@ -44,11 +44,12 @@
     pub beat: u64,
     /// The holder has stopped giving orders.
     pub is_released: bool,
-    /// Orders of the last seconds before a release, those of former holders included.
+    /// Orders of former holders that still close servers to this one. A release adds its own.
     #[serde(default)]
     pub last_orders: Box<[OrderAge]>,
-    /// Milliseconds after a release in which no other holder may order any server, because the
-    /// orders of a former run or of a lost holder are not known one by one.
+    /// Milliseconds in which no server may be ordered, because the orders of a lost holder are not
+    /// known one by one; at a release also because those of a former run are not. Holds for the
+    /// next run of the same holder as well.
     #[serde(default)]
     pub all_wait_ms: u32,
 }
@@ -232,17 +233,22 @@
             return Action::Wait(self.next_at);
         }
         match &self.standing {
-            Standing::Holding { record, revision, others_from, closed, .. } => {
+            Standing::Holding { record, revision, orders_from, others_from, closed, .. } => {
                 if self.is_leaving && record.is_released {
                     return Action::Wait(now + SUSPECT_AFTER);
                 }
-                let mut record = LeaseRecord { beat: record.beat + 1, ..record.clone() };
-                if self.is_leaving {
-                    let gap = self.turn_gap + SLACK;
-                    record.is_released = true;
-                    record.last_orders = self.orders.ages(closed, now, gap);
-                    record.all_wait_ms = millis(others_from.saturating_sub(now));
-                }
+                let gap = self.turn_gap + SLACK;
+                let (last_orders, from) = match self.is_leaving {
+                    true => (self.orders.ages(closed, now, gap), others_from),
+                    false => (closed.ages(now, gap).collect(), orders_from),
+                };
+                let record = LeaseRecord {
+                    beat: record.beat + 1,
+                    is_released: self.is_leaving,
+                    last_orders,
+                    all_wait_ms: millis(from.saturating_sub(now)),
+                    ..record.clone()
+                };
                 Action::Write { revision: Some(*revision), record }
             }
             _ if self.is_leaving => Action::Wait(now + SUSPECT_AFTER),
@@ -250,7 +256,9 @@
             Standing::Vacant { since } if now < *since + self.claim_delay => {
                 Action::Wait(*since + self.claim_delay)
             }
-            Standing::Vacant { .. } => Action::Write { revision: None, record: self.claim(0) },
+            Standing::Vacant { .. } => {
+                Action::Write { revision: None, record: self.claim(LeaseRecord::default(), 0) }
+            }
             Standing::Observing { record, revision, ends_by } => {
                 let lapsed = now >= *ends_by + SLACK + self.claim_delay;
                 let is_free = record.is_released && now >= *ends_by + self.claim_delay;
@@ -258,7 +266,12 @@
                 // After a failed call the lease is read first, which tells when the store is back.
                 let may_claim = lapsed && !self.is_store_lost && now >= self.claim_from;
                 if is_free || is_own || may_claim {
-                    Action::Write { revision: Some(*revision), record: self.claim(record.fence) }
+                    let all_wait_ms = match is_free || is_own {
+                        true => record.all_wait_ms,
+                        false => millis((*ends_by + self.turn_gap + SLACK).saturating_sub(now)),
+                    };
+                    let record = self.claim(record.clone(), all_wait_ms);
+                    Action::Write { revision: Some(*revision), record }
                 } else if record.is_released {
                     Action::Wait(*ends_by + self.claim_delay)
                 } else {
@@ -268,8 +281,16 @@
         }
     }
 
-    fn claim(&self, fence: u64) -> LeaseRecord {
-        LeaseRecord { holder: self.me.clone(), fence: fence + 1, ..LeaseRecord::default() }
+    /// The record of a claim after `former`, whose orders it still names.
+    fn claim(&self, former: LeaseRecord, all_wait_ms: u32) -> LeaseRecord {
+        LeaseRecord {
+            holder: self.me.clone(),
+            fence: former.fence + 1,
+            beat: 0,
+            is_released: false,
+            last_orders: former.last_orders,
+            all_wait_ms,
+        }
     }
 
     /// The lease was read, or a conditional write showed another one.
@@ -309,6 +330,7 @@
     ) {
         let gap = self.turn_gap + SLACK;
         let open = ClosedServers::default;
+        let wait = |old: &LeaseRecord| Duration::from_millis(u64::from(old.all_wait_ms));
         let (orders_from, others_from, closed) = match &self.standing {
             Standing::Holding { orders_from, others_from, closed, .. } => {
                 (*orders_from, *others_from, closed.clone())
@@ -316,10 +338,11 @@
             Standing::Unknown | Standing::Vacant { .. } => (now, now, open()),
             // A former run of this instance gave its orders as the same holder.
             Standing::Observing { record: old, .. } if old.holder == self.me => {
-                (now + SETTLE, now + gap, open())
+                let closed = ClosedServers::after(&old.last_orders, now, gap);
+                (now + wait(old).max(SETTLE), now + gap, closed)
             }
             Standing::Observing { record: old, ends_by: read_at, .. } if old.is_released => {
-                let from = *read_at + Duration::from_millis(u64::from(old.all_wait_ms));
+                let from = *read_at + wait(old);
                 (from, from, ClosedServers::after(&old.last_orders, *read_at, gap))
             }
             Standing::Observing { ends_by, .. } => (*ends_by + gap, *ends_by + gap, open()),
--- a/components/process/model_homes/src/authority_tests.rs
+++ b/components/process/model_homes/src/authority_tests.rs
@@ -219,6 +219,28 @@
     }
 }
 
+/// Guards against a holder that is killed while it still waits for the gap after a lost one, and
+/// whose next run takes the lease for its own and orders at once.
+#[test]
+fn a_restarted_successor_still_waits_for_the_gap_after_the_lost_holder() {
+    const CUT_AT: u64 = 3_000;
+    let mut pair = Pair::new();
+    let (mut last_of_a, mut first_of_b, mut is_restarted) = (None, None, false);
+    for now in (0..20_000).step_by(10).map(ms) {
+        pair.step_a(now, now < ms(CUT_AT));
+        pair.step_b(now, true);
+        if pair.b.held(now).is_some() && !is_restarted {
+            is_restarted = true;
+            pair.b = Authority::new("b", GAP, Duration::ZERO);
+        }
+        last_of_a = pair.a.may_order(now).map(|_| now).or(last_of_a);
+        first_of_b = first_of_b.or(pair.b.may_order(now).map(|_| now));
+    }
+    let (last, first) = (last_of_a.unwrap(), first_of_b.expect("a successor"));
+    assert!(is_restarted && first >= last + GAP, "{last:?} then {first:?}");
+    assert!(first <= last + GAP + ms(3_500), "{last:?} then {first:?}");
+}
+
 /// Guards against a change of the order giver after an outage of the store, which would pause the
 /// orders for a whole gap although the former holder lives.
 #[test]
--- a/components/process/model_homes/src/last_orders.rs
+++ b/components/process/model_homes/src/last_orders.rs
@@ -24,6 +24,10 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+fn order_age((server, age): (&ServerId, Duration)) -> OrderAge {
+    OrderAge { server: server.clone(), age_ms: millis(age) }
+}
+
 /// When each server got an order last from this holder of the lease.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LastOrders {
@@ -49,14 +53,7 @@
         gap: Duration,
     ) -> Box<[OrderAge]> {
         let own = self.at.iter().map(|(server, at)| (server, now.saturating_sub(*at)));
-        let of_predecessor = closed
-            .until
-            .iter()
-            .map(|(server, until)| (server, gap.saturating_sub(until.saturating_sub(now))));
-        own.chain(of_predecessor)
-            .filter(|(_, age)| *age < gap)
-            .map(|(server, age)| OrderAge { server: server.clone(), age_ms: millis(age) })
-            .collect()
+        own.filter(|(_, age)| *age < gap).map(order_age).chain(closed.ages(now, gap)).collect()
     }
 }
 
@@ -81,6 +78,16 @@
         Self { until }
     }
 
+    /// Orders of the predecessor that still close a server.
+    pub(crate) fn ages(
+        &self,
+        now: BootTime,
+        gap: Duration,
+    ) -> impl Iterator<Item = OrderAge> + use<'_> {
+        let closed = self.until.iter().filter(move |(_, until)| **until > now);
+        closed.map(move |(server, until)| order_age((server, gap.saturating_sub(*until - now))))
+    }
+
     /// Whether the server may be given orders.
     pub(crate) fn is_open(&self, server: &str, now: BootTime) -> bool {
         self.until.get(server).is_none_or(|until| now >= *until)
