--- a/components/process/entry/src/process/follow.rs
+++ b/components/process/entry/src/process/follow.rs
@@ -15,7 +15,8 @@
 const FIRST_WAIT: Duration = Duration::from_millis(50);
 /// Time after the wait by which the answer of a watch must be there.
 const WATCH_SLACK: Duration = Duration::from_millis(800);
-/// The same at the order giver, on whose word the others rely while it is fresh.
+/// Longest time that a watch of the order giver waits; the others rely on its word while it is
+/// fresh.
 const GIVER_WAIT: Duration = Duration::from_millis(300);
 /// Age up to which the order giver's word on the store is fresh. A watch of its own takes its
 /// wait, and the others may take two seconds to leave a server alone that says that it leaves.
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -22,8 +22,8 @@
 const FULL_RETURN: Duration = Duration::from_millis(1_200);
 /// Time after which servers that turned the request away are tried again.
 const TRY_AGAIN_AFTER: Duration = Duration::from_millis(120);
-/// Part of the time left for which a caller waits at most before it comes back, as the users'
-/// pages say.
+/// Part of the time left that a caller waits at most before it comes back, as the users' pages
+/// say.
 const LONGEST_RETURN: f64 = 1.0 / 3.0;
 /// Time that a caller who comes back may be late: the way, and a new connection.
 const RETURN_SLACK: Duration = Duration::from_millis(400);
