Bound what a server may send in a head, an event or a body

Cause: EventSplitter kept an unfinished event of any length and searched all of it at each read, so one server that sends bytes without an end could take all memory and the one thread that serves everybody. A server that always has bytes ready also kept a request beyond its deadline, because the timeout is only looked at when no byte is ready. The body of a response of the store had no limit. Change: events of at most 1 MiB, searched once; heads of at most 64 KiB; store responses of at most 16 MiB; the deadline is checked after each read that completes no event. Each cut-off counts in the metric oversized_responses and stands with its reason in the request's log line.

--- a/components/connection/platform/src/transport.rs
+++ b/components/connection/platform/src/transport.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use http_client::{HttpClient, http_client};
 use hyper::body::Incoming;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
@@ -19,6 +19,9 @@
 const PERCENT_ENCODED: &AsciiSet =
     &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.').remove(b'~').remove(b'/').remove(b'@');
 
+/// Largest response body, in bytes: several pages of the largest list. A longer one is lost.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Outcome of one HTTP call.
 #[derive(Debug)]
 pub enum Exchange<R> {
@@ -130,7 +133,12 @@
         };
         let status = res.status();
         let version = object_version(&res);
-        match timeout_at(deadline.into(), res.into_body().collect()).await {
+        match timeout_at(
+            deadline.into(),
+            Limited::new(res.into_body(), MAX_RESPONSE_BYTES).collect(),
+        )
+        .await
+        {
             Ok(Ok(body)) => {
                 Exchange::Answered(BufferedResponse { status, version, body: body.to_bytes() })
             }
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -32,6 +32,9 @@
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most idle connections that the pool retains per server, even if the server accepts more.
 pub(crate) const MAX_IDLE_PER_SERVER: usize = 12;
+/// Largest head of a server's response, in bytes. The buffer also limits how much of a body one
+/// read returns.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Largest response body of an order or a report, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 1 << 20;
 
@@ -42,6 +45,9 @@
     NotSent,
     /// The server may have run the request.
     MayHaveRun,
+    /// The server may have run the request, and its response has a head of more than
+    /// [`MAX_HEAD_BYTES`].
+    HeadTooLong,
 }
 
 /// An open connection to a server. Dropping it closes the connection, so that the server stops
@@ -78,7 +84,8 @@
             Err(_) => return Err(SendError::NotSent),
         };
         set_socket_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream));
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
         let Ok(Ok((sender, hyper_connection))) = timeout_at(deadline.into(), handshake).await
         else {
             return Err(SendError::NotSent);
@@ -110,6 +117,7 @@
             // hyper returns the message if it sent no byte of it.
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
+                None if error.error().is_parse_too_large() => SendError::HeadTooLong,
                 None => SendError::MayHaveRun,
             }),
         }
@@ -226,7 +234,7 @@
     let req = req.body(Full::new(Bytes::from(body))).map_err(|_| false)?;
     let response = match timeout_at(deadline.into(), connection.send(req)).await {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(error == SendError::MayHaveRun),
+        Ok(Err(error)) => return Err(error != SendError::NotSent),
         Err(_) => return Err(true),
     };
     let status = response.status();
--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) reports: Counter,
     pub(crate) loads: Counter,
     pub(crate) store_losses: Counter,
+    pub(crate) oversized_responses: Counter,
     pub(crate) caller_connections: Gauge,
     pub(crate) configuration_version: Gauge,
     log_lines_dropped: Gauge,
@@ -62,6 +63,10 @@
         let reports = counter("reports", "Reports asked of engines");
         let loads = counter("loads", "Loads of models that engines accepted");
         let store_losses = counter("store_losses", "Times that the store was lost");
+        let oversized_responses = counter(
+            "oversized_responses",
+            "Responses of servers that were cut off because their head, body or an event was too long",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -83,6 +88,7 @@
             reports,
             loads,
             store_losses,
+            oversized_responses,
             caller_connections,
             configuration_version,
         }
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform_adapter::{ResponseClass, SystemHeaders, classify_response, set_system_headers};
 use server_directory::ServerId;
@@ -33,6 +33,8 @@
 const INSTANCE_STOPS: &str = "instance stops before the answer";
 /// Reason recorded for a stream that sent nothing until its deadline.
 const STREAM_SILENT: &str = "stream sent no data in time";
+/// Reason recorded for a stream with an event beyond the size limit.
+const EVENT_TOO_LONG: &str = "event too long";
 /// Longest time without events in a stream that can be resumed at another server. Callers leave
 /// after two seconds, and the new server needs part of that.
 const MAX_STREAM_SILENCE: Duration = Duration::from_millis(1_000);
@@ -92,23 +94,27 @@
     pub(crate) async fn next(&mut self, cx: &Entry, job: &Job) -> Chunk {
         let silence_deadline = Instant::now() + MAX_STREAM_SILENCE;
         if self.is_resumable && job.may_retry() && silence_deadline < job.deadline {
-            let chunk = self.next_until(silence_deadline).await;
+            let chunk = self.next_until(cx, silence_deadline).await;
             let can_switch =
                 cx.has_retry_left(&job.service) && has_free_slot_elsewhere(cx, job, &self.server);
             if can_switch || !matches!(chunk, Chunk::Broken(STREAM_SILENT)) {
                 return chunk;
             }
         }
-        self.next_until(job.deadline).await
+        self.next_until(cx, job.deadline).await
     }
 
-    /// Waits until `deadline` for the next bytes that may be passed on.
-    async fn next_until(&mut self, deadline: Instant) -> Chunk {
+    /// Waits until `deadline` for the next bytes that may be passed on. A server that always has
+    /// bytes ready, but never a complete event, does not hold the request any longer.
+    async fn next_until(&mut self, cx: &Entry, deadline: Instant) -> Chunk {
         loop {
             match timeout_at(deadline.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    let events = self.splitter.push(&data);
+                    let Ok(events) = self.splitter.push(&data) else {
+                        cx.metrics.oversized_responses.inc();
+                        return Chunk::Broken(EVENT_TOO_LONG);
+                    };
                     if self.is_resumable {
                         if !events.is_empty() {
                             return Chunk::Data(events);
@@ -116,6 +122,10 @@
                     } else if !data.is_empty() {
                         return Chunk::Data(data);
                     }
+                    // The timeout does not expire while bytes are ready whenever it is polled.
+                    if Instant::now() >= deadline {
+                        return Chunk::Broken(STREAM_SILENT);
+                    }
                 }
                 Ok(Some(Err(_))) => return Chunk::Broken("stream broke off"),
                 Ok(None) if self.has_unknown_length && self.splitter.is_inside_event() => {
@@ -199,8 +209,12 @@
     let response = match result {
         Some(Ok(response)) => response,
         Some(Err(SendError::NotSent)) => return AttemptOutcome::NotSent,
-        Some(Err(SendError::MayHaveRun)) => {
+        Some(Err(error)) => {
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 1.0));
+            if error == SendError::HeadTooLong {
+                cx.metrics.oversized_responses.inc();
+                return AttemptOutcome::Lost("head of the answer too long");
+            }
             return AttemptOutcome::Lost("connection ended without an answer");
         }
         None => {
@@ -227,7 +241,7 @@
                 job,
                 selection,
                 switch_at,
-                start_stream(job, selection, parts, body, connection, in_flight),
+                start_stream(cx, job, selection, parts, body, connection, in_flight),
             ) => started.unwrap_or(AttemptOutcome::Lost("no event in time")),
             () = cx.ending() => return AttemptOutcome::Lost(INSTANCE_STOPS),
         };
@@ -251,8 +265,12 @@
             cx.return_to_pool(connection);
             AttemptOutcome::Complete(parts, body.to_bytes())
         }
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 1.0));
+            if error.is::<LengthLimitError>() {
+                cx.metrics.oversized_responses.inc();
+                return AttemptOutcome::Lost("body of the answer too long");
+            }
             AttemptOutcome::Lost("answer broke off")
         }
         Err(_) => AttemptOutcome::Lost("answer not complete in time"),
@@ -283,6 +301,7 @@
 }
 
 async fn start_stream(
+    cx: &Entry,
     job: &Job,
     selection: &Selection,
     parts: Parts,
@@ -303,7 +322,7 @@
         server: selection.id.clone(),
         _in_flight: in_flight,
     };
-    match source.next_until(job.deadline).await {
+    match source.next_until(cx, job.deadline).await {
         Chunk::Data(first) => {
             AttemptOutcome::Stream(Box::new(StreamStart { parts, first, has_ended: false, source }))
         }
--- a/components/process/entry/src/request/events.rs
+++ b/components/process/entry/src/request/events.rs
@@ -5,31 +5,57 @@
 #[cfg(test)]
 mod tests;
 
+/// Largest event that is accepted from a server, in bytes.
+pub(super) const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// The longest separator between two events is four bytes long, so up to three of its bytes may
+/// arrive before the rest.
+const SEPARATOR_OVERLAP: usize = 3;
+
+/// The server sent more than [`MAX_EVENT_BYTES`] without the end of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct EventTooLong;
+
 /// Buffers an incomplete event until the rest arrives, so that an interrupted stream can be
 /// continued after the last complete event.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
+    /// At most [`MAX_EVENT_BYTES`] after a successful `push`.
     partial: BytesMut,
+    /// Length of the prefix of `partial` in which no separator begins.
+    searched: usize,
     last_id: Option<Box<str>>,
 }
 
-fn complete_events_len(buf: &[u8]) -> usize {
-    let lf = buf.windows(2).rposition(|w| w == b"\n\n").map_or(0, |start| start + 2);
-    let crlf = buf.windows(4).rposition(|w| w == b"\r\n\r\n").map_or(0, |start| start + 4);
+/// Length of the complete events in `buf`, whose first `searched` bytes begin no separator.
+fn complete_events_len(buf: &[u8], searched: usize) -> usize {
+    let new = &buf[searched..];
+    let lf = new.windows(2).rposition(|w| w == b"\n\n").map_or(0, |start| searched + start + 2);
+    let crlf =
+        new.windows(4).rposition(|w| w == b"\r\n\r\n").map_or(0, |start| searched + start + 4);
     lf.max(crlf)
 }
 
 impl EventSplitter {
     /// Appends bytes and returns the events that are now complete.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is longer than [`MAX_EVENT_BYTES`].
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.partial.extend_from_slice(bytes);
-        let complete = self.partial.split_to(complete_events_len(&self.partial)).freeze();
+        let len = complete_events_len(&self.partial, self.searched);
+        let complete = self.partial.split_to(len).freeze();
+        self.searched = self.partial.len().saturating_sub(SEPARATOR_OVERLAP);
+        if self.partial.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
         let mut ids =
             complete.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
         if let Some(id) = ids.next_back().and_then(|id| std::str::from_utf8(id).ok()) {
             self.last_id = Some(id.trim().into());
         }
-        complete
+        Ok(complete)
     }
 
     /// Id of the last complete event.
--- a/components/process/entry/src/request/events/tests.rs
+++ b/components/process/entry/src/request/events/tests.rs
@@ -7,13 +7,55 @@
 #[test]
 fn only_complete_events_are_passed_on() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(&splitter.push(b"id: 1\ndata: a\n\nid: 2\nda")[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(&splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap()[..], b"id: 1\ndata: a\n\n");
     assert!(splitter.is_inside_event());
     assert_eq!(splitter.last_id(), Some("1"));
-    assert_eq!(&splitter.push(b"ta: b\n")[..], b"");
-    assert_eq!(&splitter.push(b"\n")[..], b"id: 2\ndata: b\n\n");
+    assert_eq!(&splitter.push(b"ta: b\n").unwrap()[..], b"");
+    assert_eq!(&splitter.push(b"\n").unwrap()[..], b"id: 2\ndata: b\n\n");
     assert_eq!(splitter.last_id(), Some("2"));
     assert!(!splitter.is_inside_event());
-    assert_eq!(&splitter.push(b"id: 3\ndata: c\r\n\r\n")[..], b"id: 3\ndata: c\r\n\r\n");
+    assert_eq!(&splitter.push(b"id: 3\ndata: c\r\n\r\n").unwrap()[..], b"id: 3\ndata: c\r\n\r\n");
     assert_eq!(splitter.last_id(), Some("3"));
 }
+
+/// Guards against a server that sends an event without an end: the event must neither be kept
+/// whole nor be searched again from its start with each read.
+#[test]
+fn unfinished_event_beyond_the_limit_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let chunk = [b'x'; 16 << 10];
+    let chunks = MAX_EVENT_BYTES / chunk.len();
+    for _ in 0..chunks {
+        assert_eq!(splitter.push(&chunk).unwrap(), "");
+    }
+    assert!(splitter.push(b"x").is_err());
+    assert!(splitter.partial.len() <= MAX_EVENT_BYTES + chunk.len());
+}
+
+/// Guards against an end that is not found because it is split between two reads, at every place.
+#[test]
+fn event_end_is_found_wherever_the_reads_split_it() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for first in 0..stream.len() {
+        for second in first..stream.len() {
+            let mut splitter = EventSplitter::default();
+            let mut passed_on = Vec::new();
+            for part in [&stream[..first], &stream[first..second], &stream[second..]] {
+                passed_on.extend_from_slice(&splitter.push(part).unwrap());
+            }
+            assert_eq!(passed_on, stream, "split at {first} and {second}");
+            assert_eq!(splitter.last_id(), Some("3"));
+        }
+    }
+}
+
+/// Guards against work that grows with the square of an event's length, which lets one server stop
+/// the thread that serves all callers.
+#[test]
+fn bytes_of_an_unfinished_event_are_searched_once() {
+    let mut splitter = EventSplitter::default();
+    for _ in 0..MAX_EVENT_BYTES {
+        assert_eq!(splitter.push(b"x").unwrap(), "");
+        assert!(splitter.partial.len() - splitter.searched <= 3);
+    }
+}
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -3,6 +3,7 @@
 
 mod caller_tests;
 mod cluster;
+mod endless_tests;
 mod golden_tests;
 mod order_tests;
 mod process_tests;
