The leader passes registry changes on to the other instances

Cause: every instance asked the store after each change of a backend server that the leader had seen. Change: the leader's updates contain the changes of the last 1.5 s with the store's revision after which they are complete. An instance whose own revision is not older applies them; any other asks the store as before. The revisions are those of the store's answers, so that a watch continues where the changes end. New metric store_calls. New tests: changes_are_complete_or_not_offered, dropped_changes_are_not_skipped, registry_changes_reach_instances_without_calls_of_their_own (the last one fails on the code before: one call for each change).

--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) orders: Counter,
     pub(crate) reports: Counter,
     pub(crate) loads: Counter,
+    pub(crate) store_calls: Counter,
     pub(crate) store_losses: Counter,
     pub(crate) oversized_responses: Counter,
     pub(crate) caller_connections: Gauge,
@@ -62,6 +63,7 @@
         let orders = counter("orders", "Orders sent to engines");
         let reports = counter("reports", "Reports asked of engines");
         let loads = counter("loads", "Loads of models that engines accepted");
+        let store_calls = counter("store_calls", "Calls to the store");
         let store_losses = counter("store_losses", "Times that the store was lost");
         let oversized_responses = counter(
             "oversized_responses",
@@ -87,6 +89,7 @@
             orders,
             reports,
             loads,
+            store_calls,
             store_losses,
             oversized_responses,
             caller_connections,
--- a/components/process/entry/src/process/follow.rs
+++ b/components/process/entry/src/process/follow.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use platform::Call;
-use platform_adapter::{Changes, Error, Store, StoredObject};
+use platform_adapter::{Changes, Error, StoredObject};
 
 use super::{Entry, boot_now};
 
@@ -47,6 +47,12 @@
     /// configuration.
     fn leader_revision(revisions: (u64, u64)) -> u64;
 
+    /// Applies the changes since `revision` that the leader has passed on, and returns the revision
+    /// up to which changes are then applied.
+    fn apply_passed_on(&mut self, revision: u64) -> u64 {
+        revision
+    }
+
     /// Called when the store confirmed at `at` that this instance is up to date, or before the
     /// changes from the same answer are applied.
     fn confirmed(&mut self, at: Instant);
@@ -54,8 +60,8 @@
     /// Applies a complete list.
     fn apply_list(&mut self, objects: Vec<StoredObject>, revision: u64);
 
-    /// Applies the change or deletion of one object.
-    fn apply_change(&mut self, object: &StoredObject, is_deleted: bool);
+    /// Applies the change or deletion of one object, which the store contains at revision `at`.
+    fn apply_change(&mut self, object: &StoredObject, is_deleted: bool, at: u64);
 }
 
 /// Answer of the store to a list or a watch.
@@ -69,14 +75,12 @@
 struct Progress {
     /// Revision up to which changes were applied; `None` before the first list.
     revision: Option<u64>,
-    /// The leader's revision as of the last successful call.
-    synced_with: Option<u64>,
     /// Whether the last call failed.
     is_disconnected: bool,
 }
 
 /// Lists a kind of objects and follows its changes for as long as the process runs. While the
-/// leader's revisions are recent and match, no call is made.
+/// leader's revisions are recent and this instance has applied them, no call is made.
 pub(super) async fn follow<F: Follower>(cx: Rc<Entry>, mut follower: F) {
     let mut progress = Progress::default();
     loop {
@@ -85,16 +89,18 @@
             cx.instances.borrow().fresh_leader_revisions(Instant::now(), MAX_LEADER_REVISION_AGE);
         let fresh = fresh.filter(|_| !is_leader && !progress.is_disconnected);
         let leader_revision = fresh.map(|(revisions, _)| F::leader_revision(revisions));
-        if let Some((_, confirmed_at)) = fresh
-            && progress.revision.is_some()
-            && leader_revision == progress.synced_with
+        if let (Some((_, confirmed_at)), Some(at), Some(revision)) =
+            (fresh, leader_revision, &mut progress.revision)
         {
             follower.confirmed(confirmed_at);
-            tokio::select! {
-                () = cx.leader_updated.notified() => {}
-                () = tokio::time::sleep(LEADER_REVISION_POLL_INTERVAL) => {}
+            *revision = follower.apply_passed_on(*revision);
+            if at <= *revision {
+                tokio::select! {
+                    () = cx.leader_updated.notified() => {}
+                    () = tokio::time::sleep(LEADER_REVISION_POLL_INTERVAL) => {}
+                }
+                continue;
             }
-            continue;
         }
         let wait = match leader_revision {
             _ if progress.is_disconnected => RECONNECT_WAIT,
@@ -107,7 +113,6 @@
                 if std::mem::take(&mut progress.is_disconnected) {
                     tracing::info!(kind = F::KIND, "store: answers again");
                 }
-                progress.synced_with = leader_revision;
                 progress.revision = Some(apply(&mut follower, update).await);
             }
             Err(Error::HistoryGone) => {
@@ -131,7 +136,7 @@
     at: Option<u64>,
     wait: Duration,
 ) -> Result<StoreUpdate, Error> {
-    let store: Store = cx.store.borrow().clone();
+    let store = cx.store_for_call();
     let Some(revision) = at else {
         let (objects, revision) = store.list(F::KIND, short_call()).await?;
         tracing::info!(kind = F::KIND, revision, objects = objects.len(), "store: listed");
@@ -152,7 +157,7 @@
         }
         StoreUpdate::Changes(Changes { changes, revision: at }) => {
             for (object, is_deleted) in &changes {
-                follower.apply_change(object, *is_deleted);
+                follower.apply_change(object, *is_deleted, at);
             }
             if !changes.is_empty() {
                 tokio::time::sleep(follower.coalescing_pause()).await;
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -7,7 +7,7 @@
 use replica_placement::{HeldLease, InstanceName};
 use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
-use server_directory::ServerId;
+use server_directory::{RecentChanges, ServerId};
 
 use super::ModelKey;
 
@@ -73,7 +73,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) struct SyncedRevision {
-    /// Changes with every change of the objects that the other instances must know of.
+    /// Revision of the last change that the other instances must know of.
     #[serde(rename = "mark")]
     pub(crate) revision: u64,
     /// Milliseconds since the store last confirmed this revision.
@@ -90,6 +90,8 @@
     pub(crate) instances: u32,
     pub(crate) registry: SyncedRevision,
     pub(crate) configuration: SyncedRevision,
+    /// Recent changes of the registry.
+    pub(crate) registry_changes: RecentChanges,
     /// Holdings of some servers: those that changed, and the others in rotation.
     #[serde(rename = "held")]
     pub(crate) holdings: Vec<ServerHoldings>,
@@ -125,6 +127,8 @@
     in_flight_elsewhere: HashMap<ServerId, u32>,
     /// The leader's revisions of the registry and the configuration, and when they were received.
     leader_revisions: Option<(SyncedRevision, SyncedRevision, Instant)>,
+    /// Recent changes of the registry in the leader's last update.
+    pub(crate) registry_changes: RecentChanges,
 }
 
 impl Instances {
@@ -199,6 +203,7 @@
         self.leader_instance_count = update.instances as usize;
         self.leader_store_concurrency = Some(usize::from(update.store_concurrent_loads));
         self.leader_revisions = Some((update.registry, update.configuration, now));
+        self.registry_changes = update.registry_changes.clone();
         if let Some(in_flight) = &update.in_flight {
             let others =
                 |(id, total): &(ServerId, u32)| (id.clone(), total.saturating_sub(own(id)));
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -18,7 +18,7 @@
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
 use server_choice::{Health, RetryBudget};
-use server_directory::{Directory, ServerId};
+use server_directory::{ChangeLog, Directory, ServerId};
 use tokio::sync::{Notify, watch};
 
 use crate::connection::{Connection, ConnectionPools, MAX_IDLE_PER_SERVER};
@@ -54,6 +54,8 @@
     /// When the store last confirmed that the registry and the configuration are up to date.
     pub(crate) registry_confirmed_at: Cell<Option<Instant>>,
     pub(crate) configuration_confirmed_at: Cell<Option<Instant>>,
+    /// Recent registry changes, for the other instances if this one leads.
+    pub(crate) registry_changes: RefCell<ChangeLog>,
 }
 
 /// State shared by all tasks of the process. They run on one thread, and no borrow is held across
@@ -107,6 +109,12 @@
             && self.deployment.borrow().is_some()
     }
 
+    /// The store, for one call, which is counted.
+    pub(crate) fn store_for_call(&self) -> Store {
+        self.metrics.store_calls.inc();
+        self.store.borrow().clone()
+    }
+
     /// Waits for the shutdown phase in which requests without an answer are failed.
     pub(crate) async fn ending(&self) {
         let mut phase = self.phase.subscribe();
--- a/components/process/entry/src/process/orders/lease.rs
+++ b/components/process/entry/src/process/orders/lease.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use platform::Call;
-use platform_adapter::{Error, PutOutcome, Store, StoredObject};
+use platform_adapter::{Error, PutOutcome, StoredObject};
 use replica_placement::{Action, LeaseRecord};
 use serde::Deserialize;
 
@@ -25,7 +25,6 @@
     loop {
         let now = boot_now();
         let action = cx.leader_lease.borrow().next_action(now);
-        let store: Store = cx.store.borrow().clone();
         let by = Call::lease_with_deadline(Instant::now() + LEASE_CALL_TIMEOUT);
         match action {
             Action::Wait(until) => {
@@ -34,11 +33,12 @@
                     () = cx.lease_due.notified() => {}
                 }
             }
-            Action::Read => match store.get(LEASE_KIND, LEASE_NAME, by).await {
+            Action::Read => match cx.store_for_call().get(LEASE_KIND, LEASE_NAME, by).await {
                 Ok(found) => apply_lease_record(&cx, found),
                 Err(error) => lease_call_failed(&cx, &error),
             },
             Action::Write { revision, record } => {
+                let store = cx.store_for_call();
                 let written = match revision {
                     Some(at) => store.replace(LEASE_KIND, LEASE_NAME, at, &record, by).await,
                     None => store.create(LEASE_KIND, LEASE_NAME, &record, by).await,
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -113,6 +113,7 @@
             sync.configuration_revision.get(),
             sync.configuration_confirmed_at.get(),
         ),
+        registry_changes: sync.registry_changes.borrow_mut().recent(now),
         holdings,
         store_concurrent_loads: leader.store_concurrency.limit() as u8,
         in_flight,
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use platform_adapter::{
-    CONFIGURATION_KIND, CONFIGURATION_NAME, PutOutcome, SERVER_KIND, Store, StoredObject,
+    CONFIGURATION_KIND, CONFIGURATION_NAME, PutOutcome, SERVER_KIND, StoredObject,
 };
 use serde::{Deserialize, Serialize};
-use server_directory::OutageDetector;
+use server_directory::{Entry as ServerEntry, OutageDetector, RegistryChange};
 
 use super::follow::{Follower, RETRY_PAUSE, follow, short_call};
 use super::{Entry, boot_now};
@@ -66,7 +66,7 @@
         objects.iter().for_each(|object| self.apply(object));
     }
 
-    fn apply_change(&mut self, object: &StoredObject, is_deleted: bool) {
+    fn apply_change(&mut self, object: &StoredObject, is_deleted: bool, _: u64) {
         // A deleted configuration stays in force until another one is written.
         if !is_deleted {
             self.apply(object);
@@ -80,33 +80,57 @@
 }
 
 impl RegistryFollower {
-    fn put(&self, object: &StoredObject) -> bool {
+    /// Applies an entry as the registry stores it. Returns false if it cannot be parsed.
+    fn put_object(&self, object: &StoredObject, at: u64) -> bool {
+        let entry = platform_adapter::decode_server_entry(&object.name, &object.value);
+        match entry {
+            Some(entry) => self.put(entry, object.revision, at),
+            None => {
+                tracing::info!(server = %object.name, revision = object.revision,
+                    "registry: ignored an entry that cannot be parsed");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn put(&self, entry: ServerEntry, revision: u64, at: u64) {
         let cx = &self.cx;
-        let Some(entry) = platform_adapter::decode_server_entry(&object.name, &object.value) else {
-            tracing::info!(server = %object.name, revision = object.revision,
-                "registry: ignored an entry that cannot be parsed");
-            return false;
-        };
         let mut directory = cx.directory.borrow_mut();
+        let id = entry.id.clone();
         let known = directory
-            .get(&object.name)
+            .get(&id)
             .map(|known| (known.entry.is_draining, known.entry.holdings.born, known.entry.address));
-        let is_draining = entry.is_draining;
         let new = (entry.is_draining, entry.holdings.born, entry.address);
-        if !directory.upsert(entry, object.revision, Instant::now()) {
-            tracing::debug!(server = %object.name, "registry: ignored an entry of a previous run");
-            return true;
+        let change = (known != Some(new)).then(|| entry.without_cached_copies());
+        if !directory.upsert(entry, revision, Instant::now()) {
+            tracing::debug!(server = %id, "registry: ignored an entry of a previous run");
+            return;
         }
-        if known != Some(new) {
-            cx.sync.registry_revision.set(object.revision);
-            tracing::info!(server = %object.name, revision = object.revision, is_draining,
-                born = new.1, "registry: server changed");
-            if known.is_none_or(|known| known.1 != new.1 || known.2 != new.2) {
-                cx.pools.close_idle(&object.name);
-                cx.health.borrow_mut().remove(&object.name);
-            }
+        let Some(change) = change else { return };
+        tracing::info!(server = %id, revision, is_draining = new.0, born = new.1,
+            "registry: server changed");
+        if known.is_none_or(|known| known.1 != new.1 || known.2 != new.2) {
+            cx.pools.close_idle(&id);
+            cx.health.borrow_mut().remove(&id);
         }
-        true
+        self.record_change(at, RegistryChange::Put(change, revision));
+    }
+
+    fn remove(&self, server: &str, at: u64) {
+        let now = Instant::now();
+        let grace_ends_at = self.outage_detector.grace_deadline(now);
+        self.cx.directory.borrow_mut().remove(server, grace_ends_at);
+        let grace_ms = grace_ends_at.map(|at| at.saturating_duration_since(now).as_millis());
+        tracing::info!(server, revision = at, ?grace_ms, "registry: entry removed");
+        self.record_change(at, RegistryChange::Removed(server.into()));
+    }
+
+    /// Records a change that the registry contains at revision `at`.
+    fn record_change(&self, at: u64, change: RegistryChange) {
+        let sync = &self.cx.sync;
+        sync.registry_revision.set(at);
+        sync.registry_changes.borrow_mut().record(at, change, Instant::now());
     }
 
     fn notify_servers_changed(&self) {
@@ -123,6 +147,23 @@
         registry
     }
 
+    fn apply_passed_on(&mut self, revision: u64) -> u64 {
+        let instances = self.cx.instances.borrow();
+        let Some(changes) = instances.registry_changes.after(revision) else { return revision };
+        let changes: Vec<_> = changes.map(|(at, change)| (at, change.clone())).collect();
+        drop(instances);
+        let Some((newest, _)) = changes.last() else { return revision };
+        let newest = *newest;
+        for (at, change) in changes {
+            match change {
+                RegistryChange::Put(entry, revision) => self.put(entry, revision, at),
+                RegistryChange::Removed(server) => self.remove(&server, at),
+            }
+        }
+        self.notify_servers_changed();
+        newest
+    }
+
     fn confirmed(&mut self, at: Instant) {
         self.outage_detector.record_confirmation(at);
         self.cx.sync.registry_confirmed_at.set(Some(at));
@@ -134,24 +175,19 @@
     }
 
     fn apply_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
-        let usable = objects.iter().filter(|object| self.put(object));
+        let usable = objects.iter().filter(|object| self.put_object(object, revision));
         let listed: BTreeSet<Box<str>> = usable.map(|object| object.name.clone()).collect();
         let grace_ends_at = self.outage_detector.grace_deadline(Instant::now());
         self.cx.directory.borrow_mut().retain_listed(&listed, grace_ends_at);
         // Entries that are missing from the list were deleted without a change event.
         self.cx.sync.registry_revision.set(revision);
+        self.cx.sync.registry_changes.borrow_mut().reset(revision);
         self.notify_servers_changed();
     }
 
-    fn apply_change(&mut self, object: &StoredObject, is_deleted: bool) {
-        if is_deleted || !self.put(object) {
-            let now = Instant::now();
-            let grace_ends_at = self.outage_detector.grace_deadline(now);
-            self.cx.directory.borrow_mut().remove(&object.name, grace_ends_at);
-            self.cx.sync.registry_revision.set(object.revision);
-            let grace_ms = grace_ends_at.map(|at| at.saturating_duration_since(now).as_millis());
-            tracing::info!(server = %object.name, revision = object.revision, ?grace_ms,
-                "registry: entry removed");
+    fn apply_change(&mut self, object: &StoredObject, is_deleted: bool, at: u64) {
+        if is_deleted || !self.put_object(object, at) {
+            self.remove(&object.name, at);
         }
         self.notify_servers_changed();
     }
@@ -201,9 +237,10 @@
     let registration = Registration { peers: cx.settings.peers };
     let name = cx.settings.name.clone();
     loop {
-        let store: Store = cx.store.borrow().clone();
+        let store = cx.store_for_call();
         let outcome = match store.create(INSTANCE_KIND, &name, &registration, short_call()).await {
             Ok(PutOutcome::Conflict(Some(old))) => {
+                let store = cx.store_for_call();
                 store.replace(INSTANCE_KIND, &name, old.revision, &registration, short_call()).await
             }
             outcome => outcome,
@@ -226,8 +263,7 @@
     let list = InstanceList(cx.clone());
     loop {
         cx.list_instances.notified().await;
-        let store: Store = cx.store.borrow().clone();
-        match store.list(INSTANCE_KIND, short_call()).await {
+        match cx.store_for_call().list(INSTANCE_KIND, short_call()).await {
             Ok((objects, _)) => objects.iter().for_each(|object| list.put(object)),
             Err(error) => {
                 tracing::warn!(%error, "peers: instances not listed yet");
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -10,10 +10,15 @@
 use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+mod change_log;
 mod outage_detector;
+
+#[cfg(test)]
+mod change_log_tests;
 #[cfg(test)]
 mod tests;
 
+pub use change_log::{ChangeLog, RecentChanges, RegistryChange};
 pub use outage_detector::{OUTAGE_GRACE, OutageDetector};
 
 /// Id of a backend server. A restarted server may reuse its former id.
@@ -60,7 +65,8 @@
 }
 
 /// A registry entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct Entry {
     /// Id of the server.
     pub id: ServerId,
@@ -78,6 +84,17 @@
     pub holdings: Holdings,
 }
 
+impl Entry {
+    /// The entry without the cached copies of weights, which matter to the leader only. It asks each
+    /// server for them.
+    pub fn without_cached_copies(&self) -> Self {
+        let mut entry = self.clone();
+        entry.holdings.in_memory.clear();
+        entry.holdings.on_disk.clear();
+        entry
+    }
+}
+
 /// A server as known to this instance.
 #[derive(Clone, Debug)]
 pub struct Server {
--- a/tests/platform_sessions/store_tests.rs
+++ b/tests/platform_sessions/store_tests.rs
@@ -165,3 +165,33 @@
     tokio::time::sleep(Duration::from_millis(1_200)).await;
     assert_reads_avoid_first_server(&cluster).await;
 }
+
+/// Guards against calls to the store by every instance after every change of the registry, which
+/// were most of all calls with hundreds of instances: the leader passes the changes on.
+#[tokio::test]
+async fn registry_changes_reach_instances_without_calls_of_their_own() {
+    const CHANGES: usize = 6;
+    let mut cluster = TestCluster::new(vec![ledger("l1"), ledger("l2")]).await;
+    cluster.start_instance().await;
+    cluster.start_instance().await;
+    let follower = 1;
+    // The second instance reads the lease and lists the others before it follows the leader.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = cluster.instances[follower].counter("store_calls").await;
+    let address = cluster.instances[follower].addresses.callers;
+    for n in 0..CHANGES {
+        let is_draining = n % 2 == 0;
+        cluster.store.put("servers", "l1", cluster.servers[0].entry(is_draining));
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let arrivals = cluster.servers[0].arrivals();
+        for call in 0..8 {
+            let id = format!("{n}-{call}");
+            let call = Call { body: Some("{}"), ..Call::new(&id, "/read/level") };
+            assert_eq!(cluster.caller.call(address, &call).await.status, Some(200));
+        }
+        let is_used = cluster.servers[0].arrivals() > arrivals;
+        assert_eq!(is_used, !is_draining, "after change {n}");
+    }
+    let calls = cluster.instances[follower].counter("store_calls").await - before;
+    assert!(calls < CHANGES as u64, "{calls} calls in {CHANGES} changes");
+}
