Short queues at the servers, and turns for requests that wait for the same room

Each server got up to 24 requests of rank 1 for 12 slots, so that every request waited behind one or two others: 1,521 callers left after 2 s without an event, while their requests still stood in a queue, and most answers were late. Waiting requests of all instances took the same freed places at the same moment (3,503 arrivals were rejected by servers). Change: a server gets its slots and as many queued requests as it starts within 0.6 of the latency target, by the measured time that a request occupies a slot. Waiting requests count as demand at the leader, which tells all instances how many wait for a model; each takes part in a draw with the odds room to waiting. A model whose only servers are full gets another replica. The log line of a request now also shows a send that had no outcome.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -102,6 +102,9 @@
     /// Requests in flight from all instances, for all servers that have any. `None` in messages
     /// that only report a change.
     pub(crate) in_flight: Option<Vec<(ServerId, u32)>>,
+    /// Requests of all instances that wait for room at the servers of a model, for models with
+    /// more than one such request.
+    pub(crate) queued: Vec<(ModelName, u32)>,
     /// Expected milliseconds until each model with waiting requests is loaded; a complete list.
     pub(crate) ready_in: Vec<(ModelName, u32)>,
 }
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -18,7 +18,7 @@
 
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
-use server_choice::{Health, RetryBudget};
+use server_choice::{Health, RetryBudget, RunTime};
 use server_directory::{ChangeLog, Directory, ServerId};
 use tokio::sync::{Notify, watch};
 
@@ -73,6 +73,10 @@
     pub(crate) pools: ConnectionPools,
     pub(crate) health: RefCell<HashMap<ServerId, Health>>,
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Time for which a request occupies a slot, by service.
+    pub(crate) run_times: RefCell<HashMap<ServiceName, RunTime>>,
+    /// Requests of all instances that wait for room at the servers of a model.
+    pub(crate) queued: RefCell<HashMap<ModelName, u32>>,
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) waiting_requests: RefCell<WaitingRequests>,
     pub(crate) instances: RefCell<Instances>,
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -56,6 +56,8 @@
     /// Arrivals at this instance that are already counted in the demand.
     pub(super) counted_arrivals: HashMap<ModelKey, u64>,
     pub(super) ready_at: HashMap<ModelName, Instant>,
+    /// Requests that wait although a server has their model, for models with several of them.
+    pub(super) queued: HashMap<ModelName, u32>,
     /// Servers whose holdings changed since the last update to all instances.
     pub(super) changed: HashSet<ServerId>,
     /// Index of the server whose holdings were last published in rotation.
@@ -87,6 +89,7 @@
             adapters_loading: HashMap::new(),
             counted_arrivals: HashMap::new(),
             ready_at: HashMap::new(),
+            queued: HashMap::new(),
             changed: HashSet::new(),
             publish_cursor: 0,
             running_store_loads: 0,
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -166,6 +166,7 @@
     let Some(deployment) = cx.deployment.borrow().clone() else { return };
     let now = Instant::now();
     leader.borrow_mut().ready_at.clear();
+    leader.borrow_mut().queued.clear();
     for (service, engine) in deployment.engines() {
         let waiting = waiting_by_model(cx, service);
         let moves = plan_service(cx, &mut leader.borrow_mut(), service, engine, &waiting, now);
@@ -180,6 +181,7 @@
     }
     let ready_at = leader.borrow().ready_at.clone();
     *cx.ready_at.borrow_mut() = ready_at;
+    (*cx.queued.borrow_mut()).clone_from(&leader.borrow().queued);
     cx.servers_changed.notify_waiters();
 }
 
@@ -211,6 +213,9 @@
             false => demand.waiting += count,
         }
     }
+    let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
+    let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
+    leader.queued.extend(queued);
     let limits = PlanLimits {
         max_store_loads: leader.store_concurrency.limit(),
         is_prefetching: cx.settings.is_prefetching,
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -117,6 +117,7 @@
         holdings,
         store_concurrent_loads: leader.store_concurrency.limit() as u8,
         in_flight,
+        queued: leader.queued.iter().map(|(model, count)| (model.clone(), *count)).collect(),
         ready_in,
     })
 }
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -233,5 +233,6 @@
         .map(|(model, remaining)| (model, now + Duration::from_millis(u64::from(remaining))))
         .collect();
     *cx.ready_at.borrow_mut() = ready_at;
+    *cx.queued.borrow_mut() = update.queued.into_iter().collect();
     cx.servers_changed.notify_waiters();
 }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -97,6 +97,8 @@
         pools: ConnectionPools::default(),
         health: RefCell::new(HashMap::new()),
         retry_budgets: RefCell::new(HashMap::new()),
+        run_times: RefCell::default(),
+        queued: RefCell::default(),
         request_counts: RefCell::new(RequestCounts::default()),
         waiting_requests: RefCell::new(WaitingRequests::default()),
         instances: RefCell::new(Instances::default()),
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform_adapter::{ResponseClass, SystemHeaders, classify_response, set_system_headers};
+use routes::ServiceName;
 use server_directory::ServerId;
 use tokio::time::timeout_at;
 
@@ -59,6 +60,9 @@
     has_unknown_length: bool,
     is_resumable: bool,
     server: ServerId,
+    service: ServiceName,
+    /// When the first event arrived.
+    started_at: Instant,
     _in_flight: InFlight,
 }
 
@@ -145,6 +149,9 @@
     /// Returns the connection to the pool after the end of the stream.
     pub(crate) fn finish(mut self, cx: &Entry) {
         cx.update_health(&self.server, |health, now| health.record_answer(now));
+        let mut run_times = cx.run_times.borrow_mut();
+        run_times.entry(self.service.clone()).or_default().record(self.started_at.elapsed());
+        drop(run_times);
         if let Some(connection) = self.connection.take().filter(|_| !self.has_unknown_length) {
             cx.return_to_pool(connection);
         }
@@ -320,9 +327,13 @@
         has_unknown_length,
         is_resumable,
         server: selection.id.clone(),
+        service: job.service.clone(),
+        started_at: Instant::now(),
         _in_flight: in_flight,
     };
-    match source.next_until(cx, job.deadline).await {
+    let first = source.next_until(cx, job.deadline).await;
+    source.started_at = Instant::now();
+    match first {
         Chunk::Data(first) => {
             AttemptOutcome::Stream(Box::new(StreamStart { parts, first, has_ended: false, source }))
         }
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod trace;
 mod wait;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -54,6 +55,8 @@
     /// event arrives.
     pub(crate) select_by: Instant,
     pub(crate) sends: Sends,
+    /// Until when the request has lost its turn among those that wait for room at the same servers.
+    pub(crate) lost_turn_until: Cell<Option<Instant>>,
     /// Servers that were already tried and are skipped for now.
     pub(crate) tried: Vec<ServerId>,
     pub(crate) trace: Trace,
@@ -171,6 +174,7 @@
         deadline,
         select_by,
         sends: Sends::default(),
+        lost_turn_until: Cell::new(None),
         tried: Vec::new(),
         trace,
     })
@@ -206,6 +210,7 @@
         }
         let may_switch = job.route.kind.may_run_again()
             && job.sends.possible_runs() + 1 < job.route.max_attempts;
+        job.trace.begin_send(&selection);
         let outcome = attempt(cx, &job, &selection, None, may_switch).await;
         job.trace.record_send(&selection, &outcome);
         match outcome {
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -1,14 +1,17 @@
 //! Selects a server for a request among those that can run it now.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
-use server_choice::{Candidate, affinity_key, choose_server, in_flight_limit};
+use server_choice::{Candidate, affinity_key, choose_server, in_flight_limit, turn_probability};
 use server_directory::{Directory, Server, ServerId};
 
 use super::Job;
 use crate::process::Entry;
 
+/// Interval at which the leader publishes load figures.
+const FIGURES_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The server selected for a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Selection {
@@ -107,6 +110,24 @@
     Ok(servers)
 }
 
+/// Whether a candidate has room for the request, and the request gets a turn among those that wait
+/// for the same room at all instances.
+fn gets_turn(cx: &Entry, job: &Job, candidates: &[Candidate<'_>], now: Instant) -> bool {
+    let run_time = cx.run_times.borrow().get(&job.service).copied().unwrap_or_default();
+    let (rank, target) = (job.route.priority, job.route.latency_target);
+    let room = |c: &Candidate<'_>| {
+        in_flight_limit(c.slots, rank, target, run_time).saturating_sub(c.in_flight)
+    };
+    let room: u32 = candidates.iter().map(room).sum();
+    if room == 0 || job.lost_turn_until.get().is_some_and(|until| until > now) {
+        return false;
+    }
+    let queued = job.prompt().and_then(|p| cx.queued.borrow().get(&p.model).copied());
+    let has_turn = rand::rng().random::<f64>() < turn_probability(room, queued.unwrap_or(0));
+    job.lost_turn_until.set((!has_turn).then(|| now + FIGURES_INTERVAL));
+    has_turn
+}
+
 pub(super) fn try_select(cx: &Entry, job: &Job) -> SelectResult {
     let now = Instant::now();
     let directory = cx.directory.borrow();
@@ -130,8 +151,7 @@
             failures: health.get(&server.entry.id).map_or(0.0, |health| health.failures(now)),
         })
         .collect();
-    let limit = |c: &Candidate<'_>| in_flight_limit(c.slots, job.route.priority);
-    if job.has_engine && candidates.iter().all(|c| c.in_flight >= limit(c)) {
+    if job.has_engine && !gets_turn(cx, job, &candidates, now) {
         return SelectResult::Full;
     }
     let prefix_affinity =
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -122,6 +122,7 @@
         }
         let selection = select_server(cx, job).await.ok()?;
         cx.metrics.retries.inc();
+        job.trace.begin_send(&selection);
         let outcome = attempt(cx, job, &selection, last_event.as_deref(), false).await;
         job.trace.record_send(&selection, &outcome);
         job.tried.push(selection.id);
--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -32,6 +32,8 @@
     arrived_at: Instant,
     first_byte_ms: Option<u64>,
     steps: String,
+    /// The send that has no outcome yet.
+    pending_send: Option<Box<str>>,
     has_ended: bool,
 }
 
@@ -44,6 +46,13 @@
     }
 }
 
+fn describe(selection: &Selection) -> String {
+    format!(
+        "{} (revision {}, {} in flight, of {})",
+        selection.id, selection.revision, selection.in_flight, selection.candidate_count
+    )
+}
+
 fn elapsed_ms(since: Instant) -> u64 {
     since.elapsed().as_millis() as u64
 }
@@ -75,6 +84,7 @@
             arrived_at,
             first_byte_ms: None,
             steps: String::new(),
+            pending_send: None,
             has_ended: false,
         }
     }
@@ -88,8 +98,17 @@
         }
     }
 
+    /// Records that the request is about to be sent. If it ends before the send has an outcome, the
+    /// log line shows this.
+    pub(crate) fn begin_send(&mut self, selection: &Selection) {
+        let at = elapsed_ms(self.arrived_at);
+        let send = format!("sent at {at}ms to {}, no outcome", describe(selection));
+        self.pending_send = Some(send.into());
+    }
+
     /// Appends a send and its outcome.
     pub(crate) fn record_send(&mut self, selection: &Selection, outcome: &AttemptOutcome) {
+        self.pending_send = None;
         let description = match outcome {
             AttemptOutcome::NotSent => "not sent".into(),
             AttemptOutcome::NotRun(status) => format!("not run, {}", status.as_u16()),
@@ -97,10 +116,7 @@
             AttemptOutcome::Complete(parts, _) => format!("answer {}", parts.status.as_u16()),
             AttemptOutcome::Stream(_) => "stream".into(),
         };
-        self.record(format_args!(
-            "{} (revision {}, {} in flight, of {}): {description}",
-            selection.id, selection.revision, selection.in_flight, selection.candidate_count
-        ));
+        self.record(format_args!("{}: {description}", describe(selection)));
     }
 
     /// Records the time until the first byte of the response.
@@ -122,6 +138,9 @@
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
+        if let Some(send) = self.pending_send.take() {
+            self.record(send);
+        }
         let labels = OutcomeLabels { kind: self.kind, outcome };
         self.requests.get_or_create(&labels).inc();
         tracing::info!(id = %self.id, route = %self.route, service = %self.service,
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -92,7 +92,13 @@
                     now + RETRY_TRIED_DELAY
                 }
                 SelectResult::NotLoaded => self.model_wait(cx, job, now)?,
-                SelectResult::Full => self.queue_wait(job, now)?,
+                SelectResult::Full => {
+                    // The leader counts the request as demand for another replica.
+                    if self.waiting.is_none() {
+                        self.waiting = WaitingRequest::for_job(cx, job);
+                    }
+                    self.queue_wait(job, now)?
+                }
                 SelectResult::Unreachable if job.has_engine => {
                     // The leader loads the model on another server.
                     if self.waiting.is_none() {
--- a/components/process/replica_placement/src/plan.rs
+++ b/components/process/replica_placement/src/plan.rs
@@ -185,7 +185,7 @@
         .filter_map(|model| {
             let demand = demands.get(&model.name)?;
             let replicas = planner.replicas.get(&*model.name).copied().unwrap_or(0);
-            let waiting = f64::from(demand.waiting);
+            let waiting = f64::from(demand.waiting + demand.pending_send);
             let is_missing = replicas == 0 && demand.waiting > 0;
             let needs_more = replicas > 0 && replicas < planner.wanted_replicas(&model.name);
             let score = waiting + planner.rate(&model.name) * RELOAD_DELAY_SECONDS;
--- a/components/process/replica_placement/src/retention_value.rs
+++ b/components/process/replica_placement/src/retention_value.rs
@@ -84,11 +84,23 @@
             return self.replicas.get(model).map_or(0, |n| n.div_ceil(2));
         }
         let Some(demand) = self.demands.get(model) else { return 0 };
-        let requests = f64::from(demand.in_flight + demand.waiting);
+        let requests = f64::from(demand.in_flight + demand.waiting + demand.pending_send);
         let slots = f64::from(self.engine.slots.max(1));
         let replicas_for_load = (requests / (slots * TARGET_SLOT_USE)).ceil() as usize;
         let min_replicas = if self.rate(model) >= TWO_REPLICAS_RATE { 2 } else { 0 };
-        replicas_for_load.max(min_replicas).min(self.servers.len())
+        // A replica on a server that other models keep busy serves nobody.
+        let is_stuck = demand.pending_send > 0 && self.has_only_full_servers(model);
+        let one_more = match is_stuck {
+            true => self.replicas.get(model).copied().unwrap_or(0) + 1,
+            false => 0,
+        };
+        replicas_for_load.max(min_replicas).max(one_more).min(self.servers.len())
+    }
+
+    /// Whether all servers with the model have a request in every slot.
+    fn has_only_full_servers(&self, model: &str) -> bool {
+        let mut hosts = self.servers.iter().filter(|s| s.holdings.models.contains_key(model));
+        hosts.all(|server| server.in_flight >= self.engine.slots)
     }
 
     /// Value of keeping a model on a server; `None` if it must not be unloaded.
--- a/components/request/server_choice/src/lib.rs
+++ b/components/request/server_choice/src/lib.rs
@@ -5,10 +5,12 @@
 mod health;
 mod retry_budget;
 
+#[cfg(test)]
+mod admission_tests;
 #[cfg(test)]
 mod tests;
 
-pub use admission::{in_flight_limit, queue_timeout};
+pub use admission::{RunTime, in_flight_limit, queue_timeout, turn_probability};
 pub use choice::{Candidate, affinity_key, choose_server};
 pub use health::Health;
 pub use retry_budget::{RetryBudget, RetryLimits};
--- a/components/request/server_choice/src/tests.rs
+++ b/components/request/server_choice/src/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of server selection, health, queue limits and the retry budget.
+//! Tests of server selection, health and the retry budget.
 
 use std::time::{Duration, Instant};
 
@@ -94,19 +94,3 @@
     assert!(f64::from(sent) <= 0.2 * 800.0 + 56.0, "{sent}");
     assert!(sent > 100, "{sent}");
 }
-
-/// Guards against the least urgent requests filling a server's queue.
-#[test]
-fn urgent_requests_have_a_higher_queue_limit() {
-    let limits: Vec<u32> = (0..4).map(|rank| in_flight_limit(16, rank)).collect();
-    assert_eq!(limits, [40, 32, 24, 24]);
-}
-
-/// Guards against a late refusal of a request that cannot be served.
-#[test]
-fn the_least_urgent_requests_time_out_early() {
-    let (target, left) = (Duration::from_millis(500), Duration::from_secs(12));
-    assert_eq!(queue_timeout(2, target, left), Duration::from_millis(250));
-    assert_eq!(queue_timeout(0, target, left), Duration::from_secs(6));
-    assert_eq!(queue_timeout(2, target, Duration::from_millis(100)), Duration::from_millis(100));
-}
