The leader's messages reach each data centre through one instance, load figures in parts

Cause: the leader sent its state to every instance five times a second, with the load of every server under its full id; a message of more than 60,000 bytes was dropped whole. Change: messages to another data centre with more than three instances go through one of two of its instances, which take turns; instances that the leader does not hear get them directly. Servers are named by a hash of four bytes; with more than 400 servers a message contains one part of the figures whole and the changes of the others; holdings are split into messages of 60 servers. Views of the servers are filled in one pass. A message can now be held up at a paused instance, so each one carries the time at which it was sent by the leader's clock: a receiver corrects the age of revisions and the end of the lease by the delay beyond the fastest message, and ignores messages older than the newest one (message_delay, without I/O).

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -1,16 +1,17 @@
 //! Messages between instances, and the state of the other instances that they report.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::seq::IteratorRandom;
-use replica_placement::{HeldLease, InstanceName};
+use replica_placement::{BootTime, HeldLease, InstanceName};
 use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 use server_directory::{RecentChanges, ServerId};
 
 use super::ModelKey;
+use super::message_delay::MessageDelay;
 
 /// Time without a message after which an instance's requests no longer count as in flight.
 const IN_FLIGHT_EXPIRY: Duration = Duration::from_millis(1_500);
@@ -19,6 +20,24 @@
 /// window of the limits, so that two instances do not use the same share within one window.
 const RETRY_SHARE_EXPIRY: Duration = Duration::from_secs(20);
 
+/// Number of instances of another data centre up to which each gets the leader's messages directly.
+const MAX_DIRECT: usize = 3;
+/// Number of instances of a data centre that take turns in passing messages on.
+const RELAYS: usize = 2;
+
+/// Recipients of a message to all instances.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Delivery {
+    pub(crate) direct: Vec<SocketAddr>,
+    /// Instances that pass the message on, and to whom.
+    pub(crate) relayed: Vec<(SocketAddr, Vec<SocketAddr>)>,
+}
+
+/// Order in which instances are chosen to pass messages on.
+fn relay_rank(status: &Status) -> (bool, bool, &str) {
+    (status.is_leaving, status.is_small, &status.from)
+}
+
 /// A message between instances, sent as one datagram. The next message makes up for a lost one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -29,6 +48,49 @@
     LeaderUpdate(LeaderUpdate),
     /// The leader released its lease. Sent to the instance that should claim it.
     Released,
+    /// A message that the receiver passes on to other instances and then handles itself.
+    PassOn(PassOn),
+    /// Holdings that did not fit into a [`LeaderUpdate`].
+    Holdings(HoldingsPart),
+}
+
+/// A message of the leader for the instances of another data centre.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct PassOn {
+    pub(crate) to: Vec<SocketAddr>,
+    /// An encoded [`Message`].
+    pub(crate) message: Vec<u8>,
+}
+
+/// Holdings of some servers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct HoldingsPart {
+    pub(crate) from: InstanceName,
+    /// When the leader sent this, by its own clock.
+    pub(crate) sent_at: BootTime,
+    pub(crate) lease: HeldLease,
+    pub(crate) holdings: Vec<ServerHoldings>,
+}
+
+/// Hash of a server's id, which is shorter. Two servers with the same hash, which is unlikely, get
+/// the sum of their figures.
+pub(crate) type ServerKey = u32;
+
+/// The key of a server.
+pub(crate) fn server_key(server: &str) -> ServerKey {
+    xxhash_rust::xxh3::xxh3_64(server.as_bytes()) as ServerKey
+}
+
+/// Requests in flight at the servers. One of `parts` is complete; of the other servers, which it
+/// does not name with a remainder of `part`, it holds those whose figure changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct InFlightFigures {
+    pub(crate) part: u32,
+    pub(crate) parts: u32,
+    pub(crate) counts: Vec<(ServerKey, u32)>,
 }
 
 /// State of an instance, sent to the leader.
@@ -36,6 +98,7 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) struct Status {
     pub(crate) from: InstanceName,
+    pub(crate) data_centre: Box<str>,
     /// Random number drawn at each start. If it differs, the counts of the previous run do not
     /// apply.
     #[serde(rename = "run")]
@@ -86,6 +149,10 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) struct LeaderUpdate {
     pub(crate) from: InstanceName,
+    /// Address for messages to the leader.
+    pub(crate) address: SocketAddr,
+    /// When the leader sent this, by its own clock.
+    pub(crate) sent_at: BootTime,
     pub(crate) lease: HeldLease,
     /// Number of instances that recently sent a message, including the sender.
     pub(crate) instances: u32,
@@ -99,9 +166,8 @@
     /// Concurrency limit of loads from the weight store, as the leader has adapted it.
     #[serde(rename = "store_at_once")]
     pub(crate) store_concurrent_loads: u8,
-    /// Requests in flight from all instances, for all servers that have any. `None` in messages
-    /// that only report a change.
-    pub(crate) in_flight: Option<Vec<(ServerId, u32)>>,
+    /// Requests in flight from all instances. `None` in messages that only report a change.
+    pub(crate) in_flight: Option<InFlightFigures>,
     /// Requests of all instances that wait for room at the servers of a model, for models with
     /// more than one such request.
     pub(crate) queued: Vec<(ModelName, u32)>,
@@ -128,8 +194,10 @@
     /// Concurrency limit of loads from the weight store in the leader's last update.
     leader_store_concurrency: Option<usize>,
     /// Requests in flight from other instances, by server, as of the leader's last update.
-    in_flight_elsewhere: HashMap<ServerId, u32>,
-    /// The leader's revisions of the registry and the configuration, and when they were received.
+    in_flight_elsewhere: HashMap<ServerKey, u32>,
+    /// Delay of the leader's messages.
+    message_delay: MessageDelay,
+    /// The leader's revisions of the registry and the configuration, and when they were sent.
     leader_revisions: Option<(SyncedRevision, SyncedRevision, Instant)>,
     /// Recent changes of the registry in the leader's last update.
     pub(crate) registry_changes: RecentChanges,
@@ -168,9 +236,35 @@
         }
     }
 
-    /// Addresses of all other instances.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        self.by_name.values().map(|instance| instance.address).collect()
+    /// How to send a message to all other instances: directly to those of the leader's data centre
+    /// and to those that it does not hear, and through one instance to the others of each other
+    /// data centre. Two instances of a data centre take turns, so that the loss of one delays the
+    /// others by one message only.
+    pub(crate) fn delivery(&self, data_centre: &str, turn: usize, now: Instant) -> Delivery {
+        let mut delivery = Delivery::default();
+        let mut remote: BTreeMap<&str, Vec<(&Status, SocketAddr)>> = BTreeMap::new();
+        for instance in self.by_name.values() {
+            let is_live = instance
+                .last_seen_at
+                .is_some_and(|at| now.saturating_duration_since(at) < IN_FLIGHT_EXPIRY);
+            match instance.status.as_ref().filter(|_| is_live) {
+                Some(status) if *status.data_centre != *data_centre => {
+                    remote.entry(&status.data_centre).or_default().push((status, instance.address));
+                }
+                _ => delivery.direct.push(instance.address),
+            }
+        }
+        for mut members in remote.into_values() {
+            if members.len() <= MAX_DIRECT {
+                delivery.direct.extend(members.into_iter().map(|(_, address)| address));
+                continue;
+            }
+            members.sort_by(|(a, _), (b, _)| relay_rank(a).cmp(&relay_rank(b)));
+            let (_, relay) = members.remove(turn % RELAYS);
+            let to = members.into_iter().map(|(_, address)| address).collect();
+            delivery.relayed.push((relay, to));
+        }
+        delivery
     }
 
     /// Address of one instance.
@@ -196,22 +290,34 @@
         recent.max(reported)
     }
 
-    /// Applies an update of the leader. `own` returns the requests that this instance has in flight
-    /// at a server.
+    /// Corrects a lease that the leader published at `sent_at`, by its clock, for the time that the
+    /// message took. Returns the lease and that time, or `None` if the message is an old one.
+    pub(crate) fn correct_delay(
+        &mut self,
+        lease: HeldLease,
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> Option<(HeldLease, Duration)> {
+        let delay = self.message_delay.record(lease.fence, sent_at, now)?;
+        Some((HeldLease { left: lease.left.saturating_sub(delay), ..lease }, delay))
+    }
+
+    /// Applies an update of the leader. `own` are the requests that this instance has in flight.
     pub(crate) fn apply_leader_update(
         &mut self,
         update: &LeaderUpdate,
-        own: impl Fn(&str) -> u32,
-        now: Instant,
+        own: &HashMap<ServerKey, u32>,
+        sent_at: Instant,
     ) {
         self.leader_instance_count = update.instances as usize;
         self.leader_store_concurrency = Some(usize::from(update.store_concurrent_loads));
-        self.leader_revisions = Some((update.registry, update.configuration, now));
+        self.leader_revisions = Some((update.registry, update.configuration, sent_at));
         self.registry_changes = update.registry_changes.clone();
-        if let Some(in_flight) = &update.in_flight {
-            let others =
-                |(id, total): &(ServerId, u32)| (id.clone(), total.saturating_sub(own(id)));
-            self.in_flight_elsewhere = in_flight.iter().map(others).collect();
+        let Some(InFlightFigures { part, parts, counts }) = &update.in_flight else { return };
+        self.in_flight_elsewhere.retain(|key, _| key % parts.max(&1) != *part);
+        for (key, total) in counts {
+            let own = own.get(key).copied().unwrap_or(0);
+            self.in_flight_elsewhere.insert(*key, total.saturating_sub(own));
         }
     }
 
@@ -227,9 +333,9 @@
         now: Instant,
         limit: Duration,
     ) -> Option<((u64, u64), Instant)> {
-        let (registry, configuration, received_at) = self.leader_revisions?;
+        let (registry, configuration, sent_at) = self.leader_revisions?;
         let age = Duration::from_millis(u64::from(registry.age_ms.max(configuration.age_ms)));
-        let confirmed_at = received_at.checked_sub(age)?;
+        let confirmed_at = sent_at.checked_sub(age)?;
         let is_fresh = now.saturating_duration_since(confirmed_at) < limit;
         is_fresh.then_some(((registry.revision, configuration.revision), confirmed_at))
     }
@@ -267,11 +373,11 @@
 
     /// Requests in flight from the other instances at a server, as of the leader's last update.
     pub(crate) fn in_flight_at(&self, server: &str) -> u32 {
-        self.in_flight_elsewhere.get(server).copied().unwrap_or(0)
+        self.in_flight_elsewhere.get(&server_key(server)).copied().unwrap_or(0)
     }
 
     /// Sets the requests in flight from other instances. The leader calls this for itself.
-    pub(crate) fn set_in_flight(&mut self, others: HashMap<ServerId, u32>) {
+    pub(crate) fn set_in_flight(&mut self, others: HashMap<ServerKey, u32>) {
         self.in_flight_elsewhere = others;
     }
 
@@ -319,3 +425,6 @@
         new
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -0,0 +1,89 @@
+//! Tests of the way of the leader's messages. Pattern: hundreds of instances in several data
+//! centres.
+
+use super::*;
+
+fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n / 200) as u8, (n % 200) as u8], 7_380))
+}
+
+fn status(n: usize, data_centre: &str) -> Status {
+    Status {
+        from: format!("entry-{data_centre}-{n}").into(),
+        data_centre: data_centre.into(),
+        incarnation: 1,
+        is_leaving: false,
+        is_small: !n.is_multiple_of(10),
+        up_for_s: 10,
+        in_flight: Vec::new(),
+        arrivals: Vec::new(),
+        unreachable: Vec::new(),
+        stale_holdings: Vec::new(),
+        waiting: Vec::new(),
+    }
+}
+
+fn instances(count: usize, now: Instant) -> Instances {
+    let mut instances = Instances::default();
+    for n in 0..count {
+        let data_centre = ["a", "b", "c", "d", "e", "f"][n % 6];
+        instances.record_status(status(n, data_centre), address(n), now);
+    }
+    instances
+}
+
+fn recipients(delivery: &Delivery) -> Vec<SocketAddr> {
+    let relayed = delivery.relayed.iter();
+    let relayed = relayed.flat_map(|(relay, to)| std::iter::once(relay).chain(to));
+    let mut all: Vec<SocketAddr> = delivery.direct.iter().chain(relayed).copied().collect();
+    all.sort();
+    all
+}
+
+/// Guards against an instance that gets no message or two, and against messages from the leader
+/// to each instance of every data centre.
+#[test]
+fn every_instance_is_reached_once_and_each_remote_data_centre_through_one() {
+    let now = Instant::now();
+    let delivery = instances(194, now).delivery("a", 0, now);
+    assert_eq!(recipients(&delivery), {
+        let mut all: Vec<SocketAddr> = (0..194).map(address).collect();
+        all.sort();
+        all
+    });
+    assert_eq!(delivery.relayed.len(), 5);
+    assert!(delivery.direct.len() + delivery.relayed.len() < 40, "{delivery:?}");
+}
+
+/// Guards against a data centre that hears nothing because the instance that passes messages on has
+/// failed and is not known to have failed yet.
+#[test]
+fn two_instances_take_turns_in_passing_messages_on() {
+    let now = Instant::now();
+    let instances = instances(194, now);
+    let (first, second) = (instances.delivery("a", 1, now), instances.delivery("a", 2, now));
+    for ((relay, _), (other, _)) in first.relayed.iter().zip(&second.relayed) {
+        assert_ne!(relay, other);
+    }
+    assert_eq!(recipients(&first), recipients(&second));
+}
+
+/// Guards against messages through an instance that is not heard any more, and against leaving out
+/// instances that have not sent a status yet.
+#[test]
+fn instances_that_are_not_heard_get_messages_directly() {
+    let now = Instant::now();
+    let mut instances = instances(60, now);
+    instances.put("entry-new", address(99));
+    let later = now + IN_FLIGHT_EXPIRY;
+    for n in 0..30 {
+        instances.record_status(
+            status(n, ["a", "b", "c", "d", "e", "f"][n % 6]),
+            address(n),
+            later,
+        );
+    }
+    let delivery = instances.delivery("a", 0, later);
+    assert_eq!(recipients(&delivery).len(), 61);
+    assert!(delivery.relayed.iter().all(|(_, to)| to.len() == 4), "{delivery:?}");
+}
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod follow;
 mod instances;
+mod message_delay;
 mod orders;
 mod peers;
 mod request_counts;
@@ -27,6 +28,7 @@
 use crate::settings::EntrySettings;
 
 pub(crate) use instances::Instances;
+use instances::{ServerKey, server_key};
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
 pub(crate) use store_access::StoreAccess;
@@ -160,6 +162,13 @@
             + self.instances.borrow().in_flight_at(server)
     }
 
+    /// Requests of this instance in flight, by server.
+    pub(crate) fn own_in_flight(&self) -> HashMap<ServerKey, u32> {
+        let counts = self.request_counts.borrow();
+        let own = counts.in_flight.iter();
+        own.map(|(server, models)| (server_key(server), models.values().sum())).collect()
+    }
+
     /// Returns an idle connection to the pool.
     pub(crate) fn return_to_pool(&self, connection: Connection) {
         let max_idle = self.max_idle_connections(connection.server());
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -7,6 +7,7 @@
 use routes::{AdapterName, ModelName, ServiceName};
 use server_directory::{Revision, Server, ServerId};
 
+use super::publish::PublishedFigures;
 use crate::process::{Entry, ModelKey};
 
 /// Upper bound of the concurrency limit of loads from the weight store.
@@ -62,6 +63,9 @@
     pub(super) changed: HashSet<ServerId>,
     /// Index of the server whose holdings were last published in rotation.
     pub(super) publish_cursor: usize,
+    /// Number of updates to all instances so far.
+    pub(super) publish_count: usize,
+    pub(super) published_figures: PublishedFigures,
     /// Loads from the weight store that servers accepted and have not completed.
     pub(super) running_store_loads: usize,
 }
@@ -92,6 +96,8 @@
             queued: HashMap::new(),
             changed: HashSet::new(),
             publish_cursor: 0,
+            publish_count: 0,
+            published_figures: PublishedFigures::default(),
             running_store_loads: 0,
         }
     }
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -273,19 +273,19 @@
         })
         .collect();
     views.sort_by(|a, b| a.id.cmp(b.id));
-    for view in &mut views {
-        let own = counts.in_flight.get(view.id).into_iter().flatten();
-        let others = instances
-            .live(now)
-            .flat_map(|status| &status.in_flight)
-            .filter(|(id, _)| **id == *view.id)
-            .flat_map(|(_, models)| models.iter().map(|(model, count)| (model, count)));
-        for (model, count) in own.chain(others) {
-            // The name is borrowed from the holdings, which live as long as the view.
-            let Some((name, _)) = view.holdings.models.get_key_value(model) else { continue };
-            *view.in_flight_by_model.entry(name).or_default() += count;
-            view.in_flight += count;
-        }
+    let mut add = |server: &str, model: &str, count: u32| {
+        let Ok(index) = views.binary_search_by(|view| view.id.cmp(server)) else { return };
+        let view = &mut views[index];
+        // The name is borrowed from the holdings, which live as long as the view.
+        let Some((name, _)) = view.holdings.models.get_key_value(model) else { return };
+        *view.in_flight_by_model.entry(name).or_default() += count;
+        view.in_flight += count;
+    };
+    for (server, models) in &counts.in_flight {
+        models.iter().for_each(|(model, count)| add(server, model, *count));
+    }
+    for (server, models) in instances.live(now).flat_map(|status| &status.in_flight) {
+        models.iter().for_each(|(model, count)| add(server, model, *count));
     }
     views
 }
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -8,12 +8,19 @@
 use server_directory::ServerId;
 
 use super::leader::Leader;
-use crate::process::Entry;
-use crate::process::instances::{LeaderUpdate, Message, ServerHoldings, SyncedRevision};
+use crate::process::instances::{
+    HoldingsPart, InFlightFigures, LeaderUpdate, Message, ServerHoldings, ServerKey,
+    SyncedRevision, server_key,
+};
 use crate::process::peers::PeerSocket;
+use crate::process::{Entry, boot_now};
 
 /// Number of updates to all instances within which the holdings of every server are published.
 const PUBLISH_CYCLE: usize = 15;
+/// Most servers whose holdings one message contains.
+const MAX_HOLDINGS: usize = 60;
+/// Most servers of one part of the load figures.
+const MAX_FIGURES: usize = 400;
 
 /// Publishes to all instances the changed servers, some of the others in rotation, and the requests
 /// in flight.
@@ -35,18 +42,58 @@
         leader.publish_cursor = (leader.publish_cursor + 1) % ids.len();
         published.insert(ids[leader.publish_cursor].clone());
     }
-    let mut others: HashMap<ServerId, u32> = HashMap::new();
+    let mut others: HashMap<ServerKey, u32> = HashMap::new();
     for (server, models) in cx.instances.borrow().live(now).flat_map(|s| &s.in_flight) {
-        *others.entry(server.clone()).or_default() += models.iter().map(|(_, n)| n).sum::<u32>();
+        *others.entry(server_key(server)).or_default() +=
+            models.iter().map(|(_, n)| n).sum::<u32>();
     }
     cx.instances.borrow_mut().set_in_flight(others.clone());
     let mut totals = others;
-    for (server, models) in &cx.request_counts.borrow().in_flight {
-        *totals.entry(server.clone()).or_default() += models.values().sum::<u32>();
+    for (server, count) in cx.own_in_flight() {
+        *totals.entry(server).or_default() += count;
     }
-    let in_flight = Some(totals.into_iter().collect());
-    let message = leader_update(cx, leader, published, in_flight, lease);
-    socket.send(&message, &cx.instances.borrow().addresses());
+    let figures = next_figures(&mut leader.published_figures, totals);
+    leader.publish_count = leader.publish_count.wrapping_add(1);
+    let delivery =
+        cx.instances.borrow().delivery(&cx.settings.data_centre, leader.publish_count, now);
+    let mut published: Vec<ServerId> = published.into_iter().collect();
+    let rest = published.split_off(published.len().min(MAX_HOLDINGS));
+    let message = leader_update(cx, leader, published, Some(figures), lease);
+    socket.deliver(&message, &delivery);
+    for servers in rest.chunks(MAX_HOLDINGS) {
+        let part = HoldingsPart {
+            from: cx.settings.name.clone(),
+            sent_at: boot_now(),
+            lease,
+            holdings: holdings_of(cx, servers.iter()),
+        };
+        socket.deliver(&Message::Holdings(part), &delivery);
+    }
+}
+
+/// Figures that were published last, and which part of them was complete.
+#[derive(Debug, Default)]
+pub(super) struct PublishedFigures {
+    part: u32,
+    counts: HashMap<ServerKey, u32>,
+}
+
+/// Returns the figures to publish: the next part, and the changes since the last ones.
+fn next_figures(
+    published: &mut PublishedFigures,
+    totals: HashMap<ServerKey, u32>,
+) -> InFlightFigures {
+    let parts = totals.len().div_ceil(MAX_FIGURES).max(1) as u32;
+    let part = (published.part + 1) % parts;
+    let former = std::mem::replace(&mut published.counts, totals);
+    let totals = &published.counts;
+    let is_due = |key: &ServerKey| key % parts == part || totals.get(key) != former.get(key);
+    let mut counts: Vec<(ServerKey, u32)> =
+        totals.iter().filter(|(key, _)| is_due(key)).map(|(key, count)| (*key, *count)).collect();
+    let ended = former.keys().filter(|key| !totals.contains_key(key) && *key % parts != part);
+    counts.extend(ended.map(|key| (*key, 0)));
+    published.part = part;
+    InFlightFigures { part, parts, counts }
 }
 
 /// Sends changes to the instances that have requests waiting for a model that they affect. The
@@ -67,33 +114,36 @@
     }
     let addresses = cx.instances.borrow().addresses_waiting_for(&models, now);
     if !addresses.is_empty() {
-        let published = leader.changed.clone();
+        let published = leader.changed.iter().take(MAX_HOLDINGS).cloned().collect();
         socket.send(&leader_update(cx, leader, published, None, lease), &addresses);
     }
 }
 
-fn leader_update(
-    cx: &Entry,
-    leader: &Leader,
-    published: HashSet<ServerId>,
-    in_flight: Option<Vec<(ServerId, u32)>>,
-    lease: HeldLease,
-) -> Message {
-    let now = Instant::now();
+fn holdings_of<'a>(cx: &Entry, servers: impl Iterator<Item = &'a ServerId>) -> Vec<ServerHoldings> {
     let directory = cx.directory.borrow();
-    let holdings = published
-        .into_iter()
+    servers
         .filter_map(|id| {
-            let holdings = &directory.get(&id)?.entry.holdings;
+            let holdings = &directory.get(id)?.entry.holdings;
             let models = holdings.models.iter();
             Some(ServerHoldings {
                 born: holdings.born,
                 models: models.map(|(m, a)| (m.clone(), a.iter().cloned().collect())).collect(),
                 loading: holdings.loading.clone(),
-                server: id,
+                server: id.clone(),
             })
         })
-        .collect();
+        .collect()
+}
+
+fn leader_update(
+    cx: &Entry,
+    leader: &Leader,
+    published: Vec<ServerId>,
+    in_flight: Option<InFlightFigures>,
+    lease: HeldLease,
+) -> Message {
+    let now = Instant::now();
+    let holdings = holdings_of(cx, published.iter());
     let ready_in = leader
         .ready_at
         .iter()
@@ -106,6 +156,8 @@
     let sync = &cx.sync;
     Message::LeaderUpdate(LeaderUpdate {
         from: cx.settings.name.clone(),
+        address: cx.settings.peers,
+        sent_at: boot_now(),
         lease,
         instances: cx.instances.borrow().count() as u32,
         registry: synced(sync.registry_revision.get(), sync.registry_confirmed_at.get()),
@@ -121,3 +173,6 @@
         ready_in,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -7,9 +7,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use replica_placement::{BootTime, HeldLease};
 use tokio::net::UdpSocket;
 
-use super::instances::{LeaderUpdate, Message, Status};
+use super::instances::{Delivery, LeaderUpdate, Message, PassOn, ServerHoldings, Status};
 use super::{Entry, Phase, boot_now};
 
 /// Interval between two status messages.
@@ -36,23 +37,42 @@
     /// Sends a message to some instances. A datagram that cannot be sent at once is dropped, as if
     /// the network had lost it.
     pub(crate) fn send(&self, message: &Message, to: &[SocketAddr]) {
-        let datagram = match postcard::to_allocvec(message) {
-            Ok(datagram) if datagram.len() <= MAX_DATAGRAM => datagram,
-            Ok(datagram) => {
-                tracing::warn!(bytes = datagram.len(), "peers: message too large to send");
-                return;
-            }
-            Err(error) => {
-                tracing::error!(%error, "peers: cannot encode a message");
-                return;
-            }
-        };
+        if let Some(datagram) = encode(message) {
+            self.send_encoded(&datagram, to);
+        }
+    }
+
+    fn send_encoded(&self, datagram: &[u8], to: &[SocketAddr]) {
         for address in to {
-            if let Err(error) = self.socket.try_send_to(&datagram, *address) {
+            if let Err(error) = self.socket.try_send_to(datagram, *address) {
                 tracing::debug!(%address, %error, "peers: message not sent");
             }
         }
     }
+
+    /// Sends a message to many instances, to some of them through others.
+    pub(crate) fn deliver(&self, message: &Message, delivery: &Delivery) {
+        let Some(datagram) = encode(message) else { return };
+        self.send_encoded(&datagram, &delivery.direct);
+        for (relay, to) in &delivery.relayed {
+            let pass_on = PassOn { to: to.clone(), message: datagram.clone() };
+            self.send(&Message::PassOn(pass_on), &[*relay]);
+        }
+    }
+}
+
+fn encode(message: &Message) -> Option<Vec<u8>> {
+    match postcard::to_allocvec(message) {
+        Ok(datagram) if datagram.len() <= MAX_DATAGRAM => Some(datagram),
+        Ok(datagram) => {
+            tracing::warn!(bytes = datagram.len(), "peers: message too large to send");
+            None
+        }
+        Err(error) => {
+            tracing::error!(%error, "peers: cannot encode a message");
+            None
+        }
+    }
 }
 
 fn build_status(cx: &Entry, incarnation: u64, recent: &mut RecentArrivals) -> Status {
@@ -85,6 +105,7 @@
         unreachable,
         stale_holdings,
         from: cx.settings.name.clone(),
+        data_centre: cx.settings.data_centre.clone(),
         incarnation,
         is_leaving: *cx.phase.borrow() != Phase::Serving,
         is_small: cx.settings.is_small(),
@@ -170,9 +191,21 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Message>(&buf[..len]) {
+        let mut message = postcard::from_bytes::<Message>(&buf[..len]);
+        if let Ok(Message::PassOn(PassOn { to, message: inner })) = &message {
+            socket.send_encoded(inner, to);
+            message = postcard::from_bytes(inner);
+        }
+        match message {
             Ok(Message::Status(status)) => receive_status(&cx, status, from),
-            Ok(Message::LeaderUpdate(update)) => receive_leader_update(&cx, update, from),
+            Ok(Message::LeaderUpdate(update)) => receive_leader_update(&cx, update),
+            Ok(Message::Holdings(part)) => {
+                if receive_lease(&cx, &part.from, part.lease, part.sent_at).is_some() {
+                    observe_holdings(&cx, part.holdings);
+                    cx.servers_changed.notify_waiters();
+                }
+            }
+            Ok(Message::PassOn(_)) => tracing::warn!(%from, "peers: message passed on twice"),
             Ok(Message::Released) => {
                 tracing::info!(%from, "orders: told that the lease is free");
                 cx.leader_lease.borrow_mut().receive_release();
@@ -194,43 +227,51 @@
     }
 }
 
-fn receive_leader_update(cx: &Entry, update: LeaderUpdate, from: SocketAddr) {
-    let former = cx.leader_lease.borrow().holder().map(Box::<str>::from);
-    let is_current =
-        cx.leader_lease.borrow_mut().receive_lease(&update.from, update.lease, boot_now());
-    if !is_current {
-        return;
+/// Records the lease that a message of the leader contains. Returns how long the message was held
+/// up, or `None` if it is outdated.
+fn receive_lease(cx: &Entry, from: &str, lease: HeldLease, sent_at: BootTime) -> Option<Duration> {
+    let now = boot_now();
+    let (lease, delay) = cx.instances.borrow_mut().correct_delay(lease, sent_at, now)?;
+    cx.leader_lease.borrow_mut().receive_lease(from, lease, now).then_some(delay)
+}
+
+fn observe_holdings(cx: &Entry, published: Vec<ServerHoldings>) {
+    let now = Instant::now();
+    let mut directory = cx.directory.borrow_mut();
+    for published in published {
+        directory.observe(&published.server, published.born, now, |holdings| {
+            holdings.models = published
+                .models
+                .into_iter()
+                .map(|(model, adapters)| (model, adapters.into_iter().collect()))
+                .collect();
+            holdings.loading = published.loading;
+        });
     }
+}
+
+fn receive_leader_update(cx: &Entry, update: LeaderUpdate) {
+    let former = cx.leader_lease.borrow().holder().map(Box::<str>::from);
+    let delay = receive_lease(cx, &update.from, update.lease, update.sent_at);
+    let Some(delay) = delay else { return };
     if former.as_ref() != Some(&update.from) {
         tracing::info!(holder = %update.from, fence = update.lease.fence, "peers: leader changed");
         // The new leader does not know the waiting requests of this instance yet.
         cx.waiting_changed.notify_one();
     }
     let now = Instant::now();
+    let sent_at = now.checked_sub(delay).unwrap_or(now);
     {
-        let counts = cx.request_counts.borrow();
         let mut instances = cx.instances.borrow_mut();
-        instances.put(&update.from, from);
-        instances.apply_leader_update(&update, |server| counts.in_flight_at(server), now);
-    }
-    {
-        let mut directory = cx.directory.borrow_mut();
-        for published in update.holdings {
-            directory.observe(&published.server, published.born, now, |holdings| {
-                holdings.models = published
-                    .models
-                    .into_iter()
-                    .map(|(model, adapters)| (model, adapters.into_iter().collect()))
-                    .collect();
-                holdings.loading = published.loading;
-            });
-        }
+        instances.put(&update.from, update.address);
+        instances.apply_leader_update(&update, &cx.own_in_flight(), sent_at);
     }
+    observe_holdings(cx, update.holdings);
     cx.leader_updated.notify_waiters();
     let ready_at = update
         .ready_in
         .into_iter()
-        .map(|(model, remaining)| (model, now + Duration::from_millis(u64::from(remaining))))
+        .map(|(model, remaining)| (model, sent_at + Duration::from_millis(u64::from(remaining))))
         .collect();
     *cx.ready_at.borrow_mut() = ready_at;
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
