--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Listeners for callers and operators, and connections to backend servers.
 
 mod callers;
+mod head_limit;
 mod operators;
 mod server;
 mod store_relay;
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -17,6 +17,8 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout_at;
 
+use super::head_limit::{BudgetedStream, ReadBudget};
+
 /// Timeout for a new connection. A round trip within a region takes a few milliseconds. TCP sends
 /// a lost SYN again only after a second; trying another server is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -32,9 +34,11 @@
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most idle connections that the pool retains per server, even if the server accepts more.
 pub(crate) const MAX_IDLE_PER_SERVER: usize = 12;
-/// Largest head of a server's response, in bytes. The buffer also limits how much of a body one
-/// read returns.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Most bytes that a server may send until the head of its response is complete, interim responses
+/// and bytes of the body that come with it included.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+/// Size of the read buffer of a connection, in bytes.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Largest response body of an order or a report, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 1 << 20;
 
@@ -56,6 +60,8 @@
     server: ServerId,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// Limits the head of a response.
+    budget: ReadBudget,
     /// When the connection was last known to work.
     last_used_at: Instant,
     /// The connection is not reused for another request after this time.
@@ -84,8 +90,10 @@
             Err(_) => return Err(SendError::NotSent),
         };
         set_socket_options(&stream);
-        let handshake =
-            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+        let budget = ReadBudget::unlimited();
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(BudgetedStream { stream, budget: budget.clone() }));
         let Ok(Ok((sender, hyper_connection))) = timeout_at(deadline.into(), handshake).await
         else {
             return Err(SendError::NotSent);
@@ -96,7 +104,14 @@
             }
         });
         let now = Instant::now();
-        Ok(Self { server: server.into(), sender, task, last_used_at: now, reuse_until: now })
+        Ok(Self {
+            server: server.into(),
+            sender,
+            task,
+            budget,
+            last_used_at: now,
+            reuse_until: now,
+        })
     }
 
     /// Id of the server at the other end.
@@ -109,15 +124,19 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.budget.limit(MAX_HEAD_BYTES);
         match self.sender.try_send_request(req).await {
             Ok(response) => {
+                self.budget.lift();
                 self.record_idle_timeout(response.headers());
                 Ok(response)
             }
             // hyper returns the message if it sent no byte of it.
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
-                None if error.error().is_parse_too_large() => SendError::HeadTooLong,
+                None if error.error().is_parse_too_large() || self.budget.is_exceeded() => {
+                    SendError::HeadTooLong
+                }
                 None => SendError::MayHaveRun,
             }),
         }
--- a/tests/platform_sessions/caller_tests.rs
+++ b/tests/platform_sessions/caller_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform_stand_in::{Call, Fault};
+use platform_stand_in::{Call, Fault, RepeatingServer};
 
 use crate::cluster::{TestCluster, engine, ledger, wait_for};
 
@@ -151,3 +151,25 @@
     outcome.await.unwrap();
     assert!(wait_for(Duration::from_secs(10), || cluster.servers[0].in_flight() == 0).await);
 }
+
+/// Guards against delivering the second copy of a response, which arrives on a connection that is in
+/// use again, to the next caller, and against running a request that may run only once again
+/// because of it.
+#[tokio::test]
+async fn second_copy_of_a_response_is_not_delivered_to_the_next_caller() {
+    let server = RepeatingServer::start("l1").await;
+    let mut cluster = TestCluster::new(Vec::new()).await;
+    cluster.store.put("servers", server.id, server.entry("ledger"));
+    cluster.start_instance().await;
+    for n in 0..20 {
+        let id = format!("a{n}");
+        let path = if n % 2 == 0 { "/book/salt" } else { "/read/level" };
+        let call = Call { body: Some("{}"), ..Call::new(&id, path) };
+        let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
+        match outcome.status {
+            Some(200) => assert_eq!(outcome.body, format!("answer to {id}")),
+            // The server may have run it; only a call that may run again is sent again.
+            status => assert_eq!((status, outcome.signature), (Some(502), None), "{id}"),
+        }
+    }
+}
--- a/tests/platform_sessions/endless_tests.rs
+++ b/tests/platform_sessions/endless_tests.rs
@@ -13,39 +13,36 @@
 /// users' deployments have 160 MB.
 const MAX_MEMORY_BYTES: u64 = 128 << 20;
 
-const ENDLESS_FIELD: EndlessResponse =
-    EndlessResponse { start: "HTTP/1.1 200 OK\r\nx-long: ", repeated: "x" };
-const ENDLESS_FIELDS: EndlessResponse =
-    EndlessResponse { start: "HTTP/1.1 200 OK\r\n", repeated: "x-field: value\r\n" };
-const INTERIM_RESPONSES: EndlessResponse =
-    EndlessResponse { start: "", repeated: "HTTP/1.1 102 Processing\r\n\r\n" };
-const NO_HTTP: EndlessResponse = EndlessResponse { start: "", repeated: "\u{7}noise" };
-const BODY_UNTIL_CLOSE: EndlessResponse = EndlessResponse {
-    start: "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\r\nid: 1\r\ndata: ",
-    repeated: "x",
-};
-const CHUNK_EXTENSION: EndlessResponse = EndlessResponse {
-    start: "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
-            transfer-encoding: chunked\r\n\r\n5;",
-    repeated: "x",
-};
-const TRAILERS: EndlessResponse = EndlessResponse {
-    start: "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
-            transfer-encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n",
-    repeated: "x-field: value\r\n",
-};
+const fn endless(start: &'static str, repeated: &'static str) -> EndlessResponse {
+    EndlessResponse { start, repeated, pause: Duration::ZERO }
+}
+
+const fn trickle(start: &'static str, repeated: &'static str) -> EndlessResponse {
+    EndlessResponse { start, repeated, pause: Duration::from_millis(100) }
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\r\n";
+const EVENT: &str =
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\r\nid: 1\r\ndata: ";
+const CHUNK: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
+                     transfer-encoding: chunked\r\n\r\n5;";
+const TRAILERS: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
+                        transfer-encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n";
 
-/// Guards against a server that sends bytes without end: its caller must get a failure in time that
+/// Guards against a server that sends bytes without end, fast or a byte now and then: its caller must get a failure in time that
 /// does not claim that the request was not run, the connection must be closed, memory must stay
 /// bounded, and the other callers must be served meanwhile.
 #[rstest]
-#[case::field(ENDLESS_FIELD)]
-#[case::fields(ENDLESS_FIELDS)]
-#[case::interim_responses(INTERIM_RESPONSES)]
-#[case::no_http(NO_HTTP)]
-#[case::body(BODY_UNTIL_CLOSE)]
-#[case::chunk_extension(CHUNK_EXTENSION)]
-#[case::trailers(TRAILERS)]
+#[case::field(endless("HTTP/1.1 200 OK\r\nx-long: ", "x"))]
+#[case::fields(endless("HTTP/1.1 200 OK\r\n", "x-field: value\r\n"))]
+#[case::interim_responses(endless("", "HTTP/1.1 102 Processing\r\n\r\n"))]
+#[case::no_http(endless("", "\u{7}noise"))]
+#[case::event(endless(EVENT, "x"))]
+#[case::chunk_extension(endless(CHUNK, "x"))]
+#[case::trailers(endless(TRAILERS, "x-field: value\r\n"))]
+#[case::slow_head(trickle("HTTP/1.1 200 OK\r\nx-long: ", "x"))]
+#[case::slow_event(trickle(EVENT, "x"))]
+#[case::slow_blank_lines(trickle(HEAD, "\n"))]
 #[tokio::test]
 async fn endless_responses_are_cut_off(#[case] response: EndlessResponse) {
     let engine = EndlessServer::start("endless", response).await;
--- a/tests/platform_sessions/process_tests.rs
+++ b/tests/platform_sessions/process_tests.rs
@@ -103,3 +103,38 @@
     assert_eq!(line["version"], 3);
     assert!(line["steps"].as_str().is_some_and(|steps| steps.contains("l1")), "{line}");
 }
+
+/// Guards against cutting off requests that were accepted just before or during a planned stop: each
+/// is served, or its caller is told that it was not run. Each caller uses a new connection for each
+/// request until it is told so.
+#[tokio::test]
+async fn requests_accepted_during_a_planned_stop_get_a_response() {
+    let mut cluster = TestCluster::with_instance(vec![ledger("l1"), ledger("l2")]).await;
+    let address = cluster.entry_address();
+    let callers: Vec<_> = (0..16)
+        .map(|n| {
+            tokio::spawn(async move {
+                let mut answered = 0;
+                loop {
+                    // A new connection for each request.
+                    let caller = platform_stand_in::Caller::default();
+                    let id = format!("c{n}-{answered}");
+                    let call = Call { body: Some("{}"), ..Call::new(&id, "/book/salt") };
+                    let outcome = caller.call(address, &call).await;
+                    assert!(outcome.is_complete, "{id}: {outcome:?}");
+                    match outcome.status {
+                        Some(200) => answered += 1,
+                        Some(503) => return answered,
+                        status => panic!("{id}: {status:?}"),
+                    }
+                }
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.instances[0].signal(Signal::TERM);
+    assert!(cluster.instances[0].wait_for_exit(WAIT).await);
+    for caller in callers {
+        assert!(caller.await.unwrap() > 0);
+    }
+}
