Slow servers, learned unload time, idle victims, late claims, lists by page

Slow servers. Change: instances measure the pace of streams and calls against the usual one for the model or service, the leader puts the measurements together (server_choice/speed, without I/O) and publishes servers at twice the usual time or more; requests and loads go by what a server can do. Tests: speed_tests.rs (pattern: some of a hundred servers turn several times slower), also for busy servers, which are not slow, and for recovery. 2. Cause: a load was sent right after the unload that makes its room and again until it was taken: 2,883 of 6,760 orders for models were refused. Change: the time of an unload is learned as a quantile (unload_time), the load is sent then. Idle victims. Cause: surplus copies with running requests were the cheapest to unload, and the load waited for their last request (3 to 9 s for the slowest tenth). Change: a busy model costs more to unload. 4. Change: small machines, which claim late, suspect after 1.8 s and read each 2 s. Tests: instances_that_claim_late_read_the_lease_rarely, an_instance_that_did_not_notice_an_outage_lets_the_former_holder_renew. 5. Test: list_with_slow_pages_is_completed (fails before).

--- a/components/process/entry/src/process/follow.rs
+++ b/components/process/entry/src/process/follow.rs
@@ -24,12 +24,15 @@
 const MAX_LEADER_REVISION_AGE: Duration = Duration::from_millis(850);
 /// Interval at which the age of the leader's revisions is checked.
 const LEADER_REVISION_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Timeout of a list or a single call.
+/// Timeout of one page of a list. After a common restart hundreds of instances list thousands of
+/// servers at the same time, and the store sends each of them its pages slowly.
+pub(super) const PAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout of a single call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call, besides the client's own backoff.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// A list or a single call with the usual timeout.
+/// A single call with the usual timeout.
 pub(super) fn short_call() -> Call {
     Call::with_deadline(Instant::now() + CALL_TIMEOUT)
 }
@@ -137,7 +140,7 @@
     wait: Duration,
 ) -> Result<StoreUpdate, Error> {
     let Some(revision) = at else {
-        let list = |store: Store| async move { store.list(F::KIND, short_call()).await };
+        let list = |store: Store| async move { store.list(F::KIND, PAGE_TIMEOUT).await };
         let (objects, revision) = cx.call_store(false, list).await?;
         tracing::info!(kind = F::KIND, revision, objects = objects.len(), "store: listed");
         return Ok(StoreUpdate::List(objects, revision));
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -8,6 +8,7 @@
 use replica_placement::{BootTime, HeldLease, InstanceName};
 use routes::{AdapterName, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
+use server_choice::{PaceBoard, PaceSum};
 use server_directory::{RecentChanges, ServerId};
 
 use super::ModelKey;
@@ -117,6 +118,8 @@
     /// Servers that refused a request for a model that they should hold.
     #[serde(rename = "mistaken")]
     pub(crate) stale_holdings: Vec<ServerId>,
+    /// Pace of servers as measured since the last status.
+    pub(crate) paces: Vec<(ServerKey, PaceSum)>,
     /// Waiting requests: service, model, number of requests.
     #[serde(rename = "wants")]
     pub(crate) waiting: Vec<(ServiceName, ModelKey, u32)>,
@@ -168,6 +171,8 @@
     pub(crate) store_concurrent_loads: u8,
     /// Requests in flight from all instances. `None` in messages that only report a change.
     pub(crate) in_flight: Option<InFlightFigures>,
+    /// Slow servers, and by which factor they are slower than usual, in percent.
+    pub(crate) slow: Vec<(ServerKey, u16)>,
     /// Requests of all instances that wait for room at the servers of a model, for models with
     /// more than one such request.
     pub(crate) queued: Vec<(ModelName, u32)>,
@@ -195,6 +200,8 @@
     leader_store_concurrency: Option<usize>,
     /// Requests in flight from other instances, by server, as of the leader's last update.
     in_flight_elsewhere: HashMap<ServerKey, u32>,
+    /// Pace of the servers as measured by all instances. Used by the leader.
+    pub(crate) pace_board: PaceBoard<ServerKey>,
     /// Delay of the leader's messages.
     message_delay: MessageDelay,
     /// The leader's revisions of the registry and the configuration, and when they were sent.
@@ -230,6 +237,9 @@
             self.by_name.remove(&status.from);
         }
         self.put(&status.from, address);
+        for (server, sum) in &status.paces {
+            self.pace_board.add(*server, *sum, now);
+        }
         if let Some(instance) = self.by_name.get_mut(&status.from) {
             instance.last_seen_at = Some(now);
             instance.status = Some(status);
--- a/components/process/entry/src/process/instances/tests.rs
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -19,6 +19,7 @@
         arrivals: Vec::new(),
         unreachable: Vec::new(),
         stale_holdings: Vec::new(),
+        paces: Vec::new(),
         waiting: Vec::new(),
     }
 }
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -15,11 +15,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
-use server_choice::{Health, RetryBudget, RunTime};
+use server_choice::{Health, PaceMeter, RetryBudget, RunTime};
 use server_directory::{ChangeLog, Directory, ServerId};
 use tokio::sync::{Notify, watch};
 
@@ -77,6 +77,11 @@
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Time for which a request occupies a slot, by service.
     pub(crate) run_times: RefCell<HashMap<ServiceName, RunTime>>,
+    /// Pace of servers as this instance measured it since its last message, by model or plain
+    /// service.
+    pub(crate) paces: RefCell<PaceMeter<ServerKey, Box<str>>>,
+    /// Servers that are slow according to all instances, and by which factor.
+    pub(crate) slow_servers: RefCell<HashMap<ServerKey, f64>>,
     /// Requests of all instances that wait for room at the servers of a model.
     pub(crate) queued: RefCell<HashMap<ModelName, u32>>,
     pub(crate) request_counts: RefCell<RequestCounts>,
@@ -162,6 +167,16 @@
             + self.instances.borrow().in_flight_at(server)
     }
 
+    /// Factor by which a server is slower than usual; 1 if it is not slow.
+    pub(crate) fn slowness(&self, server: &str) -> f64 {
+        self.slow_servers.borrow().get(&server_key(server)).copied().unwrap_or(1.0)
+    }
+
+    /// Records that a step of a request for a model, or a call to a plain service, took `step`.
+    pub(crate) fn record_pace(&self, server: &str, model: &str, step: Duration) {
+        self.paces.borrow_mut().record(server_key(server), model.into(), step);
+    }
+
     /// Requests of this instance in flight, by server.
     pub(crate) fn own_in_flight(&self) -> HashMap<ServerKey, u32> {
         let counts = self.request_counts.borrow();
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Instant;
 
-use replica_placement::{Demands, Source, StoreConcurrencyLimit, StoreRateLimiter};
+use replica_placement::{Demands, Source, StoreConcurrencyLimit, StoreRateLimiter, UnloadTime};
 use routes::{AdapterName, ModelName, ServiceName};
 use server_directory::{Revision, Server, ServerId};
 
@@ -35,6 +35,7 @@
 pub(super) struct Leader {
     pub(super) store_concurrency: StoreConcurrencyLimit,
     pub(super) store_rate: StoreRateLimiter,
+    pub(super) unload_time: UnloadTime,
     pub(super) demands: Demands,
     /// Servers with orders in progress, and the model that these load.
     pub(super) orders_in_progress: HashMap<ServerId, Option<ModelName>>,
@@ -63,6 +64,8 @@
     pub(super) changed: HashSet<ServerId>,
     /// Index of the server whose holdings were last published in rotation.
     pub(super) publish_cursor: usize,
+    /// Servers that are being queried for their holdings.
+    pub(super) queries_in_progress: usize,
     /// Number of updates to all instances so far.
     pub(super) publish_count: usize,
     pub(super) published_figures: PublishedFigures,
@@ -80,6 +83,7 @@
                 MAX_CONCURRENT_LOADS,
             ),
             store_rate: StoreRateLimiter::new(Instant::now()),
+            unload_time: UnloadTime::default(),
             demands: Demands::default(),
             orders_in_progress: HashMap::new(),
             loading: HashMap::new(),
@@ -96,6 +100,7 @@
             queued: HashMap::new(),
             changed: HashSet::new(),
             publish_cursor: 0,
+            queries_in_progress: 0,
             publish_count: 0,
             published_figures: PublishedFigures::default(),
             running_store_loads: 0,
--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -1,7 +1,7 @@
 //! Carries out a planned move on a server: unloads models, loads one and waits until it is loaded.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,7 @@
 
 /// Initial delay between two attempts of a load while the unload before it is in progress; doubles
 /// each time.
-const UNLOAD_POLL: Duration = Duration::from_millis(25);
+const UNLOAD_POLL: Duration = Duration::from_millis(40);
 /// Timeout of an unload, which waits for running requests to end.
 const UNLOAD_TIMEOUT: Duration = Duration::from_secs(8);
 /// Initial delay between two polls of a load that should be complete; doubles up to
@@ -62,6 +62,9 @@
     planned: &ModelPlacement,
 ) -> Option<()> {
     let server = &*planned.server;
+    let in_use: HashSet<ModelName> = models_in_use(cx, server);
+    let is_idle = |model: &ModelName| !in_use.contains(model);
+    let mut unloaded_at = None;
     for model in &planned.unload {
         // From now on, no instance sends requests for the model to this server.
         update_holdings(cx, leader, server, |holdings| {
@@ -74,7 +77,10 @@
             after_sequence: accepted_orders(cx, leader, server).await?,
         };
         match send_order(cx, server, &unload).await {
-            OrderOutcome::Accepted => count_accepted(leader, server),
+            OrderOutcome::Accepted => {
+                count_accepted(leader, server);
+                unloaded_at = Some(Unload { accepted_at: Instant::now(), is_idle: is_idle(model) });
+            }
             OrderOutcome::Holds => {}
             _ => return None,
         }
@@ -98,8 +104,7 @@
         adapter: None,
         after_sequence: accepted_orders(cx, leader, server).await?,
     };
-    // The engine accepts the load only once the unload is complete.
-    match retry_while_busy(cx, server, &load).await? {
+    match send_after_unload(cx, leader, server, &load, unloaded_at).await? {
         OrderOutcome::Accepted => count_accepted(leader, server),
         _ => return None,
     }
@@ -169,12 +174,46 @@
     update_holdings(cx, leader, server, |holdings| holdings.in_memory = copies);
 }
 
-/// Sends an order again with backoff while another one is in progress at the server.
-async fn retry_while_busy(cx: &Rc<Entry>, server: &str, order: &Order) -> Option<OrderOutcome> {
+/// Models that requests in flight at the server use, as far as known.
+fn models_in_use(cx: &Entry, server: &str) -> HashSet<ModelName> {
+    let counts = cx.request_counts.borrow();
+    let instances = cx.instances.borrow();
+    let own = counts.in_flight.get(server).into_iter().flat_map(HashMap::keys);
+    let others = instances.live(Instant::now()).flat_map(|status| &status.in_flight);
+    let others = others.filter(|(id, _)| **id == *server).flat_map(|(_, models)| models);
+    own.chain(others.map(|(model, _)| model)).cloned().collect()
+}
+
+/// An unload that the server accepted.
+#[derive(Clone, Copy, Debug)]
+struct Unload {
+    accepted_at: Instant,
+    /// No request was known to use the model.
+    is_idle: bool,
+}
+
+/// Sends the load that follows an unload once the unload should be done, and again with backoff
+/// while the server is not done.
+async fn send_after_unload(
+    cx: &Rc<Entry>,
+    leader: &RefCell<Leader>,
+    server: &str,
+    order: &Order,
+    unload: Option<Unload>,
+) -> Option<OrderOutcome> {
     let until = Instant::now() + UNLOAD_TIMEOUT;
+    if let Some(unload) = unload {
+        let expected = leader.borrow().unload_time.expected();
+        tokio::time::sleep_until((unload.accepted_at + expected).into()).await;
+    }
     let mut pause = UNLOAD_POLL;
+    let mut is_first = true;
     loop {
         let ended = send_order(cx, server, order).await;
+        let is_too_early = matches!(ended, OrderOutcome::Conflict);
+        if std::mem::take(&mut is_first) && unload.is_some_and(|unload| unload.is_idle) {
+            leader.borrow_mut().unload_time.record(is_too_early);
+        }
         if !matches!(ended, OrderOutcome::Conflict) || Instant::now() >= until {
             return Some(ended);
         }
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -26,6 +26,9 @@
 /// Time after which a report reflects an order and its completion. Reports lag by some hundred
 /// milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(700);
+/// Most servers that are queried for their holdings at the same time. A new leader of thousands of
+/// servers would otherwise open connections to all of them at once.
+const MAX_CONCURRENT_QUERIES: usize = 96;
 /// Interval between two updates to all other instances.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -45,10 +48,10 @@
             if was_leader {
                 tracing::warn!("orders: lease no longer held");
                 let former = leader.replace(Leader::new(&cx));
-                // What was learned about the weight store stays valid without the lease.
+                // What was learned about the weight store and the engines stays valid without the lease.
                 let mut state = leader.borrow_mut();
-                (state.store_concurrency, state.store_rate) =
-                    (former.store_concurrency, former.store_rate);
+                (state.store_concurrency, state.store_rate, state.unload_time) =
+                    (former.store_concurrency, former.store_rate, former.unload_time);
             }
             was_leader = false;
             plan_at = Instant::now() + PLAN_INTERVAL;
@@ -115,7 +118,9 @@
             }
         }
     }
-    for server in unknown {
+    let running = leader.borrow().queries_in_progress;
+    for server in unknown.into_iter().take(MAX_CONCURRENT_QUERIES.saturating_sub(running)) {
+        leader.borrow_mut().queries_in_progress += 1;
         leader.borrow_mut().orders_in_progress.insert(server.clone(), None);
         let (cx, leader) = (cx.clone(), leader.clone());
         spawn_local(async move {
@@ -125,7 +130,10 @@
                     .paused_until
                     .insert(server.clone(), Instant::now() + REFUSED_PAUSE);
             }
-            leader.borrow_mut().orders_in_progress.remove(&server);
+            let mut state = leader.borrow_mut();
+            state.orders_in_progress.remove(&server);
+            state.queries_in_progress = state.queries_in_progress.saturating_sub(1);
+            drop(state);
             cx.plan_due.notify_one();
         });
     }
@@ -266,6 +274,7 @@
                 pending_adapters: leader.adapters_loading.get(id).copied().unwrap_or(0),
                 pending_model: leader.orders_in_progress.get(id).cloned().flatten(),
                 pending_load: leader.loading.get(id).copied(),
+                slowness: cx.slowness(id),
                 is_leaving: server.entry.is_draining
                     || server.grace_ends_at.is_some()
                     || unreachable.contains(id),
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -52,6 +52,7 @@
     for (server, count) in cx.own_in_flight() {
         *totals.entry(server).or_default() += count;
     }
+    find_slow_servers(cx, now);
     let figures = next_figures(&mut leader.published_figures, totals);
     leader.publish_count = leader.publish_count.wrapping_add(1);
     let delivery =
@@ -71,6 +72,29 @@
     }
 }
 
+/// Puts the measurements of all instances together, and logs which servers turned slow or recovered.
+fn find_slow_servers(cx: &Entry, now: Instant) {
+    let slow: HashMap<ServerKey, f64> = {
+        let mut instances = cx.instances.borrow_mut();
+        for (server, sum) in cx.paces.borrow_mut().take() {
+            instances.pace_board.add(server, sum, now);
+        }
+        instances.pace_board.slow(now).into_iter().collect()
+    };
+    let former = cx.slow_servers.replace(slow.clone());
+    let directory = cx.directory.borrow();
+    for server in directory.servers().map(|server| &server.entry.id) {
+        let key = server_key(server);
+        match (former.get(&key), slow.get(&key)) {
+            (None, Some(factor)) => {
+                tracing::info!(%server, factor = (factor * 100.0).round() / 100.0, "servers: turned slow");
+            }
+            (Some(_), None) => tracing::info!(%server, "servers: not slow any more"),
+            _ => {}
+        }
+    }
+}
+
 /// Figures that were published last, and which part of them was complete.
 #[derive(Debug, Default)]
 pub(super) struct PublishedFigures {
@@ -169,6 +193,12 @@
         holdings,
         store_concurrent_loads: leader.store_concurrency.limit() as u8,
         in_flight,
+        slow: cx
+            .slow_servers
+            .borrow()
+            .iter()
+            .map(|(server, factor)| (*server, (factor * 100.0) as u16))
+            .collect(),
         queued: leader.queued.iter().map(|(model, count)| (model.clone(), *count)).collect(),
         ready_in,
     })
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -101,7 +101,9 @@
     let unreachable = health.iter().filter(|(_, health)| health.is_backing_off(now));
     let unreachable = unreachable.map(|(server, _)| server.clone()).collect();
     let stale_holdings = std::mem::take(&mut *cx.stale_holdings.borrow_mut()).into_iter().collect();
+    let paces = cx.paces.borrow_mut().take();
     Status {
+        paces,
         unreachable,
         stale_holdings,
         from: cx.settings.name.clone(),
@@ -168,6 +170,7 @@
             && status.waiting.is_empty()
             && status.unreachable.is_empty()
             && status.stale_holdings.is_empty()
+            && status.paces.is_empty()
             && !status.is_leaving;
         if is_quiet && !is_triggered && skipped < MAX_SKIPPED_STATUSES {
             skipped += 1;
@@ -274,6 +277,9 @@
         .map(|(model, remaining)| (model, sent_at + Duration::from_millis(u64::from(remaining))))
         .collect();
     *cx.ready_at.borrow_mut() = ready_at;
+    let slow = update.slow.into_iter();
+    *cx.slow_servers.borrow_mut() =
+        slow.map(|(server, percent)| (server, f64::from(percent) / 100.0)).collect();
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
     cx.servers_changed.notify_waiters();
 }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -98,6 +98,8 @@
         health: RefCell::new(HashMap::new()),
         retry_budgets: RefCell::new(HashMap::new()),
         run_times: RefCell::default(),
+        paces: RefCell::default(),
+        slow_servers: RefCell::default(),
         queued: RefCell::default(),
         request_counts: RefCell::new(RequestCounts::default()),
         waiting_requests: RefCell::new(WaitingRequests::default()),
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use server_directory::{Entry as ServerEntry, OutageDetector, RegistryChange};
 
-use super::follow::{Follower, RETRY_PAUSE, follow, short_call};
+use super::follow::{Follower, PAGE_TIMEOUT, RETRY_PAUSE, follow, short_call};
 use super::{Entry, boot_now};
 use crate::version;
 
@@ -242,6 +242,13 @@
             store.create(INSTANCE_KIND, name, registration, short_call()).await
         };
         let outcome = match cx.call_store(false, create).await {
+            // Registered by an earlier run at the same address.
+            Ok(PutOutcome::Conflict(Some(old)))
+                if Registration::deserialize(&old.value)
+                    .is_ok_and(|known| known.peers == registration.peers) =>
+            {
+                Ok(PutOutcome::Written(old.revision))
+            }
             Ok(PutOutcome::Conflict(Some(old))) => {
                 let replace = |store: Store| async move {
                     store
@@ -270,7 +277,7 @@
     let list = InstanceList(cx.clone());
     loop {
         cx.list_instances.notified().await;
-        let call = |store: Store| async move { store.list(INSTANCE_KIND, short_call()).await };
+        let call = |store: Store| async move { store.list(INSTANCE_KIND, PAGE_TIMEOUT).await };
         match cx.call_store(false, call).await {
             Ok((objects, _)) => objects.iter().for_each(|object| list.put(object)),
             Err(error) => {
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform_adapter::{ResponseClass, SystemHeaders, classify_response, set_system_headers};
-use routes::ServiceName;
+use routes::{ModelName, ServiceName};
 use server_directory::ServerId;
 use tokio::time::timeout_at;
 
@@ -30,6 +30,9 @@
 /// A server has at least this long to respond, so that a short queue does not cause retries on
 /// routes with tight latency targets.
 const MIN_SWITCH_AFTER: Duration = Duration::from_millis(700);
+/// Events of a stream over which the pace of its server is measured, so that the steps of other
+/// requests' prompts even out.
+const EVENTS_PER_MEASUREMENT: u64 = 8;
 /// Reason recorded for a request that got no response before the instance stopped.
 const INSTANCE_STOPS: &str = "instance stops before the answer";
 /// Reason recorded for a stream that sent nothing until its deadline.
@@ -61,8 +64,11 @@
     is_resumable: bool,
     server: ServerId,
     service: ServiceName,
+    model: ModelName,
     /// When the first event arrived.
     started_at: Instant,
+    /// Number of events, and the time, at the last measurement of the server's pace.
+    measured: (u64, Instant),
     _in_flight: InFlight,
 }
 
@@ -119,6 +125,7 @@
                         cx.metrics.oversized_responses.inc();
                         return Chunk::Broken(EVENT_TOO_LONG);
                     };
+                    self.measure_pace(cx);
                     if self.is_resumable {
                         if !events.is_empty() {
                             return Chunk::Data(events);
@@ -141,6 +148,17 @@
         }
     }
 
+    /// Measures the server's pace once every few events.
+    fn measure_pace(&mut self, cx: &Entry) {
+        let (events, at) = self.measured;
+        let count = self.splitter.event_count();
+        let new = count.saturating_sub(events);
+        if events > 0 && new >= EVENTS_PER_MEASUREMENT {
+            cx.record_pace(&self.server, &self.model, at.elapsed() / new as u32);
+            self.measured = (count, Instant::now());
+        }
+    }
+
     /// Closes the connection of a stream that broke off, so that the server stops working on it.
     pub(crate) fn abandon(self, cx: &Entry) {
         cx.update_health(&self.server, |health, now| health.record_failure(now, 1.0));
@@ -204,6 +222,7 @@
         return AttemptOutcome::NotSent;
     };
     cx.metrics.sends.inc();
+    let sent_at = Instant::now();
     let switch_after = (job.route.latency_target * SWITCH_AFTER_TARGETS).max(MIN_SWITCH_AFTER);
     let switch_at = match may_switch {
         true => job.deadline.min(Instant::now() + switch_after),
@@ -269,6 +288,10 @@
                 true => health.record_failure(now, 0.5),
                 false => health.record_answer(now),
             });
+            // The time in the queue of a full server says nothing about its pace.
+            if !job.has_engine && !is_failure && selection.in_flight < selection.slots {
+                cx.record_pace(&selection.id, &job.service, sent_at.elapsed());
+            }
             cx.return_to_pool(connection);
             AttemptOutcome::Complete(parts, body.to_bytes())
         }
@@ -328,11 +351,14 @@
         is_resumable,
         server: selection.id.clone(),
         service: job.service.clone(),
+        model: job.prompt().map_or_else(|| "".into(), |prompt| prompt.model.clone()),
         started_at: Instant::now(),
+        measured: (0, Instant::now()),
         _in_flight: in_flight,
     };
     let first = source.next_until(cx, job.deadline).await;
     source.started_at = Instant::now();
+    source.measured = (source.splitter.event_count(), source.started_at);
     match first {
         Chunk::Data(first) => {
             AttemptOutcome::Stream(Box::new(StreamStart { parts, first, has_ended: false, source }))
--- a/components/process/entry/src/request/events.rs
+++ b/components/process/entry/src/request/events.rs
@@ -25,6 +25,8 @@
     /// Length of the prefix of `partial` in which no separator begins.
     searched: usize,
     last_id: Option<Box<str>>,
+    /// Complete events with an id so far.
+    event_count: u64,
 }
 
 /// Length of the complete events in `buf`, whose first `searched` bytes begin no separator.
@@ -50,9 +52,14 @@
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
-        let mut ids =
-            complete.split(|byte| *byte == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
-        if let Some(id) = ids.next_back().and_then(|id| std::str::from_utf8(id).ok()) {
+        let ids = complete.split(|byte| *byte == b'\n');
+        let ids = ids.filter_map(|line| line.strip_prefix(b"id:"));
+        let mut last_id = None;
+        for id in ids {
+            self.event_count += 1;
+            last_id = Some(id);
+        }
+        if let Some(id) = last_id.and_then(|id| std::str::from_utf8(id).ok()) {
             self.last_id = Some(id.trim().into());
         }
         Ok(complete)
@@ -63,6 +70,11 @@
         self.last_id.as_deref()
     }
 
+    /// Number of complete events with an id so far.
+    pub(crate) fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
     /// Whether the bytes so far end inside an event.
     pub(crate) fn is_inside_event(&self) -> bool {
         !self.partial.is_empty()
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -21,6 +21,8 @@
     pub(crate) revision: u64,
     /// Requests in flight at the server from all instances, as far as known.
     pub(crate) in_flight: u32,
+    /// Requests that the server runs concurrently.
+    pub(crate) slots: u32,
     /// Number of servers that could have been selected.
     pub(crate) candidate_count: usize,
 }
@@ -116,7 +118,9 @@
     let run_time = cx.run_times.borrow().get(&job.service).copied().unwrap_or_default();
     let (rank, target) = (job.route.priority, job.route.latency_target);
     let room = |c: &Candidate<'_>| {
-        in_flight_limit(c.slots, rank, target, run_time).saturating_sub(c.in_flight)
+        // A slow server gets as much as it can run in the time of a usual one.
+        let slots = (f64::from(c.slots) / c.slowness).max(1.0) as u32;
+        in_flight_limit(slots, rank, target, run_time).saturating_sub(c.in_flight)
     };
     let room: u32 = candidates.iter().map(room).sum();
     if room == 0 || job.lost_turn_until.get().is_some_and(|until| until > now) {
@@ -149,6 +153,7 @@
             in_flight: cx.in_flight_at(&server.entry.id),
             slots: server.entry.slots,
             failures: health.get(&server.entry.id).map_or(0.0, |health| health.failures(now)),
+            slowness: cx.slowness(&server.entry.id),
         })
         .collect();
     if job.has_engine && !gets_turn(cx, job, &candidates, now) {
@@ -162,6 +167,7 @@
             address: servers[index].entry.address,
             revision: servers[index].revision,
             in_flight: candidates[index].in_flight,
+            slots: servers[index].entry.slots,
             candidate_count: candidates.len(),
         }),
         None => SelectResult::NoServer,
--- a/components/process/replica_placement/src/leader_lease.rs
+++ b/components/process/replica_placement/src/leader_lease.rs
@@ -25,6 +25,10 @@
 const SUSPECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time between two reads of a lease whose holder is suspected to have failed.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
+/// The same times at an instance that claims late. There are many of these, and they hear of the new
+/// holder from its messages.
+const LATE_CLAIM_SUSPECT_TIMEOUT: Duration = Duration::from_millis(1_800);
+const LATE_CLAIM_READ_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Time after a store outage in which only the former holder may write the lease. If it renews, no
 /// gap is needed. Its calls during an outage are at most this far apart.
 const RECLAIM_PERIOD: Duration = Duration::from_millis(1_000);
@@ -130,6 +134,9 @@
     is_store_unreachable: bool,
     /// Earliest time of a claim after a store outage, so that the former holder can renew first.
     claim_not_before: BootTime,
+    /// Revision of a lease that had expired when it was read, and when it was first read so. An
+    /// instance that reads rarely may not have noticed an outage of the store.
+    expired_since: Option<(u64, BootTime)>,
 }
 
 impl LeaderLease {
@@ -146,6 +153,7 @@
             last_orders: LastOrders::default(),
             is_store_unreachable: false,
             claim_not_before: Duration::ZERO,
+            expired_since: None,
         }
     }
 
@@ -218,7 +226,7 @@
         let record = LeaseRecord { holder: holder.into(), fence, ..LeaseRecord::default() };
         self.state =
             LeaseState::Observed { record, revision, expires_by: now + left.min(LEASE_VALIDITY) };
-        self.next_call_at = now + SUSPECT_TIMEOUT;
+        self.next_call_at = now + self.suspect_timeout();
         true
     }
 
@@ -279,8 +287,14 @@
                 let is_free = record.is_released && now >= *expires_by + self.claim_delay;
                 let is_own = record.holder == self.name && !self.has_held;
                 // After a failed call the lease is read first, to see when the store is reachable.
-                let may_claim =
-                    has_expired && !self.is_store_unreachable && now >= self.claim_not_before;
+                let is_confirmed = self.claim_delay.is_zero()
+                    || self.expired_since.is_some_and(|(found, since)| {
+                        found == *revision && now >= since + RECLAIM_PERIOD
+                    });
+                let may_claim = has_expired
+                    && is_confirmed
+                    && !self.is_store_unreachable
+                    && now >= self.claim_not_before;
                 if is_free || is_own || may_claim {
                     let all_wait_ms = match is_free || is_own {
                         true => record.all_wait_ms,
@@ -299,6 +313,14 @@
         }
     }
 
+    fn suspect_timeout(&self) -> Duration {
+        if self.claim_delay.is_zero() { SUSPECT_TIMEOUT } else { LATE_CLAIM_SUSPECT_TIMEOUT }
+    }
+
+    fn read_interval(&self) -> Duration {
+        if self.claim_delay.is_zero() { READ_INTERVAL } else { LATE_CLAIM_READ_INTERVAL }
+    }
+
     /// Builds the record that claims the lease after `former` and keeps the former last orders.
     fn claim(&self, former: LeaseRecord, all_wait_ms: u32) -> LeaseRecord {
         LeaseRecord {
@@ -327,6 +349,17 @@
             self.next_call_at = now;
             return;
         }
+        let has_expired = match &self.state {
+            LeaseState::Observed { revision: known, expires_by, .. } => {
+                *known == revision && now >= *expires_by + SAFETY_MARGIN + self.claim_delay
+            }
+            _ => false,
+        };
+        if !has_expired {
+            self.expired_since = None;
+        } else if self.expired_since.is_none_or(|(found, _)| found != revision) {
+            self.expired_since = Some((revision, now));
+        }
         let is_claimable = record.is_released || (record.holder == self.name && !self.has_held);
         let expires_by = match &self.state {
             LeaseState::Observed { revision: known, expires_by, .. } if *known == revision => {
@@ -336,7 +369,11 @@
             _ if record.is_released => now,
             _ => now + LEASE_VALIDITY,
         };
-        self.next_call_at = if is_claimable { now } else { now + READ_INTERVAL };
+        self.next_call_at = match is_claimable {
+            true => now,
+            false if has_expired => now + RECLAIM_PERIOD,
+            false => now + self.read_interval(),
+        };
         self.state = LeaseState::Observed { record, revision, expires_by };
     }
 
--- a/components/process/replica_placement/src/leader_lease_tests.rs
+++ b/components/process/replica_placement/src/leader_lease_tests.rs
@@ -320,3 +320,57 @@
     assert!(a.receive_lease("b", lease(2), ms(50)));
     assert_eq!(a.fencing_number(ms(60)), None);
 }
+
+/// Guards against reads of the lease that grow with the number of instances: while the store is
+/// slow or the holder is lost, only those that claim first read it often (alykes-stock-large, day
+/// trouble-1: 3,405 of 9,300 calls to the store).
+#[test]
+fn instances_that_claim_late_read_the_lease_rarely() {
+    let reads = |claim_delay| {
+        let mut lease = LeaderLease::new("z", GAP, claim_delay);
+        let held = HeldLease { fence: 3, revision: 7, left: Duration::from_secs(2) };
+        assert!(lease.receive_lease("a", held, Duration::ZERO));
+        let record = LeaseRecord { holder: "a".into(), fence: 3, ..LeaseRecord::default() };
+        let mut reads = 0;
+        let mut now = Duration::ZERO;
+        let mut revision = 7;
+        while now < Duration::from_secs(8) {
+            match lease.next_action(now) {
+                Action::Wait(until) => now = until.max(now + Duration::from_millis(1)),
+                Action::Read => {
+                    reads += 1;
+                    // The holder renews, but its messages do not arrive.
+                    revision += 1;
+                    lease.on_read(Some((record.clone(), revision)), now);
+                }
+                Action::Write { .. } => panic!("claimed a lease that is renewed"),
+            }
+        }
+        reads
+    };
+    let (first, late) = (reads(Duration::ZERO), reads(Duration::from_secs(2)));
+    assert!(first >= 15, "{first}");
+    assert!(late <= 5, "{late}");
+}
+
+/// Guards against an instance that claims the lease right after an outage of the store that it has
+/// not noticed, because it reads the lease rarely: the former holder renews first (alykes-stock-large,
+/// day trouble-1: a small machine took the lease, and no model was loaded for another five seconds).
+#[test]
+fn an_instance_that_did_not_notice_an_outage_lets_the_former_holder_renew() {
+    let claim_delay = Duration::from_millis(500);
+    let mut lease = LeaderLease::new("z", GAP, claim_delay);
+    let held = HeldLease { fence: 3, revision: 7, left: Duration::from_secs(2) };
+    assert!(lease.receive_lease("a", held, ms(0)));
+    // No call was due during the outage, which ended just now.
+    let mut now = ms(5_000);
+    assert_eq!(lease.next_action(now), Action::Read);
+    let record = LeaseRecord { holder: "a".into(), fence: 3, ..LeaseRecord::default() };
+    lease.on_read(Some((record, 7)), now);
+    while now < ms(5_990) {
+        assert!(matches!(lease.next_action(now), Action::Wait(_) | Action::Read), "at {now:?}");
+        now += ms(10);
+    }
+    // The former holder did not renew.
+    assert!(matches!(lease.next_action(ms(6_000)), Action::Write { .. }));
+}
--- a/components/process/replica_placement/src/lib.rs
+++ b/components/process/replica_placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod retention_value;
 mod store_limits;
+mod unload_time;
 
 #[cfg(test)]
 mod leader_lease_tests;
@@ -15,6 +16,8 @@
 mod plan_tests;
 #[cfg(test)]
 mod store_limits_tests;
+#[cfg(test)]
+mod unload_time_tests;
 
 pub use adapters::{AdapterPlacement, AdapterUse, place_adapter};
 pub use demand::{Demand, Demands};
@@ -23,3 +26,4 @@
 pub use plan::{ModelPlacement, Plan, PlanLimits, ServerView, Source, plan};
 pub use retention_value::free_mb;
 pub use store_limits::{StoreConcurrencyLimit, StoreRateLimiter};
+pub use unload_time::UnloadTime;
--- a/components/process/replica_placement/src/plan.rs
+++ b/components/process/replica_placement/src/plan.rs
@@ -74,6 +74,8 @@
     pub pending_adapters: usize,
     /// Source and expected end of the load in progress.
     pub pending_load: Option<(Source, Instant)>,
+    /// Factor by which it is slower than usual; 1 if it is not slow.
+    pub slowness: f64,
     /// Whether the server is about to leave, so that nothing is loaded on it.
     pub is_leaving: bool,
 }
--- a/components/process/replica_placement/src/plan_tests.rs
+++ b/components/process/replica_placement/src/plan_tests.rs
@@ -48,6 +48,7 @@
         pending_model: None,
         pending_adapters: 0,
         pending_load: None,
+        slowness: 1.0,
         is_leaving: false,
     }
 }
--- a/components/process/replica_placement/src/retention_value.rs
+++ b/components/process/replica_placement/src/retention_value.rs
@@ -31,6 +31,10 @@
 /// Ratio of the reload time from the weight store to that from a cached copy on the server.
 const STORE_RELOAD_FACTOR: f64 = 3.0;
 
+/// Cost of unloading a model that requests are using: the unload, and the load after it, wait until
+/// the last of them has ended.
+const BUSY_UNLOAD_COST: f64 = 0.6;
+
 /// What each request in flight adds to the value of a model's last replica.
 const REQUEST_VALUE: f64 = 0.5;
 
@@ -50,6 +54,9 @@
 /// server share its batch, so a rarely used one would wait behind a busy one there and slow it.
 const FULL_SERVER_COST: f64 = 1.5;
 
+/// Cost of a load on a slow server for each multiple of the usual time, in waiting requests.
+const SLOW_SERVER_COST: f64 = 0.5;
+
 /// Cost of a load on a server for each adapter there. Adapters are ordered as single requests need
 /// them, and a server accepts no adapter orders while it loads a model.
 const COST_PER_ADAPTER: f64 = 0.15;
@@ -108,6 +115,7 @@
         let replicas = self.replicas.get(model).copied().unwrap_or(0);
         let in_flight = f64::from(server.in_flight_by_model.get(model).copied().unwrap_or(0));
         let rate = self.rate(model);
+        let delay = if in_flight > 0.0 { BUSY_UNLOAD_COST } else { 0.0 };
         if replicas > self.wanted_replicas(model).max(1) {
             // A surplus replica. The unload takes longer with requests in flight.
             let is_only_one_in_data_centre = self.replicas_in_data_centre(model, server) <= 1;
@@ -115,6 +123,7 @@
             return Some(
                 SURPLUS_VALUE
                     + spread
+                    + delay
                     + in_flight * SURPLUS_REQUEST_VALUE
                     + rate * SURPLUS_RATE_VALUE,
             );
@@ -134,7 +143,7 @@
         } else {
             RELOAD_DELAY_SECONDS * STORE_RELOAD_FACTOR
         };
-        Some(LAST_REPLICA_VALUE + rate * reload + in_flight * REQUEST_VALUE + recent_use)
+        Some(LAST_REPLICA_VALUE + rate * reload + in_flight * REQUEST_VALUE + delay + recent_use)
     }
 
     /// Number of replicas of a model in the server's data centre, including the server itself.
@@ -201,6 +210,7 @@
                 + crowding_cost
                 + source.load_time(model).as_secs_f64() * LOAD_COST_PER_SECOND
                 + slot_use * FULL_SERVER_COST
+                + (server.slowness - 1.0) * SLOW_SERVER_COST
                 + server.holdings.adapter_count() as f64 * COST_PER_ADAPTER;
             if best.as_ref().is_none_or(|(_, least, _)| cost < *least) {
                 let load = model.name.clone();
--- a/components/request/server_choice/src/choice.rs
+++ b/components/request/server_choice/src/choice.rs
@@ -13,6 +13,9 @@
 /// Number of requests in flight that one recent failure counts as.
 const FAILURE_WEIGHT: f64 = 6.0;
 
+/// Number of requests in flight that each multiple of the usual time counts as.
+const SLOW_WEIGHT: f64 = 3.0;
+
 /// Number of requests in flight that being in another data centre counts as. The network delay is
 /// short, so this only decides between otherwise equal servers.
 const REMOTE_WEIGHT: f64 = 0.4;
@@ -30,6 +33,8 @@
     pub slots: u32,
     /// Decayed count of recent failures; see [`crate::Health`].
     pub failures: f64,
+    /// Factor by which it is slower than usual; 1 if it is not slow. See [`crate::PaceBoard`].
+    pub slowness: f64,
 }
 
 /// Hash of a model and a shared prompt part, which selects the server that caches the part.
@@ -58,7 +63,9 @@
         let c = &candidates[index];
         // A full server queues: each request beyond its slots waits until another one completes.
         let queued = c.in_flight.saturating_sub(c.slots.saturating_sub(1));
-        f64::from(c.in_flight)
+        // The same requests take a slow server longer, the new one included.
+        f64::from(c.in_flight) * c.slowness
+            + (c.slowness - 1.0) * SLOW_WEIGHT
             + f64::from(queued) * QUEUED_WEIGHT
             + c.failures * FAILURE_WEIGHT
             + if c.is_local { 0.0 } else { REMOTE_WEIGHT }
--- a/components/request/server_choice/src/lib.rs
+++ b/components/request/server_choice/src/lib.rs
@@ -4,13 +4,17 @@
 mod choice;
 mod health;
 mod retry_budget;
+mod speed;
 
 #[cfg(test)]
 mod admission_tests;
 #[cfg(test)]
+mod speed_tests;
+#[cfg(test)]
 mod tests;
 
 pub use admission::{RunTime, in_flight_limit, queue_timeout, turn_probability};
 pub use choice::{Candidate, affinity_key, choose_server};
 pub use health::Health;
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use speed::{PaceBoard, PaceMeter, PaceSum};
--- a/tests/platform_sessions/store_tests.rs
+++ b/tests/platform_sessions/store_tests.rs
@@ -195,3 +195,17 @@
     let calls = cluster.instances[follower].counter("store_calls").await - before;
     assert!(calls < CHANGES as u64, "{calls} calls in {CHANGES} changes");
 }
+
+/// Guards against an instance that lists the registry from the beginning whenever a page is late.
+/// After a common restart hundreds of instances list thousands of servers, every page is late, and
+/// none of them came to the end (sweep of alykes-stock-large, 303 instances and 2,997 servers).
+#[tokio::test]
+async fn list_with_slow_pages_is_completed() {
+    let servers: Vec<String> = (0..7).map(|n| format!("l{n}")).collect();
+    let mut cluster = TestCluster::new(servers.iter().map(|id| ledger(id)).collect()).await;
+    cluster.store.set_fault(StoreFault::SlowLaterPages);
+    cluster.spawn_instance();
+    assert!(cluster.instances[0].wait_until_ready(WAIT).await);
+    let call = Call { body: Some("{}"), ..Call::new("a1", "/read/level") };
+    assert_eq!(cluster.caller.call(cluster.entry_address(), &call).await.status, Some(200));
+}
