--- a/components/request/server_choice/src/speed.rs
+++ b/components/request/server_choice/src/speed.rs
@@ -21,7 +21,7 @@
 /// requests make servers with long prompts less than twice as slow.
 const SLOW_RATIO: f64 = 2.0;
 /// Measurements, less those that were forgotten, from which a server can count as slow.
-const MIN_MEASUREMENTS: f64 = 3.0;
+const MIN_MEASUREMENTS: f64 = 6.0;
 /// Time in which a measurement loses half of its weight. Without new measurements a server counts as
 /// usual again after a few seconds, and the next requests show whether it still is slow.
 const HALF_LIFE: Duration = Duration::from_millis(2_500);
