Every instance learns that an expired registry entry is back

Cause: every_instance_learns_that_an_expired_entry_is_back fails without this change. A server whose entry expired in an outage of the store stays in the leader's directory for the grace period; when its entry comes back, nothing has changed for the leader, so that neither the revision nor the change was published, and the other instances dropped the live server for good. Change: the return of an entry during the grace period is a change. One constant for the interval of the leader's updates instead of two; one import.

--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -34,6 +34,9 @@
 pub(crate) use store_access::StoreAccess;
 pub(crate) use waiting_requests::{WaitingRequest, WaitingRequests};
 
+/// Interval between two updates of the leader to all other instances.
+pub(crate) const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Stage of the shutdown. It never goes back to an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -17,7 +17,7 @@
 use super::order::refresh_holdings;
 use super::publish::{publish_to_all, publish_to_waiting};
 use crate::process::peers::PeerSocket;
-use crate::process::{Entry, ModelKey, boot_now};
+use crate::process::{Entry, ModelKey, PUBLISH_INTERVAL, boot_now};
 
 /// Interval between two plans if nothing changes.
 const PLAN_INTERVAL: Duration = Duration::from_millis(200);
@@ -29,8 +29,6 @@
 /// Most servers that are queried for their holdings at the same time. A new leader of thousands of
 /// servers would otherwise open connections to all of them at once.
 const MAX_CONCURRENT_QUERIES: usize = 96;
-/// Interval between two updates to all other instances.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// While this instance holds the lease, plans, sends orders and publishes its state to the other
 /// instances.
--- a/components/process/entry/src/process/store_access.rs
+++ b/components/process/entry/src/process/store_access.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use platform::{Client, ClientConfig, Rates};
 use platform_adapter::{Error, Store};
@@ -17,7 +17,7 @@
 const STORE_RATE_SHARES: u32 = 16;
 /// Longest delay between two calls during an outage of the store. Instances must notice its return
 /// well within the three seconds after which the platform expects them to know changes again.
-const STORE_MAX_BACKOFF: std::time::Duration = std::time::Duration::from_millis(800);
+const STORE_MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Clients of the store.
 pub(crate) struct StoreAccess {
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -98,11 +98,14 @@
         let cx = &self.cx;
         let mut directory = cx.directory.borrow_mut();
         let id = entry.id.clone();
-        let known = directory
-            .get(&id)
+        let known = directory.get(&id);
+        // The other instances drop a server whose entry was removed unless they hear that it is back.
+        let is_back = known.is_some_and(|known| known.grace_ends_at.is_some());
+        let known = known
             .map(|known| (known.entry.is_draining, known.entry.holdings.born, known.entry.address));
         let new = (entry.is_draining, entry.holdings.born, entry.address);
-        let change = (known != Some(new)).then(|| entry.without_cached_copies());
+        let has_changed = is_back || known != Some(new);
+        let change = has_changed.then(|| entry.without_cached_copies());
         if !directory.upsert(entry, revision, Instant::now()) {
             tracing::debug!(server = %id, "registry: ignored an entry of a previous run");
             return;
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -1,16 +1,13 @@
 //! Selects a server for a request among those that can run it now.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::Rng;
 use server_choice::{Candidate, affinity_key, choose_server, in_flight_limit, turn_probability};
 use server_directory::{Directory, Server, ServerId};
 
 use super::Job;
-use crate::process::Entry;
-
-/// Interval at which the leader publishes load figures.
-const FIGURES_INTERVAL: Duration = Duration::from_millis(200);
+use crate::process::{Entry, PUBLISH_INTERVAL};
 
 /// The server selected for a request.
 #[derive(Clone, Debug)]
@@ -128,7 +125,7 @@
     }
     let queued = job.prompt().and_then(|p| cx.queued.borrow().get(&p.model).copied());
     let has_turn = rand::rng().random::<f64>() < turn_probability(room, queued.unwrap_or(0));
-    job.lost_turn_until.set((!has_turn).then(|| now + FIGURES_INTERVAL));
+    job.lost_turn_until.set((!has_turn).then(|| now + PUBLISH_INTERVAL));
     has_turn
 }
 
--- a/tests/platform_sessions/store_tests.rs
+++ b/tests/platform_sessions/store_tests.rs
@@ -209,3 +209,29 @@
     let call = Call { body: Some("{}"), ..Call::new("a1", "/read/level") };
     assert_eq!(cluster.caller.call(cluster.entry_address(), &call).await.status, Some(200));
 }
+
+/// Guards against an instance that drops a live server after an outage of the store because the
+/// leader passes on that the entry has gone, but not that it is back: the leader has kept the server
+/// for the grace period, so that nothing seems to change for it.
+#[tokio::test]
+async fn every_instance_learns_that_an_expired_entry_is_back() {
+    let mut cluster = TestCluster::new(vec![ledger("l1")]).await;
+    cluster.start_instance().await;
+    cluster.start_instance().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(ENTRY_EXPIRY).await;
+    cluster.store.delete("servers", "l1");
+    cluster.store.set_fault(StoreFault::None);
+    let is_removed =
+        |n: usize| !cluster.instances[n].log_lines(&["registry: entry removed", "l1"]).is_empty();
+    assert!(wait_for(WAIT, || is_removed(0) && is_removed(1)).await);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.store.put("servers", "l1", cluster.servers[0].entry(false));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for instance in &cluster.instances {
+        let call = Call::new("a1", "/read/x");
+        let outcome = cluster.caller.call(instance.addresses.callers, &call).await;
+        assert_eq!(outcome.status, Some(200), "{}: {outcome:?}", instance.name);
+    }
+}
