Log the shared parts of prompts and the start of a server's backoff

A request's line now has parts, the ids that other requests may share, and a server that cannot be reached leaves one line when its backoff begins. No logic changed.

--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -207,13 +207,26 @@
     }
 
     /// Applies a change to the health of a server, which starts out with the default.
-    pub(crate) fn update_health(&self, server: &str, change: impl FnOnce(&mut Health, Instant)) {
+    pub(crate) fn update_health<T>(
+        &self,
+        server: &str,
+        change: impl FnOnce(&mut Health, Instant) -> T,
+    ) -> T {
         let mut health = self.health.borrow_mut();
         match health.get_mut(server) {
             Some(health) => change(health, Instant::now()),
             None => change(health.entry(server.into()).or_default(), Instant::now()),
         }
     }
+
+    /// Records that a server could not be reached.
+    pub(crate) fn record_unreachable(&self, server: &str) {
+        let until = self.update_health(server, |health, now| health.record_unreachable(now));
+        if let Some(until) = until {
+            let backoff_ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            tracing::info!(server, backoff_ms, "servers: unreachable; backing off");
+        }
+    }
 }
 
 /// Time since the machine booted, including time in suspension.
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -209,7 +209,7 @@
         None => match Connection::connect(&selection.id, selection.address, job.deadline).await {
             Ok(connection) => connection,
             Err(_) => {
-                cx.update_health(&selection.id, |health, now| health.record_unreachable(now));
+                cx.record_unreachable(&selection.id);
                 return AttemptOutcome::NotSent;
             }
         },
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -157,7 +157,7 @@
         return SelectResult::Full;
     }
     let prefix_affinity =
-        job.prompt().and_then(|p| Some(affinity_key(&p.model, p.shared_part.as_deref()?)));
+        job.prompt().and_then(|p| Some(affinity_key(&p.model, p.shared_prefix()?)));
     match choose_server(&candidates, prefix_affinity, rand::rng().random()) {
         Some(index) => SelectResult::Selected(Selection {
             id: servers[index].entry.id.clone(),
--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use http::StatusCode;
-use platform_adapter::ClientHeaders;
+use platform_adapter::{ClientHeaders, Prompt};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use routes::{CallKind, DeploymentVersion, Route};
@@ -17,6 +17,9 @@
 /// Once the list of decisions has this length in bytes, no more are added.
 const MAX_STEPS_BYTES: usize = 700;
 
+/// Most bytes of the ids of prompt parts in a log line.
+const MAX_PARTS_BYTES: usize = 200;
+
 /// Collects the decisions made for one request. Writes exactly one log line: when the request ends,
 /// or when the trace is dropped because the caller closed the connection.
 pub(crate) struct Trace {
@@ -27,6 +30,8 @@
     model: Box<str>,
     /// Tokens of the prompt, and maximum tokens of the response.
     tokens: (u64, u64),
+    /// Ids of the parts of the prompt that other requests may share.
+    parts: Box<str>,
     kind: &'static str,
     version: DeploymentVersion,
     arrived_at: Instant,
@@ -57,6 +62,12 @@
     since.elapsed().as_millis() as u64
 }
 
+fn join_parts(prompt: &Prompt) -> Box<str> {
+    let mut joined = prompt.shared_parts.join(",");
+    joined.truncate(joined.floor_char_boundary(MAX_PARTS_BYTES));
+    joined.into()
+}
+
 impl Trace {
     pub(crate) fn new(
         cx: &Entry,
@@ -79,6 +90,7 @@
                 None => model.into(),
             },
             tokens: prompt.map_or((0, 0), |p| (p.prompt_tokens, p.max_output_tokens)),
+            parts: prompt.map_or_else(|| "".into(), join_parts),
             kind: kind_name(route.kind),
             version,
             arrived_at,
@@ -145,7 +157,7 @@
         self.requests.get_or_create(&labels).inc();
         tracing::info!(id = %self.id, route = %self.route, service = %self.service,
             model = %self.model, prompt_tokens = self.tokens.0, answer_tokens = self.tokens.1,
-            kind = self.kind, version = self.version, outcome, status,
+            kind = self.kind, parts = %self.parts, version = self.version, outcome, status,
             first_byte_ms = self.first_byte_ms, took_ms = elapsed_ms(self.arrived_at),
             steps = %self.steps, "request: ended");
     }
--- a/components/request/server_choice/src/health.rs
+++ b/components/request/server_choice/src/health.rs
@@ -41,15 +41,16 @@
         self.updated_at = Some(now);
     }
 
-    /// Records that the server could not be reached or did not answer.
-    pub fn record_unreachable(&mut self, now: Instant) {
+    /// Records that the server could not be reached. Returns the end of the backoff if one begins.
+    pub fn record_unreachable(&mut self, now: Instant) -> Option<Instant> {
         self.record_failure(now, 1.0);
         if self.is_backing_off(now) {
-            return;
+            return None;
         }
         let backoff = INITIAL_BACKOFF * 2_u32.pow(self.consecutive_unreachable.min(8));
         self.backoff_until = Some(now + backoff.min(MAX_BACKOFF));
         self.consecutive_unreachable += 1;
+        self.backoff_until
     }
 
     /// Records an answer, which ends the backoff.
