--- /dev/null
+++ b/tests/platform_sessions/deadly_tests.rs
@@ -0,0 +1,67 @@
+//! Requests that end the servers that run them.
+
+use std::time::Duration;
+
+use platform_stand_in::{Call, Deadly, Outcome, Server};
+
+use crate::cluster::{TestCluster, engine};
+
+/// The part that ends servers, and the prompts with and without it.
+const DEADLY_PART: &str = "dead0001";
+const DEADLY_PROMPT: &str = "5c1e07a2:20,91bd3f06:10,dead0001:10,e4402b7d:10";
+const SOUND_PROMPT: &str = "5c1e07a2:20,91bd3f06:10,e4402b7d:10";
+
+/// Time in which the instances learn of a deadly part after its fifth crash.
+const LEARNING_TIME: Duration = Duration::from_secs(3);
+/// Requests with the part that may reach servers after that.
+const MAX_LATE_ARRIVALS: u32 = 3;
+
+async fn call(cluster: &TestCluster, n: usize, path: &str, parts: &str) -> Outcome {
+    let id = format!("a{n}");
+    let instance = &cluster.instances[n % cluster.instances.len()];
+    let call = Call { model: Some("m1"), body: Some("{}"), parts, ..Call::new(&id, path) };
+    cluster.caller.call(instance.addresses.callers, &call).await
+}
+
+fn total(servers: &[Server], count: impl Fn(&Server) -> u32) -> u32 {
+    servers.iter().map(count).sum()
+}
+
+async fn cluster_with_deadly_part(instances: usize) -> TestCluster {
+    let servers = (1..=6).map(|n| engine(&format!("e{n}"), &["m1"])).collect();
+    let mut cluster = TestCluster::new(servers).await;
+    for _ in 0..instances {
+        cluster.start_instance().await;
+    }
+    for server in &cluster.servers {
+        server.set_deadly(Some(Deadly::Part(DEADLY_PART)));
+    }
+    cluster
+}
+
+/// Guards against sending requests with a part that ends servers to one server after another, at
+/// each instance anew (BUDGET, LOST).
+#[tokio::test]
+#[ignore = "KNOWN-RED.txt, entry 6"]
+async fn requests_with_a_part_that_ends_servers_are_kept_from_servers() {
+    let cluster = cluster_with_deadly_part(3).await;
+    for n in 0..6 {
+        call(&cluster, n, "/chat/x", SOUND_PROMPT).await;
+    }
+    for n in 10..22 {
+        let outcome = call(&cluster, n, "/chat/x", DEADLY_PROMPT).await;
+        assert_ne!(outcome.status, Some(200), "{outcome:?}");
+    }
+    tokio::time::sleep(LEARNING_TIME).await;
+    let before = total(&cluster.servers, Server::deadly_arrivals);
+    for n in 30..42 {
+        let outcome = call(&cluster, n, "/chat/x", DEADLY_PROMPT).await;
+        assert_ne!(outcome.status, Some(200), "{outcome:?}");
+    }
+    let late = total(&cluster.servers, Server::deadly_arrivals) - before;
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} requests reached servers");
+    for n in 50..70 {
+        let outcome = call(&cluster, n, "/chat/x", SOUND_PROMPT).await;
+        assert!(outcome.status == Some(200) && outcome.is_complete, "{n}: {outcome:?}");
+    }
+}
