Keep requests that end servers from further servers

Cause: a failure that the request causes was booked on the server, and the request sent to the next one, at each instance anew. Change: new crate quarantine. When a server ends (its host refuses connections) under requests that it had not begun to answer, their properties (prompt parts, model, adapter, path of a call) become suspects until a request with them is answered. A property at two ends is banned; several that nothing tells apart are banned together, and a request with a part of them narrows the ban. Instances report ends to the leader, new bans go to all at once, and what any instance has answered speaks for a property. A banned request is refused at once: 503 if it has not run, else 502. Works because only a property that no answered request has can be at two ends, however common the other properties are. Workspace tests pass.

--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -54,6 +54,15 @@
     HeadTooLong,
 }
 
+/// Why no connection was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// The server's host answered that nothing accepts connections there.
+    Refused,
+    /// Nothing answered in time.
+    Unreachable,
+}
+
 /// An open connection to a server. Dropping it closes the connection, so that the server stops
 /// working on the request in flight.
 pub(crate) struct Connection {
@@ -79,15 +88,15 @@
         server: &str,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<Self, SendError> {
+    ) -> Result<Self, ConnectError> {
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let stream = match timeout_at(deadline.into(), TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 tracing::debug!(server, %address, %error, "server: connection refused");
-                return Err(SendError::NotSent);
+                return Err(ConnectError::Refused);
             }
-            Err(_) => return Err(SendError::NotSent),
+            Err(_) => return Err(ConnectError::Unreachable),
         };
         set_socket_options(&stream);
         let budget = ReadBudget::unlimited();
@@ -96,7 +105,7 @@
             .handshake(TokioIo::new(BudgetedStream { stream, budget: budget.clone() }));
         let Ok(Ok((sender, hyper_connection))) = timeout_at(deadline.into(), handshake).await
         else {
-            return Err(SendError::NotSent);
+            return Err(ConnectError::Unreachable);
         };
         let task = spawn_local(async move {
             if let Err(error) = hyper_connection.await {
--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -33,6 +33,7 @@
     pub(crate) store_calls: Counter,
     pub(crate) store_losses: Counter,
     pub(crate) oversized_responses: Counter,
+    pub(crate) server_crashes: Counter,
     pub(crate) caller_connections: Gauge,
     pub(crate) relayed_connections: Gauge,
     pub(crate) configuration_version: Gauge,
@@ -70,6 +71,10 @@
             "oversized_responses",
             "Responses of servers that were cut off because their head, body or an event was too long",
         );
+        let server_crashes = counter(
+            "server_crashes",
+            "Requests without an answer at servers that ended under them",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -97,6 +102,7 @@
             store_calls,
             store_losses,
             oversized_responses,
+            server_crashes,
             caller_connections,
             relayed_connections,
             configuration_version,
--- /dev/null
+++ b/components/process/entry/src/process/crashes.rs
@@ -0,0 +1,160 @@
+//! Ends of servers under requests, and the requests that are kept from servers because of them.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use quarantine::{Ban, CrashId, PropertyKey, PublishedBan, crash_id};
+use serde::{Deserialize, Serialize};
+use server_directory::ServerId;
+
+use super::instances::{BanNotice, Message};
+use super::peers::PeerSocket;
+use super::{Entry, boot_now};
+use crate::connection::{ConnectError, Connection};
+
+/// Time for which an end is repeated in the messages to the leader, in case one is lost.
+const REPORT_TIME: Duration = Duration::from_secs(1);
+/// Most ends that a message to the leader has.
+const MAX_REPORTS: usize = 32;
+/// Timeout of the connection that tells whether a server ended.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// The end of a server under a request that it had not begun to answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct CrashReport {
+    pub(crate) crash: CrashId,
+    /// Sorted properties of the request.
+    pub(crate) properties: Box<[PropertyKey]>,
+}
+
+/// Ends that this instance has seen and reports to the leader.
+#[derive(Debug, Default)]
+pub(crate) struct CrashReports {
+    /// With the time until which each is reported, oldest first.
+    reports: VecDeque<(CrashReport, Instant)>,
+}
+
+impl CrashReports {
+    fn push(&mut self, report: CrashReport, now: Instant) {
+        self.reports.push_back((report, now + REPORT_TIME));
+        let excess = self.reports.len().saturating_sub(MAX_REPORTS);
+        self.reports.drain(..excess);
+    }
+
+    pub(crate) fn current(&mut self, now: Instant) -> Vec<CrashReport> {
+        while self.reports.front().is_some_and(|(_, until)| *until <= now) {
+            self.reports.pop_front();
+        }
+        self.reports.iter().map(|(report, _)| report.clone()).collect()
+    }
+}
+
+/// A request without an answer at a server, as far as it matters for the server's end.
+pub(crate) struct LostRequest<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) server: &'a ServerId,
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) properties: &'a [PropertyKey],
+}
+
+impl Entry {
+    /// Until when requests with these properties are kept from the servers.
+    pub(crate) fn banned_until(&self, properties: &[PropertyKey]) -> Option<Instant> {
+        self.quarantine.borrow().banned_until(properties, Instant::now())
+    }
+
+    /// Records that a server answered a request.
+    pub(crate) fn record_answered(&self, properties: &[PropertyKey]) {
+        if self.quarantine.borrow_mut().record_answer(properties) {
+            tracing::info!(properties = %hex(properties), "quarantine: answered; ban narrowed or lifted");
+        }
+    }
+
+    /// Records that the connection of a request ended before the answer began. If the server ended
+    /// as well, the request may be the cause.
+    pub(crate) async fn record_lost(&self, lost: LostRequest<'_>) {
+        let LostRequest { id, server, address, properties } = lost;
+        let born = self.directory.borrow().get(server).map_or(0, |s| s.entry.holdings.born);
+        let deadline = Instant::now() + CHECK_TIMEOUT;
+        match Connection::connect(server, address, deadline).await {
+            Err(ConnectError::Refused) => {}
+            // The connection alone ended, or nobody can tell.
+            Ok(_) | Err(ConnectError::Unreachable) => return,
+        }
+        self.record_unreachable(server);
+        self.metrics.server_crashes.inc();
+        let now = Instant::now();
+        let crash = crash_id(server, born);
+        tracing::info!(id, %server, born, crash, properties = %hex(properties),
+            "quarantine: server ended under a request without an answer");
+        let ban = self.quarantine.borrow_mut().record_crash(crash, properties, now);
+        let report = CrashReport { crash, properties: properties.into() };
+        self.crash_reports.borrow_mut().push(report, now);
+        if let Some(ban) = ban {
+            self.announce(&ban);
+        }
+        self.waiting_changed.notify_one();
+    }
+
+    /// Applies what another instance reports: ends of servers, and answers to watched properties,
+    /// new ones and those before the ends.
+    pub(super) fn receive_crashes(
+        &self,
+        crashes: &[CrashReport],
+        new_answers: &[PropertyKey],
+        former_answers: &[PropertyKey],
+    ) {
+        let now = Instant::now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let is_narrowed = quarantine.record_former_answers(former_answers);
+        if quarantine.record_answer(new_answers) || is_narrowed {
+            tracing::info!(new_answers = %hex(new_answers), former_answers = %hex(former_answers),
+                "quarantine: answered elsewhere; ban narrowed or lifted");
+        }
+        let bans: Vec<Ban> = crashes
+            .iter()
+            .filter_map(|report| quarantine.record_crash(report.crash, &report.properties, now))
+            .collect();
+        drop(quarantine);
+        bans.iter().for_each(|ban| self.announce(ban));
+    }
+
+    /// Lets the other instances and the waiting requests know of a new ban.
+    fn announce(&self, ban: &Ban) {
+        let until_ms = ban.until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        tracing::warn!(properties = %hex(&ban.properties), until_ms, count = ban.count,
+            was_answered = ban.was_answered, "quarantine: requests are kept from the servers");
+        self.bans_changed.notify_one();
+        self.servers_changed.notify_waiters();
+    }
+
+    /// Takes over new bans of another instance.
+    pub(super) fn receive_bans(&self, from: &str, bans: &[PublishedBan]) {
+        for ban in bans {
+            tracing::info!(from, properties = %hex(&ban.properties), until_ms = ban.remaining_ms,
+                "quarantine: ban received");
+        }
+        self.quarantine.borrow_mut().merge(bans, Instant::now());
+        self.servers_changed.notify_waiters();
+    }
+}
+
+/// Properties as they are written in log lines.
+fn hex(properties: &[PropertyKey]) -> String {
+    let texts: Vec<String> = properties.iter().map(|key| format!("{key:016x}")).collect();
+    texts.join(",")
+}
+
+/// Sends the bans to all instances whenever this one has a new one. The leader also publishes them
+/// all the time.
+pub(crate) async fn share_bans(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
+    loop {
+        cx.bans_changed.notified().await;
+        let bans = cx.quarantine.borrow().published_bans(Instant::now());
+        let notice = BanNotice { from: cx.settings.name.clone(), sent_at: boot_now(), bans };
+        let addresses = cx.instances.borrow().addresses();
+        socket.send(&Message::Bans(notice), &addresses);
+    }
+}
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use quarantine::{PropertyKey, PublishedBan};
 use rand::seq::IteratorRandom;
 use replica_placement::{BootTime, HeldLease, InstanceName};
 use routes::{AdapterName, ModelName, ServiceName};
@@ -12,6 +13,7 @@
 use server_directory::{RecentChanges, ServerId};
 
 use super::ModelKey;
+use super::crashes::CrashReport;
 use super::message_delay::MessageDelay;
 
 /// Time without a message after which an instance's requests no longer count as in flight.
@@ -53,6 +55,18 @@
     PassOn(PassOn),
     /// Holdings that did not fit into a [`LeaderUpdate`].
     Holdings(HoldingsPart),
+    /// New bans of an instance, sent to all others.
+    Bans(BanNotice),
+}
+
+/// Requests that an instance found to end servers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct BanNotice {
+    pub(crate) from: InstanceName,
+    /// When the instance sent this, by its own clock.
+    pub(crate) sent_at: BootTime,
+    pub(crate) bans: Vec<PublishedBan>,
 }
 
 /// A message of the leader for the instances of another data centre.
@@ -123,6 +137,12 @@
     /// Waiting requests: service, model, number of requests.
     #[serde(rename = "wants")]
     pub(crate) waiting: Vec<(ServiceName, ModelKey, u32)>,
+    /// Ends of servers in the last second.
+    pub(crate) crashes: Vec<CrashReport>,
+    /// Properties that the leader watches, of requests that were answered since the last status.
+    pub(crate) new_answers: Vec<PropertyKey>,
+    /// Properties that the leader watches, of requests that were answered at some time.
+    pub(crate) former_answers: Vec<PropertyKey>,
 }
 
 /// The part of a server's holdings that matters for routing requests.
@@ -178,6 +198,10 @@
     pub(crate) queued: Vec<(ModelName, u32)>,
     /// Expected milliseconds until each model with waiting requests is loaded; a complete list.
     pub(crate) ready_in: Vec<(ModelName, u32)>,
+    /// Bans in force; a complete list.
+    pub(crate) bans: Vec<PublishedBan>,
+    /// Properties for which each instance says whether requests with them were answered.
+    pub(crate) watched: Vec<PropertyKey>,
 }
 
 /// Another instance.
@@ -277,6 +301,11 @@
         delivery
     }
 
+    /// Addresses of all other instances.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.by_name.values().map(|instance| instance.address).collect()
+    }
+
     /// Address of one instance.
     pub(crate) fn address(&self, name: &str) -> Option<SocketAddr> {
         Some(self.by_name.get(name)?.address)
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of the process, and the tasks that run as long as it does.
 
+mod crashes;
 mod follow;
 mod instances;
 mod message_delay;
@@ -17,6 +18,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
 use server_choice::{Health, PaceMeter, RetryBudget, RunTime};
@@ -27,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
+pub(crate) use crashes::{CrashReports, LostRequest};
 pub(crate) use instances::Instances;
 use instances::{ServerKey, server_key};
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
@@ -95,12 +98,18 @@
     /// Servers that refused a request for a model that they should hold, until this is reported
     /// to the leader.
     pub(crate) stale_holdings: RefCell<HashSet<ServerId>>,
+    /// Requests that are kept from the servers because they end them.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Ends of servers that are reported to the leader.
+    pub(crate) crash_reports: RefCell<CrashReports>,
     /// When the leader expects models with waiting requests to be loaded.
     pub(crate) ready_at: RefCell<HashMap<ModelName, Instant>>,
     /// Wakes waiting requests after servers or their holdings changed.
     pub(crate) servers_changed: Notify,
     /// Makes this instance report changed waiting requests or stale holdings to the leader.
     pub(crate) waiting_changed: Notify,
+    /// Makes this instance send its bans to the others.
+    pub(crate) bans_changed: Notify,
     /// Makes the leader plan again.
     pub(crate) plan_due: Notify,
     /// Signals that an update of the leader was applied, with its revisions of the store.
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -102,7 +102,12 @@
     let unreachable = unreachable.map(|(server, _)| server.clone()).collect();
     let stale_holdings = std::mem::take(&mut *cx.stale_holdings.borrow_mut()).into_iter().collect();
     let paces = cx.paces.borrow_mut().take();
+    let crashes = cx.crash_reports.borrow_mut().current(now);
+    let (new_answers, former_answers) = cx.quarantine.borrow_mut().take_answers();
     Status {
+        crashes,
+        new_answers,
+        former_answers,
         paces,
         unreachable,
         stale_holdings,
@@ -171,6 +176,9 @@
             && status.unreachable.is_empty()
             && status.stale_holdings.is_empty()
             && status.paces.is_empty()
+            && status.crashes.is_empty()
+            && status.new_answers.is_empty()
+            && status.former_answers.is_empty()
             && !status.is_leaving;
         if is_quiet && !is_triggered && skipped < MAX_SKIPPED_STATUSES {
             skipped += 1;
@@ -208,6 +216,7 @@
                     cx.servers_changed.notify_waiters();
                 }
             }
+            Ok(Message::Bans(notice)) => cx.receive_bans(&notice.from, &notice.bans),
             Ok(Message::PassOn(_)) => tracing::warn!(%from, "peers: message passed on twice"),
             Ok(Message::Released) => {
                 tracing::info!(%from, "orders: told that the lease is free");
@@ -223,6 +232,7 @@
     if status.from == cx.settings.name {
         return;
     }
+    cx.receive_crashes(&status.crashes, &status.new_answers, &status.former_answers);
     let is_plan_due = !status.waiting.is_empty() || !status.stale_holdings.is_empty();
     cx.instances.borrow_mut().record_status(status, from, Instant::now());
     if is_plan_due {
@@ -280,6 +290,7 @@
     let slow = update.slow.into_iter();
     *cx.slow_servers.borrow_mut() =
         slow.map(|(server, percent)| (server, f64::from(percent) / 100.0)).collect();
+    cx.quarantine.borrow_mut().follow_leader(&update.bans, &update.watched, now);
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
     cx.servers_changed.notify_waiters();
 }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -17,8 +17,8 @@
 
 use super::peers::PeerSocket;
 use super::{
-    Entry, Instances, Phase, RequestCounts, StoreAccess, SyncState, WaitingRequests, orders, peers,
-    store_sync,
+    Entry, Instances, Phase, RequestCounts, StoreAccess, SyncState, WaitingRequests, crashes,
+    orders, peers, store_sync,
 };
 use crate::connection::{
     ConnectionPools, accept_callers, accept_metrics, accept_readiness, accept_store_relays,
@@ -106,8 +106,11 @@
         instances: RefCell::new(Instances::default()),
         ready_at: RefCell::new(HashMap::new()),
         stale_holdings: RefCell::default(),
+        quarantine: RefCell::default(),
+        crash_reports: RefCell::default(),
         servers_changed: Notify::new(),
         waiting_changed: Notify::new(),
+        bans_changed: Notify::new(),
         plan_due: Notify::new(),
         leader_updated: Notify::new(),
         list_instances: Notify::new(),
@@ -128,6 +131,7 @@
     spawn_local(store_sync::expire_lapsed_entries(cx.clone()));
     spawn_local(peers::receive(cx.clone(), peer_socket.clone()));
     spawn_local(peers::send_status(cx.clone(), peer_socket.clone(), rand::rng().random()));
+    spawn_local(crashes::share_bans(cx.clone(), peer_socket.clone()));
     spawn_local(orders::maintain_lease(cx.clone(), peer_socket.clone()));
     spawn_local(orders::run_plan_loop(cx.clone(), peer_socket));
     spawn_local(watch_settings(cx.clone(), path.to_owned(), hangup));
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one server.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform_adapter::{ResponseClass, SystemHeaders, classify_response, set_system_headers};
+use quarantine::PropertyKey;
 use routes::{ModelName, ServiceName};
 use server_directory::ServerId;
 use tokio::time::timeout_at;
@@ -17,7 +19,7 @@
 use super::events::EventSplitter;
 use super::select::{Selection, has_free_slot_elsewhere};
 use crate::connection::{Connection, SendError};
-use crate::process::{Entry, InFlight};
+use crate::process::{Entry, InFlight, LostRequest};
 
 /// Largest response that is not a stream, in bytes. Such a response is read to its end before it
 /// is passed on.
@@ -39,6 +41,10 @@
 const STREAM_SILENT: &str = "stream sent no data in time";
 /// Reason recorded for a stream with an event beyond the size limit.
 const EVENT_TOO_LONG: &str = "event too long";
+/// Reason recorded for a stream whose connection ended.
+const STREAM_BROKE_OFF: &str = "stream broke off";
+/// Events after which a server counts as answering a request.
+const ANSWERING_EVENTS: u64 = 3;
 /// Longest time without events in a stream that can be resumed at another server. Callers leave
 /// after two seconds, and the new server needs part of that.
 const MAX_STREAM_SILENCE: Duration = Duration::from_millis(1_000);
@@ -63,8 +69,12 @@
     has_unknown_length: bool,
     is_resumable: bool,
     server: ServerId,
+    address: SocketAddr,
     service: ServiceName,
     model: ModelName,
+    /// Id of the attempt, and the properties of the request.
+    request: (Box<str>, Rc<[PropertyKey]>),
+    is_answering: bool,
     /// When the first event arrived.
     started_at: Instant,
     /// Number of events, and the time, at the last measurement of the server's pace.
@@ -126,6 +136,9 @@
                         return Chunk::Broken(EVENT_TOO_LONG);
                     };
                     self.measure_pace(cx);
+                    if self.splitter.event_count() >= ANSWERING_EVENTS {
+                        self.record_answering(cx);
+                    }
                     if self.is_resumable {
                         if !events.is_empty() {
                             return Chunk::Data(events);
@@ -138,7 +151,7 @@
                         return Chunk::Broken(STREAM_SILENT);
                     }
                 }
-                Ok(Some(Err(_))) => return Chunk::Broken("stream broke off"),
+                Ok(Some(Err(_))) => return Chunk::Broken(STREAM_BROKE_OFF),
                 Ok(None) if self.has_unknown_length && self.splitter.is_inside_event() => {
                     return Chunk::Broken("stream ended inside an event");
                 }
@@ -159,13 +172,26 @@
         }
     }
 
+    fn record_answering(&mut self, cx: &Entry) {
+        if !std::mem::replace(&mut self.is_answering, true) {
+            cx.record_answered(&self.request.1);
+        }
+    }
+
     /// Closes the connection of a stream that broke off, so that the server stops working on it.
-    pub(crate) fn abandon(self, cx: &Entry) {
+    pub(crate) async fn abandon(mut self, cx: &Entry, reason: &str) {
         cx.update_health(&self.server, |health, now| health.record_failure(now, 1.0));
+        self.connection = None;
+        if reason == STREAM_BROKE_OFF && !self.is_answering {
+            let (id, properties) = &self.request;
+            let (server, address) = (&self.server, self.address);
+            cx.record_lost(LostRequest { id, server, address, properties }).await;
+        }
     }
 
     /// Returns the connection to the pool after the end of the stream.
     pub(crate) fn finish(mut self, cx: &Entry) {
+        self.record_answering(cx);
         cx.update_health(&self.server, |health, now| health.record_answer(now));
         let mut run_times = cx.run_times.borrow_mut();
         run_times.entry(self.service.clone()).or_default().record(self.started_at.elapsed());
@@ -214,8 +240,10 @@
             }
         },
     };
-    // The server may have started to drain while the connection was established.
-    if !cx.directory.borrow().is_usable(&selection.id) {
+    // The server may have started to drain while the connection was established, or the request may
+    // be known to end servers by now.
+    if cx.banned_until(&job.properties).is_some() || !cx.directory.borrow().is_usable(&selection.id)
+    {
         return AttemptOutcome::NotSent;
     }
     let Some(req) = build_request(job, selection, last_event) else {
@@ -241,6 +269,8 @@
                 cx.metrics.oversized_responses.inc();
                 return AttemptOutcome::Lost("head of the answer too long");
             }
+            drop((connection, in_flight));
+            record_lost(cx, job, selection).await;
             return AttemptOutcome::Lost("connection ended without an answer");
         }
         None => {
@@ -274,6 +304,9 @@
         if !matches!(started, AttemptOutcome::Stream(_)) {
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 1.0));
         }
+        if matches!(started, AttemptOutcome::Lost(STREAM_BROKE_OFF)) {
+            record_lost(cx, job, selection).await;
+        }
         return started;
     }
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
@@ -292,6 +325,7 @@
             if !job.has_engine && !is_failure && selection.in_flight < selection.slots {
                 cx.record_pace(&selection.id, &job.service, sent_at.elapsed());
             }
+            cx.record_answered(&job.properties);
             cx.return_to_pool(connection);
             AttemptOutcome::Complete(parts, body.to_bytes())
         }
@@ -301,12 +335,20 @@
                 cx.metrics.oversized_responses.inc();
                 return AttemptOutcome::Lost("body of the answer too long");
             }
+            drop((connection, in_flight));
+            record_lost(cx, job, selection).await;
             AttemptOutcome::Lost("answer broke off")
         }
         Err(_) => AttemptOutcome::Lost("answer not complete in time"),
     }
 }
 
+async fn record_lost(cx: &Entry, job: &Job, selection: &Selection) {
+    let (server, address) = (&selection.id, selection.address);
+    let (id, properties) = (&*job.facts.attempt_id, &*job.properties);
+    cx.record_lost(LostRequest { id, server, address, properties }).await;
+}
+
 /// Waits for a response until the deadline, or only until `switch_at` if another server has a free
 /// slot for the request then and the limits allow a retry. Moving from one full queue to another
 /// would only lose the place in the first.
@@ -350,6 +392,9 @@
         has_unknown_length,
         is_resumable,
         server: selection.id.clone(),
+        address: selection.address,
+        request: (job.facts.attempt_id.clone(), job.properties.clone()),
+        is_answering: false,
         service: job.service.clone(),
         model: job.prompt().map_or_else(|| "".into(), |prompt| prompt.model.clone()),
         started_at: Instant::now(),
--- a/components/process/entry/src/request/failure.rs
+++ b/components/process/entry/src/request/failure.rs
@@ -38,6 +38,8 @@
     AnswerLost,
     /// The deadline passed.
     TimeOver,
+    /// Requests like it end the servers that run them.
+    Quarantined,
     /// The instance is shutting down or is not yet ready.
     NotServing,
 }
@@ -51,6 +53,7 @@
             Self::Full => "full",
             Self::AnswerLost => "answer_lost",
             Self::TimeOver => "time_over",
+            Self::Quarantined => "quarantined",
             Self::NotServing => "not_serving",
         }
     }
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -18,6 +18,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use platform_adapter::{ClientHeaders, Prompt, remove_client_headers, remove_hop_by_hop_headers};
+use quarantine::{Property, PropertyKey, property_keys};
 use rand::Rng;
 use routes::{Route, ServiceName};
 use server_directory::ServerId;
@@ -60,6 +61,24 @@
     /// Servers that were already tried and are skipped for now.
     pub(crate) tried: Vec<ServerId>,
     pub(crate) trace: Trace,
+    /// Sorted properties that may be the cause of a server's end.
+    pub(crate) properties: Rc<[PropertyKey]>,
+}
+
+/// Properties of a request that other requests may share.
+fn properties(
+    service: &str,
+    prompt: Option<&Prompt>,
+    path: Option<&PathAndQuery>,
+) -> Rc<[PropertyKey]> {
+    let Some(prompt) = prompt else {
+        return property_keys(service, path.map(|path| Property::Call(path.as_str())).into_iter())
+            .into();
+    };
+    let adapter = prompt.adapter.as_deref().map(|name| Property::Adapter(&prompt.model, name));
+    let parts = prompt.shared_parts.iter().map(|part| Property::Part(part));
+    let model = std::iter::once(Property::Model(&prompt.model));
+    property_keys(service, model.chain(adapter).chain(parts)).into()
 }
 
 impl Job {
@@ -162,7 +181,9 @@
         route.event_timeout().map_or(deadline, |max_wait| deadline.min(arrived_at + max_wait));
     let path = parts.uri.path_and_query().cloned();
     let trace = Trace::new(cx, &facts, &route, &service, deployment.version, arrived_at);
+    let prompt = facts.prompt.as_ref().filter(|_| has_engine);
     Ok(Job {
+        properties: properties(&service, prompt, path.as_ref()),
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         facts,
         route,
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -80,7 +80,7 @@
                 job.trace.record(reason);
                 let last_event = source.last_id().map(Box::<str>::from);
                 // Closes the connection to this server before the next one gets the request.
-                source.abandon(&cx);
+                source.abandon(&cx, reason).await;
                 let resumed = tokio::select! {
                     () = tx.closed() => return job.trace.end("caller_left", status),
                     resumed = resume(&cx, &mut job, last_event) => resumed,
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -81,6 +81,11 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = Instant::now();
+            if let Some(until) = cx.banned_until(&job.properties) {
+                job.trace.record("requests like it end servers");
+                let retry_after = until.saturating_duration_since(now);
+                return Err(SelectError { failure: Failure::Quarantined, retry_after });
+            }
             let result = try_select(cx, job);
             if !matches!(result, SelectResult::NoServer | SelectResult::Unreachable) {
                 self.service_wait_ends = None;
--- /dev/null
+++ b/components/process/quarantine/src/ban.rs
@@ -0,0 +1,78 @@
+//! Bans of requests.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::PropertyKey;
+
+/// Length of the first ban. Each further one is twice as long.
+const FIRST_TERM: Duration = Duration::from_secs(30);
+/// Number of terms after which their length stays the same.
+const MAX_DOUBLINGS: u8 = 5;
+
+/// Keeps the requests that have all of some properties from the servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ban {
+    /// Sorted and not empty. Several if the ends of servers do not tell them apart.
+    pub properties: Box<[PropertyKey]>,
+    /// After this time, requests are let through again. The ban is kept for one more term, in which
+    /// one more end of a server renews it.
+    pub until: Instant,
+    /// Number of bans of these properties so far, this one included.
+    pub count: u8,
+    /// Whether requests with these properties were answered before, so that only new answers
+    /// speak for them.
+    pub was_answered: bool,
+}
+
+/// A ban as instances tell each other of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PublishedBan {
+    /// See [`Ban::properties`].
+    pub properties: Box<[PropertyKey]>,
+    /// Milliseconds until [`Ban::until`].
+    pub remaining_ms: u32,
+    /// See [`Ban::count`].
+    pub count: u8,
+    /// See [`Ban::was_answered`].
+    pub was_answered: bool,
+}
+
+pub(crate) fn term(count: u8) -> Duration {
+    FIRST_TERM * 2_u32.pow(u32::from(count.saturating_sub(1).min(MAX_DOUBLINGS)))
+}
+
+impl Ban {
+    /// Whether a request with these sorted properties has all that are banned.
+    pub(crate) fn covers(&self, properties: &[PropertyKey]) -> bool {
+        self.properties.iter().all(|key| properties.binary_search(key).is_ok())
+    }
+
+    /// Whether the ban and the term after it are over.
+    pub(crate) fn is_forgotten(&self, now: Instant) -> bool {
+        self.until + term(self.count) <= now
+    }
+
+    /// The ban as other instances learn of it; `None` if requests are let through again.
+    pub(crate) fn published(&self, now: Instant) -> Option<PublishedBan> {
+        let remaining = self.until.checked_duration_since(now)?;
+        Some(PublishedBan {
+            properties: self.properties.clone(),
+            remaining_ms: remaining.as_millis() as u32,
+            count: self.count,
+            was_answered: self.was_answered,
+        })
+    }
+
+    pub(crate) fn from_published(published: &PublishedBan, now: Instant) -> Self {
+        let remaining = Duration::from_millis(u64::from(published.remaining_ms));
+        Self {
+            properties: published.properties.clone(),
+            until: now + remaining.min(term(published.count)),
+            count: published.count,
+            was_answered: published.was_answered,
+        }
+    }
+}
--- /dev/null
+++ b/components/process/quarantine/src/property.rs
@@ -0,0 +1,55 @@
+//! Properties that requests have in common.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Hash of a property, within one service.
+pub type PropertyKey = u64;
+
+/// Hash of a server and its run, which ends once.
+pub type CrashId = u64;
+
+/// A property of a request that others may share, and that may be the cause of a server's end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Property<'a> {
+    /// A part of the prompt, by its id.
+    Part(&'a str),
+    /// The model.
+    Model(&'a str),
+    /// The adapter of a model.
+    Adapter(&'a str, &'a str),
+    /// Path and query of a call to a plain service.
+    Call(&'a str),
+}
+
+impl Property<'_> {
+    fn key(self, seed: u64) -> PropertyKey {
+        let hash = |kind: u64, text: &str| xxh3_64_with_seed(text.as_bytes(), seed ^ kind);
+        match self {
+            Self::Part(id) => hash(1, id),
+            Self::Model(model) => hash(2, model),
+            Self::Adapter(model, adapter) => xxh3_64_with_seed(adapter.as_bytes(), hash(3, model)),
+            Self::Call(path) => hash(4, path),
+        }
+    }
+}
+
+/// Most properties of one request that are considered.
+const MAX_PROPERTIES: usize = 64;
+
+/// Keys of the properties of a request to a service, sorted and without repetitions.
+pub fn property_keys<'a>(
+    service: &str,
+    properties: impl Iterator<Item = Property<'a>>,
+) -> Box<[PropertyKey]> {
+    let seed = xxh3_64_with_seed(service.as_bytes(), 0);
+    let mut keys: Vec<PropertyKey> =
+        properties.take(MAX_PROPERTIES).map(|property| property.key(seed)).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys.into()
+}
+
+/// Id of the end of a server's run that started at `born`.
+pub fn crash_id(server: &str, born: u64) -> CrashId {
+    xxh3_64_with_seed(server.as_bytes(), born)
+}
--- /dev/null
+++ b/components/process/quarantine/src/suspects.rs
@@ -0,0 +1,270 @@
+//! Suspicion against properties, and the bans that follow from it.
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::ban::term;
+use crate::recent_keys::RecentKeys;
+use crate::{Ban, CrashId, PropertyKey, PublishedBan};
+
+/// Ends of servers that ban a property.
+const MIN_CRASHES: usize = 2;
+/// Further ends that it takes if requests with the property were answered before.
+const ANSWERED_ALLOWANCE: usize = 2;
+/// Least time between the first and the last end that ban such a property. When many servers end
+/// together, requests elsewhere are answered meanwhile.
+const MIN_SPREAD_OF_ANSWERED: Duration = Duration::from_secs(1);
+/// Time after which the end of a server no longer counts.
+const SUSPICION_TTL: Duration = Duration::from_secs(60);
+/// Most suspects; the oldest ones are dropped.
+const MAX_SUSPECTS: usize = 512;
+/// Most suspects that are published.
+const MAX_WATCHED: usize = 64;
+/// Most ends of servers with a known cause that are remembered.
+const MAX_EXPLAINED: usize = 256;
+/// Most bans.
+const MAX_BANS: usize = 64;
+/// Time for which a ban of this instance holds although the leader does not publish it.
+const UNCONFIRMED_TTL: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Debug)]
+struct Suspect {
+    /// Ends of servers under a request with the property since the last answer to one, less those
+    /// with another known cause.
+    crashes: BTreeSet<CrashId>,
+    first_at: Instant,
+    last_at: Instant,
+}
+
+/// What an instance knows of properties that end servers.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<PropertyKey, Suspect>,
+    answered: RecentKeys,
+    bans: Vec<Ban>,
+    /// Until when bans that the leader does not publish are kept, with their properties.
+    unconfirmed: Vec<(Box<[PropertyKey]>, Instant)>,
+    /// Ends of servers that a banned property explains.
+    explained: VecDeque<CrashId>,
+    /// Suspects for which the leader asks whether requests with them were answered.
+    watched: HashSet<PropertyKey>,
+    /// Watched properties of requests that were answered since the last report to the leader.
+    new_answers: BTreeSet<PropertyKey>,
+}
+
+impl Quarantine {
+    /// Until when requests with these properties are kept from the servers.
+    pub fn banned_until(&self, properties: &[PropertyKey], now: Instant) -> Option<Instant> {
+        let bans = self.bans.iter().filter(|ban| ban.until > now && ban.covers(properties));
+        bans.map(|ban| ban.until).max()
+    }
+
+    /// Records that a server ended under a request that it had not begun to answer. Returns the ban
+    /// that follows.
+    pub fn record_crash(
+        &mut self,
+        crash: CrashId,
+        properties: &[PropertyKey],
+        now: Instant,
+    ) -> Option<Ban> {
+        self.expire(now);
+        if self.explained.contains(&crash) {
+            return None;
+        }
+        if let Some(ban) = self.bans.iter_mut().find(|ban| ban.covers(properties)) {
+            // Requests that were under way when the ban began do not prolong it.
+            let is_renewed = ban.until <= now;
+            if is_renewed {
+                ban.count = ban.count.saturating_add(1);
+                ban.until = now + term(ban.count);
+            }
+            let ban = ban.clone();
+            self.explain(&BTreeSet::from([crash]), &ban.properties);
+            return is_renewed.then(|| self.keep_unconfirmed(ban, now));
+        }
+        for key in properties {
+            let suspect = self.suspects.entry(*key).or_insert_with(|| Suspect {
+                crashes: BTreeSet::new(),
+                first_at: now,
+                last_at: now,
+            });
+            suspect.crashes.insert(crash);
+            suspect.last_at = now;
+        }
+        let level = properties.iter().map(|key| self.level(*key)).max()?;
+        if level < MIN_CRASHES {
+            return None;
+        }
+        let banned = properties.iter().filter(|key| self.level(**key) == level);
+        let banned: Box<[PropertyKey]> = banned.copied().collect();
+        let causes = self.suspects.get(banned.first()?)?.crashes.clone();
+        let was_answered = banned.iter().any(|key| self.answered.contains(*key));
+        // A ban of fewer properties covers the requests of those that name further ones.
+        self.bans.retain(|ban| !banned.iter().all(|key| ban.properties.contains(key)));
+        self.explain(&causes, &banned);
+        let ban = Ban { properties: banned, until: now + term(1), count: 1, was_answered };
+        if self.bans.len() >= MAX_BANS {
+            self.bans.remove(0);
+        }
+        self.bans.push(ban.clone());
+        Some(self.keep_unconfirmed(ban, now))
+    }
+
+    /// Ends of servers that speak against a property, less an allowance if requests with it were
+    /// answered before.
+    fn level(&self, key: PropertyKey) -> usize {
+        let Some(suspect) = self.suspects.get(&key) else { return 0 };
+        if !self.answered.contains(key) {
+            return suspect.crashes.len();
+        }
+        if suspect.last_at.saturating_duration_since(suspect.first_at) < MIN_SPREAD_OF_ANSWERED {
+            return 0;
+        }
+        suspect.crashes.len().saturating_sub(ANSWERED_ALLOWANCE)
+    }
+
+    /// Notes that one of `causes` caused these ends, so that they no longer speak against anything
+    /// else. They still tell the causes apart if these are several.
+    fn explain(&mut self, crashes: &BTreeSet<CrashId>, causes: &[PropertyKey]) {
+        for (key, suspect) in &mut self.suspects {
+            if !causes.contains(key) {
+                suspect.crashes.retain(|crash| !crashes.contains(crash));
+            }
+        }
+        self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+        self.explained.extend(crashes);
+        let excess = self.explained.len().saturating_sub(MAX_EXPLAINED);
+        self.explained.drain(..excess);
+    }
+
+    fn keep_unconfirmed(&mut self, ban: Ban, now: Instant) -> Ban {
+        self.unconfirmed.push((ban.properties.clone(), now + UNCONFIRMED_TTL));
+        ban
+    }
+
+    /// Records that a request was answered, which clears its properties. Returns whether a ban
+    /// changed.
+    pub fn record_answer(&mut self, properties: &[PropertyKey]) -> bool {
+        for key in properties {
+            self.answered.insert(*key);
+            self.suspects.remove(key);
+            if self.watched.contains(key) {
+                self.new_answers.insert(*key);
+            }
+        }
+        self.clear_banned(|key| properties.contains(&key))
+    }
+
+    /// Records properties of requests that another instance answered some time before a server
+    /// ended, which is weaker than an answer after it. Returns whether a ban changed.
+    pub fn record_former_answers(&mut self, properties: &[PropertyKey]) -> bool {
+        properties.iter().for_each(|key| self.answered.insert(*key));
+        let is_weak = |ban: &Ban| !ban.was_answered;
+        let weak: Vec<PropertyKey> = self
+            .bans
+            .iter()
+            .filter(|ban| is_weak(ban))
+            .flat_map(|ban| ban.properties.to_vec())
+            .collect();
+        self.clear_banned(|key| properties.contains(&key) && weak.contains(&key))
+    }
+
+    /// Takes sound properties out of the bans. A ban of several properties narrows to the others.
+    fn clear_banned(&mut self, is_sound: impl Fn(PropertyKey) -> bool) -> bool {
+        let mut has_changed = false;
+        for ban in &mut self.bans {
+            if ban.properties.iter().any(|key| is_sound(*key)) {
+                has_changed = true;
+                ban.properties =
+                    ban.properties.iter().copied().filter(|key| !is_sound(*key)).collect();
+            }
+        }
+        self.bans.retain(|ban| !ban.properties.is_empty());
+        has_changed
+    }
+
+    /// Forgets old suspects and bans.
+    fn expire(&mut self, now: Instant) {
+        self.bans.retain(|ban| !ban.is_forgotten(now));
+        self.unconfirmed.retain(|(_, until)| *until > now);
+        self.suspects.retain(|_, s| now.saturating_duration_since(s.last_at) < SUSPICION_TTL);
+        if self.suspects.len() > MAX_SUSPECTS {
+            let mut times: Vec<Instant> = self.suspects.values().map(|s| s.last_at).collect();
+            times.sort_unstable();
+            let oldest = times[times.len() - MAX_SUSPECTS / 2];
+            self.suspects.retain(|_, suspect| suspect.last_at >= oldest);
+        }
+    }
+
+    /// Number of entries of all kinds.
+    #[cfg(test)]
+    pub(crate) fn len(&self) -> usize {
+        self.suspects.len()
+            + self.answered.len()
+            + self.bans.len()
+            + self.explained.len()
+            + self.unconfirmed.len()
+            + self.new_answers.len()
+            + self.watched.len()
+    }
+
+    /// Bans in force.
+    pub fn published_bans(&self, now: Instant) -> Vec<PublishedBan> {
+        self.bans.iter().filter_map(|ban| ban.published(now)).collect()
+    }
+
+    /// Suspects for which the other instances should say whether requests with them were answered.
+    pub fn watch_list(&self) -> Vec<PropertyKey> {
+        let suspects = self.suspects.keys().copied().filter(|key| self.level(*key) > 0);
+        let banned = self.bans.iter().flat_map(|ban| ban.properties.iter().copied());
+        let mut keys: Vec<PropertyKey> = banned.chain(suspects).take(MAX_WATCHED).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        keys
+    }
+
+    /// Takes over new bans of another instance.
+    pub fn merge(&mut self, published: &[PublishedBan], now: Instant) {
+        self.adopt(published, now);
+        let until = now + UNCONFIRMED_TTL;
+        self.unconfirmed.extend(published.iter().map(|ban| (ban.properties.clone(), until)));
+    }
+
+    fn adopt(&mut self, published: &[PublishedBan], now: Instant) {
+        for ban in published {
+            let has_room = self.bans.len() < MAX_BANS && !ban.properties.is_empty();
+            let known = self.bans.iter_mut().find(|known| known.properties == ban.properties);
+            let ban = Ban::from_published(ban, now);
+            match known {
+                Some(known) => known.until = known.until.max(ban.until),
+                None if has_room => self.bans.push(ban),
+                None => {}
+            }
+        }
+    }
+
+    /// Replaces the bans by those that the leader publishes, and keeps new ones of this instance.
+    pub fn follow_leader(
+        &mut self,
+        published: &[PublishedBan],
+        watched: &[PropertyKey],
+        now: Instant,
+    ) {
+        self.expire(now);
+        let unconfirmed = &self.unconfirmed;
+        self.bans.retain(|ban| {
+            ban.until <= now
+                || unconfirmed.iter().any(|(properties, _)| *properties == ban.properties)
+        });
+        self.adopt(published, now);
+        self.watched = watched.iter().copied().collect();
+    }
+
+    /// Watched properties of requests that this instance answered since the last call, and those
+    /// that it answered some time before.
+    pub fn take_answers(&mut self) -> (Vec<PropertyKey>, Vec<PropertyKey>) {
+        let new = std::mem::take(&mut self.new_answers).into_iter().collect();
+        let former = self.watched.iter().copied().filter(|key| self.answered.contains(*key));
+        (new, former.collect())
+    }
+}
--- /dev/null
+++ b/components/process/quarantine/src/tests.rs
@@ -0,0 +1,218 @@
+//! Tests of finding requests that end servers. Pattern: one in twenty requests has a part that ends
+//! each server that begins to answer it; its other parts are those of sound requests.
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use crate::{Property, PropertyKey, Quarantine, crash_id, property_keys};
+
+/// A part that all requests have, one that some have, one of another session, and the deadly one.
+const COMMON: PropertyKey = 1;
+const SESSION: PropertyKey = 2;
+const OTHER_SESSION: PropertyKey = 3;
+const DEADLY: PropertyKey = 9;
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// Guards against a third server that ends under requests with the same part.
+#[test]
+fn second_crash_bans_the_part_that_was_never_answered() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_answer(&[COMMON, SESSION]);
+    assert!(quarantine.record_crash(1, &[COMMON, SESSION, DEADLY], now).is_none());
+    let ban = quarantine.record_crash(2, &[COMMON, OTHER_SESSION, DEADLY], now).unwrap();
+    assert_eq!(*ban.properties, [DEADLY]);
+    assert!(quarantine.banned_until(&[COMMON, DEADLY], now).is_some());
+    assert!(quarantine.banned_until(&[COMMON, SESSION, OTHER_SESSION], now).is_none());
+}
+
+/// Guards against counting one server's end several times, because several requests were there or
+/// its report came twice.
+#[test]
+fn one_crash_counts_once() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    for _ in 0..5 {
+        assert!(quarantine.record_crash(1, &[DEADLY], now).is_none());
+    }
+    assert!(quarantine.record_crash(2, &[DEADLY], now).is_some());
+}
+
+/// Guards against refusing sound requests that share a part with deadly ones, before anything tells
+/// the two parts apart.
+#[test]
+fn parts_that_cannot_be_told_apart_are_banned_together() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_crash(1, &[SESSION, DEADLY], now);
+    let ban = quarantine.record_crash(2, &[SESSION, DEADLY], now).unwrap();
+    assert_eq!(*ban.properties, [SESSION, DEADLY]);
+    assert!(quarantine.banned_until(&[SESSION], now).is_none());
+    assert!(quarantine.banned_until(&[SESSION, DEADLY], now).is_some());
+    // A sound request with one of them narrows the ban to the other.
+    assert!(quarantine.record_answer(&[SESSION]));
+    assert!(quarantine.banned_until(&[DEADLY], now).is_some());
+}
+
+/// Guards against one ban for each session, none of which covers the requests of the next one.
+#[test]
+fn a_further_crash_narrows_the_ban_to_the_common_part() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_crash(1, &[SESSION, DEADLY], now);
+    quarantine.record_crash(2, &[SESSION, DEADLY], now);
+    let ban = quarantine.record_crash(3, &[OTHER_SESSION, DEADLY], now).unwrap();
+    assert_eq!(*ban.properties, [DEADLY]);
+    assert_eq!(quarantine.published_bans(now).len(), 1);
+}
+
+/// Guards against banning parts of sound requests when many servers are lost together, or one after
+/// the other while requests with these parts are answered elsewhere.
+#[rstest]
+#[case::together(0.0)]
+#[case::in_turn(3.0)]
+fn lost_servers_do_not_ban_common_parts(#[case] gap_s: f64) {
+    let (mut quarantine, mut now) = (Quarantine::default(), Instant::now());
+    quarantine.record_answer(&[COMMON]);
+    for crash in 0..30 {
+        now += seconds(gap_s);
+        let ban = quarantine.record_crash(crash, &[COMMON, 100 + crash], now);
+        assert!(ban.is_none(), "{crash}: {ban:?}");
+        if gap_s > 0.0 {
+            quarantine.record_answer(&[COMMON]);
+        }
+    }
+}
+
+/// Guards against a part that turns deadly after requests with it were answered.
+#[test]
+fn a_part_that_was_answered_before_is_banned_after_more_crashes() {
+    let (mut quarantine, mut now) = (Quarantine::default(), Instant::now());
+    quarantine.record_answer(&[DEADLY]);
+    let mut bans = Vec::new();
+    for crash in 0..4 {
+        now += seconds(0.5);
+        bans.extend(quarantine.record_crash(crash, &[DEADLY], now));
+    }
+    assert_eq!(bans.len(), 1);
+    // Former answers do not speak for it, a new one does.
+    quarantine.record_former_answers(&[DEADLY]);
+    assert!(quarantine.banned_until(&[DEADLY], now).is_some());
+    quarantine.record_answer(&[DEADLY]);
+    assert!(quarantine.banned_until(&[DEADLY], now).is_none());
+}
+
+/// Guards against sending requests with a deadly part again and again after its ban.
+#[test]
+fn one_crash_renews_a_ban_that_has_ended() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_crash(1, &[DEADLY], now);
+    let first = quarantine.record_crash(2, &[DEADLY], now).unwrap().until;
+    // A request that was under way does not prolong the ban.
+    assert!(quarantine.record_crash(3, &[DEADLY], now).is_none());
+    assert!(quarantine.banned_until(&[DEADLY], first).is_none());
+    let second = quarantine.record_crash(4, &[DEADLY], first).unwrap().until;
+    assert_eq!(second - first, (first - now) * 2);
+}
+
+/// Guards against taking a part that was in the same place as a deadly one for a second one.
+#[test]
+fn crashes_with_a_known_cause_ban_nothing_else() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    for crash in 1..=2 {
+        quarantine.record_crash(crash, &[DEADLY], now);
+        let ban = quarantine.record_crash(crash, &[SESSION], now);
+        assert!(ban.is_none() || crash == 2);
+    }
+    // A sound request that was at two ends of servers is at none that counts.
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(1, &[SESSION], now);
+    quarantine.record_crash(1, &[DEADLY], now);
+    quarantine.record_crash(2, &[DEADLY], now);
+    assert!(quarantine.record_crash(2, &[SESSION], now).is_none());
+    assert!(quarantine.record_crash(3, &[SESSION], now).is_none());
+}
+
+/// Guards against two deadly parts of which the second one hides behind the first.
+#[test]
+fn two_deadly_parts_are_both_banned() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_answer(&[COMMON]);
+    for (crash, part) in [(1, 8), (2, 9), (3, 8), (4, 9)] {
+        quarantine.record_crash(crash, &[COMMON, part], now);
+    }
+    assert!(quarantine.banned_until(&[COMMON, 8], now).is_some());
+    assert!(quarantine.banned_until(&[COMMON, 9], now).is_some());
+    assert!(quarantine.banned_until(&[COMMON], now).is_none());
+}
+
+/// Guards against an instance that acts on what it knows alone: bans reach the others, and what
+/// those answered narrows them.
+#[test]
+fn instances_share_bans_and_answers() {
+    let now = Instant::now();
+    let [mut leader, mut other] = [Quarantine::default(), Quarantine::default()];
+    other.record_answer(&[SESSION]);
+    // The ends were seen by two instances.
+    leader.record_crash(1, &[SESSION, DEADLY], now);
+    leader.record_crash(2, &[SESSION, DEADLY], now);
+    other.follow_leader(&leader.published_bans(now), &leader.watch_list(), now);
+    assert!(other.banned_until(&[SESSION, DEADLY], now).is_some());
+    let (new, former) = other.take_answers();
+    assert_eq!((new, former.clone()), (Vec::new(), vec![SESSION]));
+    assert!(leader.record_former_answers(&former));
+    other.follow_leader(&leader.published_bans(now), &leader.watch_list(), now);
+    assert!(other.banned_until(&[OTHER_SESSION, DEADLY], now).is_some());
+    // A new answer lifts a ban at the leader.
+    other.record_answer(&[DEADLY]);
+    let (new, _) = other.take_answers();
+    assert!(leader.record_answer(&new));
+    other.follow_leader(&leader.published_bans(now), &leader.watch_list(), now);
+    assert!(other.banned_until(&[DEADLY], now).is_none());
+}
+
+/// Guards against dropping a new ban because of an update that the leader sent before it knew.
+#[test]
+fn new_bans_outlast_an_update_that_does_not_have_them() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_crash(1, &[DEADLY], now);
+    quarantine.record_crash(2, &[DEADLY], now);
+    quarantine.follow_leader(&[], &[], now + seconds(0.2));
+    assert!(quarantine.banned_until(&[DEADLY], now).is_some());
+    quarantine.follow_leader(&[], &[], now + seconds(1.5));
+    assert!(quarantine.banned_until(&[DEADLY], now).is_none());
+}
+
+/// Guards against memory that grows with the number of requests or of lost servers.
+#[test]
+fn state_is_bounded() {
+    let (mut quarantine, mut now) = (Quarantine::default(), Instant::now());
+    for n in 0..20_000 {
+        now += seconds(0.001);
+        quarantine.record_answer(&[n]);
+        if n % 10 == 0 {
+            quarantine.record_crash(n, &[100_000 + n, 200_000 + n], now);
+            quarantine.record_crash(n + 1, &[100_000 + n, 300_000 + n], now);
+        }
+    }
+    assert!(quarantine.len() < 10_000, "{}", quarantine.len());
+    assert!(quarantine.watch_list().len() <= 64 && quarantine.published_bans(now).len() <= 64);
+}
+
+/// Guards against mixing up properties of different kinds, services or servers with equal names.
+#[test]
+fn keys_tell_kinds_services_and_runs_apart() {
+    let key =
+        |service: &str, property: Property<'_>| property_keys(service, [property].into_iter())[0];
+    let keys = [
+        key("s", Property::Part("x")),
+        key("t", Property::Part("x")),
+        key("s", Property::Model("x")),
+        key("s", Property::Call("x")),
+        key("s", Property::Adapter("x", "x")),
+        crash_id("x", 1),
+        crash_id("x", 2),
+    ];
+    let unique: std::collections::BTreeSet<_> = keys.iter().collect();
+    assert_eq!(unique.len(), keys.len());
+}
--- a/tests/platform_sessions/deadly_tests.rs
+++ b/tests/platform_sessions/deadly_tests.rs
@@ -42,7 +42,6 @@
 /// Guards against sending requests with a part that ends servers to one server after another, at
 /// each instance anew (BUDGET, LOST).
 #[tokio::test]
-#[ignore = "KNOWN-RED.txt, entry 6"]
 async fn requests_with_a_part_that_ends_servers_are_kept_from_servers() {
     let cluster = cluster_with_deadly_part(3).await;
     for n in 0..6 {
