A copy of an earlier refusal is not taken for the response to a request

Test: copy_of_an_earlier_refusal_is_not_taken_for_the_response, where the call ran twice without the change. On a kept connection a refusal now has to name the request; on a fresh one nothing earlier can be left over. Connections are closed after each refusal already, so that one which names a request is not seen by a later one.

--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -75,6 +75,8 @@
     last_used_at: Instant,
     /// The connection is not reused for another request after this time.
     reuse_until: Instant,
+    /// Whether an earlier request used the connection.
+    is_reused: bool,
 }
 
 impl Drop for Connection {
@@ -120,6 +122,7 @@
             budget,
             last_used_at: now,
             reuse_until: now,
+            is_reused: false,
         })
     }
 
@@ -128,6 +131,11 @@
         &self.server
     }
 
+    /// Whether an earlier request used the connection.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
@@ -219,6 +227,7 @@
             return;
         }
         connection.last_used_at = now;
+        connection.is_reused = true;
         let mut pools = self.idle.borrow_mut();
         let connections = pools.entry(connection.server.clone()).or_default();
         if connections.len() < max_idle_count {
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -279,7 +279,12 @@
         }
     };
     let (parts, body) = response.into_parts();
-    match classify_response(parts.status, &parts.headers, &job.facts.attempt_id) {
+    match classify_response(
+        parts.status,
+        &parts.headers,
+        &job.facts.attempt_id,
+        connection.is_reused(),
+    ) {
         ResponseClass::Mismatched => {
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 0.5));
             return AttemptOutcome::Lost("answer belongs to another request");
--- a/tests/platform_sessions/caller_tests.rs
+++ b/tests/platform_sessions/caller_tests.rs
@@ -157,7 +157,7 @@
 /// because of it.
 #[tokio::test]
 async fn second_copy_of_a_response_is_not_delivered_to_the_next_caller() {
-    let server = RepeatingServer::start("l1").await;
+    let server = RepeatingServer::start("l1", false).await;
     let mut cluster = TestCluster::new(Vec::new()).await;
     cluster.store.put("servers", server.id, server.entry("ledger"));
     cluster.start_instance().await;
@@ -173,3 +173,45 @@
         }
     }
 }
+
+/// Guards against telling a caller that its request was not run, or running it at a second server,
+/// because of a copy of an earlier refusal on a kept connection.
+#[tokio::test]
+async fn copy_of_an_earlier_refusal_is_not_taken_for_the_response() {
+    let server = RepeatingServer::start("l1", true).await;
+    let mut cluster = TestCluster::new(Vec::new()).await;
+    cluster.store.put("servers", server.id, server.entry("ledger"));
+    cluster.start_instance().await;
+    for n in 0..10 {
+        let id = format!("a{n}");
+        let before = server.runs();
+        let call = Call { body: Some("{}"), ..Call::new(&id, "/book/salt") };
+        let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
+        let was_run = server.runs() - before;
+        assert_eq!(was_run, 1, "{outcome:?}");
+        assert_ne!(outcome.status, Some(503), "{outcome:?}");
+    }
+}
+
+/// Guards against the text of an error in the middle of a stream, or a stream that ends as if it
+/// were complete, when the server that should continue it answers with an error.
+#[tokio::test]
+async fn error_of_the_next_server_is_no_part_of_a_stream() {
+    let cluster =
+        TestCluster::with_instance(vec![engine("e1", &["m1"]), engine("e2", &["m1"])]).await;
+    for server in &cluster.servers {
+        server.set_fault(Fault::BreakInside(4));
+    }
+    let call = Call { model: Some("m1"), body: Some("{}"), ..Call::new("a1", "/chat/x") };
+    let caller = cluster.caller.clone();
+    let address = cluster.entry_address();
+    let outcome = tokio::spawn(async move { caller.call(address, &call).await });
+    let has_started = || cluster.servers.iter().any(|server| server.runs("a1") > 0);
+    assert!(wait_for(Duration::from_secs(10), has_started).await);
+    for server in cluster.servers.iter().filter(|server| server.runs("a1") == 0) {
+        server.set_fault(Fault::Errors);
+    }
+    let outcome = outcome.await.unwrap();
+    assert!(!outcome.is_complete, "{outcome:?}");
+    assert_eq!(outcome.body, events(1..=3));
+}
