Loads and calls that end servers are not tried on further ones

Loads of models and adapters are properties of their own in the quarantine. A banned model is left out of the plan, and requests that need its load are refused at once. A load that succeeded, or a model that any server holds, speaks for the load.

--- a/components/process/entry/src/process/crashes.rs
+++ b/components/process/entry/src/process/crashes.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use quarantine::{Ban, CrashId, PropertyKey, PublishedBan, crash_id};
+use quarantine::{Ban, CrashId, Property, PropertyKey, PublishedBan, crash_id, property_keys};
 use serde::{Deserialize, Serialize};
-use server_directory::ServerId;
+use server_directory::{Server, ServerId};
 
 use super::instances::{BanNotice, Message};
 use super::peers::PeerSocket;
@@ -98,6 +98,64 @@
         self.waiting_changed.notify_one();
     }
 
+    /// Until when a model, or an adapter of it, is not loaded on any server.
+    pub(crate) fn load_banned_until(
+        &self,
+        service: &str,
+        model: &str,
+        adapter: Option<&str>,
+    ) -> Option<Instant> {
+        let model_until = self.banned_until(&load_key(service, model, None));
+        let adapter_until =
+            adapter.and_then(|a| self.banned_until(&load_key(service, model, Some(a))));
+        model_until.max(adapter_until)
+    }
+
+    /// Records that a load failed after its order was sent. If the server ended, the load may be the
+    /// cause, and further servers are spared it.
+    pub(crate) async fn record_failed_load(
+        &self,
+        server: &ServerId,
+        model: &str,
+        adapter: Option<&str>,
+    ) {
+        let known = self
+            .directory
+            .borrow()
+            .get(server)
+            .map(|known| (known.entry.address, load_key(&known.entry.service, model, adapter)));
+        if let Some((address, properties)) = known {
+            let properties = &*properties;
+            let is_held = |s: &Server| s.entry.holdings.serves(model, adapter);
+            if self.directory.borrow().servers().any(is_held) {
+                self.quarantine.borrow_mut().record_former_answers(properties);
+            }
+            self.record_lost(LostRequest { id: "load", server, address, properties }).await;
+        }
+    }
+
+    /// Records that a server refused the load itself. Another server would hardly take it.
+    pub(crate) fn record_refused_load(&self, server: &str, model: &str, adapter: Option<&str>) {
+        let known = self.directory.borrow().get(server).map(|known| {
+            (known.entry.holdings.born, load_key(&known.entry.service, model, adapter))
+        });
+        let Some((born, properties)) = known else { return };
+        // A refusal for the load of one model must not explain other losses of the server.
+        let refusal = crash_id(server, born) ^ properties.first().copied().unwrap_or(0);
+        let ban = self.quarantine.borrow_mut().record_crash(refusal, &properties, Instant::now());
+        if let Some(ban) = ban {
+            self.announce(&ban);
+        }
+    }
+
+    /// Records that a model or an adapter was loaded.
+    pub(crate) fn record_load(&self, server: &str, model: &str, adapter: Option<&str>) {
+        let service = self.directory.borrow().get(server).map(|s| s.entry.service.clone());
+        if let Some(service) = service {
+            self.record_answered(&load_key(&service, model, adapter));
+        }
+    }
+
     /// Applies what another instance reports: ends of servers, and answers to watched properties,
     /// new ones and those before the ends.
     pub(super) fn receive_crashes(
@@ -141,6 +199,10 @@
     }
 }
 
+fn load_key(service: &str, model: &str, adapter: Option<&str>) -> Box<[PropertyKey]> {
+    property_keys(service, [Property::Load(model, adapter)].into_iter())
+}
+
 /// Properties as they are written in log lines.
 fn hex(properties: &[PropertyKey]) -> String {
     let texts: Vec<String> = properties.iter().map(|key| format!("{key:016x}")).collect();
--- a/components/process/entry/src/process/orders/adapters.rs
+++ b/components/process/entry/src/process/orders/adapters.rs
@@ -35,7 +35,8 @@
             && server.entry.holdings.serves(&key.model, Some(&adapter))
     });
     let pending = (ServiceName::from(service), key.clone());
-    if is_served || leader.borrow().adapters_in_progress.contains(&pending) {
+    let is_banned = cx.load_banned_until(service, &key.model, Some(&adapter)).is_some();
+    if is_banned || is_served || leader.borrow().adapters_in_progress.contains(&pending) {
         return;
     }
     let planned = {
@@ -82,6 +83,7 @@
         .is_some();
         if !is_done {
             invalidate_holdings(&cx, &leader, &server);
+            cx.record_failed_load(&server, &model, Some(&adapter)).await;
         }
         let mut state = leader.borrow_mut();
         state.adapters_in_progress.remove(&pending);
--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -106,6 +106,10 @@
     };
     match send_after_unload(cx, leader, server, &load, unloaded_at).await? {
         OrderOutcome::Accepted => count_accepted(leader, server),
+        OrderOutcome::Unknown => {
+            cx.record_failed_load(&planned.server, &model.name, None).await;
+            return None;
+        }
         _ => return None,
     }
     let expected = match planned.source {
@@ -149,7 +153,11 @@
             "orders: concurrency limit of the weight store"
         );
     }
+    if loaded.is_none() {
+        cx.record_failed_load(&planned.server, &model.name, None).await;
+    }
     loaded?;
+    cx.record_load(server, &model.name, None);
     record_cached_copy(cx, leader, engine, server, model);
     Some(())
 }
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -62,6 +62,12 @@
             OrderReply::Accepted => OrderOutcome::Accepted,
             OrderReply::InEffect => OrderOutcome::Holds,
             OrderReply::Conflict => OrderOutcome::Conflict,
+            OrderReply::Invalid => {
+                if order.is_load {
+                    cx.record_refused_load(server, &order.model, order.adapter.as_deref());
+                }
+                OrderOutcome::Failed
+            }
             OrderReply::Rejected => OrderOutcome::Failed,
         },
         Err(is_sent) if is_sent => OrderOutcome::Unknown,
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -1,5 +1,6 @@
 //! The leader's loop: queries holdings, plans, sends orders and publishes its state.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -175,6 +176,7 @@
     leader.borrow_mut().queued.clear();
     for (service, engine) in deployment.engines() {
         let waiting = waiting_by_model(cx, service);
+        let engine = &*without_banned_models(cx, service, engine);
         let moves = plan_service(cx, &mut leader.borrow_mut(), service, engine, &waiting, now);
         for planned in moves {
             spawn_local(execute_move(cx.clone(), leader.clone(), engine.clone(), planned));
@@ -191,6 +193,17 @@
     cx.servers_changed.notify_waiters();
 }
 
+/// The engine without the models whose loads end servers.
+fn without_banned_models<'a>(cx: &Entry, service: &str, engine: &'a Engine) -> Cow<'a, Engine> {
+    let is_banned = |model: &str| cx.load_banned_until(service, model, None).is_some();
+    if !cx.quarantine.borrow().has_bans() || !engine.models.keys().any(|model| is_banned(model)) {
+        return Cow::Borrowed(engine);
+    }
+    let mut engine = engine.clone();
+    engine.models.retain(|model, _| !is_banned(model));
+    Cow::Owned(engine)
+}
+
 fn plan_service(
     cx: &Entry,
     leader: &mut Leader,
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -135,6 +135,14 @@
         let model = job.prompt().map(|prompt| prompt.model.clone());
         let ready_at = model.and_then(|model| cx.ready_at.borrow().get(&model).copied());
         let ready_at = ready_at.filter(|_| !is_loaded);
+        let banned_until = job.prompt().and_then(|prompt| {
+            cx.load_banned_until(&job.service, &prompt.model, prompt.adapter.as_deref())
+        });
+        if let Some(until) = banned_until {
+            job.trace.record("loads of the model or adapter end servers");
+            let retry_after = until.saturating_duration_since(now);
+            return Err(SelectError { failure: Failure::Quarantined, retry_after });
+        }
         if self.waiting.is_none() {
             self.waiting = WaitingRequest::for_job(cx, job);
             job.trace.record(format_args!(
--- a/components/process/quarantine/src/property.rs
+++ b/components/process/quarantine/src/property.rs
@@ -19,6 +19,8 @@
     Adapter(&'a str, &'a str),
     /// Path and query of a call to a plain service.
     Call(&'a str),
+    /// The load of a model, or of an adapter of it.
+    Load(&'a str, Option<&'a str>),
 }
 
 impl Property<'_> {
@@ -29,6 +31,10 @@
             Self::Model(model) => hash(2, model),
             Self::Adapter(model, adapter) => xxh3_64_with_seed(adapter.as_bytes(), hash(3, model)),
             Self::Call(path) => hash(4, path),
+            Self::Load(model, None) => hash(5, model),
+            Self::Load(model, Some(adapter)) => {
+                xxh3_64_with_seed(adapter.as_bytes(), hash(6, model))
+            }
         }
     }
 }
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -208,6 +208,11 @@
             + self.watched.len()
     }
 
+    /// Whether there is any ban.
+    pub fn has_bans(&self) -> bool {
+        !self.bans.is_empty()
+    }
+
     /// Bans in force.
     pub fn published_bans(&self, now: Instant) -> Vec<PublishedBan> {
         self.bans.iter().filter_map(|ban| ban.published(now)).collect()
--- a/tests/platform_sessions/deadly_tests.rs
+++ b/tests/platform_sessions/deadly_tests.rs
@@ -4,7 +4,7 @@
 
 use platform_stand_in::{Call, Deadly, Outcome, Server};
 
-use crate::cluster::{TestCluster, engine};
+use crate::cluster::{TestCluster, engine, ledger};
 
 /// The part that ends servers, and the prompts with and without it.
 const DEADLY_PART: &str = "dead0001";
@@ -64,3 +64,44 @@
         assert!(outcome.status == Some(200) && outcome.is_complete, "{n}: {outcome:?}");
     }
 }
+
+/// Guards against ordering a load that ends servers at one server after another.
+#[tokio::test]
+async fn load_that_ends_servers_is_not_ordered_again() {
+    let servers = (1..=5).map(|n| engine(&format!("e{n}"), &["m1"])).collect();
+    let mut cluster = TestCluster::new(servers).await;
+    cluster.start_instance().await;
+    for server in &cluster.servers {
+        server.set_deadly(Some(Deadly::Load("m4")));
+    }
+    for n in 0..6 {
+        let id = format!("a{n}");
+        let call = Call { model: Some("m4"), body: Some("{}"), ..Call::new(&id, "/chat/x") };
+        let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
+        assert_ne!(outcome.status, Some(200), "{outcome:?}");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let ends = total(&cluster.servers, Server::ends);
+    assert!((1..=2).contains(&ends), "{ends} servers ended");
+    let outcome = call(&cluster, 50, "/chat/x", SOUND_PROMPT).await;
+    assert_eq!(outcome.status, Some(200), "{outcome:?}");
+}
+
+/// Guards against repeating a call that ends the servers of a plain service.
+#[tokio::test]
+async fn call_that_ends_servers_is_not_repeated() {
+    let servers = (1..=4).map(|n| ledger(&format!("l{n}"))).collect();
+    let mut cluster = TestCluster::new(servers).await;
+    cluster.start_instance().await;
+    for server in &cluster.servers {
+        server.set_deadly(Some(Deadly::Path("/read/deadly")));
+    }
+    for n in 0..8 {
+        let id = format!("a{n}");
+        cluster.caller.call(cluster.entry_address(), &Call::new(&id, "/read/deadly")).await;
+    }
+    let arrivals = total(&cluster.servers, Server::deadly_arrivals);
+    assert!(arrivals <= 2, "{arrivals} calls reached servers");
+    let outcome = cluster.caller.call(cluster.entry_address(), &Call::new("b", "/read/x")).await;
+    assert_eq!(outcome.status, Some(200), "{outcome:?}");
+}
