Servers that say they leave, and servers that ask for a pause

Neither Server-Leaving nor a server's Retry-After was read. Leaving: the sign in any response, also to orders and reports, makes the run of the server unusable, whatever the registry lists, until a later run starts; its idle connections are closed, and it gets no loads. The run is remembered beyond its entry (512 at most). The other instances learn of it through status and leader's update, as a hint that can only take a server out. Pause: a 503 with Retry-After (seconds, fractions, dates against the date of the response; at most 60 s; others are ignored with a log line) keeps all requests, orders and reports of this instance from the server. Afterwards one request at a time goes there, twice as many after each answer. If all servers pause beyond a request's time, it is refused at once with the earliest end. A response by another server at a reused address (421) does not count. Both changes share the decoded notice and are one commit.

--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -9,7 +9,8 @@
 pub(crate) use callers::accept_callers;
 pub(crate) use operators::{accept_metrics, accept_readiness};
 pub(crate) use server::{
-    ConnectError, Connection, ConnectionPools, MAX_IDLE_PER_SERVER, SendError, control_call,
+    ConnectError, Connection, ConnectionPools, ControlReply, MAX_IDLE_PER_SERVER, SendError,
+    control_call,
 };
 pub(crate) use store_relay::accept_store_relays;
 
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use platform_adapter::{ServerNotice, decode_server_notice};
 use server_directory::ServerId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -241,6 +242,13 @@
     }
 }
 
+/// Response to a call of an engine's control interface.
+pub(crate) struct ControlReply {
+    pub(crate) status: StatusCode,
+    pub(crate) notice: ServerNotice,
+    pub(crate) body: Bytes,
+}
+
 /// Builds the body of a call right before it is sent; `None` if it must no longer be sent.
 pub(crate) type BodySource<'a> = &'a dyn Fn() -> Option<Vec<u8>>;
 
@@ -252,7 +260,7 @@
     path: &str,
     body: Option<BodySource<'_>>,
     deadline: Instant,
-) -> Result<(StatusCode, Bytes), bool> {
+) -> Result<ControlReply, bool> {
     let mut connection = Connection::connect(server, address, deadline).await.map_err(|_| false)?;
     let mut req = Request::builder()
         .method(if body.is_some() { Method::POST } else { Method::GET })
@@ -275,9 +283,10 @@
         Err(_) => return Err(true),
     };
     let status = response.status();
+    let notice = decode_server_notice(status, response.headers());
     let body = Limited::new(response.into_body(), MAX_CONTROL_BODY_BYTES).collect();
     match timeout_at(deadline.into(), body).await {
-        Ok(Ok(body)) => Ok((status, body.to_bytes())),
+        Ok(Ok(body)) => Ok(ControlReply { status, notice, body: body.to_bytes() }),
         _ => Err(true),
     }
 }
--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -34,6 +34,8 @@
     pub(crate) store_losses: Counter,
     pub(crate) oversized_responses: Counter,
     pub(crate) server_crashes: Counter,
+    pub(crate) server_pauses: Counter,
+    pub(crate) leaving_servers: Counter,
     pub(crate) caller_connections: Gauge,
     pub(crate) relayed_connections: Gauge,
     pub(crate) configuration_version: Gauge,
@@ -75,6 +77,9 @@
             "server_crashes",
             "Requests without an answer at servers that ended under them",
         );
+        let server_pauses = counter("server_pauses", "Pauses that servers asked for");
+        let leaving_servers =
+            counter("leaving_servers", "Servers that said in a response that they are leaving");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -103,6 +108,8 @@
             store_losses,
             oversized_responses,
             server_crashes,
+            server_pauses,
+            leaving_servers,
             caller_connections,
             relayed_connections,
             configuration_version,
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -137,6 +137,8 @@
     /// Waiting requests: service, model, number of requests.
     #[serde(rename = "wants")]
     pub(crate) waiting: Vec<(ServiceName, ModelKey, u32)>,
+    /// Servers that said lately that they are leaving, and the start of their runs.
+    pub(crate) leaving: Vec<(ServerId, u64)>,
     /// Ends of servers in the last second.
     pub(crate) crashes: Vec<CrashReport>,
     /// Properties that the leader watches, of requests that were answered since the last status.
@@ -198,6 +200,8 @@
     pub(crate) queued: Vec<(ModelName, u32)>,
     /// Expected milliseconds until each model with waiting requests is loaded; a complete list.
     pub(crate) ready_in: Vec<(ModelName, u32)>,
+    /// Servers that said lately that they are leaving, and the start of their runs.
+    pub(crate) leaving: Vec<(ServerId, u64)>,
     /// Bans in force; a complete list.
     pub(crate) bans: Vec<PublishedBan>,
     /// Properties for which each instance says whether requests with them were answered.
--- a/components/process/entry/src/process/instances/tests.rs
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -20,6 +20,7 @@
         unreachable: Vec::new(),
         stale_holdings: Vec::new(),
         paces: Vec::new(),
+        leaving: Vec::new(),
         crashes: Vec::new(),
         new_answers: Vec::new(),
         former_answers: Vec::new(),
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod request_counts;
 mod run;
+mod server_notices;
 mod store_access;
 mod store_route;
 mod store_sync;
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -10,7 +10,7 @@
 
 use super::REFUSED_PAUSE;
 use super::leader::{AcceptedOrders, Leader};
-use crate::connection::control_call;
+use crate::connection::{ControlReply, control_call};
 use crate::process::{Entry, boot_now};
 
 /// Timeout of an order or a report; engines answer in a few milliseconds.
@@ -49,6 +49,10 @@
     let Some(address) = cx.directory.borrow().get(server).map(|s| s.entry.address) else {
         return OrderOutcome::Failed;
     };
+    if cx.paused_until(server).is_some() {
+        tracing::info!(server, model = %order.model, "orders: not sent; the server asked for a pause");
+        return OrderOutcome::Conflict;
+    }
     // Checks that this instance may still send orders right before the order is sent.
     let body = || {
         let fence = cx.leader_lease.borrow_mut().authorize_order(server, boot_now())?;
@@ -57,8 +61,9 @@
     cx.metrics.orders.inc();
     let by = Instant::now() + ORDER_TIMEOUT;
     let reply = control_call(address, server, platform_adapter::ORDER_PATH, Some(&body), by).await;
+    record_notice(cx, server, &reply);
     let outcome = match reply {
-        Ok((status, _)) => match platform_adapter::decode_order_reply(status) {
+        Ok(reply) => match platform_adapter::decode_order_reply(reply.status) {
             OrderReply::Accepted => OrderOutcome::Accepted,
             OrderReply::InEffect => OrderOutcome::Holds,
             OrderReply::Conflict => OrderOutcome::Conflict,
@@ -78,14 +83,26 @@
     outcome
 }
 
+fn record_notice(cx: &Entry, server: &str, reply: &Result<ControlReply, bool>) {
+    // Another server at the same address does not speak for this one.
+    if let Ok(reply) = reply
+        && reply.status != StatusCode::MISDIRECTED_REQUEST
+    {
+        cx.record_notice(server, reply.notice, "control");
+    }
+}
+
 /// Fetches the report of a server on its holdings.
 async fn fetch_report(cx: &Rc<Entry>, server: &str) -> Option<Report> {
     let address = cx.directory.borrow().get(server)?.entry.address;
     cx.metrics.reports.inc();
     let by = Instant::now() + ORDER_TIMEOUT;
     let reply = control_call(address, server, platform_adapter::REPORT_PATH, None, by).await;
+    record_notice(cx, server, &reply);
     let report = match reply {
-        Ok((StatusCode::OK, body)) => platform_adapter::decode_report(&body),
+        Ok(ControlReply { status: StatusCode::OK, body, .. }) => {
+            platform_adapter::decode_report(&body)
+        }
         _ => None,
     };
     match &report {
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -104,7 +104,8 @@
             let id = &server.entry.id;
             let service = deployment.services.get(&server.entry.service);
             let is_engine = service.is_some_and(|service| service.engine.is_some());
-            let is_paused = state.paused_until.get(id).is_some_and(|until| *until > now);
+            let is_paused = cx.paused_until(id).is_some()
+                || state.paused_until.get(id).is_some_and(|until| *until > now);
             let is_settling = state.last_order_at.get(id).is_some_and(|at| now < *at + REPORT_LAG);
             if is_engine
                 && !server.entry.is_draining
@@ -270,7 +271,8 @@
         .map(|server| {
             let id = &*server.entry.id;
             let health = cx.health.borrow().get(id).copied().unwrap_or_default();
-            let is_paused = leader.paused_until.get(id).is_some_and(|until| *until > now);
+            let is_paused = health.paused_until(now).is_some()
+                || leader.paused_until.get(id).is_some_and(|until| *until > now);
             ServerView {
                 id,
                 data_centre: &server.entry.data_centre,
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use replica_placement::{BootTime, HeldLease};
+use server_directory::ServerId;
 use tokio::net::UdpSocket;
 
 use super::instances::{Delivery, LeaderUpdate, Message, PassOn, ServerHoldings, Status};
@@ -105,6 +106,7 @@
     let crashes = cx.crash_reports.borrow_mut().current(now);
     let (new_answers, former_answers) = cx.quarantine.borrow_mut().take_answers();
     Status {
+        leaving: cx.leaving_hints(),
         crashes,
         new_answers,
         former_answers,
@@ -176,6 +178,7 @@
             && status.unreachable.is_empty()
             && status.stale_holdings.is_empty()
             && status.paces.is_empty()
+            && status.leaving.is_empty()
             && status.crashes.is_empty()
             && status.new_answers.is_empty()
             && status.former_answers.is_empty()
@@ -232,6 +235,7 @@
     if status.from == cx.settings.name {
         return;
     }
+    record_leaving(cx, &status.leaving, &status.from);
     cx.receive_crashes(&status.crashes, &status.new_answers, &status.former_answers);
     let is_plan_due = !status.waiting.is_empty() || !status.stale_holdings.is_empty();
     cx.instances.borrow_mut().record_status(status, from, Instant::now());
@@ -240,6 +244,12 @@
     }
 }
 
+fn record_leaving(cx: &Entry, leaving: &[(ServerId, u64)], from: &str) {
+    for (server, born) in leaving {
+        cx.record_leaving(server, *born, from);
+    }
+}
+
 /// Records the lease that a message of the leader contains. Returns how long the message was held
 /// up, or `None` if it is outdated.
 fn receive_lease(cx: &Entry, from: &str, lease: HeldLease, sent_at: BootTime) -> Option<Duration> {
@@ -290,6 +300,7 @@
     let slow = update.slow.into_iter();
     *cx.slow_servers.borrow_mut() =
         slow.map(|(server, percent)| (server, f64::from(percent) / 100.0)).collect();
+    record_leaving(cx, &update.leaving, &update.from);
     cx.quarantine.borrow_mut().follow_leader(&update.bans, &update.watched, now);
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
     cx.servers_changed.notify_waiters();
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -9,7 +9,9 @@
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use platform_adapter::{ResponseClass, SystemHeaders, classify_response, set_system_headers};
+use platform_adapter::{
+    ResponseClass, SystemHeaders, classify_response, decode_server_notice, set_system_headers,
+};
 use quarantine::PropertyKey;
 use routes::{ModelName, ServiceName};
 use server_directory::ServerId;
@@ -242,8 +244,10 @@
     };
     // The server may have started to drain while the connection was established, or the request may
     // be known to end servers by now.
-    if cx.banned_until(&job.properties).is_some() || !cx.directory.borrow().is_usable(&selection.id)
-    {
+    let has_changed = !cx.directory.borrow().is_usable(&selection.id)
+        || cx.paused_until(&selection.id).is_some()
+        || cx.banned_until(&job.properties).is_some();
+    if has_changed {
         return AttemptOutcome::NotSent;
     }
     let Some(req) = build_request(job, selection, last_event) else {
@@ -290,10 +294,14 @@
             return AttemptOutcome::Lost("answer belongs to another request");
         }
         ResponseClass::NotExecuted => {
+            // Another server at the same address does not speak for this one.
+            if parts.status != StatusCode::MISDIRECTED_REQUEST {
+                record_notice(cx, job, selection, &parts);
+            }
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 0.3));
             return AttemptOutcome::NotRun(parts.status);
         }
-        ResponseClass::Valid => {}
+        ResponseClass::Valid => record_notice(cx, job, selection, &parts),
     }
     if job.route.kind.is_stream() && parts.status.is_success() {
         let started = tokio::select! {
@@ -348,6 +356,11 @@
     }
 }
 
+fn record_notice(cx: &Entry, job: &Job, selection: &Selection, parts: &Parts) {
+    let notice = decode_server_notice(parts.status, &parts.headers);
+    cx.record_notice(&selection.id, notice, &job.facts.attempt_id);
+}
+
 async fn record_lost(cx: &Entry, job: &Job, selection: &Selection) {
     let (server, address) = (&selection.id, selection.address);
     let (id, properties) = (&*job.facts.attempt_id, &*job.properties);
--- a/components/process/entry/src/request/failure.rs
+++ b/components/process/entry/src/request/failure.rs
@@ -38,6 +38,8 @@
     AnswerLost,
     /// The deadline passed.
     TimeOver,
+    /// All servers that could run it asked for a pause.
+    Paused,
     /// Requests like it end the servers that run them.
     Quarantined,
     /// The instance is shutting down or is not yet ready.
@@ -53,6 +55,7 @@
             Self::Full => "full",
             Self::AnswerLost => "answer_lost",
             Self::TimeOver => "time_over",
+            Self::Paused => "paused",
             Self::Quarantined => "quarantined",
             Self::NotServing => "not_serving",
         }
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -31,6 +31,8 @@
     AllTried,
     /// Every server that is left to try has a full queue.
     Full,
+    /// Every server that is left to try asked for a pause; the first one ends at this time.
+    Paused(Instant),
     /// Every server that can run the request was already tried, and some are unreachable now.
     Unreachable,
     /// No server has both the model and the adapter.
@@ -77,6 +79,7 @@
         **id != *server
             && !job.tried.contains(id)
             && !health.get(id).is_some_and(|health| health.is_backing_off(now))
+            && cx.admits_request(id)
             && cx.in_flight_at(id) < other.entry.slots
     })
 }
@@ -105,6 +108,14 @@
     if servers.is_empty() {
         return Err(SelectResult::Unreachable);
     }
+    let pauses: Vec<Instant> =
+        servers.iter().filter_map(|server| cx.paused_until(&server.entry.id)).collect();
+    let are_all_paused = pauses.len() == servers.len();
+    servers.retain(|server| cx.admits_request(&server.entry.id));
+    if servers.is_empty() {
+        let first_end = pauses.into_iter().min().filter(|_| are_all_paused);
+        return Err(first_end.map_or(SelectResult::Full, SelectResult::Paused));
+    }
     servers.sort_by(|a, b| a.entry.id.cmp(&b.entry.id));
     Ok(servers)
 }
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -104,6 +104,7 @@
                     }
                     self.queue_wait(job, now)?
                 }
+                SelectResult::Paused(until) => self.pause_wait(job, until, now)?,
                 SelectResult::Unreachable if job.has_engine => {
                     // The leader loads the model on another server.
                     if self.waiting.is_none() {
@@ -165,6 +166,24 @@
         }
     }
 
+    /// Decides how long a request waits whose eligible servers all asked for a pause.
+    fn pause_wait(
+        &self,
+        job: &mut Job,
+        until: Instant,
+        now: Instant,
+    ) -> Result<Instant, SelectError> {
+        if until <= self.give_up_at {
+            return Ok(until);
+        }
+        let retry_after = until.saturating_duration_since(now);
+        job.trace.record(format_args!(
+            "every server asked for a pause, the first for {} more ms",
+            retry_after.as_millis()
+        ));
+        Err(SelectError { failure: Failure::Paused, retry_after })
+    }
+
     /// Decides how long a request waits whose eligible servers all have a full queue.
     fn queue_wait(&mut self, job: &mut Job, now: Instant) -> Result<Instant, SelectError> {
         let wait_ends = *self.queue_wait_ends.get_or_insert_with(|| {
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -111,10 +111,23 @@
     observed_at: Option<Instant>,
 }
 
+/// Most servers that are remembered as leaving.
+const MAX_LEAVING: usize = 512;
+
+/// A run of a server that said that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingRun {
+    born: u64,
+    known_since: Instant,
+}
+
 /// All known servers.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     servers: HashMap<ServerId, Server>,
+    /// At most [`MAX_LEAVING`]. Outlasts the entry, which an old list may bring back, and ends with
+    /// a later run.
+    leaving: HashMap<ServerId, LeavingRun>,
 }
 
 impl Directory {
@@ -133,6 +146,38 @@
         self.servers.get(id).is_some_and(|server| !server.entry.is_draining)
     }
 
+    /// Records that the run of a server that started at `born` said that it is leaving. Returns
+    /// whether that was not known.
+    pub fn record_leaving(&mut self, id: &str, born: u64, now: Instant) -> bool {
+        if self.leaving.get(id).is_some_and(|run| run.born >= born) {
+            return false;
+        }
+        if self.leaving.len() >= MAX_LEAVING {
+            let oldest = self.leaving.iter().min_by_key(|(_, run)| run.known_since);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.leaving.remove(&oldest);
+            }
+        }
+        self.leaving.insert(id.into(), LeavingRun { born, known_since: now });
+        match self.servers.get_mut(id) {
+            Some(server) if server.entry.holdings.born <= born => {
+                !std::mem::replace(&mut server.entry.is_draining, true)
+            }
+            _ => false,
+        }
+    }
+
+    /// Servers that said less than `max_age` ago that they are leaving, and the start of their runs.
+    pub fn recently_leaving(
+        &self,
+        now: Instant,
+        max_age: Duration,
+    ) -> impl Iterator<Item = (&ServerId, u64)> {
+        let is_recent =
+            move |run: &LeavingRun| now.saturating_duration_since(run.known_since) < max_age;
+        self.leaving.iter().filter(move |(_, run)| is_recent(run)).map(|(id, run)| (id, run.born))
+    }
+
     /// Applies a registry entry. Returns false if a newer run or a newer revision of the server is
     /// known.
     pub fn upsert(&mut self, mut entry: Entry, revision: Revision, now: Instant) -> bool {
@@ -161,6 +206,13 @@
                 observed_at = known.observed_at;
             }
         }
+        match self.leaving.get(&entry.id) {
+            Some(run) if run.born >= entry.holdings.born => entry.is_draining = true,
+            Some(_) => {
+                self.leaving.remove(&entry.id);
+            }
+            None => {}
+        }
         let server = Server { revision, first_revision, grace_ends_at: None, observed_at, entry };
         self.servers.insert(server.entry.id.clone(), server);
         true
--- a/components/process/server_directory/src/tests.rs
+++ b/components/process/server_directory/src/tests.rs
@@ -145,3 +145,45 @@
     assert_eq!(detector.grace_deadline(later), Some(deadline));
     assert_eq!(detector.grace_deadline(deadline), None);
 }
+
+/// Guards against sending requests again to a server that said it is leaving, because the registry
+/// lags, or an old list brings back its entry.
+#[test]
+fn a_leaving_server_stays_unusable_until_its_next_run() {
+    let now = Instant::now();
+    let mut d = Directory::default();
+    d.upsert(entry(holdings(5, &[])), 10, now);
+    assert!(d.record_leaving("s1", 5, now));
+    assert!(!d.record_leaving("s1", 5, now));
+    d.upsert(entry(holdings(5, &[])), 11, now);
+    assert!(!d.is_usable("s1"));
+    // An entry that is removed and listed again, also after an outage, is of the same run.
+    d.remove("s1", Some(now + Duration::from_secs(9)));
+    assert!(d.get("s1").is_none());
+    d.upsert(entry(holdings(5, &[])), 12, now + Duration::from_secs(60));
+    assert!(!d.is_usable("s1"));
+    d.upsert(entry(holdings(6, &[])), 13, now);
+    assert!(d.is_usable("s1"));
+    assert_eq!(d.recently_leaving(now, Duration::from_secs(1)).count(), 0);
+}
+
+/// Guards against a hint of another instance about a former run.
+#[test]
+fn a_hint_about_a_former_run_does_not_count() {
+    let now = Instant::now();
+    let mut d = Directory::default();
+    d.upsert(entry(holdings(6, &[])), 10, now);
+    assert!(!d.record_leaving("s1", 5, now));
+    assert!(d.is_usable("s1"));
+}
+
+/// Guards against memory that grows with the number of servers that have left.
+#[test]
+fn leaving_servers_are_bounded() {
+    let now = Instant::now();
+    let mut d = Directory::default();
+    for n in 0..2_000 {
+        d.record_leaving(&format!("s{n}"), 1, now + Duration::from_millis(n));
+    }
+    assert_eq!(d.recently_leaving(now, Duration::from_secs(60)).count(), MAX_LEAVING);
+}
--- a/components/request/server_choice/src/health.rs
+++ b/components/request/server_choice/src/health.rs
@@ -12,9 +12,24 @@
 /// Maximum backoff for an unreachable server.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 
+/// Longest pause that a server can ask for.
+pub const MAX_PAUSE: Duration = Duration::from_secs(60);
+
+/// Requests in flight from this instance at which the limit after a pause ends.
+const END_OF_RAMP: u32 = 32;
+
+/// A pause that a server asked for, and the time after it in which requests return gradually.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Instant,
+    /// Most requests in flight from this instance after the pause; doubles with each answer.
+    limit: u32,
+}
+
 /// Recent failures of one server, counted by the outcomes of requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
+    pause: Option<Pause>,
     failures: f64,
     updated_at: Option<Instant>,
     consecutive_unreachable: u32,
@@ -53,8 +68,36 @@
         self.backoff_until
     }
 
+    /// Begins a pause that the server asked for, at most [`MAX_PAUSE`]. Returns its end.
+    pub fn begin_pause(&mut self, now: Instant, length: Duration) -> Instant {
+        let until = now + length.min(MAX_PAUSE);
+        let until = self.pause.map_or(until, |pause| pause.until.max(until));
+        self.pause = Some(Pause { until, limit: 1 });
+        until
+    }
+
+    /// When the pause ends that the server asked for, if it lasts.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.pause.map(|pause| pause.until).filter(|until| *until > now)
+    }
+
+    /// Whether a pause of the server, or the time after one, leaves room for another request while
+    /// this instance has `own_in_flight` there.
+    pub fn admits(&self, now: Instant, own_in_flight: u32) -> bool {
+        match self.pause {
+            Some(pause) => pause.until <= now && own_in_flight < pause.limit,
+            None => true,
+        }
+    }
+
     /// Records an answer, which ends the backoff.
     pub fn record_answer(&mut self, now: Instant) {
+        if let Some(pause) = &mut self.pause
+            && pause.until <= now
+        {
+            pause.limit *= 2;
+            self.pause = self.pause.filter(|pause| pause.limit < END_OF_RAMP);
+        }
         self.failures = self.failures(now) * 0.8;
         self.updated_at = Some(now);
         self.consecutive_unreachable = 0;
--- a/components/request/server_choice/src/lib.rs
+++ b/components/request/server_choice/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use admission::{RunTime, in_flight_limit, queue_timeout, turn_probability};
 pub use choice::{Candidate, affinity_key, choose_server};
-pub use health::Health;
+pub use health::{Health, MAX_PAUSE};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use speed::{PaceBoard, PaceMeter, PaceSum};
--- a/components/request/server_choice/src/tests.rs
+++ b/components/request/server_choice/src/tests.rs
@@ -94,3 +94,35 @@
     assert!(f64::from(sent) <= 0.2 * 800.0 + 56.0, "{sent}");
     assert!(sent > 100, "{sent}");
 }
+
+/// Guards against a hundred pauses that end at once, after which all waiting requests go to the
+/// servers in the same moment.
+#[test]
+fn requests_return_gradually_after_a_pause() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    assert!(health.admits(now, 1_000));
+    let until = health.begin_pause(now, Duration::from_secs(2));
+    assert_eq!(health.paused_until(now), Some(until));
+    // An answer to a request that was under way does not end the pause.
+    health.record_answer(now);
+    assert!(!health.admits(now, 0));
+    now = until;
+    assert_eq!(health.paused_until(now), None);
+    let mut limits = Vec::new();
+    for _ in 0..6 {
+        limits.push((0..100).take_while(|in_flight| health.admits(now, *in_flight)).count());
+        health.record_answer(now);
+    }
+    assert_eq!(limits, [1, 2, 4, 8, 16, 100]);
+}
+
+/// Guards against a server that shuts itself off for years, and against a shorter second pause that
+/// ends the first one.
+#[test]
+fn pauses_are_bounded() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    assert_eq!(health.begin_pause(now, Duration::MAX), now + MAX_PAUSE);
+    assert_eq!(health.begin_pause(now, Duration::from_secs(1)), now + MAX_PAUSE);
+}
