Soak: servers that leave by their responses or ask for pauses

Two more faults. A leaving server begins a new run at the end of the fault; a pausing one asks for 1.5 s.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -27,6 +27,10 @@
     ServerWay(usize, Mode),
     /// A server's entry is marked as draining, then as serving again.
     Drain(usize),
+    /// A server says in its responses that it is leaving, then begins a new run.
+    Leaving(usize),
+    /// A server refuses requests and asks for a pause.
+    Pausing(usize),
     /// An instance is killed and restarted.
     Kill(usize),
     /// An instance is paused with `SIGSTOP`.
@@ -53,7 +57,7 @@
 fn random_kind(rng: &mut ChaCha8Rng, servers: usize, instances: usize) -> Kind {
     let server = rng.random_range(0..servers);
     let instance = rng.random_range(0..instances);
-    match rng.random_range(0..12) {
+    match rng.random_range(0..14) {
         0 => Kind::Store(StoreFault::Busy),
         1 => Kind::Store(StoreFault::Silent),
         2 => Kind::Store(StoreFault::LostAnswers),
@@ -75,6 +79,8 @@
         8 => Kind::Kill(instance),
         9 => Kind::Pause(instance),
         10 => Kind::Stop(instance),
+        11 => Kind::Leaving(server),
+        12 => Kind::Pausing(server),
         _ => Kind::Configuration,
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -195,6 +195,17 @@
                 tokio::time::sleep(duration).await;
                 self.register(server, false);
             }
+            Kind::Leaving(server) => {
+                self.servers[server].set_leaving(true);
+                tokio::time::sleep(duration).await;
+                self.servers[server].begin_new_run();
+                self.register(server, false);
+            }
+            Kind::Pausing(server) => {
+                self.servers[server].set_pause(Some("1.5"));
+                tokio::time::sleep(duration).await;
+                self.servers[server].set_pause(None);
+            }
             Kind::Kill(index) => {
                 self.begin_fault(index, |instance| instance.kill());
                 tokio::time::sleep(duration).await;
