Streams that end inside an event have broken off, however they are framed

Test stream_that_ends_inside_an_event_has_broken_off fails without the change (complete with two of five events). Blank lines after an event that came in a later chunk counted as the begin of an event, and ids after a lone CR or beside invalid UTF-8 were read differently with the chunks; events_do_not_depend_on_the_chunks found all three.

--- a/components/process/entry/src/process/instances/tests.rs
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the way of the leader's messages. Pattern: hundreds of instances in several data
 //! centres.
 
+use proptest::prelude::*;
+
 use super::*;
 
 fn address(n: usize) -> SocketAddr {
@@ -90,3 +92,25 @@
     assert_eq!(recipients(&delivery).len(), 61);
     assert!(delivery.relayed.iter().all(|(_, to)| to.len() == 4), "{delivery:?}");
 }
+
+proptest! {
+    /// Guards against a datagram of another sender, or a spoiled one, that ends an instance.
+    #[test]
+    fn spoiled_datagrams_are_decoded_or_refused(
+        edits in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..8),
+        len in any::<prop::sample::Index>(),
+    ) {
+        let message = Message::Status(status(3, "a"));
+        let mut datagram = postcard::to_allocvec(&message).unwrap();
+        for (at, byte) in edits {
+            let at = at.index(datagram.len());
+            datagram[at] = byte;
+        }
+        datagram.truncate(len.index(datagram.len() + 1));
+        if let Ok(Message::Status(status)) = postcard::from_bytes(&datagram) {
+            let mut instances = Instances::default();
+            instances.record_status(status, address(3), Instant::now());
+            prop_assert!(instances.take_new_arrivals().len() <= datagram.len());
+        }
+    }
+}
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -154,7 +154,7 @@
                     }
                 }
                 Ok(Some(Err(_))) => return Chunk::Broken(STREAM_BROKE_OFF),
-                Ok(None) if self.has_unknown_length && self.splitter.is_inside_event() => {
+                Ok(None) if self.splitter.is_inside_event() => {
                     return Chunk::Broken("stream ended inside an event");
                 }
                 Ok(None) => return Chunk::End,
--- a/components/process/entry/src/request/events.rs
+++ b/components/process/entry/src/request/events.rs
@@ -47,19 +47,22 @@
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.partial.extend_from_slice(bytes);
         let len = complete_events_len(&self.partial, self.searched);
+        // Blank lines between events belong to no event.
+        let rest = self.partial[len..].iter();
+        let len = len + rest.take_while(|byte| matches!(byte, b'\n' | b'\r')).count();
         let complete = self.partial.split_to(len).freeze();
         self.searched = self.partial.len().saturating_sub(SEPARATOR_OVERLAP);
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
-        let ids = complete.split(|byte| *byte == b'\n');
-        let ids = ids.filter_map(|line| line.strip_prefix(b"id:"));
+        let ids = complete.split(|byte| matches!(byte, b'\n' | b'\r'));
+        let ids = ids.filter_map(|line| std::str::from_utf8(line.strip_prefix(b"id:")?).ok());
         let mut last_id = None;
         for id in ids {
             self.event_count += 1;
             last_id = Some(id);
         }
-        if let Some(id) = last_id.and_then(|id| std::str::from_utf8(id).ok()) {
+        if let Some(id) = last_id {
             self.last_id = Some(id.trim().into());
         }
         Ok(complete)
--- a/components/process/entry/src/request/events/tests.rs
+++ b/components/process/entry/src/request/events/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of splitting a stream at event boundaries.
 
+use proptest::prelude::*;
+
 use super::*;
 
 /// Guards against passing on part of an event before the stream breaks off: the server that
@@ -59,3 +61,28 @@
         assert!(splitter.partial.len() - splitter.searched <= 3);
     }
 }
+
+proptest! {
+    /// Guards against events that depend on how the bytes of a stream arrive.
+    #[test]
+    fn events_do_not_depend_on_the_chunks(
+        bytes in prop::collection::vec(prop_oneof![
+            Just(b'\n'), Just(b'\r'), Just(b'i'), Just(b'd'), Just(b':'), any::<u8>()], 0..400),
+        cuts in prop::collection::vec(0..400_usize, 0..20),
+    ) {
+        let mut whole = EventSplitter::default();
+        let expected = whole.push(&bytes).unwrap();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(bytes.len())).collect();
+        cuts.extend([0, bytes.len()]);
+        cuts.sort_unstable();
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for pair in cuts.windows(2) {
+            events.extend_from_slice(&splitter.push(&bytes[pair[0]..pair[1]]).unwrap());
+        }
+        prop_assert_eq!(&events[..], &expected[..]);
+        prop_assert_eq!(splitter.is_inside_event(), whole.is_inside_event());
+        prop_assert_eq!(splitter.last_id(), whole.last_id());
+        prop_assert_eq!(splitter.event_count(), whole.event_count());
+    }
+}
--- a/tests/platform_sessions/caller_tests.rs
+++ b/tests/platform_sessions/caller_tests.rs
@@ -215,3 +215,22 @@
     assert!(!outcome.is_complete, "{outcome:?}");
     assert_eq!(outcome.body, events(1..=3));
 }
+
+/// Guards against a stream that looks complete although its server ended it inside an event: it is
+/// continued at another server, or ends as incomplete.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_has_broken_off() {
+    let cluster =
+        TestCluster::with_instance(vec![engine("e1", &["m1"]), engine("e2", &["m1"])]).await;
+    for server in &cluster.servers {
+        server.set_fault(Fault::EndInside(3));
+    }
+    for (path, id) in [("/chat/x", "a1"), ("/note/x", "a2")] {
+        let call = Call { model: Some("m1"), body: Some("{}"), ..Call::new(id, path) };
+        let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
+        assert!(!outcome.is_complete, "{path}: {outcome:?}");
+        assert!(outcome.body.starts_with(&events(1..=2)), "{path}: {outcome:?}");
+    }
+    let runs = |id| cluster.servers.iter().map(|server| server.runs(id)).sum::<u32>();
+    assert_eq!((runs("a1"), runs("a2")), (2, 1));
+}
