Single requests test a ban that has ended

Cause: at the end of a ban every instance let all requests through at once. Change: after its end a ban goes on, and one request at a time tests it, at the leader first and at the others only if the leader has not in a whole term. An answer lifts the ban, another end renews it for twice as long. It is forgotten a term after the last request that it refused. Tests: single_requests_test_a_ban_that_has_ended, a_ban_is_forgotten_when_no_more_requests_come.

--- a/components/process/entry/src/process/crashes.rs
+++ b/components/process/entry/src/process/crashes.rs
@@ -91,6 +91,17 @@
     pub(crate) properties: &'a [PropertyKey],
 }
 
+/// A request that tests a ban, until it is dropped.
+pub(crate) struct BanTest {
+    cx: Rc<Entry>,
+}
+
+impl Drop for BanTest {
+    fn drop(&mut self) {
+        self.cx.is_testing_ban.set(false);
+    }
+}
+
 impl Entry {
     /// The ban that keeps requests with these properties from the servers, if there is one.
     pub(crate) fn ban(&self, properties: &[PropertyKey]) -> Option<Ban> {
@@ -98,6 +109,24 @@
         quarantine.has_bans().then(|| quarantine.ban(properties, Instant::now()).cloned())?
     }
 
+    /// Lets a request through that tests a ban which has ended; at most one at a time.
+    pub(crate) fn begin_ban_test(self: &Rc<Self>, properties: &[PropertyKey]) -> Option<BanTest> {
+        let is_leader = self.leader_lease.borrow().held_lease(boot_now()).is_some();
+        let now = Instant::now();
+        let may_test =
+            self.quarantine.borrow().may_test(properties, now, is_leader, self.ban_test_spread);
+        if !may_test || self.is_testing_ban.replace(true) {
+            return None;
+        }
+        tracing::info!(properties = %hex(properties), "quarantine: a request tests a ban");
+        Some(BanTest { cx: self.clone() })
+    }
+
+    /// Records that a request was refused because of a ban.
+    pub(crate) fn record_quarantined(&self, properties: &[PropertyKey]) {
+        self.quarantine.borrow_mut().record_refusal(properties, Instant::now());
+    }
+
     /// Records that a server answered a request.
     pub(crate) fn record_answered(&self, properties: &[PropertyKey]) {
         if self.quarantine.borrow_mut().record_answer(properties, Instant::now()) {
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -30,7 +30,7 @@
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
-pub(crate) use crashes::{CrashReports, LostRequest};
+pub(crate) use crashes::{BanTest, CrashReports, LostRequest};
 pub(crate) use instances::Instances;
 use instances::{ServerKey, server_key};
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
@@ -101,6 +101,10 @@
     pub(crate) stale_holdings: RefCell<HashSet<ServerId>>,
     /// Requests that are kept from the servers because they end them.
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// Whether a request of this instance tests a ban.
+    pub(crate) is_testing_ban: Cell<bool>,
+    /// Random number in `0..1` that keeps the tests of bans at different instances apart.
+    pub(crate) ban_test_spread: f64,
     /// Ends of servers that are reported to the leader.
     pub(crate) crash_reports: RefCell<CrashReports>,
     /// When the leader expects models with waiting requests to be loaded.
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -107,6 +107,8 @@
         ready_at: RefCell::new(HashMap::new()),
         stale_holdings: RefCell::default(),
         quarantine: RefCell::default(),
+        is_testing_ban: Cell::new(false),
+        ban_test_spread: rand::rng().random(),
         crash_reports: RefCell::default(),
         servers_changed: Notify::new(),
         waiting_changed: Notify::new(),
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -246,7 +246,9 @@
     // be known to end servers by now.
     let has_changed = !cx.directory.borrow().is_usable(&selection.id)
         || cx.paused_until(&selection.id).is_some()
-        || cx.ban(&job.properties).is_some();
+        || cx
+            .ban(&job.properties)
+            .is_some_and(|ban| job.ban_test.is_none() || ban.until > Instant::now());
     if has_changed {
         return AttemptOutcome::NotSent;
     }
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -24,7 +24,7 @@
 use server_directory::ServerId;
 
 use crate::connection::Body;
-use crate::process::{Entry, ModelKey, Phase};
+use crate::process::{BanTest, Entry, ModelKey, Phase};
 use attempt::{AttemptOutcome, attempt};
 use failure::{Failure, Sends, text_response};
 use trace::Trace;
@@ -63,6 +63,8 @@
     pub(crate) trace: Trace,
     /// Sorted properties that may be the cause of a server's end.
     pub(crate) properties: Rc<[PropertyKey]>,
+    /// Set if the request is let through to test a ban.
+    pub(crate) ban_test: Option<BanTest>,
 }
 
 /// Properties of a request that other requests may share.
@@ -184,6 +186,7 @@
     let prompt = facts.prompt.as_ref().filter(|_| has_engine);
     Ok(Job {
         properties: properties(&service, prompt, path.as_ref()),
+        ban_test: None,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         facts,
         route,
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -21,6 +21,8 @@
 /// `Retry-After` for full queues: about the time that one request runs, after which the queue
 /// should have moved.
 const FULL_QUEUE_RETRY_AFTER: Duration = Duration::from_millis(1_200);
+/// Least `Retry-After` of a request that a ban refuses: the time that a test of the ban takes.
+const MIN_QUARANTINED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Delay before servers that were already tried are tried again.
 const RETRY_TRIED_DELAY: Duration = Duration::from_millis(120);
 /// Callers wait at most this fraction of the remaining time before they retry, as the user
@@ -81,10 +83,18 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = Instant::now();
-            let ban = cx.ban(&job.properties);
+            let mut ban = cx.ban(&job.properties);
+            if ban.as_ref().is_some_and(|ban| ban.until <= now) {
+                if job.ban_test.is_none() {
+                    job.ban_test = cx.begin_ban_test(&job.properties);
+                }
+                ban = ban.filter(|_| job.ban_test.is_none());
+            }
             if let Some(ban) = ban.as_ref().filter(|ban| ban.refuse_from <= now) {
                 job.trace.record("requests like it end servers");
-                let retry_after = ban.until.saturating_duration_since(now);
+                cx.record_quarantined(&job.properties);
+                let rest = ban.until.saturating_duration_since(now);
+                let retry_after = rest.max(MIN_QUARANTINED_RETRY_AFTER);
                 return Err(SelectError { failure: Failure::Quarantined, retry_after });
             }
             let result = match ban {
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -46,7 +46,7 @@
     /// Properties that were lately taken out of a ban, and until when they stay out of those of
     /// others.
     cleared: HashMap<PropertyKey, Instant>,
-    /// Bans in force that the leader does not publish, as after its restart.
+    /// Bans that the leader does not publish, as after its restart.
     unpublished: Vec<PublishedBan>,
     /// Ends of servers that a banned property explains.
     explained: VecDeque<CrashId>,
@@ -57,12 +57,34 @@
 }
 
 impl Quarantine {
-    /// The ban in force that keeps requests with these properties from the servers longest.
+    /// The ban that keeps requests with these properties from the servers longest.
     pub fn ban(&self, properties: &[PropertyKey], now: Instant) -> Option<&Ban> {
-        let bans = self.bans.iter().filter(|ban| ban.until > now && ban.covers(properties));
+        let bans = self.bans.iter().filter(|ban| ban.forgotten_at > now && ban.covers(properties));
         bans.max_by_key(|ban| ban.until)
     }
 
+    /// Records that a request with these properties was refused because of a ban.
+    pub fn record_refusal(&mut self, properties: &[PropertyKey], now: Instant) {
+        let bans = self.bans.iter_mut().filter(|ban| ban.covers(properties));
+        bans.for_each(|ban| ban.record_refusal(now));
+    }
+
+    /// Whether a request with these properties may be sent to test a ban that has ended. The leader
+    /// does this first; `spread` in `0..1` tells other instances apart.
+    pub fn may_test(
+        &self,
+        properties: &[PropertyKey],
+        now: Instant,
+        is_leader: bool,
+        spread: f64,
+    ) -> bool {
+        let bans = self.bans.iter().filter(|ban| ban.forgotten_at > now && ban.covers(properties));
+        bans.into_iter().all(|ban| {
+            let test_at = if is_leader { ban.until } else { ban.late_test_at(spread) };
+            test_at <= now
+        })
+    }
+
     /// Records that a server ended under a request that it had not begun to answer. Returns the ban
     /// that follows.
     pub fn record_crash(
@@ -79,8 +101,7 @@
             // Requests that were under way when the ban began do not prolong it.
             let is_renewed = ban.until <= now;
             if is_renewed {
-                ban.count = ban.count.saturating_add(1);
-                ban.until = now + term(ban.count);
+                ban.renew(now);
             }
             let ban = ban.clone();
             self.explain(&BTreeSet::from([crash]), &ban.properties);
@@ -186,7 +207,7 @@
 
     /// Forgets old suspects and bans.
     fn expire(&mut self, now: Instant) {
-        self.bans.retain(|ban| !ban.is_forgotten(now));
+        self.bans.retain(|ban| ban.forgotten_at > now);
         self.cleared.retain(|_, until| *until > now);
         self.suspects.retain(|_, s| now.saturating_duration_since(s.last_at) < SUSPICION_TTL);
         if self.suspects.len() > MAX_SUSPECTS {
@@ -215,9 +236,9 @@
         !self.bans.is_empty()
     }
 
-    /// Bans in force.
+    /// All bans.
     pub fn published_bans(&self, now: Instant) -> Vec<PublishedBan> {
-        self.bans.iter().filter_map(|ban| ban.published(now)).collect()
+        self.bans.iter().map(|ban| ban.published(now)).collect()
     }
 
     /// Suspects for which the other instances should say whether requests with them were answered.
@@ -249,13 +270,19 @@
                 ban.properties.iter().copied().partition(is_sound);
             self.cleared.extend(sound.into_iter().map(|key| (key, now + CLEARED_TTL)));
             ban.properties = others.into();
-            let is_covered =
-                self.bans.iter().any(|known| known.until > now && known.covers(&ban.properties));
+            let is_covered = self
+                .bans
+                .iter()
+                .any(|known| known.until >= ban.until && known.covers(&ban.properties));
             if ban.properties.is_empty() || self.bans.len() >= MAX_BANS {
                 continue;
             }
             match self.bans.iter_mut().find(|known| known.properties == ban.properties) {
-                Some(known) => known.until = known.until.max(ban.until),
+                Some(known) => {
+                    known.until = known.until.max(ban.until);
+                    known.forgotten_at = known.forgotten_at.max(known.until + term(ban.count));
+                    known.count = known.count.max(ban.count);
+                }
                 None if is_covered => {}
                 None => self.bans.push(ban),
             }
@@ -282,7 +309,7 @@
         self.watched = watched.iter().copied().collect();
     }
 
-    /// Bans in force that the leader does not publish.
+    /// Bans that the leader does not publish.
     pub fn unpublished(&self) -> &[PublishedBan] {
         &self.unpublished
     }
--- a/components/process/quarantine/src/tests.rs
+++ b/components/process/quarantine/src/tests.rs
@@ -102,17 +102,42 @@
     assert!(quarantine.ban(&[DEADLY], now).is_none());
 }
 
-/// Guards against sending requests with a deadly part again and again after its ban.
+/// Guards against sending all requests with a deadly part again at the end of its ban (BUDGET,
+/// found on alykes-stock with a share of 0.3: 10 requests reached servers 30 s after the ban).
 #[test]
-fn one_crash_renews_a_ban_that_has_ended() {
+fn single_requests_test_a_ban_that_has_ended() {
     let (mut quarantine, now) = (Quarantine::default(), Instant::now());
     quarantine.record_crash(1, &[DEADLY], now);
     let first = quarantine.record_crash(2, &[DEADLY], now).unwrap().until;
     // A request that was under way does not prolong the ban.
     assert!(quarantine.record_crash(3, &[DEADLY], now).is_none());
-    assert!(quarantine.ban(&[DEADLY], first).is_none());
+    assert!(!quarantine.may_test(&[DEADLY], now, true, 0.0));
+    assert!(quarantine.may_test(&[DEADLY], first, true, 0.0));
+    assert!(!quarantine.may_test(&[DEADLY], first, false, 0.0));
+    assert!(quarantine.ban(&[DEADLY], first).is_some());
     let second = quarantine.record_crash(4, &[DEADLY], first).unwrap().until;
     assert_eq!(second - first, (first - now) * 2);
+    assert!(!quarantine.may_test(&[DEADLY], first, true, 0.0));
+    // If the leader gets no such request, the others test, each at its own time.
+    let late = second + (second - first);
+    quarantine.record_refusal(&[DEADLY], late - seconds(1.0));
+    assert!(quarantine.may_test(&[DEADLY], late, false, 0.0));
+    assert!(!quarantine.may_test(&[DEADLY], late, false, 0.1));
+}
+
+/// Guards against forgetting a ban while requests with the part still come, and against keeping it
+/// for ever when none come.
+#[test]
+fn a_ban_is_forgotten_when_no_more_requests_come() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.record_crash(1, &[DEADLY], now);
+    let ban = quarantine.record_crash(2, &[DEADLY], now).unwrap();
+    let end = now + (ban.until - now) * 2;
+    let just_before = end - seconds(1.0);
+    assert!(quarantine.ban(&[DEADLY], just_before).is_some());
+    assert!(quarantine.ban(&[DEADLY], end).is_none());
+    quarantine.record_refusal(&[DEADLY], just_before);
+    assert!(quarantine.ban(&[DEADLY], end).is_some());
 }
 
 /// Guards against taking a part that was in the same place as a deadly one for a second one.
