The leader tests the ban of a load by the next load

After its end the ban of a load now lets the leader, which alone orders loads, order it; one more end renews it.

--- a/components/process/entry/src/process/crashes.rs
+++ b/components/process/entry/src/process/crashes.rs
@@ -39,7 +39,7 @@
     new_answers: Vec<PropertyKey>,
     /// Properties that the leader watches, of requests that were answered at some time.
     former_answers: Vec<PropertyKey>,
-    /// Bans in force that the leader does not publish.
+    /// Bans that the leader does not publish.
     unpublished: Vec<PublishedBan>,
 }
 
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) struct PublishedQuarantine {
-    /// Bans in force.
+    /// All bans.
     bans: Vec<PublishedBan>,
     /// Properties that were lately taken out of a ban.
     cleared: Vec<PropertyKey>,
@@ -161,17 +161,20 @@
         self.waiting_changed.notify_one();
     }
 
-    /// Until when a model, or an adapter of it, is not loaded on any server.
+    /// Until when a model, or an adapter of it, is not loaded on any server. Afterwards the leader,
+    /// which alone orders loads, tests the ban by the next one.
     pub(crate) fn load_banned_until(
         &self,
         service: &str,
         model: &str,
         adapter: Option<&str>,
     ) -> Option<Instant> {
-        let model_until = self.ban(&load_key(service, model, None)).map(|ban| ban.until);
-        let adapter_until =
-            adapter.and_then(|a| self.ban(&load_key(service, model, Some(a)))).map(|ban| ban.until);
-        model_until.max(adapter_until)
+        let now = Instant::now();
+        let until = |adapter: Option<&str>| {
+            let ban = self.ban(&load_key(service, model, adapter));
+            ban.map(|ban| ban.until).filter(|until| *until > now)
+        };
+        until(None).max(adapter.and_then(|adapter| until(Some(adapter))))
     }
 
     /// Records that a load failed after its order was sent. If the server ended, the load may be the
@@ -298,7 +301,7 @@
     loop {
         cx.bans_changed.notified().await;
         let bans = cx.quarantine.borrow().published_bans(Instant::now());
-        let notice = BanNotice { from: cx.settings.name.clone(), sent_at: boot_now(), bans };
+        let notice = BanNotice { from: cx.settings.name.clone(), bans };
         let addresses = cx.instances.borrow().addresses();
         socket.send(&Message::Bans(notice), &addresses);
     }
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -64,8 +64,6 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) struct BanNotice {
     pub(crate) from: InstanceName,
-    /// When the instance sent this, by its own clock.
-    pub(crate) sent_at: BootTime,
     pub(crate) bans: Vec<PublishedBan>,
 }
 
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -78,8 +78,9 @@
         is_leader: bool,
         spread: f64,
     ) -> bool {
-        let bans = self.bans.iter().filter(|ban| ban.forgotten_at > now && ban.covers(properties));
-        bans.into_iter().all(|ban| {
+        let mut bans =
+            self.bans.iter().filter(|ban| ban.forgotten_at > now && ban.covers(properties));
+        bans.all(|ban| {
             let test_at = if is_leader { ban.until } else { ban.late_test_at(spread) };
             test_at <= now
         })
