--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -146,7 +146,9 @@
                     if was_at_sound { &counts.cut_at_sound } else { &counts.cut_elsewhere };
                 counter.fetch_add(1, Ordering::Relaxed);
                 let place = if was_at_sound { "a sound replica" } else { "no sound replica" };
-                rec.line(format!("client {index}: channel closed under {id}, which ran at {place}"));
+                rec.line(format!(
+                    "client {index}: channel closed under {id}, which ran at {place}"
+                ));
                 channel = None;
                 thread::sleep(Duration::from_millis(300));
             }
--- a/review/common/rig.rs
+++ b/review/common/rig.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -134,6 +135,8 @@
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
+    /// Whether the store is down: it closes the channels of all calls without an answer.
+    pub is_down: Arc<AtomicBool>,
     state: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
@@ -217,11 +220,20 @@
         let state = StoreState { revision: 1, objects: BTreeMap::new(), history: Vec::new() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let shared = state.clone();
+        let is_down = Arc::new(AtomicBool::new(false));
+        let down = is_down.clone();
         let address = listen(ip, move |stream| {
             let Ok(reader) = stream.try_clone() else { return };
             let (mut reader, mut stream) = (BufReader::new(reader), stream);
             while let Ok(Some(req)) = read_request(&mut reader) {
+                if down.load(Ordering::Relaxed) {
+                    return;
+                }
                 let (status, body) = respond(&shared, &req);
+                // A watch that was waiting when the store went down.
+                if down.load(Ordering::Relaxed) && req.method == "GET" {
+                    return;
+                }
                 let head = format!(
                     "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\
                      \r\n\r\n",
@@ -232,7 +244,7 @@
                 }
             }
         })?;
-        Ok(Self { address, state })
+        Ok(Self { address, is_down, state })
     }
 
     pub fn put(&self, kind: &str, name: &str, specification: impl Into<String>) {
@@ -278,18 +290,14 @@
             let wait = query.get("wait_time_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
             let deadline = Instant::now() + Duration::from_millis(wait);
             loop {
-                let newer =
-                    state.history.iter().filter(|c| c.revision > since && c.kind == kind);
+                let newer = state.history.iter().filter(|c| c.revision > since && c.kind == kind);
                 let events: Vec<String> = newer
                     .map(|c| format!("{{\"deleted\":{},\"object\":{}}}", c.is_deleted, c.object))
                     .collect();
                 let left = deadline.saturating_duration_since(Instant::now());
                 if !events.is_empty() || left.is_zero() {
                     let events = events.join(",");
-                    return (
-                        200,
-                        format!("{{\"events\":[{events}],\"at\":{}}}", state.revision),
-                    );
+                    return (200, format!("{{\"events\":[{events}],\"at\":{}}}", state.revision));
                 }
                 state = changed.wait_timeout(state, left).unwrap().0;
             }
@@ -409,7 +417,8 @@
             let mut stream =
                 TcpStream::connect_timeout(&self.readiness, Duration::from_millis(500))?;
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
-            stream.write_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+            stream
+                .write_all(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
             stream.read_to_string(&mut answer).map(|_| ())
         };
         let _ = ask();
