Bodies count the memory that they cost, over the whole process

Cause: bodies were collected as lists of their pieces with a limit on the sum of their lengths. A piece costs a handle and a part of a read buffer, so that bytes sent one by one cost about 27 times their length. Limits were for one body, not for all. Request bodies, unfinished events and the pieces that wait for slow callers had the same weakness.

Evidence: on the old code the four new tests fail: one body of 1 MiB in one-byte chunks takes 24 MB more, 60 bodies below the limit and 200 unfinished events pass 128 MB. The fifth, callers that do not read, stayed at 91 MB on the old code and was dropped.

Change: the crate body_memory copies pieces into one allocation and counts its capacity against one limit. A buffer gets at most half of what the others leave, so small bodies find room beside any number of endless ones. An eighth of the new setting [instance] memory_mb is for bodies; a quarter was tried and reached 134 MB with 64 MB counted, because the allocator keeps the holes that buffers leave that grow side by side.

Result: the four tests and endless_responses_are_cut_off pass.

--- a/benches/slopes/calibration.rs
+++ b/benches/slopes/calibration.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use body_memory::BodyMemory;
 use peer::{Frame, IncomingFrame, PeerClient};
 use platform::{Call, Client, ClientConfig, Rate, Rates};
 use serde::{Deserialize, Serialize};
@@ -105,6 +106,7 @@
         instance: "instance-001".into(),
         rates: Rates { reads: rate, writes: rate },
         seed: 1,
+        memory: BodyMemory::default(),
     });
     let key = ObjectKey::new("group", "g");
     let value = "x".repeat(PAYLOAD_BYTES);
--- a/components/connection/backend_server/src/client.rs
+++ b/components/connection/backend_server/src/client.rs
@@ -3,9 +3,10 @@
 use std::error::Error as _;
 use std::future::Future;
 
+use body_memory::{BodyMemory, collect};
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use http_client::{HttpClient, http_client};
 use hyper::body::Incoming;
 use types::prelude::*;
@@ -21,18 +22,19 @@
 pub struct BackendClient {
     client: HttpClient,
     pub(crate) reports: ReportCache,
+    pub(crate) memory: BodyMemory,
 }
 
 impl Default for BackendClient {
     fn default() -> Self {
-        Self::new()
+        Self::new(BodyMemory::default())
     }
 }
 
 impl BackendClient {
-    /// Creates a client with an empty connection pool.
-    pub fn new() -> Self {
-        Self { client: http_client(), reports: ReportCache::default() }
+    /// Creates a client with an empty connection pool; `memory` is for the bodies of responses.
+    pub fn new(memory: BodyMemory) -> Self {
+        Self { client: http_client(), reports: ReportCache::default(), memory }
     }
 
     /// Sends an idempotent request and waits until `deadline` for the response headers.
@@ -53,7 +55,12 @@
         req: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Bytes>, SendError> {
-        collect_body(self.send(req, deadline).await?, deadline).await
+        collect_body(self.send(req, deadline).await?, deadline, &self.memory).await
+    }
+
+    /// Memory for the bodies of responses.
+    pub fn memory(&self) -> &BodyMemory {
+        &self.memory
     }
 }
 
@@ -65,16 +72,17 @@
     tokio::time::timeout_at(deadline.into(), call).await.map_err(|_| SendError::DeadlinePassed)
 }
 
-/// Waits until `deadline` for the complete body of a response and collects it in memory.
+/// Waits until `deadline` for the complete body of a response and collects it in `memory`.
 pub async fn collect_body(
     res: Response<Incoming>,
     deadline: Instant,
+    memory: &BodyMemory,
 ) -> Result<Response<Bytes>, SendError> {
     let (parts, body) = res.into_parts();
-    let body = with_deadline(deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect())
+    let body = with_deadline(deadline, collect(body, MAX_RESPONSE_BYTES, memory))
         .await?
         .map_err(|e| SendError::Interrupted(e.to_string().into()))?;
-    Ok(Response::from_parts(parts, body.to_bytes()))
+    Ok(Response::from_parts(parts, body))
 }
 
 fn error_chain(e: &hyper_util::client::legacy::Error) -> Box<str> {
--- a/components/connection/backend_server/src/client_tests.rs
+++ b/components/connection/backend_server/src/client_tests.rs
@@ -38,7 +38,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     drop(listener);
-    let pooled = BackendClient::new().send(request(&address), test_deadline()).await;
+    let pooled = BackendClient::default().send(request(&address), test_deadline()).await;
     assert_eq!(pooled.unwrap_err().verdict(), Verdict::NotRun);
     let unpooled = Connection::open(&address, test_deadline()).await;
     assert_eq!(unpooled.err().unwrap().verdict(), Verdict::NotRun);
@@ -59,7 +59,8 @@
 #[tokio::test]
 async fn a_truncated_body_is_reported_as_interrupted() {
     let address = serve_once("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf").await;
-    let outcome = BackendClient::new().send_and_collect(request(&address), test_deadline()).await;
+    let outcome =
+        BackendClient::default().send_and_collect(request(&address), test_deadline()).await;
     assert!(matches!(outcome, Err(SendError::Interrupted(_))));
 }
 
@@ -69,7 +70,7 @@
 async fn a_stream_without_end_marker_is_reported_as_interrupted() {
     let address =
         serve_once("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nid: 0\ndata: {}\n\n").await;
-    let res = BackendClient::new().send(request(&address), test_deadline()).await.unwrap();
+    let res = BackendClient::default().send(request(&address), test_deadline()).await.unwrap();
     let mut stream = TokenStream::new(res.into_body());
     let first = stream.next(test_deadline()).await.unwrap();
     assert_eq!(first, TokenEvent::Chunk { sequence: 0, data: "{}".into() });
@@ -146,7 +147,7 @@
     #[case] is_applicable: bool,
 ) {
     let address = serve_reports(loads, revision).await;
-    let client = BackendClient::new();
+    let client = BackendClient::default();
     assert_eq!(client.state(&address, test_deadline()).await.unwrap(), report());
     let second = client.state(&address, test_deadline()).await;
     if is_applicable {
--- a/components/connection/backend_server/src/connection.rs
+++ b/components/connection/backend_server/src/connection.rs
@@ -1,5 +1,6 @@
 //! Single-use connection for a request that must not run twice.
 
+use body_memory::BodyMemory;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri};
@@ -51,13 +52,15 @@
             .map_err(|e| SendError::Interrupted(e.to_string().into()))
     }
 
-    /// Sends the request once and waits until `deadline` for the complete response.
+    /// Sends the request once and waits until `deadline` for the complete response,
+    /// which it collects in `memory`.
     pub async fn send_and_collect(
         self,
         req: Request<Full<Bytes>>,
         deadline: Instant,
+        memory: &BodyMemory,
     ) -> Result<Response<Bytes>, SendError> {
-        collect_body(self.send(req, deadline).await?, deadline).await
+        collect_body(self.send(req, deadline).await?, deadline, memory).await
     }
 }
 
--- a/components/connection/backend_server/src/engine.rs
+++ b/components/connection/backend_server/src/engine.rs
@@ -107,8 +107,10 @@
         let body =
             serde_json::to_vec(order).map_err(|e| SendError::Invalid(e.to_string().into()))?;
         let req = build_request(Method::POST, address, "/v1/orders", body.into())?;
-        let res =
-            Connection::open(address, deadline).await?.send_and_collect(req, deadline).await?;
+        let res = Connection::open(address, deadline)
+            .await?
+            .send_and_collect(req, deadline, &self.memory)
+            .await?;
         let text = || String::from_utf8_lossy(res.body()).into();
         match res.status() {
             StatusCode::ACCEPTED | StatusCode::OK => Ok(OrderReply::Accepted),
--- a/components/connection/front/src/callers.rs
+++ b/components/connection/front/src/callers.rs
@@ -3,10 +3,10 @@
 use std::future::Future;
 use std::sync::Arc;
 
+use body_memory::{BodyMemory, CollectError, collect};
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, WWW_AUTHENTICATE};
 use http::{HeaderValue, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -47,20 +47,23 @@
 struct Handler {
     instance: InstanceId,
     limits: CallerLimits,
+    memory: BodyMemory,
     keys: watch::Receiver<Arc<KeyTable>>,
     tx: mpsc::Sender<IncomingRequest>,
 }
 
 /// Serves callers on `listener` until `stop` completes, then waits for the requests in flight.
+/// The bodies of requests are collected in `memory`.
 pub async fn serve_callers(
     listener: TcpListener,
     instance: InstanceId,
     limits: CallerLimits,
+    memory: BodyMemory,
     keys: watch::Receiver<Arc<KeyTable>>,
     tx: mpsc::Sender<IncomingRequest>,
     stop: impl Future<Output = ()>,
 ) {
-    let handler = Handler { instance, limits, keys, tx };
+    let handler = Handler { instance, limits, memory, keys, tx };
     let connections = ConnectionLimits {
         max_connections: limits.max_connections,
         max_headers: limits.max_headers,
@@ -178,10 +181,17 @@
         if body.size_hint().lower() > self.limits.max_body_bytes as u64 {
             return Err(too_large());
         }
-        let collect = Limited::new(body, self.limits.max_body_bytes).collect();
-        match tokio::time::timeout(self.limits.body_timeout, collect).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
+        let collected = collect(body, self.limits.max_body_bytes, &self.memory);
+        match tokio::time::timeout(self.limits.body_timeout, collected).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(CollectError::TooLong)) => Err(too_large()),
+            Ok(Err(CollectError::OutOfMemory)) => {
+                tracing::warn!(used = self.memory.used(), "callers: no memory for a body");
+                Err(Problem::new(
+                    Refusal::not_run(Reason::NoCapacity),
+                    "other requests leave no memory for the body",
+                ))
+            }
             Ok(Err(_)) => Err(Problem::new(
                 Refusal::not_run(Reason::BadRequest),
                 "the body ended before its declared length",
--- a/components/connection/front/src/callers_tests.rs
+++ b/components/connection/front/src/callers_tests.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use body_memory::BodyMemory;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use reqwest::{Client, RequestBuilder, Response};
@@ -37,7 +38,15 @@
     let keys = KeyTable::from([(hash_key(KEY), "alykes".into())]);
     let (_keys_tx, keys) = watch::channel(Arc::new(keys));
     let stop = std::future::pending();
-    tokio::spawn(serve_callers(listener, "entry-1".into(), LIMITS, keys, tx, stop));
+    tokio::spawn(serve_callers(
+        listener,
+        "entry-1".into(),
+        LIMITS,
+        BodyMemory::default(),
+        keys,
+        tx,
+        stop,
+    ));
     tokio::spawn(async move {
         while let Some(incoming) = rx.recv().await {
             let reply = respond(&incoming);
--- a/components/connection/platform/src/attempts.rs
+++ b/components/connection/platform/src/attempts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use body_memory::BodyMemory;
 use bytes::Bytes;
 use http::{Method, Response, StatusCode};
 use hyper::body::Incoming;
@@ -31,6 +32,8 @@
     pub rates: Rates,
     /// Seed of the random jitter of the backoff.
     pub seed: u64,
+    /// Memory for the bodies of responses.
+    pub memory: BodyMemory,
 }
 
 /// Deadline and priority of one call.
@@ -106,7 +109,7 @@
 
 impl AttemptSender {
     pub(crate) fn new(cfg: &ClientConfig) -> Self {
-        let transport = Transport::new(&cfg.instance);
+        let transport = Transport::new(&cfg.instance, &cfg.memory);
         let budget = Budget::new(now(), cfg.rates);
         let rng = StdRng::seed_from_u64(cfg.seed);
         let addresses = cfg.addresses.iter().copied().collect();
--- a/components/connection/platform/src/transport.rs
+++ b/components/connection/platform/src/transport.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 
+use body_memory::{BodyMemory, collect};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use http_client::{HttpClient, http_client};
 use hyper::body::Incoming;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
@@ -59,6 +60,7 @@
 pub(crate) struct Transport {
     client: HttpClient,
     instance: HeaderValue,
+    memory: BodyMemory,
 }
 
 /// Returns the path of an object.
@@ -76,10 +78,10 @@
 }
 
 impl Transport {
-    pub(crate) fn new(instance: &str) -> Self {
+    pub(crate) fn new(instance: &str, memory: &BodyMemory) -> Self {
         let instance =
             HeaderValue::from_str(instance).unwrap_or_else(|_| HeaderValue::from_static("?"));
-        Self { client: http_client(), instance }
+        Self { client: http_client(), instance, memory: memory.clone() }
     }
 
     /// Sends a call and waits until `deadline` for the head of the response.
@@ -133,16 +135,14 @@
         };
         let status = res.status();
         let version = object_version(&res);
-        match timeout_at(
-            deadline.into(),
-            Limited::new(res.into_body(), MAX_RESPONSE_BYTES).collect(),
-        )
-        .await
-        {
-            Ok(Ok(body)) => {
-                Exchange::Answered(BufferedResponse { status, version, body: body.to_bytes() })
+        let body = collect(res.into_body(), MAX_RESPONSE_BYTES, &self.memory);
+        match timeout_at(deadline.into(), body).await {
+            Ok(Ok(body)) => Exchange::Answered(BufferedResponse { status, version, body }),
+            Ok(Err(error)) => {
+                tracing::warn!(%address, path, %error, "platform: body of a response lost");
+                Exchange::ResponseLost
             }
-            Ok(Err(_)) | Err(_) => Exchange::ResponseLost,
+            Err(_) => Exchange::ResponseLost,
         }
     }
 }
--- a/components/connection/platform/tests/client_tests.rs
+++ b/components/connection/platform/tests/client_tests.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use body_memory::BodyMemory;
 use platform::{Call, Client, ClientConfig, Error, Object, Rate, Rates, WriteOutcome};
 use serde::{Deserialize, Serialize};
 use stand_ins::platform::{Platform, PlatformConfig};
@@ -38,7 +39,8 @@
 
 fn client_of(addresses: Box<[SocketAddr]>, instance: &str, seed: u64) -> Client {
     let rates = Rates::share(2_000, 400, 4);
-    Client::new(&ClientConfig { addresses, instance: instance.into(), rates, seed })
+    let memory = BodyMemory::default();
+    Client::new(&ClientConfig { addresses, instance: instance.into(), rates, seed, memory })
 }
 
 fn closed_address() -> SocketAddr {
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -5,9 +5,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use body_memory::{BodyMemory, collect};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -255,6 +256,7 @@
 /// Calls the control interface of an engine on a new connection. The error tells whether the call
 /// may have reached the engine.
 pub(crate) async fn control_call(
+    memory: &BodyMemory,
     address: SocketAddr,
     server: &str,
     path: &str,
@@ -284,9 +286,9 @@
     };
     let status = response.status();
     let notice = decode_server_notice(status, response.headers());
-    let body = Limited::new(response.into_body(), MAX_CONTROL_BODY_BYTES).collect();
+    let body = collect(response.into_body(), MAX_CONTROL_BODY_BYTES, memory);
     match timeout_at(deadline.into(), body).await {
-        Ok(Ok(body)) => Ok(ControlReply { status, notice, body: body.to_bytes() }),
+        Ok(Ok(body)) => Ok(ControlReply { status, notice, body }),
         _ => Err(true),
     }
 }
--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -33,6 +33,7 @@
     pub(crate) store_calls: Counter,
     pub(crate) store_losses: Counter,
     pub(crate) oversized_responses: Counter,
+    pub(crate) bodies_without_memory: Counter,
     pub(crate) server_crashes: Counter,
     pub(crate) server_pauses: Counter,
     pub(crate) leaving_servers: Counter,
@@ -73,6 +74,10 @@
             "oversized_responses",
             "Responses of servers that were cut off because their head, body or an event was too long",
         );
+        let bodies_without_memory = counter(
+            "bodies_without_memory",
+            "Bodies of requests and responses for which the others left no memory",
+        );
         let server_crashes = counter(
             "server_crashes",
             "Requests without an answer at servers that ended under them",
@@ -107,6 +112,7 @@
             store_calls,
             store_losses,
             oversized_responses,
+            bodies_without_memory,
             server_crashes,
             server_pauses,
             leaving_servers,
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use body_memory::BodyMemory;
 use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
@@ -80,6 +81,8 @@
     /// Whether the registry was listed at least once. Before that, a missing server may exist.
     pub(crate) has_registry: Cell<bool>,
     pub(crate) pools: ConnectionPools,
+    /// Memory for the bodies of requests and responses, and for pieces of streams.
+    pub(crate) body_memory: BodyMemory,
     pub(crate) health: RefCell<HashMap<ServerId, Health>>,
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Time for which a request occupies a slot, by service.
@@ -233,6 +236,13 @@
         }
     }
 
+    /// Records that the bodies in the process leave no room for a body of a request, or of a
+    /// server's response to it.
+    pub(crate) fn record_no_memory(&self, id: &str, server: &str) {
+        self.metrics.bodies_without_memory.inc();
+        tracing::warn!(id, server, used = self.body_memory.used(), "request: no memory for a body");
+    }
+
     /// Records that a server could not be reached.
     pub(crate) fn record_unreachable(&self, server: &str) {
         let until = self.update_health(server, |health, now| health.record_unreachable(now));
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -60,7 +60,15 @@
     };
     cx.metrics.orders.inc();
     let by = Instant::now() + ORDER_TIMEOUT;
-    let reply = control_call(address, server, platform_adapter::ORDER_PATH, Some(&body), by).await;
+    let reply = control_call(
+        &cx.body_memory,
+        address,
+        server,
+        platform_adapter::ORDER_PATH,
+        Some(&body),
+        by,
+    )
+    .await;
     record_notice(cx, server, &reply);
     let outcome = match reply {
         Ok(reply) => match platform_adapter::decode_order_reply(reply.status) {
@@ -97,7 +105,9 @@
     let address = cx.directory.borrow().get(server)?.entry.address;
     cx.metrics.reports.inc();
     let by = Instant::now() + ORDER_TIMEOUT;
-    let reply = control_call(address, server, platform_adapter::REPORT_PATH, None, by).await;
+    let reply =
+        control_call(&cx.body_memory, address, server, platform_adapter::REPORT_PATH, None, by)
+            .await;
     record_notice(cx, server, &reply);
     let report = match reply {
         Ok(ControlReply { status: StatusCode::OK, body, .. }) => {
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use body_memory::BodyMemory;
 use quick_error::quick_error;
 use rand::Rng;
 use replica_placement::LeaderLease;
@@ -83,8 +84,9 @@
     let hangup = signal(SignalKind::hangup())?;
     tracing::info!(name = %settings.name, data_centre = %settings.data_centre,
         callers = %settings.callers, store = %settings.store, "process: started");
+    let body_memory = BodyMemory::with_limit(settings.body_memory_bytes());
     let cx = Rc::new(Entry {
-        store: StoreAccess::new(&settings),
+        store: StoreAccess::new(&settings, &body_memory),
         leader_lease: RefCell::new(LeaderLease::new(
             &settings.name,
             settings.turn_gap,
@@ -95,6 +97,7 @@
         directory: RefCell::new(Directory::default()),
         has_registry: Cell::new(false),
         pools: ConnectionPools::default(),
+        body_memory,
         health: RefCell::new(HashMap::new()),
         retry_budgets: RefCell::new(HashMap::new()),
         run_times: RefCell::default(),
--- a/components/process/entry/src/process/store_access.rs
+++ b/components/process/entry/src/process/store_access.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use body_memory::BodyMemory;
 use platform::{Client, ClientConfig, Rates};
 use platform_adapter::{Error, Store};
 use rand::Rng;
@@ -27,9 +28,10 @@
     /// Client for the relay in use.
     relayed: RefCell<Option<(SocketAddr, Store)>>,
     routing: RefCell<StoreRouting>,
+    memory: BodyMemory,
 }
 
-fn client(settings: &EntrySettings, address: SocketAddr) -> Store {
+fn client(settings: &EntrySettings, address: SocketAddr, memory: &BodyMemory) -> Store {
     let rates = Rates::share(
         settings.store_reads_per_second,
         settings.store_writes_per_second,
@@ -40,16 +42,18 @@
         instance: settings.name.clone(),
         rates,
         seed: rand::rng().random(),
+        memory: memory.clone(),
     });
     client.set_max_backoff(STORE_MAX_BACKOFF);
     Store::new(client)
 }
 
 impl StoreAccess {
-    pub(crate) fn new(settings: &EntrySettings) -> Self {
+    pub(crate) fn new(settings: &EntrySettings, memory: &BodyMemory) -> Self {
         Self {
             address: Cell::new(settings.store),
-            direct: RefCell::new(client(settings, settings.store)),
+            direct: RefCell::new(client(settings, settings.store, memory)),
+            memory: memory.clone(),
             relayed: RefCell::new(None),
             routing: RefCell::default(),
         }
@@ -63,7 +67,7 @@
     /// Applies the address in changed settings.
     pub(crate) fn change_address(&self, settings: &EntrySettings) {
         self.address.set(settings.store);
-        *self.direct.borrow_mut() = client(settings, settings.store);
+        *self.direct.borrow_mut() = client(settings, settings.store, &self.memory);
     }
 
     fn client(&self, settings: &EntrySettings, route: StoreRoute) -> Store {
@@ -72,7 +76,7 @@
         match &*relayed {
             Some((known, store)) if *known == address => store.clone(),
             _ => {
-                let store = client(settings, address);
+                let store = client(settings, address, &self.memory);
                 *relayed = Some((address, store.clone()));
                 store
             }
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use body_memory::{BodyBuffer, CollectError, collect};
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform_adapter::{
     ResponseClass, SystemHeaders, classify_response, decode_server_notice, set_system_headers,
@@ -18,7 +19,7 @@
 use tokio::time::timeout_at;
 
 use super::Job;
-use super::events::EventSplitter;
+use super::events::{EventError, EventSplitter};
 use super::select::{Selection, has_free_slot_elsewhere};
 use crate::connection::{Connection, SendError};
 use crate::process::{Entry, InFlight, LostRequest};
@@ -43,6 +44,8 @@
 const STREAM_SILENT: &str = "stream sent no data in time";
 /// Reason recorded for a stream with an event beyond the size limit.
 const EVENT_TOO_LONG: &str = "event too long";
+/// Reason recorded for a response that the bodies in the process leave no room for.
+const NO_MEMORY: &str = "no memory for the answer";
 /// Reason recorded for a stream whose connection ended.
 const STREAM_BROKE_OFF: &str = "stream broke off";
 /// Events after which a server counts as answering a request.
@@ -133,9 +136,9 @@
             match timeout_at(deadline.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    let Ok(events) = self.splitter.push(&data) else {
-                        cx.metrics.oversized_responses.inc();
-                        return Chunk::Broken(EVENT_TOO_LONG);
+                    let events = match self.splitter.push(&data) {
+                        Ok(events) => events,
+                        Err(error) => return self.unbuffered(cx, error),
                     };
                     self.measure_pace(cx);
                     if self.splitter.event_count() >= ANSWERING_EVENTS {
@@ -146,7 +149,11 @@
                             return Chunk::Data(events);
                         }
                     } else if !data.is_empty() {
-                        return Chunk::Data(data);
+                        // The connection's read buffer, to which `data` refers, may be much larger.
+                        return match BodyBuffer::copy_of(&data, &cx.body_memory) {
+                            Ok(copy) => Chunk::Data(copy.into_bytes()),
+                            Err(error) => self.unbuffered(cx, error.into()),
+                        };
                     }
                     // The timeout does not expire while bytes are ready whenever it is polled.
                     if Instant::now() >= deadline {
@@ -163,6 +170,19 @@
         }
     }
 
+    fn unbuffered(&self, cx: &Entry, error: EventError) -> Chunk {
+        match error {
+            EventError::TooLong => {
+                cx.metrics.oversized_responses.inc();
+                Chunk::Broken(EVENT_TOO_LONG)
+            }
+            EventError::OutOfMemory => {
+                cx.record_no_memory(&self.request.0, &self.server);
+                Chunk::Broken(NO_MEMORY)
+            }
+        }
+    }
+
     /// Measures the server's pace once every few events.
     fn measure_pace(&mut self, cx: &Entry) {
         let (events, at) = self.measured;
@@ -324,7 +344,7 @@
         }
         return started;
     }
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let collected = collect(body, MAX_RESPONSE_BYTES, &cx.body_memory);
     let collected = tokio::select! {
         collected = timeout_at(job.deadline.into(), collected) => collected,
         () = cx.ending() => return AttemptOutcome::Lost(INSTANCE_STOPS),
@@ -342,17 +362,25 @@
             }
             cx.record_answered(&job.properties);
             cx.return_to_pool(connection);
-            AttemptOutcome::Complete(parts, body.to_bytes())
+            AttemptOutcome::Complete(parts, body)
         }
         Ok(Err(error)) => {
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 1.0));
-            if error.is::<LengthLimitError>() {
-                cx.metrics.oversized_responses.inc();
-                return AttemptOutcome::Lost("body of the answer too long");
+            match error {
+                CollectError::TooLong => {
+                    cx.metrics.oversized_responses.inc();
+                    AttemptOutcome::Lost("body of the answer too long")
+                }
+                CollectError::OutOfMemory => {
+                    cx.record_no_memory(&job.facts.attempt_id, &selection.id);
+                    AttemptOutcome::Lost(NO_MEMORY)
+                }
+                CollectError::Broken(_) => {
+                    drop((connection, in_flight));
+                    record_lost(cx, job, selection).await;
+                    AttemptOutcome::Lost("answer broke off")
+                }
             }
-            drop((connection, in_flight));
-            record_lost(cx, job, selection).await;
-            AttemptOutcome::Lost("answer broke off")
         }
         Err(_) => AttemptOutcome::Lost("answer not complete in time"),
     }
@@ -404,7 +432,7 @@
     let has_unknown_length = !parts.headers.contains_key(header::CONTENT_LENGTH)
         && !parts.headers.contains_key(header::TRANSFER_ENCODING);
     let is_resumable = job.route.kind.may_run_again();
-    let splitter = EventSplitter::default();
+    let splitter = EventSplitter::new(&cx.body_memory);
     let mut source = StreamSource {
         body,
         connection: Some(connection),
--- a/components/process/entry/src/request/events.rs
+++ b/components/process/entry/src/request/events.rs
@@ -1,6 +1,8 @@
 //! Splits a stream of server-sent events at event boundaries.
 
-use bytes::{Bytes, BytesMut};
+use body_memory::{BodyBuffer, BodyMemory, OutOfMemory};
+use bytes::Bytes;
+use quick_error::quick_error;
 
 #[cfg(test)]
 mod tests;
@@ -12,16 +14,28 @@
 /// arrive before the rest.
 const SEPARATOR_OVERLAP: usize = 3;
 
-/// The server sent more than [`MAX_EVENT_BYTES`] without the end of an event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct EventTooLong;
+quick_error! {
+    /// Why an event was not buffered.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum EventError {
+        /// The server sent more than [`MAX_EVENT_BYTES`] without the end of an event.
+        TooLong {
+            display("event too long")
+        }
+        /// The bodies in the process leave no room for it.
+        OutOfMemory {
+            from(OutOfMemory)
+            display("no memory for an event")
+        }
+    }
+}
 
 /// Buffers an incomplete event until the rest arrives, so that an interrupted stream can be
 /// continued after the last complete event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventSplitter {
     /// At most [`MAX_EVENT_BYTES`] after a successful `push`.
-    partial: BytesMut,
+    partial: BodyBuffer,
     /// Length of the prefix of `partial` in which no separator begins.
     searched: usize,
     last_id: Option<Box<str>>,
@@ -39,21 +53,25 @@
 }
 
 impl EventSplitter {
+    pub(crate) fn new(memory: &BodyMemory) -> Self {
+        Self { partial: BodyBuffer::new(memory), searched: 0, last_id: None, event_count: 0 }
+    }
+
     /// Appends bytes and returns the events that are now complete.
     ///
     /// # Errors
     ///
-    /// Fails if an event is longer than [`MAX_EVENT_BYTES`].
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
-        self.partial.extend_from_slice(bytes);
+    /// Fails if an event is longer than [`MAX_EVENT_BYTES`] or finds no memory.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        self.partial.extend(bytes, MAX_EVENT_BYTES)?;
         let len = complete_events_len(&self.partial, self.searched);
         // Blank lines between events belong to no event.
         let rest = self.partial[len..].iter();
         let len = len + rest.take_while(|byte| matches!(byte, b'\n' | b'\r')).count();
-        let complete = self.partial.split_to(len).freeze();
+        let complete = self.partial.take_front(len)?;
         self.searched = self.partial.len().saturating_sub(SEPARATOR_OVERLAP);
         if self.partial.len() > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
+            return Err(EventError::TooLong);
         }
         let ids = complete.split(|byte| matches!(byte, b'\n' | b'\r'));
         let ids = ids.filter_map(|line| std::str::from_utf8(line.strip_prefix(b"id:")?).ok());
--- a/components/process/entry/src/request/events/tests.rs
+++ b/components/process/entry/src/request/events/tests.rs
@@ -8,7 +8,7 @@
 /// continues the stream would send that event again.
 #[test]
 fn only_complete_events_are_passed_on() {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::new(&BodyMemory::default());
     assert_eq!(&splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap()[..], b"id: 1\ndata: a\n\n");
     assert!(splitter.is_inside_event());
     assert_eq!(splitter.last_id(), Some("1"));
@@ -24,7 +24,7 @@
 /// whole nor be searched again from its start with each read.
 #[test]
 fn unfinished_event_beyond_the_limit_is_an_error() {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::new(&BodyMemory::default());
     let chunk = [b'x'; 16 << 10];
     let chunks = MAX_EVENT_BYTES / chunk.len();
     for _ in 0..chunks {
@@ -40,7 +40,7 @@
     let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
     for first in 0..stream.len() {
         for second in first..stream.len() {
-            let mut splitter = EventSplitter::default();
+            let mut splitter = EventSplitter::new(&BodyMemory::default());
             let mut passed_on = Vec::new();
             for part in [&stream[..first], &stream[first..second], &stream[second..]] {
                 passed_on.extend_from_slice(&splitter.push(part).unwrap());
@@ -55,7 +55,7 @@
 /// the thread that serves all callers.
 #[test]
 fn bytes_of_an_unfinished_event_are_searched_once() {
-    let mut splitter = EventSplitter::default();
+    let mut splitter = EventSplitter::new(&BodyMemory::default());
     for _ in 0..MAX_EVENT_BYTES {
         assert_eq!(splitter.push(b"x").unwrap(), "");
         assert!(splitter.partial.len() - splitter.searched <= 3);
@@ -70,12 +70,12 @@
             Just(b'\n'), Just(b'\r'), Just(b'i'), Just(b'd'), Just(b':'), any::<u8>()], 0..400),
         cuts in prop::collection::vec(0..400_usize, 0..20),
     ) {
-        let mut whole = EventSplitter::default();
+        let mut whole = EventSplitter::new(&BodyMemory::default());
         let expected = whole.push(&bytes).unwrap();
         let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(bytes.len())).collect();
         cuts.extend([0, bytes.len()]);
         cuts.sort_unstable();
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(&BodyMemory::default());
         let mut events = Vec::new();
         for pair in cuts.windows(2) {
             events.extend_from_slice(&splitter.push(&bytes[pair[0]..pair[1]]).unwrap());
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -12,10 +12,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use body_memory::{CollectError, collect};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform_adapter::{ClientHeaders, Prompt, remove_client_headers, remove_hop_by_hop_headers};
 use quarantine::{Property, PropertyKey, property_keys};
@@ -158,13 +159,19 @@
     };
     let (mut parts, body) = req.into_parts();
     remove_client_headers(&mut parts.headers);
-    let limited = Limited::new(body, deployment.limits.max_body_bytes).collect();
-    let body = match tokio::time::timeout(BODY_TIMEOUT, limited).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    let collected = collect(body, deployment.limits.max_body_bytes, &cx.body_memory);
+    let body = match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(CollectError::TooLong)) => {
             return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
         }
-        Ok(Err(_)) => return Err(refuse(StatusCode::BAD_REQUEST, "body_broke_off")),
+        Ok(Err(CollectError::OutOfMemory)) => {
+            cx.record_no_memory(id.as_deref().unwrap_or("-"), "");
+            return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, "no_memory"));
+        }
+        Ok(Err(CollectError::Broken(_))) => {
+            return Err(refuse(StatusCode::BAD_REQUEST, "body_broke_off"));
+        }
         Err(_) => return Err(refuse(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     };
     let timeout = facts.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -19,6 +19,8 @@
     pub data_centre: Box<str>,
     /// `[instance] cores`: CPU cores available to the instance; may be a fraction.
     pub cores: f64,
+    /// `[instance] memory_mb`: memory available to the instance.
+    pub memory_mb: f64,
     /// `[callers] address`: listen address for requests of callers.
     pub callers: SocketAddr,
     /// `[readiness] address`: listen address of the readiness check.
@@ -51,6 +53,10 @@
     pub log_level: Box<str>,
 }
 
+/// Fraction of an instance's memory for the bodies of requests and responses. The allocator may take
+/// twice as much for buffers that grow side by side.
+const BODY_MEMORY_FRACTION: f64 = 0.125;
+
 /// An instance with fewer cores becomes leader only if there is no larger one.
 const SMALL_MACHINE_CORES: f64 = 0.2;
 /// Delay before small machines claim the leader's lease; longer than a claim takes.
@@ -104,6 +110,11 @@
         if self.is_small() { SMALL_MACHINE_CLAIM_DELAY } else { Duration::ZERO }
     }
 
+    /// Memory for the bodies of requests and responses, in bytes.
+    pub(crate) fn body_memory_bytes(&self) -> usize {
+        (self.memory_mb * BODY_MEMORY_FRACTION * f64::from(1 << 20)) as usize
+    }
+
     /// Whether this instance becomes leader only if there is no larger one.
     pub(crate) fn is_small(&self) -> bool {
         self.cores < SMALL_MACHINE_CORES
@@ -116,6 +127,7 @@
         let name = r.required("name", value::text);
         let data_centre = r.required("data_centre", value::text);
         let cores = r.or("cores", 1.0, non_negative);
+        let memory_mb = r.or("memory_mb", 256.0, non_negative);
         r.finish();
 
         let mut address = |section: &str| {
@@ -163,6 +175,7 @@
             name: name?,
             data_centre: data_centre?,
             cores,
+            memory_mb,
             callers: callers?,
             readiness: readiness?,
             metrics: metrics?,
--- a/components/process/instance/src/attempt.rs
+++ b/components/process/instance/src/attempt.rs
@@ -129,7 +129,7 @@
             return self.stream(stats, request, stream, echoed, reply).await;
         }
         let collected = tokio::select! {
-            res = backend_server::collect_body(res, deadline) => res,
+            res = backend_server::collect_body(res, deadline, self.client.memory()) => res,
             () = reply.closed() => {
                 self.cancel();
                 return self.end(
@@ -174,7 +174,7 @@
             }
         };
         let mut request = self.mark_sent(request);
-        match connection.send_and_collect(req, deadline).await {
+        match connection.send_and_collect(req, deadline, self.client.memory()).await {
             Ok(res) if is_not_started(&res) && request.mark_not_started(&self.attempt) => {
                 let result = AttemptResult::Failed(request, Reason::NoCapacity);
                 self.end(stats, result, Some(reply), CallResult::Failure)
--- a/components/process/instance/src/retention_tests.rs
+++ b/components/process/instance/src/retention_tests.rs
@@ -3,6 +3,7 @@
 use std::time::UNIX_EPOCH;
 
 use accounting::{Sweep, SweepCall, Writer, work_name};
+use body_memory::BodyMemory;
 use platform::{Call, Client, ClientConfig, Rates};
 use serde_json::{Value, json};
 use stand_ins::platform::{Platform, PlatformConfig};
@@ -29,6 +30,7 @@
         instance: "a".into(),
         rates: Rates::share(2_000, 400, 1),
         seed: 1,
+        memory: BodyMemory::default(),
     });
     (platform, client)
 }
--- a/components/process/instance/src/start.rs
+++ b/components/process/instance/src/start.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use backend_server::BackendClient;
+use body_memory::BodyMemory;
 use configuration::Follower;
 use front::{CallerLimits, KeyTable, serve_callers, serve_operators};
 use membership::Membership;
@@ -132,11 +133,13 @@
     let (key_table, keys) = watch::channel(Arc::new(KeyTable::new()));
     let (closed_tx, closed) = watch::channel(false);
 
+    let memory = BodyMemory::default();
     let from_std = |l| TcpListener::from_std(l).map_err(Error::Runtime);
     let callers = tokio::spawn(serve_callers(
         from_std(listeners.callers)?,
         settings.instance.name.clone(),
         caller_limits(settings),
+        memory.clone(),
         keys,
         arrivals_tx,
         wait_until_true(closed.clone()),
@@ -150,7 +153,7 @@
     let peer_server = peer::serve(from_std(listeners.peers)?, peers_tx, wait_until_true(closed));
     let peer_server = tokio::spawn(peer_server);
 
-    let cx = build_context(settings, events_tx);
+    let cx = build_context(settings, events_tx, memory);
     let instance =
         build_instance(settings, cx, (peer_address.into(), callers_address.into()), key_table);
     instance.run(Inputs { arrivals, operators, peers, events, stop }).await;
@@ -198,6 +201,7 @@
 fn build_context(
     settings: &Settings,
     events: mpsc::UnboundedSender<crate::event::Event>,
+    memory: BodyMemory,
 ) -> Context {
     let mut rng = ChaCha8Rng::from_os_rng();
     let platform = &settings.platform;
@@ -213,12 +217,13 @@
             writes: rate(platform.writes_per_second, platform.write_burst),
         },
         seed: rng.random(),
+        memory: memory.clone(),
     });
     Context {
         instance: settings.instance.name.clone(),
         incarnation: rng.random(),
         data_centre: settings.instance.data_centre.clone(),
-        client: BackendClient::new(),
+        client: BackendClient::new(memory),
         platform: client,
         platform_timeout: platform.timeout,
         peers: Rc::new(PeerClient::new()),
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use body_memory::BodyMemory;
 use configuration::Head;
 use platform::{Call, Client, ClientConfig, Object, Rate, Rates};
 use serde::de::DeserializeOwned;
@@ -36,6 +37,7 @@
             instance: "command".into(),
             rates: RATES,
             seed: rand::random(),
+            memory: BodyMemory::default(),
         };
         Self { client: Client::new(&cfg), deadline }
     }
--- a/tests/platform_sessions/cluster.rs
+++ b/tests/platform_sessions/cluster.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use platform_stand_in::{
-    Addresses, Caller, Instance, Model, RouteKind, Server, ServerConfig, Store, configuration,
+    Addresses, Caller, EndlessServer, Instance, Model, RouteKind, Server, ServerConfig, Store,
+    configuration,
 };
 
 /// Timeout for steps that usually take well below a second. It is much longer because the machine
@@ -32,6 +33,7 @@
 pub(crate) struct TestCluster {
     pub(crate) store: Store,
     pub(crate) servers: Vec<Server>,
+    pub(crate) endless: Vec<EndlessServer>,
     pub(crate) instances: Vec<Instance>,
     pub(crate) caller: Caller,
     dir: PathBuf,
@@ -76,7 +78,14 @@
         let name = format!("platform-sessions-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir).expect("directory for settings and logs cannot be created");
-        Self { store, servers: running, instances: Vec::new(), caller: Caller::default(), dir }
+        Self {
+            store,
+            servers: running,
+            endless: Vec::new(),
+            instances: Vec::new(),
+            caller: Caller::default(),
+            dir,
+        }
     }
 
     /// Starts a cluster with one ready instance.
