Held models take memory whether or not they may be loaded

Cause: to keep banned loads out of a plan, the planner got a description of the engine without the banned models. The same description tells how much memory a held model takes, and one that it lacks counted as 0 MB. The description of what may be loaded was taken for the description of what is held. A model that the configuration drops while servers hold it has the same effect.

Change: the plan gets the whole description and, apart from it, the banned models, which it only leaves out as loads. A held model without a description takes all memory until it is unloaded.

Kin: a server that refused a request for a model lost the model in the directory, so that its memory counted as free; while an order was in progress there, nothing corrected that afterwards. Refusals are now kept beside the holdings and only keep requests away.

Evidence: held_model_that_may_not_be_loaded_takes_memory fails with 0 MB for models without a description, as before; a_refused_request_does_not_change_ the_holdings covers the kin.

--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -166,16 +166,10 @@
         budget.consume_retry(Instant::now(), &self.settings.retry_limits, instances)
     }
 
-    /// Records that a server refused a request for a model that it should hold: removes the model
-    /// from the directory and has the leader ask the server again.
+    /// Records that a server refused a request for a model that it should hold: sends it no further
+    /// ones, and has the leader ask the server again.
     pub(crate) fn mark_holdings_stale(&self, server: &str, model: &str) {
-        let born = self.directory.borrow().get(server).map(|s| s.entry.holdings.born);
-        if let Some(born) = born {
-            let mut directory = self.directory.borrow_mut();
-            directory.observe(server, born, Instant::now(), |holdings| {
-                holdings.models.remove(model);
-            });
-        }
+        self.directory.borrow_mut().record_refused_model(server, model);
         self.stale_holdings.borrow_mut().insert(server.into());
         self.waiting_changed.notify_one();
     }
--- a/components/process/entry/src/process/orders/adapters.rs
+++ b/components/process/entry/src/process/orders/adapters.rs
@@ -32,7 +32,7 @@
     let is_served = cx.directory.borrow().servers().any(|server| {
         &*server.entry.service == service
             && !server.entry.is_draining
-            && server.entry.holdings.serves(&key.model, Some(&adapter))
+            && server.serves(&key.model, Some(&adapter))
     });
     let pending = (ServiceName::from(service), key.clone());
     let is_banned = cx.load_banned_until(service, &key.model, Some(&adapter)).is_some();
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -1,13 +1,12 @@
 //! The leader's loop: queries holdings, plans, sends orders and publishes its state.
 
-use std::borrow::Cow;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use replica_placement::{ModelPlacement, PlanLimits, ServerView, plan};
-use routes::Engine;
+use routes::{Engine, ModelName};
 use server_directory::ServerId;
 use tokio::task::spawn_local;
 
@@ -177,7 +176,6 @@
     leader.borrow_mut().queued.clear();
     for (service, engine) in deployment.engines() {
         let waiting = waiting_by_model(cx, service);
-        let engine = &*without_banned_models(cx, service, engine);
         let moves = plan_service(cx, &mut leader.borrow_mut(), service, engine, &waiting, now);
         for planned in moves {
             spawn_local(execute_move(cx.clone(), leader.clone(), engine.clone(), planned));
@@ -194,15 +192,13 @@
     cx.servers_changed.notify_waiters();
 }
 
-/// The engine without the models whose loads end servers.
-fn without_banned_models<'a>(cx: &Entry, service: &str, engine: &'a Engine) -> Cow<'a, Engine> {
-    let is_banned = |model: &str| cx.load_banned_until(service, model, None).is_some();
-    if !cx.quarantine.borrow().has_bans() || !engine.models.keys().any(|model| is_banned(model)) {
-        return Cow::Borrowed(engine);
+/// Models whose loads end servers.
+fn banned_models(cx: &Entry, service: &str, engine: &Engine) -> BTreeSet<ModelName> {
+    if !cx.quarantine.borrow().has_bans() {
+        return BTreeSet::new();
     }
-    let mut engine = engine.clone();
-    engine.models.retain(|model, _| !is_banned(model));
-    Cow::Owned(engine)
+    let is_banned = |model: &&ModelName| cx.load_banned_until(service, model, None).is_some();
+    engine.models.keys().filter(is_banned).cloned().collect()
 }
 
 fn plan_service(
@@ -244,7 +240,8 @@
             .filter(|server| &*server.entry.service == service)
             .all(|server| server.entry.is_draining || leader.has_been_queried(server)),
     };
-    let plan = plan(now, &views, &leader.demands, engine, limits);
+    let banned = banned_models(cx, service, engine);
+    let plan = plan(now, &views, &leader.demands, engine, &banned, limits);
     leader.ready_at.extend(plan.ready_at);
     for planned in &plan.placements {
         leader.orders_in_progress.insert(planned.server.clone(), Some(planned.load.clone()));
--- a/components/process/entry/src/process/waiting_requests.rs
+++ b/components/process/entry/src/process/waiting_requests.rs
@@ -57,7 +57,7 @@
         directory.servers().any(|server| {
             server.entry.service == *service
                 && !server.entry.is_draining
-                && server.entry.holdings.serves(&key.model, key.adapter.as_deref())
+                && server.serves(&key.model, key.adapter.as_deref())
         })
     }
 
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -60,16 +60,14 @@
     job: &'a Job,
 ) -> impl Iterator<Item = &'a Server> {
     let prompt = job.prompt();
-    accepting_servers(directory, job).filter(move |server| {
-        prompt.is_none_or(|p| server.entry.holdings.serves(&p.model, p.adapter.as_deref()))
-    })
+    accepting_servers(directory, job)
+        .filter(move |server| prompt.is_none_or(|p| server.serves(&p.model, p.adapter.as_deref())))
 }
 
 /// Whether an accepting server has the request's model, with or without the adapter.
 pub(super) fn has_model(cx: &Entry, job: &Job) -> bool {
     let Some(prompt) = job.prompt() else { return false };
-    accepting_servers(&cx.directory.borrow(), job)
-        .any(|server| server.entry.holdings.serves(&prompt.model, None))
+    accepting_servers(&cx.directory.borrow(), job).any(|server| server.serves(&prompt.model, None))
 }
 
 /// Whether a server other than `server` has a free slot for the request now.
--- a/components/process/replica_placement/src/plan.rs
+++ b/components/process/replica_placement/src/plan.rs
@@ -6,7 +6,7 @@
 //! servers. A rarely used model with a cached copy is therefore cheap to load on demand, and models
 //! without any copy are prefetched while the weight store is idle.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use routes::{Engine, Model, ModelName};
@@ -141,12 +141,14 @@
     cost < score + max_cost && (is_missing || displaced < score * MAX_DISPLACED_RATIO)
 }
 
-/// Plans the next placements of one service.
+/// Plans the next placements of one service. `engine` describes all models; those in `banned` are
+/// not loaded, but take memory where they are held.
 pub fn plan<'a>(
     now: Instant,
     servers: &'a [ServerView<'a>],
     demands: &'a Demands,
     engine: &'a Engine,
+    banned: &'a BTreeSet<ModelName>,
     limits: PlanLimits,
 ) -> Plan {
     let mut replicas: HashMap<&str, usize> = HashMap::new();
@@ -173,6 +175,7 @@
         servers,
         demands,
         engine,
+        banned,
         replicas,
         replicas_by_data_centre,
         has_traffic,
@@ -184,6 +187,7 @@
     let mut under_replicated: Vec<UnderReplicated<'_>> = engine
         .models
         .values()
+        .filter(|model| !banned.contains(&model.name))
         .filter_map(|model| {
             let demand = demands.get(&model.name)?;
             let replicas = planner.replicas.get(&*model.name).copied().unwrap_or(0);
@@ -256,8 +260,10 @@
             || planner.servers.iter().any(|s| nearest_source(s.holdings, model) != Source::Store)
             || plan.ready_at.contains_key(model)
     };
+    let may_load = |model: &str| !planner.banned.contains(model);
+    let models = planner.engine.models.values();
     let mut missing: Vec<&Model> =
-        planner.engine.models.values().filter(|m| !has_copy(&m.name)).collect();
+        models.filter(|m| may_load(&m.name) && !has_copy(&m.name)).collect();
     missing.sort_by(|a, b| a.name.cmp(&b.name));
     let free_loads = concurrent.saturating_sub(running);
     for model in missing.into_iter().take(free_loads) {
--- a/components/process/replica_placement/src/plan_tests.rs
+++ b/components/process/replica_placement/src/plan_tests.rs
@@ -5,12 +5,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use routes::{Engine, Model};
+use routes::{Engine, Model, ModelName};
+use rstest::rstest;
 use server_directory::Holdings;
 
 const LIMITS: PlanLimits =
     PlanLimits { max_store_loads: 2, is_prefetching: true, is_inventory_complete: true };
 
+const NO_BANS: BTreeSet<ModelName> = BTreeSet::new();
+
 /// An engine with ten models, three of which fit on a server.
 fn engine() -> Engine {
     let model = |n: u32| Model {
@@ -68,7 +71,7 @@
     let all = ["m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"];
     let (a, b) = (holdings(&["m0", "m1", "m2"], &all[..5]), holdings(&["m3", "m4", "m5"], &all));
     let servers = [view("a", &a), view("b", &b)];
-    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), LIMITS);
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), &NO_BANS, LIMITS);
     assert_eq!(plan.placements.len(), 1, "{plan:?}");
     let chosen = &plan.placements[0];
     assert_eq!((&*chosen.server, &*chosen.load, chosen.source), ("b", "m9", Source::Disk));
@@ -88,7 +91,7 @@
     let ends = now + Duration::from_secs(1);
     servers[0].pending_load = Some((Source::Disk, ends));
     let limits = PlanLimits { is_prefetching: false, ..LIMITS };
-    let plan = plan(now, &servers, &demand("m9", 2, 2, now), &engine(), limits);
+    let plan = plan(now, &servers, &demand("m9", 2, 2, now), &engine(), &NO_BANS, limits);
     assert!(plan.placements.is_empty(), "{plan:?}");
     assert_eq!(plan.ready_at["m9"], ends);
 }
@@ -103,7 +106,7 @@
     let mut demands = demand("m9", 1, 1, now);
     demands.models.entry("m0".into()).or_default().record_arrivals(now, 100);
     demands.models.entry("m1".into()).or_default().record_arrivals(now, 20);
-    let plan = plan(now, &servers, &demands, &engine(), LIMITS);
+    let plan = plan(now, &servers, &demands, &engine(), &NO_BANS, LIMITS);
     assert_eq!(plan.placements[0].unload, [Box::<str>::from("m2")], "{plan:?}");
 }
 
@@ -114,7 +117,7 @@
     let on_disk = ["m0", "m1", "m2", "m3", "m4"];
     let (a, b) = (holdings(&["m0", "m1", "m2"], &on_disk), holdings(&["m3", "m4"], &on_disk));
     let servers = [view("a", &a), view("b", &b)];
-    let plan = plan(now, &servers, &demand("m0", 0, 100, now), &engine(), LIMITS);
+    let plan = plan(now, &servers, &demand("m0", 0, 100, now), &engine(), &NO_BANS, LIMITS);
     assert!(plan.placements.iter().any(|m| *m.load == *"m0" && *m.server == *"b"), "{plan:?}");
 }
 
@@ -132,10 +135,10 @@
     for model in ["m0", "m1"] {
         demands.models.entry(model.into()).or_default().pending_send = 1;
     }
-    let chosen = plan(now, &servers, &demands, &engine(), LIMITS);
+    let chosen = plan(now, &servers, &demands, &engine(), &NO_BANS, LIMITS);
     assert_eq!(chosen.placements[0].unload, [Box::<str>::from("m2")], "{chosen:?}");
     demands.models.entry("m2".into()).or_default().pending_send = 1;
-    let chosen = plan(now, &servers, &demands, &engine(), LIMITS);
+    let chosen = plan(now, &servers, &demands, &engine(), &NO_BANS, LIMITS);
     assert!(chosen.placements.is_empty(), "{chosen:?}");
 }
 
@@ -149,7 +152,7 @@
     let (b, c) = (holdings(&["m1"], &on_disk), holdings(&["m2"], &on_disk));
     let mut servers = [view("a", &a), view("b", &b), view("c", &c)];
     servers[2].data_centre = "south";
-    let chosen = plan(now, &servers, &demand("m0", 0, 100, now), &engine(), LIMITS);
+    let chosen = plan(now, &servers, &demand("m0", 0, 100, now), &engine(), &NO_BANS, LIMITS);
     let target = chosen.placements.iter().find(|m| *m.load == *"m0").map(|m| &*m.server);
     assert_eq!(target, Some("c"), "{chosen:?}");
 }
@@ -170,7 +173,7 @@
     }
     demands.models.entry("m0".into()).or_default().record_arrivals(now, 4);
     let limits = PlanLimits { is_prefetching: false, ..LIMITS };
-    let chosen = plan(now, &servers, &demands, &engine(), limits);
+    let chosen = plan(now, &servers, &demands, &engine(), &NO_BANS, limits);
     assert_eq!(chosen.placements.len(), 1, "{chosen:?}");
     assert_eq!(chosen.placements[0].unload, [Box::<str>::from("m0")], "{chosen:?}");
     assert_ne!(&*chosen.placements[0].server, "a", "{chosen:?}");
@@ -189,7 +192,7 @@
         demand.waiting = 1;
         demand.record_arrivals(now, 1);
     }
-    let plan = plan(now, &servers, &demands, &engine(), LIMITS);
+    let plan = plan(now, &servers, &demands, &engine(), &NO_BANS, LIMITS);
     let from_store = plan.placements.iter().filter(|m| m.source == Source::Store).count();
     assert_eq!(from_store, LIMITS.max_store_loads, "{plan:?}");
     assert_eq!(plan.ready_at.len(), 6, "the other models have a predicted load time");
@@ -204,7 +207,7 @@
     let mut servers = [view("a", &a), view("b", &b)];
     servers[0].is_leaving = true;
     servers[1].is_blocked = true;
-    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), LIMITS);
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), &NO_BANS, LIMITS);
     assert!(plan.placements.is_empty(), "{plan:?}");
     assert!(plan.ready_at.contains_key("m9"));
 }
@@ -253,7 +256,7 @@
     let empty = Holdings::default();
     let servers = [view("a", &empty)];
     let limits = PlanLimits { is_inventory_complete: false, ..LIMITS };
-    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), limits);
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), &NO_BANS, limits);
     assert!(plan.placements.is_empty() && plan.ready_at.is_empty(), "{plan:?}");
 }
 
@@ -265,7 +268,7 @@
     let held = holdings(&[], &["m9"]);
     let mut servers = [view("a", &held)];
     servers[0].is_blocked = true;
-    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), LIMITS);
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), &NO_BANS, LIMITS);
     assert!(plan.ready_at["m9"] <= now + Duration::from_secs(3), "{plan:?}");
 }
 
@@ -277,7 +280,7 @@
     let (a, b) = (holdings(&["m0"], &on_disk), holdings(&["m0"], &on_disk));
     let mut servers = [view("a", &a), view("b", &b)];
     servers[0].in_flight = 12;
-    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), LIMITS);
+    let plan = plan(now, &servers, &demand("m9", 1, 1, now), &engine(), &NO_BANS, LIMITS);
     assert_eq!(&*plan.placements[0].server, "b", "{plan:?}");
 }
 
@@ -288,7 +291,7 @@
     let now = Instant::now();
     let held = holdings(&["m0"], &["m0"]);
     let servers = [view("a", &held)];
-    let plan = plan(now, &servers, &demand("m0", 0, 400, now), &engine(), LIMITS);
+    let plan = plan(now, &servers, &demand("m0", 0, 400, now), &engine(), &NO_BANS, LIMITS);
     assert!(plan.ready_at.is_empty(), "{plan:?}");
 }
 
@@ -304,6 +307,43 @@
     for model in on_disk {
         demands.models.entry(model.into()).or_default().record_arrivals(now, 40);
     }
-    let plan = plan(now, &servers, &demands, &engine(), LIMITS);
+    let plan = plan(now, &servers, &demands, &engine(), &NO_BANS, LIMITS);
+    assert!(plan.placements.is_empty(), "{plan:?}");
+}
+
+/// Guards against counting a held model as free memory because its loads are banned (review/1), or
+/// because the configuration no longer describes it: a full server was ordered to load one more.
+#[rstest]
+#[case::banned(true, &["m1"])]
+#[case::not_described(false, &[])]
+fn held_model_that_may_not_be_loaded_takes_memory(
+    #[case] is_described: bool,
+    #[case] banned: &[&str],
+) {
+    let now = Instant::now();
+    let mut engine = engine();
+    if !is_described {
+        engine.models.remove("m1");
+    }
+    let banned = banned.iter().map(|model| (*model).into()).collect();
+    let a = holdings(&["m0", "m1", "m2"], &["m0", "m1", "m2", "m9"]);
+    let demands = demand("m9", 1, 1, now);
+    let servers = [view("a", &a)];
+    let plan = plan(now, &servers, &demands, &engine, &banned, LIMITS);
+    assert_eq!(plan.placements.len(), 1, "{plan:?}");
+    // Three models fit on a server, and it holds three.
+    assert!(!plan.placements[0].unload.is_empty(), "{plan:?}");
+    assert!(free_mb(&engine, &a) < 70.0);
+}
+
+/// Guards against loads of a model whose loads are banned, on demand or ahead of it.
+#[test]
+fn banned_model_is_not_loaded() {
+    let now = Instant::now();
+    let a = holdings(&["m0"], &["m0"]);
+    let servers = [view("a", &a)];
+    let banned: BTreeSet<ModelName> = (1..10).map(|n| format!("m{n}").into()).collect();
+    let plan = plan(now, &servers, &demand("m9", 3, 3, now), &engine(), &banned, LIMITS);
     assert!(plan.placements.is_empty(), "{plan:?}");
+    assert!(plan.ready_at.is_empty(), "{plan:?}");
 }
--- a/components/process/replica_placement/src/retention_value.rs
+++ b/components/process/replica_placement/src/retention_value.rs
@@ -71,6 +71,8 @@
     pub(crate) servers: &'a [ServerView<'a>],
     pub(crate) demands: &'a Demands,
     pub(crate) engine: &'a Engine,
+    /// Models that no server may load now. Those that are held stay held.
+    pub(crate) banned: &'a BTreeSet<ModelName>,
     pub(crate) replicas: HashMap<&'a str, usize>,
     /// Replicas by model and data centre.
     pub(crate) replicas_by_data_centre: HashMap<(&'a str, &'a str), usize>,
@@ -176,7 +178,7 @@
         while free < model.weights_mb + reserved {
             let (value, name) = candidates.next()?;
             displaced += value;
-            free += self.engine.models.get(name).map_or(0.0, |m| m.weights_mb);
+            free += weights_mb(self.engine, name);
             victims.push(name.clone());
         }
         Some((victims, displaced))
@@ -222,15 +224,24 @@
     }
 }
 
-/// Free accelerator memory of a server, in MB.
+/// Accelerator memory of a model that a server holds, in MB. A model that the configuration no longer
+/// describes has an unknown size and may take all of it.
+fn weights_mb(engine: &Engine, model: &str) -> f64 {
+    engine.models.get(model).map_or(engine.accelerator_memory_mb, |model| model.weights_mb)
+}
+
+/// Free accelerator memory of a server, in MB; negative if it holds more than is known to fit.
+/// `engine` must describe all models, whether they may be loaded or not.
 pub fn free_mb(engine: &Engine, holdings: &Holdings) -> f64 {
     let size = |(model, adapters): (&ModelName, &BTreeSet<AdapterName>)| {
-        let Some(model) = engine.models.get(model) else { return 0.0 };
-        model.weights_mb + model.adapter_mb * adapters.len() as f64
+        let adapter_mb = engine.models.get(model).map_or(0.0, |model| model.adapter_mb);
+        weights_mb(engine, model) + adapter_mb * adapters.len() as f64
     };
-    let loading = holdings.loading.as_ref().and_then(|model| engine.models.get(model));
+    let loading = holdings.loading.iter().filter(|model| !holdings.models.contains_key(*model));
     let used: f64 = holdings.models.iter().map(size).sum();
-    engine.accelerator_memory_mb - used - loading.map_or(0.0, |model| model.weights_mb)
+    engine.accelerator_memory_mb
+        - used
+        - loading.map(|model| weights_mb(engine, model)).sum::<f64>()
 }
 
 /// The fastest source of a model's weights for a server.
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -109,6 +109,16 @@
     pub grace_ends_at: Option<Instant>,
     /// Time of the last observation of the leader.
     observed_at: Option<Instant>,
+    /// Models for which the server refused requests since its holdings were last observed. They get
+    /// no requests there; `holdings` does not change, because a refusal does not free memory.
+    refused: BTreeSet<ModelName>,
+}
+
+impl Server {
+    /// Whether a request for the model, and for the adapter if one is given, may be sent here.
+    pub fn serves(&self, model: &str, adapter: Option<&str>) -> bool {
+        self.entry.holdings.serves(model, adapter) && !self.refused.contains(model)
+    }
 }
 
 /// Most servers that are remembered as leaving.
@@ -182,6 +192,7 @@
     /// known.
     pub fn upsert(&mut self, mut entry: Entry, revision: Revision, now: Instant) -> bool {
         let mut observed_at = None;
+        let mut refused = BTreeSet::new();
         let mut first_revision = revision;
         if let Some(known) = self.servers.get(&entry.id) {
             let held = &known.entry.holdings;
@@ -204,6 +215,7 @@
                 }
                 entry.holdings = holdings;
                 observed_at = known.observed_at;
+                refused.clone_from(&known.refused);
             }
         }
         match self.leaving.get(&entry.id) {
@@ -213,7 +225,9 @@
             }
             None => {}
         }
-        let server = Server { revision, first_revision, grace_ends_at: None, observed_at, entry };
+        let grace_ends_at = None;
+        let server =
+            Server { revision, first_revision, grace_ends_at, observed_at, refused, entry };
         self.servers.insert(server.entry.id.clone(), server);
         true
     }
@@ -232,10 +246,19 @@
             return false;
         }
         server.observed_at = Some(now);
+        server.refused.clear();
         change(&mut server.entry.holdings);
         true
     }
 
+    /// Records that a server refused a request for a model that it should hold. It gets no requests
+    /// for the model until the leader observes its holdings again.
+    pub fn record_refused_model(&mut self, id: &str, model: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.refused.insert(model.into());
+        }
+    }
+
     /// Handles an entry that is no longer in the registry. If it may have expired during an outage,
     /// the server is used until `grace_deadline`, unless it was draining; see [`OutageDetector`].
     pub fn remove(&mut self, id: &str, grace_deadline: Option<Instant>) {
--- a/components/process/server_directory/src/tests.rs
+++ b/components/process/server_directory/src/tests.rs
@@ -187,3 +187,18 @@
     }
     assert_eq!(d.recently_leaving(now, Duration::from_secs(60)).count(), MAX_LEAVING);
 }
+
+/// Guards against a refusal that is taken for free memory: a server that refused a request for a model
+/// gets none for it until its holdings are observed again, but still holds it.
+#[test]
+fn a_refused_request_does_not_change_the_holdings() {
+    let now = Instant::now();
+    let mut d = Directory::default();
+    d.upsert(entry(holdings(1, &["m1", "m2"])), 10, now);
+    d.record_refused_model("s1", "m1");
+    assert_eq!(models(&d), ["m1", "m2"]);
+    let serves = |d: &Directory, model| d.get("s1").is_some_and(|s| s.serves(model, None));
+    assert!(!serves(&d, "m1") && serves(&d, "m2"));
+    assert!(observe(&mut d, holdings(1, &["m1"]), now));
+    assert!(serves(&d, "m1") && !serves(&d, "m2"));
+}
