Orders carry their term and are void after it

Cause: the tasks of moves go on when the lease runs out. If the same instance renews it, they find the state of the new term in the place of their own: they name its count of accepted orders, update the directory, and remove the entries of its moves at their end. The question whether a load is complete is the load order itself, with a count read anew, so it began a second load. The fencing number does not tell the two terms apart.

Change: LeaderLease counts terms, a new one after each lapse. The state of the leader belongs to a term; tasks keep the one that they began with. An order is authorized only for the current term, and updates of the directory and records of failed loads are void after it: also in tasks that wait, and in their clean-up. The question about a load names the load itself as the last accepted order, so that it cannot begin another, and free memory is checked right before a load is sent. The last orders are kept across terms, because reports may miss them.

Kin: adapters, queries of holdings and loads that wait for the weight store's rate take the same path through send_order and update_holdings.

--- a/components/process/entry/src/process/orders/adapters.rs
+++ b/components/process/entry/src/process/orders/adapters.rs
@@ -11,7 +11,8 @@
 
 use super::leader::Leader;
 use super::order::{
-    OrderOutcome, accepted_orders, count_accepted, invalidate_holdings, send_order, update_holdings,
+    OrderOutcome, accepted_orders, count_accepted, invalidate_holdings, record_failed_load,
+    send_order, update_holdings,
 };
 use super::plan_loop::server_views;
 use crate::process::{Entry, ModelKey};
@@ -83,7 +84,7 @@
         .is_some();
         if !is_done {
             invalidate_holdings(&cx, &leader, &server);
-            cx.record_failed_load(&server, &model, Some(&adapter)).await;
+            record_failed_load(&cx, &leader, &server, &model, Some(&adapter)).await;
         }
         let mut state = leader.borrow_mut();
         state.adapters_in_progress.remove(&pending);
@@ -112,13 +113,16 @@
         adapter: Some(adapter.into()),
         after_sequence: accepted_orders(cx, leader, server).await?,
     };
-    match send_order(cx, server, &order).await {
+    match send_order(cx, leader, server, &order).await {
         OrderOutcome::Accepted => count_accepted(leader, server),
         // The server unloads an idle adapter at once and counts the order. It does not count a load
         // of an adapter that it holds already.
         OrderOutcome::Holds if !is_load => count_accepted(leader, server),
         OrderOutcome::Holds => {}
-        OrderOutcome::Conflict | OrderOutcome::Failed | OrderOutcome::Unknown => return None,
+        OrderOutcome::Conflict
+        | OrderOutcome::Failed
+        | OrderOutcome::Unknown
+        | OrderOutcome::Void => return None,
     }
     Some(())
 }
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -3,12 +3,14 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Instant;
 
-use replica_placement::{Demands, Source, StoreConcurrencyLimit, StoreRateLimiter, UnloadTime};
+use replica_placement::{
+    Demands, Source, StoreConcurrencyLimit, StoreRateLimiter, Term, UnloadTime,
+};
 use routes::{AdapterName, ModelName, ServiceName};
 use server_directory::{Revision, Server, ServerId};
 
 use super::publish::PublishedFigures;
-use crate::process::{Entry, ModelKey};
+use crate::process::{Entry, ModelKey, boot_now};
 
 /// Upper bound of the concurrency limit of loads from the weight store.
 const MAX_CONCURRENT_LOADS: usize = 8;
@@ -31,8 +33,11 @@
     }
 }
 
-/// What an instance knows and tracks while it is the leader.
+/// What an instance knows and tracks in one term as the leader. Tasks keep the state of the term in
+/// which they began, so that one that outlasts its term cannot change what the next one tracks.
 pub(super) struct Leader {
+    /// Orders and changes of the directory are void once this is not the current term.
+    pub(super) term: Term,
     pub(super) store_concurrency: StoreConcurrencyLimit,
     pub(super) store_rate: StoreRateLimiter,
     pub(super) unload_time: UnloadTime,
@@ -74,10 +79,11 @@
 }
 
 impl Leader {
-    pub(super) fn new(cx: &Entry) -> Self {
+    pub(super) fn new(cx: &Entry, term: Term) -> Self {
         let published = cx.instances.borrow().leader_store_concurrency();
         let limit = published.unwrap_or(cx.settings.concurrent_loads);
         Self {
+            term,
             store_concurrency: StoreConcurrencyLimit::new(
                 limit.min(MAX_CONCURRENT_LOADS),
                 MAX_CONCURRENT_LOADS,
@@ -107,6 +113,23 @@
         }
     }
 
+    /// State of a later term. What was learned about the weight store and the engines stays valid, and
+    /// reports may still miss the last orders of this term.
+    pub(super) fn next_term(&self, cx: &Entry, term: Term) -> Self {
+        Self {
+            store_concurrency: self.store_concurrency,
+            store_rate: self.store_rate,
+            unload_time: self.unload_time,
+            last_order_at: self.last_order_at.clone(),
+            ..Self::new(cx, term)
+        }
+    }
+
+    /// Whether this instance holds the lease, and has held it all the time since the term began.
+    pub(super) fn is_current(&self, cx: &Entry) -> bool {
+        cx.leader_lease.borrow().term(boot_now()) == Some(self.term)
+    }
+
     /// Number of loads from the weight store that are planned or in progress.
     pub(super) fn store_loads(&self) -> usize {
         self.loading.values().filter(|(source, _)| *source == Source::Store).count()
--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -11,7 +11,8 @@
 
 use super::leader::Leader;
 use super::order::{
-    OrderOutcome, accepted_orders, count_accepted, invalidate_holdings, send_order, update_holdings,
+    OrderOutcome, accepted_orders, count_accepted, invalidate_holdings, record_failed_load,
+    send_order, update_holdings,
 };
 use crate::process::Entry;
 
@@ -76,7 +77,7 @@
             adapter: None,
             after_sequence: accepted_orders(cx, leader, server).await?,
         };
-        match send_order(cx, server, &unload).await {
+        match send_order(cx, leader, server, &unload).await {
             OrderOutcome::Accepted => {
                 count_accepted(leader, server);
                 unloaded_at = Some(Unload { accepted_at: Instant::now(), is_idle: is_idle(model) });
@@ -86,13 +87,6 @@
         }
     }
     let model = engine.models.get(&planned.load)?;
-    // The known holdings of the server may have been corrected since the plan.
-    let free = free_mb(engine, &cx.directory.borrow().get(server)?.entry.holdings);
-    if free < model.weights_mb {
-        tracing::info!(server, model = %model.name, free_mb = free as u64,
-            "orders: not enough free memory for the model; leaving it to the next plan");
-        return None;
-    }
     if planned.source == Source::Store {
         let rate = engine.store_loads_per_second;
         let begin = leader.borrow_mut().store_rate.reserve(Instant::now(), rate);
@@ -104,10 +98,17 @@
         adapter: None,
         after_sequence: accepted_orders(cx, leader, server).await?,
     };
+    // The known holdings of the server may have been corrected since the plan, last by the line above.
+    let free = free_mb(engine, &cx.directory.borrow().get(server)?.entry.holdings);
+    if free < model.weights_mb {
+        tracing::info!(server, model = %model.name, free_mb = free as i64,
+            "orders: not enough free memory for the model; leaving it to the next plan");
+        return None;
+    }
     match send_after_unload(cx, leader, server, &load, unloaded_at).await? {
         OrderOutcome::Accepted => count_accepted(leader, server),
         OrderOutcome::Unknown => {
-            cx.record_failed_load(&planned.server, &model.name, None).await;
+            record_failed_load(cx, leader, &planned.server, &model.name, None).await;
             return None;
         }
         _ => return None,
@@ -154,7 +155,7 @@
         );
     }
     if loaded.is_none() {
-        cx.record_failed_load(&planned.server, &model.name, None).await;
+        record_failed_load(cx, leader, &planned.server, &model.name, None).await;
     }
     loaded?;
     cx.record_load(server, &model.name, None);
@@ -217,7 +218,7 @@
     let mut pause = UNLOAD_POLL;
     let mut is_first = true;
     loop {
-        let ended = send_order(cx, server, order).await;
+        let ended = send_order(cx, leader, server, order).await;
         let is_too_early = matches!(ended, OrderOutcome::Conflict);
         if std::mem::take(&mut is_first) && unload.is_some_and(|unload| unload.is_idle) {
             leader.borrow_mut().unload_time.record(is_too_early);
@@ -234,7 +235,9 @@
 }
 
 /// Waits until a load is complete by sending the same order again: the server answers that it holds
-/// the model, or that an order is in progress. Unlike a report, this answer does not lag.
+/// the model, or that an order is in progress. Unlike a report, this answer does not lag. The order
+/// names the load itself as the last one that the server accepted. It cannot begin another load, even
+/// if the model was unloaded meanwhile.
 async fn wait_until_loaded(
     cx: &Rc<Entry>,
     leader: &RefCell<Leader>,
@@ -245,6 +248,7 @@
     expected: Duration,
 ) -> Option<()> {
     let give_up_at = began + (expected * LOAD_TIMEOUT_FACTOR).max(MIN_LOAD_TIMEOUT);
+    let poll = Order { after_sequence: load.after_sequence + 1, ..load.clone() };
     let mut pause = LOAD_POLL;
     tokio::time::sleep_until((began + expected + LOAD_SLACK).into()).await;
     loop {
@@ -255,9 +259,7 @@
                 return None;
             }
         }
-        let poll =
-            Order { after_sequence: accepted_orders(cx, leader, server).await?, ..load.clone() };
-        match send_order(cx, server, &poll).await {
+        match send_order(cx, leader, server, &poll).await {
             OrderOutcome::Holds => {
                 leader.borrow_mut().last_order_at.insert(server.into(), Instant::now());
                 update_holdings(cx, leader, server, |holdings| {
@@ -269,7 +271,7 @@
             }
             // The load is still in progress; the server does not count the same order again.
             OrderOutcome::Accepted | OrderOutcome::Conflict | OrderOutcome::Unknown => {}
-            OrderOutcome::Failed => return None,
+            OrderOutcome::Failed | OrderOutcome::Void => return None,
         }
         if Instant::now() >= give_up_at {
             return None;
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use platform_adapter::{Order, OrderReply, Report};
-use server_directory::Holdings;
+use server_directory::{Holdings, ServerId};
 
 use super::REFUSED_PAUSE;
 use super::leader::{AcceptedOrders, Leader};
@@ -16,13 +16,18 @@
 /// Timeout of an order or a report; engines answer in a few milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Updates the known holdings of a server, marks them for publishing and triggers a plan.
+/// Updates the known holdings of a server, marks them for publishing and triggers a plan. Does nothing
+/// after the term: what the server holds then follows from the orders of another one.
 pub(super) fn update_holdings(
     cx: &Entry,
     leader: &RefCell<Leader>,
     server: &str,
     change: impl FnOnce(&mut Holdings),
 ) {
+    if !leader.borrow().is_current(cx) {
+        tracing::info!(server, "orders: term is over; holdings not changed");
+        return;
+    }
     let born = cx.directory.borrow().get(server).map(|s| s.entry.holdings.born);
     if let Some(born) = born {
         cx.directory.borrow_mut().observe(server, born, Instant::now(), change);
@@ -43,9 +48,23 @@
     /// The server may still execute the order. The next order carries the same sequence number, so
     /// that the server executes only one of the two.
     Unknown,
+    /// The term in which the order was planned is over; it was not sent.
+    Void,
 }
 
-pub(super) async fn send_order(cx: &Rc<Entry>, server: &str, order: &Order) -> OrderOutcome {
+pub(super) async fn send_order(
+    cx: &Rc<Entry>,
+    leader: &RefCell<Leader>,
+    server: &str,
+    order: &Order,
+) -> OrderOutcome {
+    let term = leader.borrow().term;
+    let is_current = || cx.leader_lease.borrow().term(boot_now()) == Some(term);
+    if !is_current() {
+        tracing::info!(server, model = %order.model, adapter = ?order.adapter,
+            load = order.is_load, term, "orders: not sent; the term is over");
+        return OrderOutcome::Void;
+    }
     let Some(address) = cx.directory.borrow().get(server).map(|s| s.entry.address) else {
         return OrderOutcome::Failed;
     };
@@ -55,7 +74,7 @@
     }
     // Checks that this instance may still send orders right before the order is sent.
     let body = || {
-        let fence = cx.leader_lease.borrow_mut().authorize_order(server, boot_now())?;
+        let fence = cx.leader_lease.borrow_mut().authorize_order(server, term, boot_now())?;
         Some(platform_adapter::encode_order(order, &cx.settings.name, fence))
     };
     cx.metrics.orders.inc();
@@ -84,10 +103,11 @@
             OrderReply::Rejected => OrderOutcome::Failed,
         },
         Err(is_sent) if is_sent => OrderOutcome::Unknown,
+        Err(_) if !is_current() => OrderOutcome::Void,
         Err(_) => OrderOutcome::Failed,
     };
     tracing::info!(server, model = %order.model, adapter = ?order.adapter, load = order.is_load,
-        after_sequence = order.after_sequence, outcome = ?outcome, "orders: order sent");
+        after_sequence = order.after_sequence, term, outcome = ?outcome, "orders: order sent");
     outcome
 }
 
@@ -163,6 +183,21 @@
     update_holdings(cx, leader, server, |known| known.loading = None);
 }
 
+/// Records that a load failed. A load that outlasts its term may have failed because of the orders of
+/// the next one.
+pub(super) async fn record_failed_load(
+    cx: &Entry,
+    leader: &RefCell<Leader>,
+    server: &ServerId,
+    model: &str,
+    adapter: Option<&str>,
+) {
+    let is_current = leader.borrow().is_current(cx);
+    if is_current {
+        cx.record_failed_load(server, model, adapter).await;
+    }
+}
+
 /// Replaces the known holdings of a server by its own report.
 pub(super) async fn refresh_holdings(
     cx: &Rc<Entry>,
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -33,7 +33,8 @@
 /// While this instance holds the lease, plans, sends orders and publishes its state to the other
 /// instances.
 pub(crate) async fn run_plan_loop(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
-    let leader = Rc::new(RefCell::new(Leader::new(&cx)));
+    // Terms count from 1.
+    let mut leader = Rc::new(RefCell::new(Leader::new(&cx, 0)));
     let mut was_leader = false;
     let mut publish_at = Instant::now();
     let mut plan_at = Instant::now();
@@ -42,23 +43,24 @@
             () = tokio::time::sleep_until(plan_at.min(publish_at).into()) => {}
             () = cx.plan_due.notified() => {}
         }
-        let Some(lease) = cx.leader_lease.borrow().held_lease(boot_now()) else {
+        let held = {
+            let (lease, now) = (cx.leader_lease.borrow(), boot_now());
+            lease.held_lease(now).zip(lease.term(now))
+        };
+        let Some((lease, term)) = held else {
             if was_leader {
                 tracing::warn!("orders: lease no longer held");
-                let former = leader.replace(Leader::new(&cx));
-                // What was learned about the weight store and the engines stays valid without the lease.
-                let mut state = leader.borrow_mut();
-                (state.store_concurrency, state.store_rate, state.unload_time) =
-                    (former.store_concurrency, former.store_rate, former.unload_time);
             }
             was_leader = false;
             plan_at = Instant::now() + PLAN_INTERVAL;
             publish_at = plan_at;
             continue;
         };
-        if !was_leader {
-            was_leader = true;
-            tracing::info!(fence = lease.fence, "orders: this instance gives the orders");
+        was_leader = true;
+        if leader.borrow().term != term {
+            let next = leader.borrow().next_term(&cx, term);
+            leader = Rc::new(RefCell::new(next));
+            tracing::info!(fence = lease.fence, term, "orders: this instance gives the orders");
         }
         record_arrivals(&cx, &mut leader.borrow_mut());
         if cx.leader_lease.borrow().fencing_number(boot_now()).is_some() {
--- a/components/process/replica_placement/src/leader_lease.rs
+++ b/components/process/replica_placement/src/leader_lease.rs
@@ -14,6 +14,9 @@
 pub type InstanceName = Box<str>;
 /// Time since the machine booted, suspension included.
 pub type BootTime = Duration;
+/// Number of a time in which this run of the instance held the lease without a lapse, from 1 on. A
+/// holder that renews its lease after it ran out has a new term with the same fencing number.
+pub type Term = u64;
 
 /// How long the holder may send orders after a renewal, counted from when the renewal was sent.
 const LEASE_VALIDITY: Duration = Duration::from_millis(2_000);
@@ -88,6 +91,7 @@
     },
     /// This instance holds the lease.
     Held {
+        term: Term,
         record: LeaseRecord,
         revision: u64,
         valid_until: BootTime,
@@ -128,6 +132,8 @@
     is_releasing: bool,
     /// This run has held the lease, so a record that names this instance is not from a former run.
     has_held: bool,
+    /// Number of terms so far.
+    terms: Term,
     /// Last orders that this instance sent.
     last_orders: LastOrders,
     /// Whether the last call to the store failed.
@@ -150,6 +156,7 @@
             next_call_at: Duration::ZERO,
             is_releasing: false,
             has_held: false,
+            terms: 0,
             last_orders: LastOrders::default(),
             is_store_unreachable: false,
             claim_not_before: Duration::ZERO,
@@ -158,9 +165,12 @@
     }
 
     /// Returns the fencing number for an order to the server if it may be sent at `now`, and
-    /// records the order as sent.
-    pub fn authorize_order(&mut self, server: &str, now: BootTime) -> Option<u64> {
+    /// records the order as sent. An order of another term than the current one may not be sent.
+    pub fn authorize_order(&mut self, server: &str, term: Term, now: BootTime) -> Option<u64> {
         let fence = self.fencing_number(now).filter(|_| self.has_gap_elapsed(server, now))?;
+        if self.term(now) != Some(term) {
+            return None;
+        }
         self.last_orders.record(server, now);
         Some(fence)
     }
@@ -202,6 +212,18 @@
         }
     }
 
+    /// The current term, if this instance holds the lease.
+    pub fn term(&self, now: BootTime) -> Option<Term> {
+        match &self.state {
+            LeaseState::Held { term, valid_until, .. }
+                if !self.is_releasing && now < *valid_until =>
+            {
+                Some(*term)
+            }
+            _ => None,
+        }
+    }
+
     /// The last known holder, unless it released the lease.
     pub fn holder(&self) -> Option<&str> {
         match &self.state {
@@ -406,10 +428,18 @@
                 (*expires_by + gap, *expires_by + gap, unblocked())
             }
         };
+        let term = match &self.state {
+            LeaseState::Held { term, valid_until, .. } if now < *valid_until => *term,
+            _ => {
+                self.terms += 1;
+                self.terms
+            }
+        };
         self.has_held = true;
         self.is_store_unreachable = false;
         let valid_until = sent_at + LEASE_VALIDITY;
         self.state = LeaseState::Held {
+            term,
             record,
             revision,
             valid_until,
--- a/components/process/replica_placement/src/leader_lease_tests.rs
+++ b/components/process/replica_placement/src/leader_lease_tests.rs
@@ -10,6 +10,11 @@
     Duration::from_millis(at)
 }
 
+/// Sends an order of the current term.
+fn order(lease: &mut LeaderLease, server: &str, now: BootTime) -> Option<u64> {
+    lease.authorize_order(server, lease.term(now)?, now)
+}
+
 /// A linearizable store with one lease, like the real one.
 #[derive(Default)]
 struct Store {
@@ -167,12 +172,12 @@
         pair.step_b(now, true);
         for (server, last) in SERVERS {
             if now == ms(last) && last > 0 {
-                assert!(pair.a.authorize_order(server, now).is_some());
+                assert!(order(&mut pair.a, server, now).is_some());
             }
             if now >= ms(RELEASED_AT) {
-                assert_eq!(pair.a.authorize_order(server, now), None);
+                assert_eq!(order(&mut pair.a, server, now), None);
             }
-            if pair.b.authorize_order(server, now).is_some() {
+            if order(&mut pair.b, server, now).is_some() {
                 first_of_b.entry(server).or_insert(now);
             }
         }
@@ -195,7 +200,7 @@
         let mut first_of_c = None;
         for now in (0..12_000).step_by(10).map(ms) {
             match now.as_millis() as u64 {
-                ORDERED_AT => assert!(pair.a.authorize_order("s", now).is_some()),
+                ORDERED_AT => assert!(order(&mut pair.a, "s", now).is_some()),
                 // Either the instance restarts, or it releases the lease to another instance.
                 1_100 if is_restarted => pair.a = LeaderLease::new("a", GAP, Duration::ZERO),
                 1_100 => pair.a.release(),
@@ -213,7 +218,7 @@
             if has_released && is_released || c.held_lease(now).is_some() {
                 step(&mut c, &mut pair.store, now, true);
             }
-            first_of_c = first_of_c.or(c.authorize_order("s", now).map(|_| now));
+            first_of_c = first_of_c.or(order(&mut c, "s", now).map(|_| now));
         }
         let first = first_of_c.expect("a successor");
         assert!(first >= ms(ORDERED_AT) + GAP, "restarted {is_restarted}: {first:?}");
@@ -374,3 +379,27 @@
     // The former holder did not renew.
     assert!(matches!(lease.next_action(ms(6_000)), Action::Write { .. }));
 }
+
+/// Guards against orders of a task that outlasts its term: after a lapse, the same holder goes on with
+/// the same fencing number, but has planned anew (review/3).
+#[test]
+fn orders_of_a_former_term_are_void_although_the_holder_is_the_same() {
+    let mut pair = Pair::new();
+    let mut terms = Vec::new();
+    for at in (0..10_000).step_by(10) {
+        let now = ms(at);
+        pair.step_a(now, !(3_000..6_000).contains(&at));
+        let Some(term) = pair.a.term(now).filter(|_| pair.a.fencing_number(now).is_some()) else {
+            continue;
+        };
+        if !terms.contains(&term) {
+            terms.push(term);
+        }
+        for known in &terms {
+            let fence = pair.a.authorize_order("s", *known, now);
+            assert_eq!(fence.is_some(), *known == term, "term {known} at {now:?}");
+            assert!(fence.is_none_or(|fence| fence == 1), "{fence:?}");
+        }
+    }
+    assert_eq!(terms, [1, 2]);
+}
--- a/components/process/replica_placement/src/lib.rs
+++ b/components/process/replica_placement/src/lib.rs
@@ -22,7 +22,7 @@
 pub use adapters::{AdapterPlacement, AdapterUse, place_adapter};
 pub use demand::{Demand, Demands};
 pub use last_orders::OrderAge;
-pub use leader_lease::{Action, BootTime, HeldLease, InstanceName, LeaderLease, LeaseRecord};
+pub use leader_lease::{Action, BootTime, HeldLease, InstanceName, LeaderLease, LeaseRecord, Term};
 pub use plan::{ModelPlacement, Plan, PlanLimits, ServerView, Source, plan};
 pub use retention_value::free_mb;
 pub use store_limits::{StoreConcurrencyLimit, StoreRateLimiter};
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -1,6 +1,6 @@
 //! Orders that the leader sends to engines.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform_stand_in::{Call, Fault, Gate, Model, StoreFault, configuration};
 use rustix::process::Signal;
@@ -256,3 +256,36 @@
     assert!(cluster.servers[0].orders().iter().all(|order| order.leader == "entry-1"));
     assert!(cluster.servers[0].orders().iter().any(|order| order.command == "load m3"));
 }
+
+/// Guards against a task that outlasts its term: when its load should be complete, it asked for it
+/// with an order that the server, which had got other models meanwhile, took for a new one (LIMIT,
+/// review/3).
+#[tokio::test]
+async fn load_of_a_former_term_is_not_sent_again() {
+    let mut cluster = TestCluster::new(vec![engine("e1", &["m1", "m2"])]).await;
+    // The instance expects a load that takes much longer than it does.
+    let models = [("m1", 0.3), ("m2", 0.3), ("m3", 7.0), ("m4", 0.3)];
+    cluster.store.put("config", "main", configuration(5, ROUTES, &models));
+    cluster.start_instance().await;
+    let (caller, address) = (cluster.caller.clone(), cluster.entry_address());
+    let first = tokio::spawn(async move { caller.call(address, &call("a1", "m3")).await });
+    let is_ordered = || cluster.servers[0].orders().iter().any(|order| order.command == "load m3");
+    assert!(wait_for(WAIT, is_ordered).await, "m3 is not loaded");
+    let began = Instant::now();
+    cluster.store.set_fault(StoreFault::Silent);
+    let has_lost = || !cluster.instances[0].log_lines(&["lease no longer held"]).is_empty();
+    assert!(wait_for(WAIT, has_lost).await, "the lease does not end");
+    cluster.store.set_fault(StoreFault::None);
+    for (id, model) in [("a2", "m4"), ("a3", "m1"), ("a4", "m2")] {
+        let outcome = cluster.caller.call(address, &call(id, model)).await;
+        assert_eq!((outcome.status, outcome.is_complete), (Some(200), true), "{outcome:?}");
+    }
+    assert!(!cluster.servers[0].loaded().contains(&"m3".to_owned()), "m3 was not unloaded");
+    tokio::time::sleep_until((began + Duration::from_secs(10)).into()).await;
+    assert_eq!(cluster.servers[0].over_capacity_loads(), 0);
+    let loads = cluster.servers[0].orders();
+    let loads = loads.iter().filter(|order| order.command == "load m3").count();
+    assert_eq!(loads, 1, "the load was ordered again");
+    let outcome = first.await.unwrap();
+    assert_eq!((outcome.status, outcome.is_complete), (Some(200), true), "{outcome:?}");
+}
