Requests whose body arrives late in a planned stop are refused

What callers saw: a request whose head came before the end of the time in which a stopping instance takes requests, and whose body came after it, was passed on to a server until the process ended, where it may be cut (LOST, as reported by operators of similar systems).

Cause: whether the instance takes requests was read before the body, which may take ten seconds.

Evidence: request_whose_body_arrives_late_in_a_planned_stop_is_not_run got 200 before, 0.4 s after the last requests were taken; 503 and not run now. The report itself, requests in calm that are cut without a response at the end of the grace, was not shown otherwise: requests_late_in_a_planned_stop_get_a_response, 24 callers on kept and new connections whose servers respond after 1.9 s, passed before the change too.

--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -102,8 +102,10 @@
     req: Request<Incoming>,
     arrived_at: Instant,
 ) -> Response<Body> {
+    let admitted = admit(&cx, req, arrived_at).await;
+    // The body may arrive long after the head, when no new requests are taken any more.
     let phase = *cx.phase.borrow();
-    let mut response = match admit(&cx, req, arrived_at).await {
+    let mut response = match admitted {
         Ok(job) if phase >= Phase::Closing => fail(job, Failure::NotServing, Duration::ZERO),
         Ok(job) => dispatch(&cx, job).await,
         Err(refusal) => refusal,
--- a/tests/platform_sessions/process_tests.rs
+++ b/tests/platform_sessions/process_tests.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use platform_stand_in::{Call, Fault, StoreFault};
+use platform_stand_in::{Call, Fault, ServerConfig, StoreFault};
 use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::cluster::{TestCluster, WAIT, engine, ledger, wait_for};
 
@@ -138,3 +140,62 @@
         assert!(caller.await.unwrap() > 0);
     }
 }
+
+/// Guards against requests that come late in a planned stop, are passed on, and are cut without a
+/// response when the process ends (LOST, reported by operators of similar systems). The servers take
+/// longer to respond than the process lives after it has taken the last requests.
+#[tokio::test]
+async fn requests_late_in_a_planned_stop_get_a_response() {
+    let slow = |id| ServerConfig { event_interval: Duration::from_millis(1_900), ..ledger(id) };
+    let mut cluster = TestCluster::with_instance(vec![slow("l1"), slow("l2")]).await;
+    let address = cluster.entry_address();
+    let callers: Vec<_> = (0..24_u64)
+        .map(|n| {
+            tokio::spawn(async move {
+                let mut caller = platform_stand_in::Caller::default();
+                // So that some request is sent at each moment of the stop.
+                tokio::time::sleep(Duration::from_millis(n * 80)).await;
+                for count in 0.. {
+                    // Every other caller keeps its connection.
+                    if n % 2 == 0 {
+                        caller = platform_stand_in::Caller::default();
+                    }
+                    let id = format!("c{n}-{count}");
+                    let path = if n % 3 == 0 { "/read/salt" } else { "/book/salt" };
+                    let call = Call { body: Some("{}"), ..Call::new(&id, path) };
+                    let outcome = caller.call(address, &call).await;
+                    if outcome.is_refused {
+                        return;
+                    }
+                    assert!(outcome.status.is_some() && outcome.is_complete, "{id}: {outcome:?}");
+                    tokio::time::sleep(Duration::from_millis(40)).await;
+                }
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.instances[0].signal(Signal::TERM);
+    assert!(cluster.instances[0].wait_for_exit(WAIT).await);
+    for caller in callers {
+        caller.await.unwrap();
+    }
+}
+
+/// Guards against a request that is passed on late in a planned stop because its head came early: its
+/// body arrives when no new requests are taken any more.
+#[tokio::test]
+async fn request_whose_body_arrives_late_in_a_planned_stop_is_not_run() {
+    let mut cluster = TestCluster::with_instance(vec![ledger("l1")]).await;
+    let mut stream = TcpStream::connect(cluster.entry_address()).await.unwrap();
+    cluster.instances[0].signal(Signal::TERM);
+    let head = "POST /book/x HTTP/1.1\r\nhost: stand-in.example\r\nx-attempt-id: late\r\n\
+                x-deadline-ms: 8000\r\ncontent-length: 2\r\n\r\n{";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    // Requests are taken until 2.8 s after the signal.
+    tokio::time::sleep(Duration::from_millis(3_200)).await;
+    stream.write_all(b"}").await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert_eq!(cluster.servers[0].runs("late"), 0);
+}
