A stream without a length and without an event has broken off

What callers saw: a complete 200 with an empty body, if a server closes the connection right behind the head of a stream that has no length.

Cause: without a length, the end of the connection is the end of the body, and a stream was whole if it did not end inside an event.

Change: such a stream without any event counts as broken off, unless it continues after an event, which may have been the last one.

Evidence: stream_without_any_event_has_broken_off failed before. The report of operators of similar systems, a response that ends inside its head, was excluded by ten cases of response_that_is_broken_off_does_not_look_complete, each on four kinds of routes.

--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -72,6 +72,8 @@
     /// The response has neither a length nor chunked encoding, so the end of the connection may
     /// also be an interruption.
     has_unknown_length: bool,
+    /// The stream continues after an event, which may have been the last one.
+    is_continuation: bool,
     is_resumable: bool,
     server: ServerId,
     address: SocketAddr,
@@ -164,6 +166,13 @@
                 Ok(None) if self.splitter.is_inside_event() => {
                     return Chunk::Broken("stream ended inside an event");
                 }
+                Ok(None)
+                    if self.has_unknown_length
+                        && !self.is_continuation
+                        && self.splitter.event_count() == 0 =>
+                {
+                    return Chunk::Broken("stream ended without an event");
+                }
                 Ok(None) => return Chunk::End,
                 Err(_) => return Chunk::Broken(STREAM_SILENT),
             }
@@ -326,13 +335,14 @@
         ResponseClass::Valid => record_notice(cx, job, selection, &parts),
     }
     if job.route.kind.is_stream() && parts.status.is_success() {
+        let is_continuation = last_event.or(job.facts.last_event.as_deref()).is_some();
         let started = tokio::select! {
             started = wait_or_switch(
                 cx,
                 job,
                 selection,
                 switch_at,
-                start_stream(cx, job, selection, parts, body, connection, in_flight),
+                start_stream(cx, job, selection, (parts, body), connection, in_flight, is_continuation),
             ) => started.unwrap_or(AttemptOutcome::Lost("no event in time")),
             () = cx.ending() => return AttemptOutcome::Lost(INSTANCE_STOPS),
         };
@@ -424,10 +434,10 @@
     cx: &Entry,
     job: &Job,
     selection: &Selection,
-    parts: Parts,
-    body: Incoming,
+    (parts, body): (Parts, Incoming),
     connection: Connection,
     in_flight: InFlight,
+    is_continuation: bool,
 ) -> AttemptOutcome {
     let has_unknown_length = !parts.headers.contains_key(header::CONTENT_LENGTH)
         && !parts.headers.contains_key(header::TRANSFER_ENCODING);
@@ -438,6 +448,7 @@
         connection: Some(connection),
         splitter,
         has_unknown_length,
+        is_continuation,
         is_resumable,
         server: selection.id.clone(),
         address: selection.address,
--- a/tests/platform_sessions/endless_tests.rs
+++ b/tests/platform_sessions/endless_tests.rs
@@ -26,6 +26,8 @@
     "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\r\nid: 1\r\ndata: ";
 const CHUNK: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
                      transfer-encoding: chunked\r\n\r\n5;";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
+                       transfer-encoding: chunked\r\n\r\n";
 const TRAILERS: &str = "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
                         transfer-encoding: chunked\r\n\r\n5\r\nid: 1\r\n0\r\n";
 
@@ -185,3 +187,66 @@
     (0..200).for_each(|n| spawn_call(&cluster, n, "/note/x", Sending::Whole));
     assert_memory_within(MAX_MEMORY_BYTES, Instant::now() + WATCH_TIME, &cluster).await;
 }
+
+const fn broken_off(start: &'static str) -> EndlessResponse {
+    EndlessResponse { start, repeated: "", pause: Duration::ZERO }
+}
+
+/// Guards against a response whose head or body was broken off and that looks complete to the caller:
+/// a 200 with an empty or short body (reported by operators of similar systems).
+#[rstest]
+#[case::inside_status(broken_off("HTTP/1.1 20"))]
+#[case::after_status(broken_off("HTTP/1.1 200 OK\r\n"))]
+#[case::inside_name(broken_off("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-respon"))]
+#[case::inside_value(broken_off(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\ncontent-length: 1"
+))]
+#[case::before_blank_line(broken_off(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\ncontent-length: 10\r\n"
+))]
+#[case::inside_blank_line(broken_off(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\r"
+))]
+#[case::before_body(broken_off(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\ncontent-length: 10\r\n\r\n"
+))]
+#[case::inside_body(broken_off(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\ncontent-length: 10\r\n\r\nhalf"
+))]
+#[case::before_chunks(broken_off(CHUNKED))]
+#[case::before_last_chunk(broken_off(
+    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: s\r\n\
+     transfer-encoding: chunked\r\n\r\n5\r\nid: 1\r\n"
+))]
+#[tokio::test]
+async fn response_that_is_broken_off_does_not_look_complete(#[case] response: EndlessResponse) {
+    let server = EndlessServer::start("broken", response).await;
+    let plain = EndlessServer::start("broken-plain", response).await;
+    let mut cluster = TestCluster::new(Vec::new()).await;
+    cluster.store.put("servers", server.id, server.entry("engines", &["m1"]));
+    cluster.store.put("servers", plain.id, plain.entry("ledger", &[]));
+    cluster.start_instance().await;
+    for (n, path) in ["/chat/x", "/note/x", "/read/x", "/book/x"].into_iter().enumerate() {
+        let id = format!("b{n}");
+        let model = (n < 2).then_some("m1");
+        let call = Call { model, body: Some("{}"), ..Call::new(&id, path) };
+        let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
+        assert!(!outcome.is_complete || outcome.status != Some(200), "{path}: {outcome:?}");
+        assert_ne!(outcome.status, Some(503), "{path}: may have run: {outcome:?}");
+    }
+}
+
+/// Guards against a stream that ends right after its head and looks complete: without a length, the
+/// end of the connection is the only sign of its end.
+#[tokio::test]
+async fn stream_without_any_event_has_broken_off() {
+    let server = EndlessServer::start("broken", broken_off(HEAD)).await;
+    let mut cluster = TestCluster::new(Vec::new()).await;
+    cluster.store.put("servers", server.id, server.entry("engines", &["m1"]));
+    cluster.start_instance().await;
+    for (id, path) in [("b1", "/chat/x"), ("b2", "/note/x")] {
+        let call = Call { model: Some("m1"), body: Some("{}"), ..Call::new(id, path) };
+        let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
+        assert!(!outcome.is_complete || outcome.status != Some(200), "{path}: {outcome:?}");
+    }
+}
