--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -51,7 +51,8 @@
 
 fn random_mode(rng: &mut ChaCha8Rng) -> Mode {
     let delay = Mode::Delay(Duration::from_millis(rng.random_range(20..300)));
-    *[delay, Mode::Reset, Mode::Stall, Mode::StallResponses].choose(rng).unwrap_or(&delay)
+    let modes = [delay, Mode::Reset, Mode::Refuse, Mode::Stall, Mode::StallResponses];
+    *modes.choose(rng).unwrap_or(&delay)
 }
 
 fn random_kind(rng: &mut ChaCha8Rng, servers: usize, instances: usize) -> Kind {
@@ -71,6 +72,7 @@
                 Fault::ForeignId,
                 Fault::BreakInside(3),
                 Fault::PauseBefore(2),
+                Fault::EndlessErrors,
             ];
             Kind::Server(server, *faults.choose(rng).unwrap_or(&Fault::Shed))
         }
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -19,6 +19,8 @@
     Delay(Duration),
     /// Closes every connection.
     Reset,
+    /// Closes every connection and accepts no new ones.
+    Refuse,
     /// Holds back all bytes, in both directions.
     Stall,
     /// Holds back the bytes that come from the server.
@@ -45,8 +47,22 @@
         let mode = watch::Sender::new(Mode::Pass);
         let modes = mode.clone();
         let task = tokio::spawn(async move {
+            let mut listener = listener;
+            let mut mode = modes.subscribe();
             loop {
-                let Ok((client, _)) = listener.accept().await else { continue };
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => Some(accepted),
+                    _ = mode.wait_for(|mode| *mode == Mode::Refuse) => None,
+                };
+                let Some(accepted) = accepted else {
+                    drop(listener);
+                    let is_open = mode.wait_for(|mode| *mode != Mode::Refuse).await.is_ok();
+                    let reopened = TcpListener::bind(address).await;
+                    let (true, Ok(reopened)) = (is_open, reopened) else { return };
+                    listener = reopened;
+                    continue;
+                };
+                let Ok((client, _)) = accepted else { continue };
                 tokio::spawn(serve(client, target, modes.subscribe()));
             }
         });
@@ -59,7 +75,8 @@
 }
 
 async fn serve(client: TcpStream, target: SocketAddr, mut modes: watch::Receiver<Mode>) {
-    if *modes.borrow() == Mode::Reset {
+    let is_closing = |mode: &Mode| matches!(mode, Mode::Reset | Mode::Refuse);
+    if is_closing(&modes.borrow()) {
         return;
     }
     let Ok(upstream) = TcpStream::connect(target).await else { return };
@@ -71,7 +88,7 @@
         // When either end closes, both connections are closed, as with a reset.
         () = requests => {}
         () = responses => {}
-        _ = modes.wait_for(|mode| *mode == Mode::Reset) => {}
+        _ = modes.wait_for(is_closing) => {}
     }
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -23,7 +23,9 @@
     ("/note/", RouteKind::Stream, "engines"),
     ("/chat/", RouteKind::Resumable, "engines"),
 ];
-const MODELS: &[(&str, f64)] = &[("m1", 0.3), ("m2", 0.3), ("m3", 0.3), ("m4", 0.3)];
+/// Models with their load times. The last one takes longer than a lease, so that a load may outlast
+/// a term of the leader.
+const MODELS: &[(&str, f64)] = &[("m1", 0.3), ("m2", 0.3), ("m3", 0.3), ("m4", 3.0)];
 /// Number of callers, each with one request at a time.
 const CALLER_COUNT: u64 = 12;
 /// Time after the last fault until every request is served again: leases expire, watches reconnect
@@ -31,6 +33,11 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(9);
 /// Time without faults at the end, in which every request must be served.
 const CALM_TIME: Duration = Duration::from_secs(2);
+/// Memory of an instance that no fault may make it exceed: the smallest machines of the users'
+/// deployments have 160 MB.
+const MAX_MEMORY_BYTES: u64 = 128 << 20;
+/// Interval at which the memory of the instances is read.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time within which all instances must become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time of a graceful stop: the grace period in the settings of the processes and the exit after
@@ -260,6 +267,22 @@
     }
 }
 
+/// Reads the memory of the instances until the run is over; returns a line for each that exceeds its
+/// limit.
+async fn watch_memory(deployment: Arc<Deployment>, is_over: Arc<AtomicBool>) -> Vec<String> {
+    let mut largest = vec![0; deployment.instances.len()];
+    while !is_over.load(Ordering::Relaxed) {
+        for (index, largest) in largest.iter_mut().enumerate() {
+            deployment.with_instance(index, |instance| {
+                *largest = instance.memory().unwrap_or(0).max(*largest);
+            });
+        }
+        tokio::time::sleep(MEMORY_INTERVAL).await;
+    }
+    let exceeding = largest.iter().enumerate().filter(|(_, bytes)| **bytes > MAX_MEMORY_BYTES);
+    exceeding.map(|(index, bytes)| format!("instance {index}: {} MB", bytes >> 20)).collect()
+}
+
 async fn run_caller(
     deployment: Arc<Deployment>,
     caller_id: u64,
@@ -342,6 +365,7 @@
             ))
         })
         .collect();
+    let memory = tokio::spawn(watch_memory(deployment.clone(), is_over.clone()));
     let started_at = Instant::now();
     let events = plan(seed, fault_duration, deployment.servers.len(), deployment.instances.len());
     let mut faults = tokio::task::JoinSet::new();
@@ -366,6 +390,10 @@
             report.violations.push(format!("caller: {error}"));
         }
     }
+    match memory.await {
+        Ok(violations) => report.violations.extend(violations),
+        Err(error) => report.violations.push(format!("memory: {error}")),
+    }
     let requests = requests.lock().unwrap_or_else(PoisonError::into_inner).clone();
     for request in &requests {
         let status = request.outcome.status.map_or("none".into(), |s| s.to_string());
