Bans of a part that ends servers only with one model

Cause: a part of a prompt ended servers only together with one model.

Change: a part within a model is a property of its own.

--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -79,7 +79,9 @@
             .into();
     };
     let adapter = prompt.adapter.as_deref().map(|name| Property::Adapter(&prompt.model, name));
-    let parts = prompt.shared_parts.iter().map(|part| Property::Part(part));
+    let model_name = &*prompt.model;
+    let parts = prompt.shared_parts.iter();
+    let parts = parts.flat_map(|part| [Property::Part(part), Property::PartOf(model_name, part)]);
     let model = std::iter::once(Property::Model(&prompt.model));
     property_keys(service, model.chain(adapter).chain(parts)).into()
 }
--- a/components/process/quarantine/src/property.rs
+++ b/components/process/quarantine/src/property.rs
@@ -13,6 +13,8 @@
 pub enum Property<'a> {
     /// A part of the prompt, by its id.
     Part(&'a str),
+    /// A part of the prompt as one model reads it: (model, id of the part).
+    PartOf(&'a str, &'a str),
     /// The model.
     Model(&'a str),
     /// The adapter of a model.
@@ -30,6 +32,7 @@
             Self::Part(id) => hash(1, id),
             Self::Model(model) => hash(2, model),
             Self::Adapter(model, adapter) => xxh3_64_with_seed(adapter.as_bytes(), hash(3, model)),
+            Self::PartOf(model, part) => xxh3_64_with_seed(part.as_bytes(), hash(7, model)),
             Self::Call(path) => hash(4, path),
             Self::Load(model, None) => hash(5, model),
             Self::Load(model, Some(adapter)) => {
--- a/tests/platform_sessions/deadly_tests.rs
+++ b/tests/platform_sessions/deadly_tests.rs
@@ -105,3 +105,41 @@
     let outcome = cluster.caller.call(cluster.entry_address(), &Call::new("b", "/read/x")).await;
     assert_eq!(outcome.status, Some(200), "{outcome:?}");
 }
+
+/// Guards against banning a whole model because of a part that ends servers only with this model, and
+/// that is answered with others (BUDGET, day `deadly` of kh-dielna).
+#[tokio::test]
+async fn part_that_ends_servers_with_one_model_is_banned_with_this_model_only() {
+    let servers = (1..=8).map(|n| engine(&format!("e{n}"), &["m1", "m2"])).collect();
+    let mut cluster = TestCluster::new(servers).await;
+    for _ in 0..2 {
+        cluster.start_instance().await;
+    }
+    for server in &cluster.servers {
+        server.set_deadly(Some(Deadly::PartOf("m1", DEADLY_PART)));
+    }
+    let send = async |n: usize, model, parts| {
+        let id = format!("a{n}");
+        let instance = &cluster.instances[n % cluster.instances.len()];
+        let call =
+            Call { model: Some(model), body: Some("{}"), parts, ..Call::new(&id, "/chat/x") };
+        cluster.caller.call(instance.addresses.callers, &call).await
+    };
+    let is_served = |outcome: &Outcome| outcome.status == Some(200) && outcome.is_complete;
+    for n in 0..16 {
+        send(3 * n, "m1", DEADLY_PROMPT).await;
+        send(3 * n + 1, "m2", DEADLY_PROMPT).await;
+        send(3 * n + 2, "m1", SOUND_PROMPT).await;
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    let arrivals = total(&cluster.servers, Server::deadly_arrivals);
+    assert!(arrivals <= 5 + MAX_LATE_ARRIVALS, "{arrivals} requests reached servers");
+    for n in 50..70 {
+        let outcome = send(n, "m1", DEADLY_PROMPT).await;
+        assert_ne!(outcome.status, Some(200), "{outcome:?}");
+        for (model, parts) in [("m1", SOUND_PROMPT), ("m2", DEADLY_PROMPT)] {
+            let outcome = send(n + 100, model, parts).await;
+            assert!(is_served(&outcome), "{model} {parts}: {outcome:?}");
+        }
+    }
+}
