Closed connections to servers are reset

Cause: the connection of an abandoned request was closed in order, and the network delivers the bytes of such a connection.

Change: connections to servers are reset when they are closed.

--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -183,8 +183,9 @@
     }
 }
 
-/// Disables Nagle's algorithm, and makes the kernel detect a server that stops responding without
-/// a reset.
+/// Disables Nagle's algorithm, makes the kernel detect a server that stops responding without a reset,
+/// and makes it reset a connection that is closed: a request that is abandoned while the network
+/// holds its bytes up must not reach the server later.
 fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -193,6 +194,7 @@
         .with_retries(2);
     let result = stream
         .set_nodelay(true)
+        .and_then(|()| socket.set_linger(Some(Duration::ZERO)))
         .and_then(|()| socket.set_tcp_keepalive(&probes))
         .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)));
     if let Err(error) = result {
--- a/tests/platform_sessions/caller_tests.rs
+++ b/tests/platform_sessions/caller_tests.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use platform_stand_in::{Call, Fault, RepeatingServer};
+use platform_stand_in::{Call, Fault, RepeatingServer, Server};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 
 use crate::cluster::{TestCluster, engine, ledger, wait_for};
 
@@ -234,3 +236,32 @@
     let runs = |id| cluster.servers.iter().map(|server| server.runs(id)).sum::<u32>();
     assert_eq!((runs("a1"), runs("a2")), (2, 1));
 }
+
+/// Guards against an abandoned request that reaches its server later, when the network delivers bytes
+/// that it held up: without a reset, they are delivered although the connection is closed (DRAIN and
+/// GONE, review/4).
+#[tokio::test]
+async fn abandoned_request_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut cluster = TestCluster::new(Vec::new()).await;
+    let mut entry = Server::start(ledger("mute")).await.entry(false);
+    entry["address"] = listener.local_addr().unwrap().to_string().into();
+    cluster.store.put("servers", "mute", entry);
+    cluster.start_instance().await;
+    let (caller, address) = (cluster.caller.clone(), cluster.entry_address());
+    let call = tokio::spawn(async move {
+        let call = Call { timeout: Duration::from_secs(1), ..Call::new("a1", "/book/x") };
+        caller.call(address, &Call { body: Some("{}"), ..call }).await
+    });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut received = Vec::new();
+    let end = loop {
+        match stream.read_buf(&mut received).await {
+            Ok(0) => break None,
+            Ok(_) => {}
+            Err(error) => break Some(error.kind()),
+        }
+    };
+    assert_eq!(end, Some(std::io::ErrorKind::ConnectionReset));
+    assert_ne!(call.await.unwrap().status, Some(200));
+}
