An instance tells its own cut from an outage of the registry

Cause: a time without confirmations was taken for an outage of the registry, in which entries of live servers expire, so that entries that vanished were used for the grace period. An instance that was cut off or suspended has no confirmations either.

Change: the leader says for how long it has followed the registry without an outage. Where that covers the gap, there was none, and a grace period that has begun ends. A leader that was cut off as well, or began later, refutes nothing.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -196,6 +196,9 @@
     /// Servers that said lately that they are leaving, and the start of their runs.
     pub(crate) leaving: Vec<(ServerId, u64)>,
     pub(crate) quarantine: PublishedQuarantine,
+    /// Milliseconds for which the leader has followed the registry without an outage, up to its last
+    /// confirmation.
+    pub(crate) registry_steady_ms: u32,
 }
 
 /// Another instance.
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -24,7 +24,7 @@
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
 use server_choice::{Health, PaceMeter, RetryBudget, RunTime};
-use server_directory::{ChangeLog, Directory, ServerId};
+use server_directory::{ChangeLog, Directory, OutageDetector, ServerId, SteadyTime};
 use tokio::sync::{Notify, watch};
 
 use crate::connection::{Connection, ConnectionPools, MAX_IDLE_PER_SERVER};
@@ -56,7 +56,7 @@
 }
 
 /// Revisions of the store that this instance has applied, and when the store confirmed them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SyncState {
     /// Revision of the last registry change that affects where requests are sent: a server that
     /// appears, leaves, restarts or changes its address.
@@ -66,10 +66,26 @@
     /// When the store last confirmed that the registry and the configuration are up to date.
     pub(crate) registry_confirmed_at: Cell<Option<Instant>>,
     pub(crate) configuration_confirmed_at: Cell<Option<Instant>>,
+    /// Tells outages of the registry from times in which this instance alone could not reach it.
+    pub(crate) outage_detector: RefCell<OutageDetector>,
     /// Recent registry changes, for the other instances if this one leads.
     pub(crate) registry_changes: RefCell<ChangeLog>,
 }
 
+impl SyncState {
+    /// `heartbeat` is the interval at which servers renew their registry entries.
+    pub(crate) fn new(heartbeat: Duration) -> Self {
+        Self {
+            registry_revision: Cell::default(),
+            configuration_revision: Cell::default(),
+            registry_confirmed_at: Cell::default(),
+            configuration_confirmed_at: Cell::default(),
+            outage_detector: RefCell::new(OutageDetector::new(heartbeat)),
+            registry_changes: RefCell::default(),
+        }
+    }
+}
+
 /// State shared by all tasks of the process. They run on one thread, and no borrow is held across
 /// an await.
 pub(crate) struct Entry {
@@ -230,6 +246,18 @@
         }
     }
 
+    /// Records that another instance followed the registry in this time.
+    pub(crate) fn record_steady_registry(&self, from: &str, steady: SteadyTime) {
+        if self.sync.outage_detector.borrow_mut().record_steady_elsewhere(steady) {
+            tracing::info!(
+                from,
+                steady_for_ms = steady.since.elapsed().as_millis() as u64,
+                "registry: no outage, only this instance was cut off; vanished entries are gone"
+            );
+            self.directory.borrow_mut().end_grace_periods(Instant::now());
+        }
+    }
+
     /// Records that the bodies in the process leave no room for a body of a request, or of a
     /// server's response to it.
     pub(crate) fn record_no_memory(&self, id: &str, server: &str) {
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -203,6 +203,9 @@
         ready_in,
         leaving: cx.leaving_hints(),
         quarantine: cx.published_quarantine(),
+        registry_steady_ms: sync.outage_detector.borrow().steady_time().map_or(0, |steady| {
+            steady.until.saturating_duration_since(steady.since).as_millis() as u32
+        }),
     })
 }
 
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use replica_placement::{BootTime, HeldLease};
-use server_directory::ServerId;
+use server_directory::{ServerId, SteadyTime};
 use tokio::net::UdpSocket;
 
 use super::instances::{Delivery, LeaderUpdate, Message, PassOn, ServerHoldings, Status};
@@ -283,6 +283,12 @@
         instances.put(&update.from, update.address);
         instances.apply_leader_update(&update, &cx.own_in_flight(), sent_at);
     }
+    let ago = |ms: u32| Duration::from_millis(u64::from(ms));
+    let until = sent_at.checked_sub(ago(update.registry.age_ms));
+    let since = until.and_then(|until| until.checked_sub(ago(update.registry_steady_ms)));
+    if let Some((since, until)) = since.zip(until) {
+        cx.record_steady_registry(&update.from, SteadyTime { since, until });
+    }
     observe_holdings(cx, update.holdings);
     cx.leader_updated.notify_waiters();
     let ready_at = update
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -84,6 +84,7 @@
     let hangup = signal(SignalKind::hangup())?;
     tracing::info!(name = %settings.name, data_centre = %settings.data_centre,
         callers = %settings.callers, store = %settings.store, "process: started");
+    let sync = SyncState::new(settings.heartbeat);
     let body_memory = BodyMemory::with_limit(settings.body_memory_bytes());
     let cx = Rc::new(Entry {
         store: StoreAccess::new(&settings, &body_memory),
@@ -121,7 +122,7 @@
         list_instances: Notify::new(),
         lease_due: Notify::new(),
         started_at: Instant::now(),
-        sync: SyncState::default(),
+        sync,
         phase: watch::Sender::new(Phase::Serving),
         metrics: Metrics::new(dropped_lines),
     });
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -9,7 +9,7 @@
     CONFIGURATION_KIND, CONFIGURATION_NAME, PutOutcome, SERVER_KIND, Store, StoredObject,
 };
 use serde::{Deserialize, Serialize};
-use server_directory::{Entry as ServerEntry, OutageDetector, RegistryChange};
+use server_directory::{Entry as ServerEntry, RegistryChange};
 
 use super::follow::{Follower, PAGE_TIMEOUT, RETRY_PAUSE, follow, short_call};
 use super::{Entry, boot_now};
@@ -76,7 +76,6 @@
 
 struct RegistryFollower {
     cx: Rc<Entry>,
-    outage_detector: OutageDetector,
 }
 
 impl RegistryFollower {
@@ -122,7 +121,7 @@
 
     fn remove(&self, server: &str, at: u64) {
         let now = Instant::now();
-        let grace_ends_at = self.outage_detector.grace_deadline(now);
+        let grace_ends_at = self.cx.sync.outage_detector.borrow().grace_deadline(now);
         self.cx.directory.borrow_mut().remove(server, grace_ends_at);
         let grace_ms = grace_ends_at.map(|at| at.saturating_duration_since(now).as_millis());
         tracing::info!(server, revision = at, ?grace_ms, "registry: entry removed");
@@ -168,7 +167,7 @@
     }
 
     fn confirmed(&mut self, at: Instant) {
-        self.outage_detector.record_confirmation(at);
+        self.cx.sync.outage_detector.borrow_mut().record_confirmation(at);
         self.cx.sync.registry_confirmed_at.set(Some(at));
     }
 
@@ -180,7 +179,7 @@
     fn apply_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
         let usable = objects.iter().filter(|object| self.put_object(object, revision));
         let listed: BTreeSet<Box<str>> = usable.map(|object| object.name.clone()).collect();
-        let grace_ends_at = self.outage_detector.grace_deadline(Instant::now());
+        let grace_ends_at = self.cx.sync.outage_detector.borrow().grace_deadline(Instant::now());
         self.cx.directory.borrow_mut().retain_listed(&listed, grace_ends_at);
         // Entries that are missing from the list were deleted without a change event.
         self.cx.sync.registry_revision.set(revision);
@@ -218,8 +217,7 @@
 
 /// Follows the registry of backend servers.
 pub(crate) async fn follow_registry(cx: Rc<Entry>) {
-    let outage_detector = OutageDetector::new(cx.settings.heartbeat);
-    follow(cx.clone(), RegistryFollower { cx, outage_detector }).await;
+    follow(cx.clone(), RegistryFollower { cx }).await;
 }
 
 /// Removes registry entries that did not come back within their grace period.
--- a/components/process/server_directory/src/lib.rs
+++ b/components/process/server_directory/src/lib.rs
@@ -19,7 +19,7 @@
 mod tests;
 
 pub use change_log::{ChangeLog, RecentChanges, RegistryChange};
-pub use outage_detector::{OUTAGE_GRACE, OutageDetector};
+pub use outage_detector::{OUTAGE_GRACE, OutageDetector, SteadyTime};
 
 /// Id of a backend server. A restarted server may reuse its former id.
 pub type ServerId = Box<str>;
@@ -282,6 +282,12 @@
         }
     }
 
+    /// Ends all grace periods at `now`, because there was no outage.
+    pub fn end_grace_periods(&mut self, now: Instant) {
+        let deadlines = self.servers.values_mut().filter_map(|s| s.grace_ends_at.as_mut());
+        deadlines.for_each(|deadline| *deadline = now.min(*deadline));
+    }
+
     /// Drops the servers whose grace period has ended and returns their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<ServerId> {
         let has_expired = |server: &Server| server.grace_ends_at.is_some_and(|at| at <= now);
--- a/components/process/server_directory/src/outage_detector.rs
+++ b/components/process/server_directory/src/outage_detector.rs
@@ -12,8 +12,20 @@
 /// The platform's pages allow servers about two seconds.
 pub const OUTAGE_GRACE: Duration = Duration::from_secs(2);
 
+/// A time in which an instance followed the registry without an outage.
+#[derive(Clone, Copy, Debug)]
+pub struct SteadyTime {
+    /// First confirmation after the instance's start or its last outage.
+    pub since: Instant,
+    /// Last confirmation.
+    pub until: Instant,
+}
+
 /// Detects outages by the time between two confirmations of the registry.
 ///
+/// An instance that was cut off or suspended has had no confirmation either. It is told apart from an
+/// outage by another instance that followed the registry all the while.
+///
 /// An entry that vanishes during an outage or just after it may have expired although its server is
 /// alive. The grace period of such servers starts when the registry is reachable again, not when
 /// the loss is noticed. After that period, and without an outage, a vanished entry means that the
@@ -21,8 +33,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct OutageDetector {
     heartbeat: Duration,
-    /// Time of the last confirmation that the known state is current.
-    confirmed_at: Option<Instant>,
+    /// Own confirmations without an outage between them.
+    steady: Option<SteadyTime>,
+    /// Confirmations of another instance.
+    steady_elsewhere: Option<SteadyTime>,
+    /// Last confirmation before the outage to which the grace period belongs, and the first after it.
+    outage: Option<(Instant, Instant)>,
     /// Entries that vanish before this time may have expired because of an outage.
     grace_deadline: Option<Instant>,
 }
@@ -31,21 +47,51 @@
     /// Starts without a confirmation. `heartbeat` is the interval at which servers renew their
     /// entries.
     pub fn new(heartbeat: Duration) -> Self {
-        Self { heartbeat, confirmed_at: None, grace_deadline: None }
+        Self { heartbeat, steady: None, steady_elsewhere: None, outage: None, grace_deadline: None }
     }
 
     /// Records that the registry confirmed the known state at `now` or reported changes.
     pub fn record_confirmation(&mut self, now: Instant) {
-        let previous = self.confirmed_at;
-        self.confirmed_at = previous.max(Some(now));
-        let is_outage = previous.is_some_and(|previous| {
-            now.saturating_duration_since(previous) >= self.heartbeat.mul_f64(MIN_OUTAGE_HEARTBEATS)
-        });
-        if is_outage {
+        let Some(steady) = &mut self.steady else {
+            self.steady = Some(SteadyTime { since: now, until: now });
+            return;
+        };
+        let previous = steady.until;
+        steady.until = previous.max(now);
+        if self.is_outage(previous, now) {
+            self.steady = Some(SteadyTime { since: now, until: now });
+            self.outage = Some((previous, now));
             self.grace_deadline = Some(now + OUTAGE_GRACE);
         }
     }
 
+    /// Records that another instance followed the registry in this time. Returns true if this ends a
+    /// grace period: the outage was a time in which this instance alone had no confirmation.
+    pub fn record_steady_elsewhere(&mut self, steady: SteadyTime) -> bool {
+        self.steady_elsewhere = Some(steady);
+        let is_refuted = self.outage.is_some_and(|(from, to)| !self.is_outage(from, to));
+        if is_refuted {
+            self.outage = None;
+            self.grace_deadline = None;
+        }
+        is_refuted
+    }
+
+    /// Whether entries may have expired because nobody is known to have reached the registry between
+    /// two times, the first of which is a confirmation.
+    fn is_outage(&self, from: Instant, to: Instant) -> bool {
+        let from = match self.steady_elsewhere {
+            Some(steady) if steady.since <= from => steady.until.max(from),
+            _ => from,
+        };
+        to.saturating_duration_since(from) >= self.heartbeat.mul_f64(MIN_OUTAGE_HEARTBEATS)
+    }
+
+    /// The time up to the last confirmation in which this instance followed the registry.
+    pub fn steady_time(&self) -> Option<SteadyTime> {
+        self.steady
+    }
+
     /// Time until which a server may be used whose entry vanished at `now`; `None` if the entry
     /// cannot have expired because of an outage.
     pub fn grace_deadline(&self, now: Instant) -> Option<Instant> {
--- a/components/process/server_directory/src/tests.rs
+++ b/components/process/server_directory/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the server directory and of the outage detector.
 
+use rstest::rstest;
+
 use super::*;
 
 fn holdings(born: u64, models: &[&str]) -> Holdings {
@@ -146,6 +148,36 @@
     assert_eq!(detector.grace_deadline(deadline), None);
 }
 
+/// Guards against taking a cut or suspension of this instance for an outage of the registry (DRAIN,
+/// review/4), and against the opposite: another instance that was cut off as well, that started
+/// meanwhile, or whose own last confirmation is old, says nothing about the outage.
+#[rstest]
+#[case::followed_it_all_the_while(0, 4_900, false)]
+#[case::was_cut_off_as_well(0, 1_000, true)]
+#[case::started_meanwhile(2_000, 4_900, true)]
+fn outage_is_refuted_by_an_instance_that_followed_the_registry(
+    #[case] since: u64,
+    #[case] until: u64,
+    #[case] is_outage: bool,
+) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let steady = SteadyTime { since: at(since), until: at(until) };
+    for is_told_before in [true, false] {
+        let mut detector = OutageDetector::new(HEARTBEAT);
+        detector.record_confirmation(at(1_000));
+        if is_told_before {
+            assert!(!detector.record_steady_elsewhere(steady));
+        }
+        detector.record_confirmation(at(5_000));
+        if !is_told_before {
+            assert!(detector.grace_deadline(at(5_000)).is_some());
+            assert_eq!(detector.record_steady_elsewhere(steady), !is_outage);
+        }
+        assert_eq!(detector.grace_deadline(at(5_000)).is_some(), is_outage);
+    }
+}
+
 /// Guards against sending requests again to a server that said it is leaving, because the registry
 /// lags, or an old list brings back its entry.
 #[test]
--- a/tests/platform_sessions/store_tests.rs
+++ b/tests/platform_sessions/store_tests.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use platform_stand_in::{Call, StoreFault, configuration};
+use rustix::process::Signal;
 
 use crate::cluster::{MODELS, ROUTES, TestCluster, WAIT, ledger, wait_for};
 
@@ -240,3 +241,27 @@
         assert_eq!(outcome.status, Some(200), "{}: {outcome:?}", instance.name);
     }
 }
+
+/// Guards against an instance that takes its own suspension, or a cut of its own, for an outage of the
+/// registry, and uses a server that has left for the grace period after one (DRAIN, review/4).
+#[tokio::test]
+async fn server_that_left_while_the_instance_was_suspended_gets_no_new_requests() {
+    let mut cluster = TestCluster::new(vec![ledger("l1"), ledger("l2")]).await;
+    cluster.start_instance().await;
+    cluster.start_instance().await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    cluster.instances[1].signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cluster.store.delete("servers", "l1");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.instances[1].signal(Signal::CONT);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let arrivals = cluster.servers[0].arrivals();
+    let address = cluster.instances[1].addresses.callers;
+    for n in 0..24 {
+        let id = format!("a{n}");
+        let call = Call { body: Some("{}"), ..Call::new(&id, "/read/level") };
+        assert_eq!(cluster.caller.call(address, &call).await.status, Some(200));
+    }
+    assert_eq!(cluster.servers[0].arrivals(), arrivals, "the server that left was used");
+}
