--- a/components/connection/body_memory/src/tests.rs
+++ b/components/connection/body_memory/src/tests.rs
@@ -13,23 +13,8 @@
 fn body(
     pieces: impl IntoIterator<Item = Bytes>,
 ) -> impl hyper::body::Body<Data = Bytes, Error = Infallible> {
-    StreamBody::new(Stream(pieces.into_iter().map(|piece| Ok(Frame::data(piece))).collect()))
-}
-
-type Pieces = std::collections::VecDeque<Result<Frame<Bytes>, Infallible>>;
-
-/// The pieces of a body, all ready.
-struct Stream(Pieces);
-
-impl futures_util::Stream for Stream {
-    type Item = Result<Frame<Bytes>, Infallible>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        std::task::Poll::Ready(self.0.pop_front())
-    }
+    let frames = pieces.into_iter().map(|piece| Ok(Frame::data(piece))).collect::<Vec<_>>();
+    StreamBody::new(futures_util::stream::iter(frames))
 }
 
 /// Guards against counting the bytes of a body instead of the memory that its pieces take.
--- a/tests/platform_sessions/endless_tests.rs
+++ b/tests/platform_sessions/endless_tests.rs
@@ -47,11 +47,7 @@
 #[case::slow_blank_lines(trickle(HEAD, "\n"))]
 #[tokio::test]
 async fn endless_responses_are_cut_off(#[case] response: EndlessResponse) {
-    let engine = EndlessServer::start("endless", response).await;
-    let cluster = TestCluster::new(vec![ledger("l1")]).await;
-    cluster.store.put("servers", engine.id, engine.entry("engines", &["m1"]));
-    let mut cluster = cluster;
-    cluster.start_instance().await;
+    let cluster = cluster_with_endless(1, response).await;
     let address = cluster.entry_address();
     let begins = Instant::now();
     let mut calls = Vec::new();
@@ -63,20 +59,13 @@
             caller.call(address, &Call { timeout: TIMEOUT * 2, ..call }).await
         }));
     }
-    while begins.elapsed() < TIMEOUT {
-        let call = Call { body: Some("{}"), ..Call::new("good", "/read/level") };
-        let outcome = cluster.caller.call(address, &call).await;
-        assert_eq!(outcome.status, Some(200), "{outcome:?}");
-        let memory = cluster.instances[0].memory().expect("process is not running");
-        assert!(memory < MAX_MEMORY_BYTES, "{memory} bytes");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    assert_memory_within(MAX_MEMORY_BYTES, begins + TIMEOUT, &cluster).await;
     for call in calls {
         let outcome = call.await.unwrap();
         assert!(!outcome.is_complete || outcome.status != Some(200), "{outcome:?}");
         assert_ne!(outcome.status, Some(503), "{outcome:?}");
     }
-    assert!(wait_for(WAIT, || engine.sending() == 0).await, "connections stay open");
+    assert!(wait_for(WAIT, || cluster.endless[0].sending() == 0).await, "connections stay open");
 }
 
 /// Time for which the tests below watch the memory of an instance.
@@ -240,10 +229,7 @@
 /// end of the connection is the only sign of its end.
 #[tokio::test]
 async fn stream_without_any_event_has_broken_off() {
-    let server = EndlessServer::start("broken", broken_off(HEAD)).await;
-    let mut cluster = TestCluster::new(Vec::new()).await;
-    cluster.store.put("servers", server.id, server.entry("engines", &["m1"]));
-    cluster.start_instance().await;
+    let cluster = cluster_with_endless(1, broken_off(HEAD)).await;
     for (id, path) in [("b1", "/chat/x"), ("b2", "/note/x")] {
         let call = Call { model: Some("m1"), body: Some("{}"), ..Call::new(id, path) };
         let outcome = cluster.caller.call(cluster.entry_address(), &call).await;
