The end of the grace period follows from the outage

The detector kept the deadline of the grace period beside the outage from which it is computed, set and cleared together. send_order repeated the check of Leader::is_current.

--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -59,7 +59,7 @@
     order: &Order,
 ) -> OrderOutcome {
     let term = leader.borrow().term;
-    let is_current = || cx.leader_lease.borrow().term(boot_now()) == Some(term);
+    let is_current = || leader.borrow().is_current(cx);
     if !is_current() {
         tracing::info!(server, model = %order.model, adapter = ?order.adapter,
             load = order.is_load, term, "orders: not sent; the term is over");
--- a/components/process/server_directory/src/outage_detector.rs
+++ b/components/process/server_directory/src/outage_detector.rs
@@ -37,17 +37,16 @@
     steady: Option<SteadyTime>,
     /// Confirmations of another instance.
     steady_elsewhere: Option<SteadyTime>,
-    /// Last confirmation before the outage to which the grace period belongs, and the first after it.
+    /// Last confirmation before the last outage, and the first after it, from which the grace period
+    /// counts.
     outage: Option<(Instant, Instant)>,
-    /// Entries that vanish before this time may have expired because of an outage.
-    grace_deadline: Option<Instant>,
 }
 
 impl OutageDetector {
     /// Starts without a confirmation. `heartbeat` is the interval at which servers renew their
     /// entries.
     pub fn new(heartbeat: Duration) -> Self {
-        Self { heartbeat, steady: None, steady_elsewhere: None, outage: None, grace_deadline: None }
+        Self { heartbeat, steady: None, steady_elsewhere: None, outage: None }
     }
 
     /// Records that the registry confirmed the known state at `now` or reported changes.
@@ -61,7 +60,6 @@
         if self.is_outage(previous, now) {
             self.steady = Some(SteadyTime { since: now, until: now });
             self.outage = Some((previous, now));
-            self.grace_deadline = Some(now + OUTAGE_GRACE);
         }
     }
 
@@ -72,7 +70,6 @@
         let is_refuted = self.outage.is_some_and(|(from, to)| !self.is_outage(from, to));
         if is_refuted {
             self.outage = None;
-            self.grace_deadline = None;
         }
         is_refuted
     }
@@ -95,6 +92,7 @@
     /// Time until which a server may be used whose entry vanished at `now`; `None` if the entry
     /// cannot have expired because of an outage.
     pub fn grace_deadline(&self, now: Instant) -> Option<Instant> {
-        self.grace_deadline.filter(|deadline| now < *deadline)
+        let deadline = self.outage.map(|(_, back_at)| back_at + OUTAGE_GRACE);
+        deadline.filter(|deadline| now < *deadline)
     }
 }
