Client accounts of a configuration: keys, ranks and quotas are decoded

Callers saw: nothing yet; no request is checked against a key. Cause: the operator's configuration names client accounts, which the adapter skipped.

--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -9,9 +9,12 @@
 
 use serde::{Deserialize, Serialize};
 
+mod accounts;
 #[cfg(test)]
 mod tests;
 
+pub use accounts::{AccountName, Accounts, ClientAccount, KeyHash, Quota, QuotaUnit};
+
 /// Name of a service.
 pub type ServiceName = Box<str>;
 /// Name of a base model.
@@ -86,6 +89,8 @@
     pub targets: Box<[Target]>,
     /// Maximum number of servers at which one attempt of a client may run.
     pub max_attempts: u32,
+    /// Whether requests need no key although the configuration has client accounts.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -164,8 +169,9 @@
     pub max_header_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
-    /// Maximum idle time of a connection. It also limits the time to receive a request head,
-    /// because the HTTP library uses one timer for both.
+    /// Maximum time from the first byte of a request head to its last one.
+    pub header_timeout: Duration,
+    /// Maximum idle time of a connection.
     pub idle_timeout: Duration,
 }
 
@@ -180,6 +186,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// Limits for clients.
     pub limits: ClientLimits,
+    /// Client accounts.
+    pub accounts: Accounts,
 }
 
 impl Deployment {
@@ -189,6 +197,7 @@
         routes: impl IntoIterator<Item = Route>,
         services: impl IntoIterator<Item = Service>,
         limits: ClientLimits,
+        accounts: Accounts,
     ) -> Self {
         let mut by_host: HashMap<Box<str>, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
@@ -198,7 +207,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, routes: by_host, services, limits }
+        Self { version, routes: by_host, services, limits, accounts }
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -16,15 +16,20 @@
             .map(|(service, weight)| Target { service: service.into(), weight })
             .into(),
         max_attempts: 1,
+        is_public: false,
     }
 }
 
 fn deployment() -> Deployment {
-    let limits =
-        ClientLimits { max_header_bytes: 1, max_body_bytes: 1, idle_timeout: Duration::ZERO };
+    let limits = ClientLimits {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
     let routes =
         [route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/")];
-    Deployment::new(1, routes, [], limits)
+    Deployment::new(1, routes, [], limits, Accounts::default())
 }
 
 /// Guards against matching a route with a shorter prefix or of another host.
