Requests need a key where the configuration has client accounts

Callers saw: requests with an unknown key, or with one that was taken away, were served; servers got the key and the account's name as the caller sent it. Cause: no request was checked against the accounts of the configuration. Change: a request of a route that is not public gets 401 if its key is missing, malformed or unknown, before its body is read. Before each send the key is looked up again in the newest configuration. The key is removed, the name of the account is set for the server and never passes as the caller sent it, and the rank of an account replaces that of the route.

--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -243,8 +243,13 @@
     *req.uri_mut() = job.path.clone().into();
     *req.headers_mut() = job.headers.clone();
     let left = job.deadline.checked_duration_since(Instant::now())?;
-    let priority = job.has_engine.then_some(job.route.priority);
-    let send = SystemHeaders { server: &selection.id, remaining: left, priority, last_event };
+    let send = SystemHeaders {
+        server: &selection.id,
+        remaining: left,
+        priority: job.has_engine.then_some(job.rank()),
+        last_event,
+        account: job.caller.name(),
+    };
     set_system_headers(req.headers_mut(), send);
     Some(req)
 }
@@ -271,10 +276,11 @@
             }
         },
     };
-    // The server may have started to drain while the connection was established, or the request may
-    // be known to end servers by now.
+    // The server may have started to drain while the connection was established, the key may have
+    // been taken away, or the request may be known to end servers by now.
     let has_changed = !cx.directory.borrow().is_usable(&selection.id)
         || cx.paused_until(&selection.id).is_some()
+        || job.key_failure(cx).is_some()
         || cx
             .ban(&job.properties)
             .is_some_and(|ban| job.ban_test.is_none() || ban.until > Instant::now());
--- a/components/process/entry/src/request/failure.rs
+++ b/components/process/entry/src/request/failure.rs
@@ -12,9 +12,12 @@
 /// not retry at the same time.
 pub(super) const RETRY_AFTER_JITTER: Duration = Duration::from_millis(600);
 
+/// Reason of a request without a key that the configuration knows.
+pub(crate) const UNKNOWN_KEY: &str = "unknown_key";
+
 /// Counts the sends of one request that may have reached a server, and those after which the server
 /// may have run it. Only this type determines the status of a failure: 503, which promises that the
-/// request was not run, is returned only if no server may have run it.
+/// request was not run, and 401 are returned only if no server may have run it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Sends {
     /// Sends that reached a server or may have reached it.
@@ -42,6 +45,10 @@
     Paused,
     /// Requests like it end the servers that run them.
     Quarantined,
+    /// The key was taken away after the request was admitted.
+    UnknownKey,
+    /// The key was given to another account after the request was admitted.
+    KeyMoved,
     /// The instance is shutting down or is not yet ready.
     NotServing,
 }
@@ -57,6 +64,8 @@
             Self::TimeOver => "time_over",
             Self::Paused => "paused",
             Self::Quarantined => "quarantined",
+            Self::UnknownKey => UNKNOWN_KEY,
+            Self::KeyMoved => "key_moved",
             Self::NotServing => "not_serving",
         }
     }
@@ -84,9 +93,10 @@
         self.may_have_run
     }
 
-    /// The status of the failed request: 503 only if no server may have run it.
+    /// The status of the failed request: 503 or 401 only if no server may have run it.
     pub(crate) fn status(&self, failure: Failure) -> StatusCode {
         match failure {
+            Failure::UnknownKey if self.may_have_run == 0 => StatusCode::UNAUTHORIZED,
             _ if self.may_have_run == 0 => StatusCode::SERVICE_UNAVAILABLE,
             Failure::TimeOver => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
--- a/components/process/entry/src/request/failure/tests.rs
+++ b/components/process/entry/src/request/failure/tests.rs
@@ -23,3 +23,17 @@
     let response = sends.failure_response(failure, Duration::ZERO);
     assert!(!response.headers().contains_key(header::RETRY_AFTER));
 }
+
+/// Guards against a 401, after which the caller takes the request for not run, for a request that a
+/// server may have run before its key was taken away.
+#[test]
+fn a_request_that_may_have_run_never_gets_401() {
+    let mut sends = Sends::default();
+    sends.record_not_run();
+    let response = sends.failure_response(Failure::UnknownKey, Duration::ZERO);
+    assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+    assert!(!response.headers().contains_key(header::RETRY_AFTER));
+    assert_eq!(sends.status(Failure::KeyMoved), StatusCode::SERVICE_UNAVAILABLE);
+    sends.record_may_have_run();
+    assert_eq!(sends.status(Failure::UnknownKey), StatusCode::BAD_GATEWAY);
+}
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Admits requests of callers, sends them to servers and returns the responses.
 
+mod account;
 mod attempt;
 mod events;
 mod failure;
@@ -18,7 +19,9 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use platform_adapter::{ClientHeaders, Prompt, remove_client_headers, remove_hop_by_hop_headers};
+use platform_adapter::{
+    ClientHeaders, Prompt, remove_client_headers, remove_client_key, remove_hop_by_hop_headers,
+};
 use quarantine::{Property, PropertyKey, property_keys};
 use rand::Rng;
 use routes::{Route, ServiceName};
@@ -26,8 +29,9 @@
 
 use crate::connection::Body;
 use crate::process::{BanTest, Entry, ModelKey, Phase};
+use account::Caller;
 use attempt::{AttemptOutcome, attempt};
-use failure::{Failure, Sends, text_response};
+use failure::{Failure, Sends, UNKNOWN_KEY, text_response};
 use trace::Trace;
 use wait::select_server;
 
@@ -43,6 +47,7 @@
     pub(crate) facts: ClientHeaders,
     /// Route of the configuration version under which the request was admitted.
     pub(crate) route: Rc<Route>,
+    pub(crate) caller: Caller,
     pub(crate) service: ServiceName,
     /// Whether the service's servers are engines.
     pub(crate) has_engine: bool,
@@ -92,6 +97,17 @@
         self.facts.prompt.as_ref().filter(|_| self.has_engine)
     }
 
+    /// Priority rank: that of the account, or else that of the route.
+    pub(crate) fn rank(&self) -> u8 {
+        let of_account = self.caller.account().and_then(|account| account.rank);
+        of_account.unwrap_or(self.route.priority)
+    }
+
+    /// Why the request may not be sent because of its key, by the newest configuration.
+    pub(crate) fn key_failure(&self, cx: &Entry) -> Option<Failure> {
+        self.caller.key_failure(cx.deployment.borrow().as_deref()?)
+    }
+
     /// Whether the request may be sent again although a server may have run it.
     pub(crate) fn may_retry(&self) -> bool {
         self.route.kind.may_run_again() && self.sends.possible_runs() < self.route.max_attempts
@@ -157,12 +173,18 @@
     let Some(route) = route else {
         return Err(refuse(StatusCode::NOT_FOUND, "no_route"));
     };
+    let Ok(caller) = Caller::identify(&deployment, &route, req.headers()) else {
+        return Err(refuse(StatusCode::UNAUTHORIZED, UNKNOWN_KEY));
+    };
     let facts = match ClientHeaders::decode(req.headers()) {
         Ok(facts) => facts,
         Err(_) => return Err(refuse(StatusCode::BAD_REQUEST, "header_missing_or_malformed")),
     };
     let (mut parts, body) = req.into_parts();
     remove_client_headers(&mut parts.headers);
+    if !deployment.accounts.is_empty() {
+        remove_client_key(&mut parts.headers);
+    }
     let collected = collect(body, deployment.limits.max_body_bytes, &cx.body_memory);
     let body = match tokio::time::timeout(BODY_TIMEOUT, collected).await {
         Ok(Ok(body)) => body,
@@ -201,6 +223,7 @@
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         facts,
         route,
+        caller,
         service,
         has_engine,
         method: parts.method,
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -124,7 +124,7 @@
 /// for the same room at all instances.
 fn gets_turn(cx: &Entry, job: &Job, candidates: &[Candidate<'_>], now: Instant) -> bool {
     let run_time = cx.run_times.borrow().get(&job.service).copied().unwrap_or_default();
-    let (rank, target) = (job.route.priority, job.route.latency_target);
+    let (rank, target) = (job.rank(), job.route.latency_target);
     let room = |c: &Candidate<'_>| {
         // A slow server gets as much as it can run in the time of a usual one.
         let slots = (f64::from(c.slots) / c.slowness).max(1.0) as u32;
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -60,6 +60,7 @@
         Wait { give_up_at, waiting: None, service_wait_ends: None, queue_wait_ends: None };
     let selection = wait.select(cx, job).await;
     if let Err(error) = &selection
+        && error.failure != Failure::UnknownKey
         && let Some(waiting) = wait.waiting
     {
         waiting.extend_until(caller_retry_by(job, error.retry_after));
@@ -83,6 +84,10 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = Instant::now();
+            if let Some(failure) = job.key_failure(cx) {
+                job.trace.record("the key is not that of the account any more");
+                return Err(SelectError { failure, retry_after: Duration::ZERO });
+            }
             let mut ban = cx.ban(&job.properties);
             if ban.as_ref().is_some_and(|ban| ban.until <= now) {
                 if job.ban_test.is_none() {
@@ -203,7 +208,7 @@
     fn queue_wait(&mut self, job: &mut Job, now: Instant) -> Result<Instant, SelectError> {
         let wait_ends = *self.queue_wait_ends.get_or_insert_with(|| {
             let left = self.give_up_at.saturating_duration_since(now);
-            now + queue_timeout(job.route.priority, job.route.latency_target, left)
+            now + queue_timeout(job.rank(), job.route.latency_target, left)
         });
         if now >= wait_ends {
             job.trace.record("all servers with the model have a full queue");
