An instance that the store turns away reads a new configuration through another one

Callers saw: for as long as the store turned an instance away, it went on with an old configuration: keys that were taken away kept working there, new ones were refused. Cause: only the leader called the store through another instance. The leader passes such connections on the way that its own calls take.

--- a/components/process/entry/src/connection/store_relay.rs
+++ b/components/process/entry/src/connection/store_relay.rs
@@ -1,5 +1,5 @@
-//! Passes connections of the leader on to the store, for the time that the store turns the leader
-//! away.
+//! Passes connections of other instances on to the store: of the leader while the store turns it
+//! away, and of others that it turns away and that lack a configuration which the leader has.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 const MAX_RELAYED_CONNECTIONS: i64 = 16;
 /// Timeout for the connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Longest time that a connection is passed on. The leader connects again.
+/// Longest time that a connection is passed on. The other instance connects again.
 const MAX_CONNECTION_TIME: Duration = Duration::from_secs(60);
 /// Pause after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -42,12 +42,12 @@
 }
 
 async fn relay(cx: Rc<Entry>, mut stream: TcpStream) {
-    let address = cx.store.address();
+    let address = cx.pass_on_address();
     let begins = Instant::now();
     let connect = timeout_at((begins + CONNECT_TIMEOUT).into(), TcpStream::connect(address));
     match connect.await {
         Ok(Ok(mut store)) => {
-            // The leader's own keep-alive and timeouts find a store that does not answer.
+            // The other instance's keep-alive and timeouts find a store that does not answer.
             let copy = copy_bidirectional(&mut stream, &mut store);
             if let Ok(Err(error)) = timeout_at((begins + MAX_CONNECTION_TIME).into(), copy).await {
                 tracing::debug!(%error, "store: passed-on connection ended");
--- a/components/process/entry/src/process/follow.rs
+++ b/components/process/entry/src/process/follow.rs
@@ -40,6 +40,9 @@
 /// Applies lists and changes of one kind of objects in the store.
 pub(super) trait Follower {
     const KIND: &'static str;
+    /// Whether an instance that the store turns away reads through another one what the leader has
+    /// and it lacks.
+    const CATCHES_UP: bool;
 
     /// Pause after changes before the next watch, so that one call returns several further ones.
     fn coalescing_pause(&self) -> Duration {
@@ -73,6 +76,16 @@
     Changes(Changes),
 }
 
+/// A fetch from the store.
+struct Fetch {
+    /// Revision since which changes are fetched; `None` for the complete list.
+    since: Option<u64>,
+    /// Longest time that the store waits for a change.
+    wait: Duration,
+    /// The leader has changes that this instance lacks.
+    is_catch_up: bool,
+}
+
 /// Progress of a follower through the revisions of the store.
 #[derive(Default)]
 struct Progress {
@@ -105,13 +118,20 @@
                 continue;
             }
         }
+        let known = progress.revision.unwrap_or(0);
+        let leader_revisions = cx.instances.borrow().leader_revisions();
+        let is_catch_up = F::CATCHES_UP
+            && !is_leader
+            && leader_revisions.is_some_and(|revisions| F::leader_revision(revisions) > known);
         let wait = match leader_revision {
+            _ if is_catch_up => Duration::ZERO,
             _ if progress.is_disconnected => RECONNECT_WAIT,
             Some(_) => Duration::ZERO,
             None if is_leader => LEADER_WATCH_WAIT,
             None => WATCH_WAIT,
         };
-        match fetch_update::<F>(&cx, progress.revision, wait).await {
+        let fetch = Fetch { since: progress.revision, wait, is_catch_up };
+        match fetch_update::<F>(&cx, fetch).await {
             Ok(update) => {
                 if std::mem::take(&mut progress.is_disconnected) {
                     tracing::info!(kind = F::KIND, "store: answers again");
@@ -133,22 +153,25 @@
     }
 }
 
-/// Fetches the changes since revision `at`, or the complete list if there is none.
-async fn fetch_update<F: Follower>(
-    cx: &Entry,
-    at: Option<u64>,
-    wait: Duration,
-) -> Result<StoreUpdate, Error> {
-    let Some(revision) = at else {
+async fn fetch_update<F: Follower>(cx: &Entry, fetch: Fetch) -> Result<StoreUpdate, Error> {
+    let Fetch { since, wait, is_catch_up } = fetch;
+    let Some(revision) = since else {
         let list = |store: Store| async move { store.list(F::KIND, PAGE_TIMEOUT).await };
-        let (objects, revision) = cx.call_store(false, list).await?;
+        let (objects, revision) = match is_catch_up {
+            true => cx.catch_up(list).await?,
+            false => cx.call_store(false, list).await?,
+        };
         tracing::info!(kind = F::KIND, revision, objects = objects.len(), "store: listed");
         return Ok(StoreUpdate::List(objects, revision));
     };
     let by = Call::with_deadline(Instant::now() + wait + WATCH_SLACK);
     let wait_ms = wait.as_millis() as u64;
     let watch = |store: Store| async move { store.watch(F::KIND, revision, wait_ms, by).await };
-    Ok(StoreUpdate::Changes(cx.call_store(false, watch).await?))
+    let changes = match is_catch_up {
+        true => cx.catch_up(watch).await?,
+        false => cx.call_store(false, watch).await?,
+    };
+    Ok(StoreUpdate::Changes(changes))
 }
 
 /// Passes an answer of the store to the follower and returns the revision that it covers.
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -362,6 +362,12 @@
         self.leader_store_concurrency.filter(|limit| *limit > 0)
     }
 
+    /// The leader's revisions of the registry and the configuration, however old.
+    pub(crate) fn leader_revisions(&self) -> Option<(u64, u64)> {
+        let (registry, configuration, _) = self.leader_revisions?;
+        Some((registry.revision, configuration.revision))
+    }
+
     /// The leader's revisions of the registry and the configuration, and when the store confirmed
     /// them, if that was less than `limit` ago.
     pub(crate) fn fresh_leader_revisions(
--- a/components/process/entry/src/process/store_access.rs
+++ b/components/process/entry/src/process/store_access.rs
@@ -9,7 +9,7 @@
 use platform_adapter::{Error, Store};
 use rand::Rng;
 
-use super::store_route::{StoreRoute, StoreRouting};
+use super::store_route::{StoreRoute, StoreRouting, catch_up_relay};
 use super::{Entry, boot_now};
 use crate::settings::EntrySettings;
 
@@ -28,9 +28,15 @@
     /// Client for the relay in use.
     relayed: RefCell<Option<(SocketAddr, Store)>>,
     routing: RefCell<StoreRouting>,
+    /// Ways of reads by which an instance that does not lead catches up with the leader.
+    catch_up_routing: RefCell<StoreRouting>,
     memory: BodyMemory,
 }
 
+fn has_answered<T>(result: &Result<T, Error>) -> bool {
+    !matches!(result, Err(Error::OutcomeUnknown | Error::NotExecuted(_)))
+}
+
 fn client(settings: &EntrySettings, address: SocketAddr, memory: &BodyMemory) -> Store {
     let rates = Rates::share(
         settings.store_reads_per_second,
@@ -56,14 +62,10 @@
             memory: memory.clone(),
             relayed: RefCell::new(None),
             routing: RefCell::default(),
+            catch_up_routing: RefCell::default(),
         }
     }
 
-    /// Address of the store itself.
-    pub(crate) fn address(&self) -> SocketAddr {
-        self.address.get()
-    }
-
     /// Applies the address in changed settings.
     pub(crate) fn change_address(&self, settings: &EntrySettings) {
         self.address.set(settings.store);
@@ -85,6 +87,15 @@
 }
 
 impl Entry {
+    /// Address to which connections of other instances to the store are passed on: that of the store,
+    /// or of the instance through which this one, as the leader, calls it. An instance that does not
+    /// lead knows no other way, and so no connection goes in a circle.
+    pub(crate) fn pass_on_address(&self) -> SocketAddr {
+        let is_leader = self.leader_lease.borrow().held_lease(boot_now()).is_some();
+        let relay = self.store.routing.borrow().relay().filter(|_| is_leader);
+        relay.unwrap_or_else(|| self.store.address.get())
+    }
+
     /// Makes a call to the store. While this instance leads and the store turns it away, the call
     /// goes through another instance; a critical call is never used to test the direct way.
     pub(crate) async fn call_store<T, F>(
@@ -105,14 +116,39 @@
         };
         self.metrics.store_calls.inc();
         let result = call(self.store.client(&self.settings, route)).await;
-        let has_answered = !matches!(result, Err(Error::OutcomeUnknown | Error::NotExecuted(_)));
         let now = Instant::now();
         let next_relay = |failed| {
             let relay = is_leader.then(|| self.instances.borrow().store_relay(failed, now))??;
             tracing::warn!(%relay, ?failed, "store: turned away; calling it through an instance");
             Some(relay)
         };
-        self.store.routing.borrow_mut().record(route, has_answered, now, next_relay);
+        self.store.routing.borrow_mut().record(route, has_answered(&result), now, next_relay);
+        result
+    }
+
+    /// Reads from the store what the leader has applied and this instance lacks. If the store turns
+    /// this instance away, the read goes through another one. That connection is not kept, because
+    /// an instance passes on only a few at the same time.
+    pub(crate) async fn catch_up<T, F>(&self, read: impl FnOnce(Store) -> F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Error>>,
+    {
+        let route = self.store.catch_up_routing.borrow_mut().next(false, Instant::now());
+        let store = match route {
+            StoreRoute::Direct => self.store.direct.borrow().clone(),
+            StoreRoute::Relay(address) => client(&self.settings, address, &self.store.memory),
+        };
+        self.metrics.store_calls.inc();
+        let result = read(store).await;
+        let next_relay = |failed| {
+            let instances = self.instances.borrow();
+            let leader = self.leader_lease.borrow().holder().and_then(|n| instances.address(n));
+            let relay = catch_up_relay(leader, instances.addresses(), failed)?;
+            tracing::warn!(%relay, ?failed, "store: turned away; catching up through an instance");
+            Some(relay)
+        };
+        let mut routing = self.store.catch_up_routing.borrow_mut();
+        routing.record(route, has_answered(&result), Instant::now(), next_relay);
         result
     }
 }
--- a/components/process/entry/src/process/store_route.rs
+++ b/components/process/entry/src/process/store_route.rs
@@ -1,12 +1,14 @@
-//! Decides whether the leader calls the store directly or through another instance. Does no I/O.
+//! Decides whether an instance calls the store directly or through another one. Does no I/O.
 //!
 //! The store may turn some instances away while it serves the others. If it turns the leader away,
 //! no model would be loaded until its lease has expired, another instance has claimed it and the
-//! turn gap has elapsed.
+//! turn gap has elapsed. An instance that does not lead would not learn of a new configuration.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use rand::seq::IteratorRandom;
+
 /// Time between two direct calls while the other calls go through another instance.
 const DIRECT_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of other instances that are tried in a row. If the store serves none of them, it is
@@ -82,11 +84,27 @@
         }
     }
 
+    /// Instance through which calls go now.
+    pub(crate) fn relay(&self) -> Option<SocketAddr> {
+        self.relay
+    }
+
     /// Calls are direct again, because this instance is not the leader.
     pub(crate) fn reset(&mut self) {
         *self = Self::default();
     }
 }
 
+/// Chooses an instance through which one that does not lead reads what the leader has: first the
+/// leader, which knows a way to the store, then a random one other than the one that just failed.
+pub(crate) fn catch_up_relay(
+    leader: Option<SocketAddr>,
+    others: impl IntoIterator<Item = SocketAddr>,
+    failed: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    let others = others.into_iter().filter(|address| Some(*address) != failed);
+    leader.filter(|_| failed.is_none()).or_else(|| others.choose(&mut rand::rng()))
+}
+
 #[cfg(test)]
 mod tests;
--- a/components/process/entry/src/process/store_route/tests.rs
+++ b/components/process/entry/src/process/store_route/tests.rs
@@ -59,3 +59,16 @@
     routing.record(StoreRoute::Direct, false, later, |_| Some(relay(9)));
     assert_eq!(routing.next(true, later), StoreRoute::Relay(relay(9)));
 }
+
+/// Guards against an instance that asks the same other one again and again, or never the one that
+/// has what it lacks. Pattern: the store turns away half of the instances, the leader among them.
+#[test]
+fn reads_go_through_the_leader_first_and_then_through_others() {
+    let others = || (1..5).map(relay);
+    assert_eq!(catch_up_relay(Some(relay(3)), others(), None), Some(relay(3)));
+    for _ in 0..50 {
+        let second = catch_up_relay(Some(relay(3)), others(), Some(relay(3)));
+        assert!(second.is_some_and(|address| address != relay(3)), "{second:?}");
+    }
+    assert_eq!(catch_up_relay(None, [relay(1)], Some(relay(1))), None);
+}
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -53,6 +53,7 @@
 
 impl Follower for ConfigurationFollower {
     const KIND: &'static str = CONFIGURATION_KIND;
+    const CATCHES_UP: bool = true;
 
     fn leader_revision((_, configuration): (u64, u64)) -> u64 {
         configuration
@@ -144,6 +145,8 @@
 
 impl Follower for RegistryFollower {
     const KIND: &'static str = SERVER_KIND;
+    // The leader passes its changes on.
+    const CATCHES_UP: bool = false;
 
     fn leader_revision((registry, _): (u64, u64)) -> u64 {
         registry
