--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -1,5 +1,10 @@
 //! Counters and latency histograms of the process.
 
+mod accounts;
+
+use std::rc::Rc;
+
+pub(crate) use accounts::AccountMetrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -40,6 +45,7 @@
     pub(crate) caller_connections: Gauge,
     pub(crate) relayed_connections: Gauge,
     pub(crate) configuration_version: Gauge,
+    pub(crate) accounts: Rc<AccountMetrics>,
     log_lines_dropped: Gauge,
     dropped_lines: Box<dyn Fn() -> usize>,
 }
@@ -98,8 +104,10 @@
         let configuration_version = gauge("configuration_version", "Configuration in force");
         let log_lines_dropped =
             gauge("log_lines_dropped", "Log lines dropped because nobody read standard output");
+        let accounts = Rc::new(AccountMetrics::new(&mut registry));
         Self {
             registry,
+            accounts,
             log_lines_dropped,
             dropped_lines: Box::new(dropped_lines),
             requests,
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -32,7 +32,7 @@
 use account::Caller;
 use attempt::{AttemptOutcome, attempt};
 use failure::{Failure, Sends, UNKNOWN_KEY, text_response};
-use trace::Trace;
+use trace::{ANSWERED, Trace};
 use wait::select_server;
 
 /// Time within which a caller must send the whole body.
@@ -134,9 +134,17 @@
     response
 }
 
-fn refuse(cx: &Entry, status: StatusCode, text: &'static str, id: Option<&str>) -> Response<Body> {
+/// Refuses a request that was not admitted; its `account` is known once its key was checked.
+fn refuse(
+    cx: &Entry,
+    status: StatusCode,
+    text: &'static str,
+    id: Option<&str>,
+    account: Option<&str>,
+) -> Response<Body> {
     tracing::info!(
         id = id.unwrap_or("-"),
+        account = account.unwrap_or(""),
         status = status.as_u16(),
         reason = text,
         "request: refused at arrival"
@@ -145,6 +153,9 @@
         .requests
         .get_or_create(&crate::metrics::OutcomeLabels { kind: "refused", outcome: text })
         .inc();
+    if let Some(account) = account {
+        cx.metrics.accounts.record_refused(account, text);
+    }
     let mut response = text_response(status, text);
     if status == StatusCode::SERVICE_UNAVAILABLE {
         response = Sends::default().failure_response(Failure::NotServing, DEFAULT_RETRY_AFTER);
@@ -165,17 +176,18 @@
     arrived_at: Instant,
 ) -> Result<Job, Response<Body>> {
     let id = platform_adapter::attempt_id(req.headers()).map(Box::<str>::from);
-    let refuse = |status, text| refuse(cx, status, text, id.as_deref());
+    let refuse_unknown = |status, text| refuse(cx, status, text, id.as_deref(), None);
     let Some(deployment) = cx.deployment.borrow().clone() else {
-        return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, "no_configuration"));
+        return Err(refuse_unknown(StatusCode::SERVICE_UNAVAILABLE, "no_configuration"));
     };
     let route = host(&req).and_then(|host| deployment.route(&host, req.uri().path()).cloned());
     let Some(route) = route else {
-        return Err(refuse(StatusCode::NOT_FOUND, "no_route"));
+        return Err(refuse_unknown(StatusCode::NOT_FOUND, "no_route"));
     };
     let Ok(caller) = Caller::identify(&deployment, &route, req.headers()) else {
-        return Err(refuse(StatusCode::UNAUTHORIZED, UNKNOWN_KEY));
+        return Err(refuse_unknown(StatusCode::UNAUTHORIZED, UNKNOWN_KEY));
     };
+    let refuse = |status, text| refuse(cx, status, text, id.as_deref(), caller.name());
     let facts = match ClientHeaders::decode(req.headers()) {
         Ok(facts) => facts,
         Err(_) => return Err(refuse(StatusCode::BAD_REQUEST, "header_missing_or_malformed")),
@@ -215,7 +227,11 @@
     let select_by =
         route.event_timeout().map_or(deadline, |max_wait| deadline.min(arrived_at + max_wait));
     let path = parts.uri.path_and_query().cloned();
-    let trace = Trace::new(cx, &facts, &route, &service, deployment.version, arrived_at);
+    if let Some(name) = caller.name() {
+        cx.metrics.accounts.record_admitted(name);
+    }
+    let version = deployment.version;
+    let trace = Trace::new(cx, &facts, &route, &caller, &service, version, arrived_at);
     let prompt = facts.prompt.as_ref().filter(|_| has_engine);
     Ok(Job {
         properties: properties(&service, prompt, path.as_ref()),
@@ -331,7 +347,7 @@
     body: Bytes,
 ) -> Response<Body> {
     job.trace.record_first_byte(cx);
-    job.trace.end("answered", parts.status);
+    job.trace.end(ANSWERED, parts.status);
     remove_hop_by_hop_headers(&mut parts.headers);
     if job.method != Method::HEAD {
         parts.headers.remove(header::CONTENT_LENGTH);
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -14,6 +14,7 @@
 
 use super::Job;
 use super::attempt::{AttemptOutcome, Chunk, StreamSource, StreamStart, attempt};
+use super::trace::ANSWERED;
 use super::wait::select_server;
 use crate::connection::{Body, BodyError};
 use crate::process::Entry;
@@ -44,7 +45,7 @@
         tracing::debug!("stream: caller left before the first event");
     }
     if has_ended {
-        job.trace.end("answered", parts.status);
+        job.trace.end(ANSWERED, parts.status);
         source.finish(cx);
     } else {
         spawn_local(relay(cx.clone(), job, parts.status, source, tx));
@@ -73,7 +74,7 @@
                 }
             }
             Chunk::End => {
-                job.trace.end("answered", status);
+                job.trace.end(ANSWERED, status);
                 return source.finish(&cx);
             }
             Chunk::Broken(reason) => {
@@ -98,7 +99,7 @@
                     return job.trace.end("caller_left", status);
                 }
                 if started.has_ended {
-                    job.trace.end("answered", status);
+                    job.trace.end(ANSWERED, status);
                     return started.source.finish(&cx);
                 }
                 source = started.source;
--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -1,6 +1,7 @@
 //! The log line of a request: the decisions made for it and their reasons.
 
 use std::fmt::Write;
+use std::rc::Rc;
 use std::time::Instant;
 
 use http::StatusCode;
@@ -9,14 +10,21 @@
 use prometheus_client::metrics::family::Family;
 use routes::{CallKind, DeploymentVersion, Route};
 
+use super::account::Caller;
 use super::attempt::AttemptOutcome;
 use super::select::Selection;
-use crate::metrics::{KindLabel, OutcomeLabels};
+use crate::metrics::{AccountMetrics, KindLabel, OutcomeLabels};
 use crate::process::Entry;
 
 /// Once the list of decisions has this length in bytes, no more are added.
 const MAX_STEPS_BYTES: usize = 700;
 
+/// Outcome of a request that got the whole response of a server.
+pub(crate) const ANSWERED: &str = "answered";
+
+/// Statuses which promise that the request was not run.
+const REFUSAL_STATUSES: [u16; 3] = [401, 429, 503];
+
 /// Most bytes of the ids of prompt parts in a log line.
 const MAX_PARTS_BYTES: usize = 200;
 
@@ -24,6 +32,9 @@
 /// or when the trace is dropped because the caller closed the connection.
 pub(crate) struct Trace {
     requests: Family<OutcomeLabels, Counter>,
+    accounts: Rc<AccountMetrics>,
+    /// Name of the client account; empty if there is none.
+    account: Box<str>,
     id: Box<str>,
     route: Box<str>,
     service: Box<str>,
@@ -73,6 +84,7 @@
         cx: &Entry,
         facts: &ClientHeaders,
         route: &Route,
+        caller: &Caller,
         service: &str,
         version: DeploymentVersion,
         arrived_at: Instant,
@@ -82,6 +94,8 @@
         let adapter = prompt.and_then(|prompt| prompt.adapter.as_deref());
         Self {
             requests: cx.metrics.requests.clone(),
+            accounts: cx.metrics.accounts.clone(),
+            account: caller.name().unwrap_or("").into(),
             id: facts.attempt_id.clone(),
             route: route.name.clone(),
             service: service.into(),
@@ -155,7 +169,11 @@
         }
         let labels = OutcomeLabels { kind: self.kind, outcome };
         self.requests.get_or_create(&labels).inc();
-        tracing::info!(id = %self.id, route = %self.route, service = %self.service,
+        let is_refusal = outcome != ANSWERED && REFUSAL_STATUSES.contains(&status);
+        if is_refusal && !self.account.is_empty() {
+            self.accounts.record_refused(&self.account, outcome);
+        }
+        tracing::info!(id = %self.id, account = %self.account, route = %self.route, service = %self.service,
             model = %self.model, prompt_tokens = self.tokens.0, answer_tokens = self.tokens.1,
             kind = self.kind, parts = %self.parts, version = self.version, outcome, status,
             first_byte_ms = self.first_byte_ms, took_ms = elapsed_ms(self.arrived_at),
