--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of entry processes against test doubles of the users' store and backend
 //! servers.
 
+mod account_tests;
 mod caller_tests;
 mod cluster;
 mod deadly_tests;
