--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Admits requests of callers, sends them to servers and returns the responses.
 
+mod account;
 mod attempt;
 mod events;
 mod failure;
@@ -18,7 +19,9 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use platform_adapter::{ClientHeaders, Prompt, remove_client_headers, remove_hop_by_hop_headers};
+use platform_adapter::{
+    ClientHeaders, Prompt, remove_client_headers, remove_client_key, remove_hop_by_hop_headers,
+};
 use quarantine::{Property, PropertyKey, property_keys};
 use rand::Rng;
 use routes::{Route, ServiceName};
@@ -26,9 +29,10 @@
 
 use crate::connection::Body;
 use crate::process::{BanTest, Entry, ModelKey, Phase};
+use account::Caller;
 use attempt::{AttemptOutcome, attempt};
-use failure::{Failure, Sends, text_response};
-use trace::Trace;
+use failure::{Failure, Sends, UNKNOWN_KEY, text_response};
+use trace::{ANSWERED, Trace};
 use wait::select_server;
 
 /// Time within which a caller must send the whole body.
@@ -43,6 +47,7 @@
     pub(crate) facts: ClientHeaders,
     /// Route of the configuration version under which the request was admitted.
     pub(crate) route: Rc<Route>,
+    pub(crate) caller: Caller,
     pub(crate) service: ServiceName,
     /// Whether the service's servers are engines.
     pub(crate) has_engine: bool,
@@ -92,6 +97,17 @@
         self.facts.prompt.as_ref().filter(|_| self.has_engine)
     }
 
+    /// Priority rank: that of the account, or else that of the route.
+    pub(crate) fn rank(&self) -> u8 {
+        let of_account = self.caller.account().and_then(|account| account.rank);
+        of_account.unwrap_or(self.route.priority)
+    }
+
+    /// Why the request may not be sent because of its key, by the newest configuration.
+    pub(crate) fn key_failure(&self, cx: &Entry) -> Option<Failure> {
+        self.caller.key_failure(cx.deployment.borrow().as_deref()?)
+    }
+
     /// Whether the request may be sent again although a server may have run it.
     pub(crate) fn may_retry(&self) -> bool {
         self.route.kind.may_run_again() && self.sends.possible_runs() < self.route.max_attempts
@@ -118,9 +134,17 @@
     response
 }
 
-fn refuse(cx: &Entry, status: StatusCode, text: &'static str, id: Option<&str>) -> Response<Body> {
+/// Refuses a request that was not admitted; its `account` is known once its key was checked.
+fn refuse(
+    cx: &Entry,
+    status: StatusCode,
+    text: &'static str,
+    id: Option<&str>,
+    account: Option<&str>,
+) -> Response<Body> {
     tracing::info!(
         id = id.unwrap_or("-"),
+        account = account.unwrap_or(""),
         status = status.as_u16(),
         reason = text,
         "request: refused at arrival"
@@ -129,6 +153,9 @@
         .requests
         .get_or_create(&crate::metrics::OutcomeLabels { kind: "refused", outcome: text })
         .inc();
+    if let Some(account) = account {
+        cx.metrics.accounts.record_refused(account, text);
+    }
     let mut response = text_response(status, text);
     if status == StatusCode::SERVICE_UNAVAILABLE {
         response = Sends::default().failure_response(Failure::NotServing, DEFAULT_RETRY_AFTER);
@@ -149,20 +176,27 @@
     arrived_at: Instant,
 ) -> Result<Job, Response<Body>> {
     let id = platform_adapter::attempt_id(req.headers()).map(Box::<str>::from);
-    let refuse = |status, text| refuse(cx, status, text, id.as_deref());
+    let refuse_unknown = |status, text| refuse(cx, status, text, id.as_deref(), None);
     let Some(deployment) = cx.deployment.borrow().clone() else {
-        return Err(refuse(StatusCode::SERVICE_UNAVAILABLE, "no_configuration"));
+        return Err(refuse_unknown(StatusCode::SERVICE_UNAVAILABLE, "no_configuration"));
     };
     let route = host(&req).and_then(|host| deployment.route(&host, req.uri().path()).cloned());
     let Some(route) = route else {
-        return Err(refuse(StatusCode::NOT_FOUND, "no_route"));
+        return Err(refuse_unknown(StatusCode::NOT_FOUND, "no_route"));
+    };
+    let Ok(caller) = Caller::identify(&deployment, &route, req.headers()) else {
+        return Err(refuse_unknown(StatusCode::UNAUTHORIZED, UNKNOWN_KEY));
     };
+    let refuse = |status, text| refuse(cx, status, text, id.as_deref(), caller.name());
     let facts = match ClientHeaders::decode(req.headers()) {
         Ok(facts) => facts,
         Err(_) => return Err(refuse(StatusCode::BAD_REQUEST, "header_missing_or_malformed")),
     };
     let (mut parts, body) = req.into_parts();
     remove_client_headers(&mut parts.headers);
+    if !deployment.accounts.is_empty() {
+        remove_client_key(&mut parts.headers);
+    }
     let collected = collect(body, deployment.limits.max_body_bytes, &cx.body_memory);
     let body = match tokio::time::timeout(BODY_TIMEOUT, collected).await {
         Ok(Ok(body)) => body,
@@ -193,7 +227,11 @@
     let select_by =
         route.event_timeout().map_or(deadline, |max_wait| deadline.min(arrived_at + max_wait));
     let path = parts.uri.path_and_query().cloned();
-    let trace = Trace::new(cx, &facts, &route, &service, deployment.version, arrived_at);
+    if let Some(name) = caller.name() {
+        cx.metrics.accounts.record_admitted(name);
+    }
+    let version = deployment.version;
+    let trace = Trace::new(cx, &facts, &route, &caller, &service, version, arrived_at);
     let prompt = facts.prompt.as_ref().filter(|_| has_engine);
     Ok(Job {
         properties: properties(&service, prompt, path.as_ref()),
@@ -201,6 +239,7 @@
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         facts,
         route,
+        caller,
         service,
         has_engine,
         method: parts.method,
@@ -308,7 +347,7 @@
     body: Bytes,
 ) -> Response<Body> {
     job.trace.record_first_byte(cx);
-    job.trace.end("answered", parts.status);
+    job.trace.end(ANSWERED, parts.status);
     remove_hop_by_hop_headers(&mut parts.headers);
     if job.method != Method::HEAD {
         parts.headers.remove(header::CONTENT_LENGTH);
