--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -72,3 +72,16 @@
     assert_eq!(timeout(500, 300, CallKind::ResumableStream), Some(2_400));
     assert_eq!(timeout(500, 300, CallKind::Idempotent), None);
 }
+
+/// Guards against a key that is found under an account which does not hold it any more.
+#[test]
+fn of_two_accounts_with_a_key_the_later_one_holds_it() {
+    let account = |name: &str| ClientAccount { name: name.into(), rank: None, quota: None };
+    let keys = |keys: &[&str]| keys.iter().map(KeyHash::of).collect::<Vec<_>>();
+    let accounts =
+        Accounts::new([(account("a"), keys(&["k1", "k2"])), (account("b"), keys(&["k2"]))]);
+    let holder = |key: &str| accounts.by_key(&KeyHash::of(key)).map(|account| &*account.name);
+    assert_eq!([holder("k1"), holder("k2"), holder("k3")], [Some("a"), Some("b"), None]);
+    assert!(!accounts.is_empty() && Accounts::default().is_empty());
+    assert_eq!(accounts.iter().count(), 2);
+}
