--- a/components/process/entry/src/request/account/tests.rs
+++ b/components/process/entry/src/request/account/tests.rs
@@ -40,7 +40,8 @@
 }
 
 fn headers(keys: &[&'static str]) -> HeaderMap {
-    let keys = keys.iter().map(|key| (http::HeaderName::from_static("api-key"), *key));
+    let keys =
+        keys.iter().map(|key| (http::HeaderName::from_static(platform_adapter::KEY_HEADER), *key));
     let mut headers = HeaderMap::new();
     for (name, key) in keys {
         headers.append(name, HeaderValue::from_static(key));
