Quotas of client accounts over all instances: decisions

Callers saw: no quota was kept; an account got what it asked for at every instance. Cause: the users' path had no limit that counts over all instances. Change: admission::quota has the two sides of a pledge. The token bucket takes a cost and a burst of its own, and reserves tokens that are refilled in time.

--- a/components/request/admission/src/admission.rs
+++ b/components/request/admission/src/admission.rs
@@ -117,7 +117,7 @@
         }
         client_account
             .bucket
-            .try_take(now)
+            .try_take(1, now)
             .map_err(|at| Refusal { retry_at: at, ..Refusal::not_run(Reason::LimitReached) })?;
         let tracked = Tracked {
             client_account: index,
--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! [`Admission`] decides whether a request is queued or refused, in which order queued requests are
 //! served, and when a request has missed its deadline. [`shares`] divides limits that apply across
-//! all data centres.
+//! all data centres, and [`quota`] what client accounts may use over all instances.
 
 mod admission;
 mod fair_queue;
+pub mod quota;
 mod request;
 pub mod shares;
 mod token_bucket;
--- /dev/null
+++ b/components/request/admission/src/quota/share.rs
@@ -0,0 +1,462 @@
+//! The share of one instance in the quotas, and the tokens that holders granted to it.
+
+use types::prelude::*;
+
+use super::decision::{QuotaDecision, QuotaUse, QuotaVerdict, ShareState, Ticket};
+use super::messages::{
+    AccountKey, InstanceKey, PledgeEcho, QuotaAnswer, QuotaAsk, QuotaGrant, QuotaRequest, RunKey,
+};
+use super::stock::Stock;
+use super::{MAX_RESERVATION, PLEDGE_TERM, QuotaLimits, TOKEN_LIFE};
+use crate::token_bucket::TokenBucket;
+
+/// Longest time between two requests to the holder of the share. The holder then counts the share
+/// for more than half of [`PLEDGE_TERM`] after each request.
+const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+/// Time until an unanswered request is repeated for the first time; it doubles with each one.
+const FIRST_REPEAT: Duration = Duration::from_millis(25);
+/// Time without an answer, and without another message, after which a holder counts as failed.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without an answer after which a holder counts as failed although other messages of it arrive.
+const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Least time for which a holder counts as failed.
+const MIN_FAILED_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time for which a refusal of the holder is repeated without asking it again.
+const MAX_REFUSAL_REUSE: Duration = Duration::from_millis(250);
+/// Interval over which the recent use of an account is counted.
+const USE_INTERVAL: Duration = Duration::from_millis(400);
+/// Requests of an account in [`USE_INTERVAL`] from which on a stock of tokens is asked for.
+const MIN_STOCK_REQUESTS: u32 = 4;
+/// Most wishes in one request.
+const MAX_ASKS: usize = 512;
+/// `Retry-After` of requests that no holder answered.
+const UNANSWERED_RETRY: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    account: AccountKey,
+    cost: u64,
+    /// When the request gives up.
+    latest: Instant,
+}
+
+/// A request to a holder without an answer.
+#[derive(Debug)]
+struct Unanswered {
+    to: InstanceKey,
+    req: QuotaRequest,
+    /// Requests that wait for the answer, in the order of the wishes. Those that gave up stay.
+    waiting: Vec<Waiting>,
+    sent_at: Instant,
+    /// When the receiver counts as failed.
+    fail_at: Instant,
+    repeat_at: Instant,
+    repeat_after: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pledge {
+    to: InstanceKey,
+    until: Instant,
+}
+
+/// The newest grant of a holder.
+#[derive(Clone, Copy, Debug)]
+struct LastGrant {
+    from: InstanceKey,
+    echo: PledgeEcho,
+    received_at: Instant,
+}
+
+/// State of the quotas at one instance.
+#[derive(Debug)]
+pub struct QuotaShare {
+    key: InstanceKey,
+    run: RunKey,
+    /// Number of registered instances, this one included.
+    instances: usize,
+    /// Instances that may hold the share, the preferred one first.
+    holders: Box<[InstanceKey]>,
+    /// Holders that gave no answer, and since when they count as failed.
+    failed: HashMap<InstanceKey, Instant>,
+    /// An earlier run may have pledged the share until then.
+    blocked_until: Instant,
+    pledge: Option<Pledge>,
+    last_grant: Option<LastGrant>,
+    last_number: u32,
+    last_sent_at: Option<Instant>,
+    last_ticket: Ticket,
+    waiting: VecDeque<Waiting>,
+    unanswered: Option<Unanswered>,
+    /// Accounts with recent use.
+    stocks: HashMap<AccountKey, Stock>,
+    /// Stock that the accounts with many requests need until the next renewal.
+    wanted: Vec<(AccountKey, u64)>,
+    count_use_at: Instant,
+    /// Buckets of the share while it is not pledged. They were empty when that began.
+    standing: HashMap<AccountKey, TokenBucket>,
+}
+
+impl QuotaShare {
+    /// Creates the state of one run of an instance that starts now.
+    pub fn new(key: InstanceKey, run: RunKey, now: Instant) -> Self {
+        Self {
+            key,
+            run,
+            instances: 1,
+            holders: Box::default(),
+            failed: HashMap::new(),
+            blocked_until: now + PLEDGE_TERM,
+            pledge: None,
+            last_grant: None,
+            last_number: 0,
+            last_sent_at: None,
+            last_ticket: 0,
+            waiting: VecDeque::new(),
+            unanswered: None,
+            stocks: HashMap::new(),
+            wanted: Vec::new(),
+            count_use_at: now + USE_INTERVAL,
+            standing: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of registered instances and those that may hold the share, the preferred one
+    /// first. An empty list keeps the former one.
+    pub fn set_instances(&mut self, instances: usize, holders: &[InstanceKey]) {
+        self.instances = instances;
+        if !holders.is_empty() && *holders != *self.holders {
+            self.holders = holders.into();
+            self.failed.retain(|holder, _| holders.contains(holder));
+        }
+    }
+
+    /// Records that another message of an instance arrived: it gets more time to answer, and is tried
+    /// again if it counts as failed.
+    pub fn record_alive(&mut self, holder: InstanceKey, now: Instant) {
+        if let Some(sent) = self.unanswered.as_mut().filter(|sent| sent.to == holder) {
+            let latest = sent.sent_at + MAX_ANSWER_TIMEOUT;
+            sent.fail_at = sent.fail_at.max((now + ANSWER_TIMEOUT).min(latest));
+        }
+        if self.failed.get(&holder).is_some_and(|since| now >= *since + MIN_FAILED_TIME) {
+            self.failed.remove(&holder);
+        }
+    }
+
+    /// Who counts the share.
+    pub fn state(&self, now: Instant) -> ShareState {
+        match self.pledge.filter(|pledge| pledge.until > now) {
+            Some(pledge) => ShareState::Pledged(pledge.to),
+            None if self.blocked_until > now => ShareState::Blocked,
+            None => ShareState::Standing,
+        }
+    }
+
+    /// Number of accounts with recent use.
+    pub fn tracked_accounts(&self) -> usize {
+        self.stocks.len()
+    }
+
+    /// Tokens of an account that this instance may use without asking.
+    pub fn stock(&self, account: AccountKey, now: Instant) -> u64 {
+        self.stocks.get(&account).map_or(0, |stock| stock.level(now))
+    }
+
+    /// Decides about a request that arrives.
+    pub fn decide(
+        &mut self,
+        account: AccountKey,
+        limits: QuotaLimits,
+        cost: u64,
+        now: Instant,
+    ) -> QuotaDecision {
+        if cost > limits.burst {
+            return QuotaDecision::Refused { retry_at: None };
+        }
+        let stock = self.stocks.entry(account).or_default();
+        if let Some(void_at) = stock.take(cost, now) {
+            stock.record_use(cost);
+            return QuotaDecision::Admitted(QuotaUse { account, cost, ready_at: now, void_at });
+        }
+        let refused = stock.refused.filter(|(least, _)| cost >= *least);
+        let standing = self.take_standing(account, limits, cost, now);
+        match (standing, refused) {
+            (Ok(used), _) => QuotaDecision::Admitted(used),
+            (_, Some((_, until))) => QuotaDecision::Refused { retry_at: Some(until) },
+            (Err(_), None) if self.target(now).is_some() => QuotaDecision::Ask,
+            (Err(at), None) => {
+                QuotaDecision::Refused { retry_at: Some(at.unwrap_or(now + UNANSWERED_RETRY)) }
+            }
+        }
+    }
+
+    /// Takes the tokens of a request from the share of this instance, if it is not pledged.
+    /// Otherwise returns when it has them, if that is known.
+    pub fn take_standing(
+        &mut self,
+        account: AccountKey,
+        limits: QuotaLimits,
+        cost: u64,
+        now: Instant,
+    ) -> Result<QuotaUse, Option<Instant>> {
+        if self.state(now) != ShareState::Standing {
+            return Err(None);
+        }
+        let since = self.pledge.map_or(self.blocked_until, |pledge| pledge.until);
+        let part = limits.part(1, self.instances);
+        let bucket =
+            self.standing.entry(account).or_insert_with(|| TokenBucket::empty(part, since));
+        bucket.set_limits(part, now);
+        bucket.try_take(cost, now)?;
+        Ok(QuotaUse { account, cost, ready_at: now, void_at: now + TOKEN_LIFE })
+    }
+
+    /// Queues a request until the holder answers. It gives up at `latest`.
+    pub fn enqueue(&mut self, account: AccountKey, cost: u64, latest: Instant) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        self.waiting.push_back(Waiting { ticket, account, cost, latest });
+        ticket
+    }
+
+    /// Removes a request that gave up. Tokens that it still gets go into the stock.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+        let unanswered = self.unanswered.iter_mut().flat_map(|sent| &mut sent.waiting);
+        for waiting in unanswered.filter(|waiting| waiting.ticket == ticket) {
+            waiting.ticket = 0;
+        }
+    }
+
+    /// Puts back the tokens of a request that certainly did not run.
+    pub fn put_back(&mut self, used: QuotaUse, now: Instant) {
+        if used.void_at > now && used.ready_at <= now {
+            let stock = self.stocks.entry(used.account).or_default();
+            stock.lots.push_back((used.void_at, used.cost));
+        }
+    }
+
+    /// The request to send now, if one is due, and its receiver.
+    pub fn next_request(&mut self, now: Instant) -> Option<(InstanceKey, QuotaRequest)> {
+        if let Some(sent) = &mut self.unanswered {
+            if now < sent.fail_at {
+                if now < sent.repeat_at {
+                    return None;
+                }
+                sent.repeat_after *= 2;
+                sent.repeat_at = now + sent.repeat_after;
+                return Some((sent.to, sent.req.clone()));
+            }
+            self.record_no_answer(now);
+        }
+        let to = self.target(now)?;
+        if now < self.next_request_at(to, now) {
+            return None;
+        }
+        let pledge = self.renew_pledge(to, now);
+        let count = self.waiting.len().min(MAX_ASKS);
+        let waiting: Vec<Waiting> = self.waiting.drain(..count).collect();
+        let mut asks: Vec<QuotaAsk> = waiting
+            .iter()
+            .map(|Waiting { account, cost, latest, .. }| {
+                let wait = latest.saturating_duration_since(now).min(MAX_RESERVATION);
+                let wait_ms = wait.as_millis() as u16;
+                QuotaAsk::Request { account: *account, cost: *cost, wait_ms }
+            })
+            .collect();
+        for (account, wanted) in self.wanted.iter().take(MAX_ASKS) {
+            let tokens = wanted.saturating_sub(self.stock(*account, now));
+            if tokens > wanted / 2 {
+                asks.push(QuotaAsk::Stock { account: *account, tokens });
+            }
+        }
+        self.last_number += 1;
+        self.last_sent_at = Some(now);
+        let req =
+            QuotaRequest { from: self.key, run: self.run, number: self.last_number, pledge, asks };
+        self.unanswered = Some(Unanswered {
+            to,
+            req: req.clone(),
+            waiting,
+            sent_at: now,
+            fail_at: now + ANSWER_TIMEOUT,
+            repeat_at: now + FIRST_REPEAT,
+            repeat_after: FIRST_REPEAT,
+        });
+        Some((to, req))
+    }
+
+    /// When [`Self::next_request`] is to be called again, if nothing happens until then.
+    pub fn next_due(&self, now: Instant) -> Instant {
+        if let Some(sent) = &self.unanswered {
+            return sent.repeat_at.min(sent.fail_at);
+        }
+        match self.target(now) {
+            Some(to) => self.next_request_at(to, now),
+            None => now + RENEW_INTERVAL,
+        }
+    }
+
+    /// Counts the recent use of the accounts and drops those without any.
+    pub fn count_use(&mut self, now: Instant) {
+        if now < self.count_use_at {
+            return;
+        }
+        self.count_use_at = now + USE_INTERVAL;
+        self.wanted.clear();
+        for (account, stock) in &mut self.stocks {
+            if stock.requests >= MIN_STOCK_REQUESTS {
+                self.wanted.push((*account, stock.tokens / 2));
+            }
+        }
+        self.stocks.retain(|_, stock| {
+            stock.drop_void(now);
+            let is_used = stock.requests > 0;
+            (stock.requests, stock.tokens) = (0, 0);
+            is_used || !stock.lots.is_empty() || stock.refused.is_some()
+        });
+    }
+
+    /// Applies an answer of a holder. Returns the requests that it decides.
+    pub fn receive(&mut self, grant: &QuotaGrant, now: Instant) -> Vec<(Ticket, QuotaVerdict)> {
+        let is_answer = |sent: &mut Unanswered| {
+            grant.to_run == sent.req.run
+                && grant.number == sent.req.number
+                && grant.answers.len() == sent.req.asks.len()
+        };
+        let Some(sent) = self.unanswered.take_if(is_answer) else { return Vec::new() };
+        let echo = PledgeEcho { holder_run: grant.holder_run, stamp: grant.stamp };
+        self.last_grant = Some(LastGrant { from: sent.to, echo, received_at: now });
+        self.failed.remove(&sent.to);
+        let mut verdicts = Vec::new();
+        let mut unusable = Vec::new();
+        let stock_asks = &sent.req.asks[sent.waiting.len()..];
+        let (answers, stock_answers) = grant.answers.split_at(sent.waiting.len());
+        for (waiting, answer) in sent.waiting.iter().zip(answers) {
+            match self.apply_answer(waiting, *answer, sent.sent_at, now) {
+                Some(verdict) => verdicts.push((waiting.ticket, verdict)),
+                None => unusable.push(*waiting),
+            }
+        }
+        for (ask, answer) in stock_asks.iter().zip(stock_answers) {
+            if let (QuotaAsk::Stock { account, .. }, QuotaAnswer::Stock(tokens @ 1..)) =
+                (ask, answer)
+            {
+                let stock = self.stocks.entry(*account).or_default();
+                stock.lots.push_back((sent.sent_at + TOKEN_LIFE, *tokens));
+            }
+        }
+        self.requeue(unusable);
+        verdicts
+    }
+
+    /// Returns the verdict, or `None` if the request has to be asked for again.
+    fn apply_answer(
+        &mut self,
+        waiting: &Waiting,
+        answer: QuotaAnswer,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Option<QuotaVerdict> {
+        let Waiting { ticket, account, cost, .. } = *waiting;
+        match answer {
+            QuotaAnswer::Granted { wait_ms } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                let ready_at = now + wait;
+                // Counted from when the request was sent, which is before the tokens were taken.
+                let void_at = sent_at + wait + TOKEN_LIFE;
+                let used = QuotaUse { account, cost, ready_at, void_at };
+                if ready_at >= void_at {
+                    return None;
+                }
+                match ticket {
+                    0 => self.put_back(used, now),
+                    _ => self.stocks.entry(account).or_default().record_use(cost),
+                }
+                Some(QuotaVerdict::Granted(used))
+            }
+            QuotaAnswer::Refused { wait_ms, level } => {
+                let retry_at = wait_ms.map(|ms| sent_at + Duration::from_millis(ms.into()));
+                if let Some(until) = retry_at {
+                    let until = until.min(now + MAX_REFUSAL_REUSE);
+                    self.stocks.entry(account).or_default().refused = Some((cost, until));
+                }
+                let retry_at = retry_at.or(Some(now + UNANSWERED_RETRY));
+                Some(QuotaVerdict::Refused { retry_at, level })
+            }
+            QuotaAnswer::Stock(_) | QuotaAnswer::Unknown => {
+                let retry_at = Some(now + UNANSWERED_RETRY);
+                Some(QuotaVerdict::Refused { retry_at, level: 0 })
+            }
+        }
+    }
+
+    fn requeue(&mut self, waiting: Vec<Waiting>) {
+        for waiting in waiting.into_iter().rev().filter(|waiting| waiting.ticket != 0) {
+            self.waiting.push_front(waiting);
+        }
+    }
+
+    /// Marks the holder as failed that did not answer, and asks the next one for its requests.
+    fn record_no_answer(&mut self, now: Instant) {
+        let Some(sent) = self.unanswered.take() else { return };
+        self.failed.insert(sent.to, now);
+        self.requeue(sent.waiting);
+    }
+
+    /// The holder that should have the share. If all have failed, it is the one that failed first,
+    /// after a time in which requests do not wait for any.
+    fn preferred(&self, now: Instant) -> Option<InstanceKey> {
+        let mut holders = self.holders.iter().copied();
+        if let Some(usable) = holders.find(|holder| !self.failed.contains_key(holder)) {
+            return Some(usable);
+        }
+        let first = self.failed.iter().min_by_key(|(_, since)| **since);
+        first.filter(|(_, since)| now >= **since + MIN_FAILED_TIME).map(|(holder, _)| *holder)
+    }
+
+    /// The holder to ask: the one that has the share, until the pledge ends.
+    fn target(&self, now: Instant) -> Option<InstanceKey> {
+        match self.state(now) {
+            ShareState::Pledged(holder) if !self.failed.contains_key(&holder) => Some(holder),
+            _ => self.preferred(now),
+        }
+    }
+
+    fn next_request_at(&self, to: InstanceKey, now: Instant) -> Instant {
+        // A holder has to answer once before the share can be pledged to it.
+        let is_known = self.last_grant.is_some_and(|last| last.from == to);
+        let Some(last_sent_at) = self.last_sent_at.filter(|_| self.waiting.is_empty() && is_known)
+        else {
+            return now;
+        };
+        let renewal = last_sent_at + RENEW_INTERVAL;
+        match (self.state(now), self.pledge) {
+            (ShareState::Standing, _) => now,
+            (ShareState::Blocked, _) => renewal.min(self.blocked_until),
+            (ShareState::Pledged(holder), Some(pledge)) if holder != to => {
+                renewal.min(pledge.until)
+            }
+            (ShareState::Pledged(_), _) => renewal,
+        }
+    }
+
+    /// Pledges the share to the receiver of the next request, if it is free and the receiver is the
+    /// preferred holder.
+    fn renew_pledge(&mut self, to: InstanceKey, now: Instant) -> Option<PledgeEcho> {
+        let last = self.last_grant.filter(|last| last.from == to)?;
+        let is_free = match self.state(now) {
+            ShareState::Standing => true,
+            ShareState::Pledged(holder) => holder == to,
+            ShareState::Blocked => false,
+        };
+        let until = last.received_at + PLEDGE_TERM;
+        if !is_free || until <= now || self.preferred(now) != Some(to) {
+            return None;
+        }
+        self.standing.clear();
+        self.pledge = Some(Pledge { to, until });
+        Some(last.echo)
+    }
+}
