Quotas of client accounts are kept over all instances

Callers saw: an account got what it asked for, whatever its quota. Cause: the entry process read the quotas of the configuration and did not apply them. Change: admit_quota takes the tokens of a request after its key was checked and before its body is read, or refuses it: 429, quota_reached, Retry-After from when the bucket has the tokens. The exchange task pledges the share of the instance to the leader, or to the first that answers of those that the leader named, and sends QuotaRequest datagrams; any instance answers them. Tokens of a request that certainly did not run are put back when its Job is dropped. Nothing is sent where no account has a quota. Log lines of refusals and of changes of the share, counter account_quota_used. Result: two entry processes together stay within a quota and do not refuse an account inside it (platform_sessions).

--- a/components/process/entry/src/metrics/accounts.rs
+++ b/components/process/entry/src/metrics/accounts.rs
@@ -32,6 +32,7 @@
 pub(crate) struct AccountMetrics {
     admitted: Family<AccountLabel, Counter>,
     refused: Family<RefusalLabels, Counter>,
+    quota_used: Family<AccountLabel, Counter>,
     /// Accounts with counters of their own; at most [`MAX_NAMED_ACCOUNTS`].
     named: RefCell<HashSet<Box<str>>>,
 }
@@ -50,6 +51,11 @@
             "Requests of client accounts that were refused without having run, by reason",
             metrics.refused.clone(),
         );
+        registry.register(
+            "account_quota_used",
+            "Tokens or requests that client accounts used of their quotas",
+            metrics.quota_used.clone(),
+        );
         metrics
     }
 
@@ -71,6 +77,11 @@
         self.admitted.get_or_create(&AccountLabel { account: self.label(name) }).inc();
     }
 
+    /// Counts what an admitted request of an account took of its quota.
+    pub(crate) fn record_quota_used(&self, name: &str, cost: u64) {
+        self.quota_used.get_or_create(&AccountLabel { account: self.label(name) }).inc_by(cost);
+    }
+
     /// Counts a refused request of an account.
     pub(crate) fn record_refused(&self, name: &str, reason: &'static str) {
         let labels = RefusalLabels { account: self.label(name), reason };
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use admission::quota::{QuotaGrant, QuotaRequest};
 use quarantine::PublishedBan;
 use rand::seq::IteratorRandom;
 use replica_placement::{BootTime, HeldLease, InstanceName};
@@ -57,6 +58,10 @@
     Holdings(HoldingsPart),
     /// New bans of an instance, sent to all others.
     Bans(BanNotice),
+    /// Asks the holder of the sender's share in the quotas for tokens.
+    QuotaRequest(QuotaRequest),
+    /// Answers a [`QuotaRequest`].
+    QuotaGrant(QuotaGrant),
 }
 
 /// Requests that an instance found to end servers.
@@ -199,6 +204,9 @@
     /// Milliseconds for which the leader has followed the registry without an outage, up to its last
     /// confirmation.
     pub(crate) registry_steady_ms: u32,
+    /// Instances that hold shares in the quotas if the leader fails, the next one first. Empty
+    /// where no account has a quota.
+    pub(crate) quota_holders: Vec<InstanceName>,
 }
 
 /// Another instance.
@@ -229,6 +237,8 @@
     leader_revisions: Option<(SyncedRevision, SyncedRevision, Instant)>,
     /// Recent changes of the registry in the leader's last update.
     pub(crate) registry_changes: RecentChanges,
+    /// Instances that hold shares in the quotas if the leader fails, as of its last update.
+    quota_holders: Vec<InstanceName>,
 }
 
 impl Instances {
@@ -349,6 +359,7 @@
         self.leader_store_concurrency = Some(usize::from(update.store_concurrent_loads));
         self.leader_revisions = Some((update.registry, update.configuration, sent_at));
         self.registry_changes = update.registry_changes.clone();
+        self.set_quota_holders(&update.quota_holders);
         let Some(InFlightFigures { part, parts, counts }) = &update.in_flight else { return };
         self.in_flight_elsewhere.retain(|key, _| key % parts.max(&1) != *part);
         for (key, total) in counts {
@@ -413,6 +424,37 @@
         candidates.min_by_key(rank).map(|status| &status.from)
     }
 
+    /// Number of registered instances, including this one. An instance that failed stays registered.
+    pub(crate) fn registered_count(&self) -> usize {
+        1 + self.by_name.len()
+    }
+
+    /// Instances that should hold shares in the quotas if the leader fails: one of each data centre,
+    /// that of the leader last, because it may fail together with the leader.
+    pub(crate) fn choose_quota_holders(&self, own_centre: &str, now: Instant) -> Vec<InstanceName> {
+        let mut best: BTreeMap<(bool, &str), &Status> = BTreeMap::new();
+        for status in self.live(now).filter(|status| !status.is_leaving) {
+            let centre = (*status.data_centre == *own_centre, &*status.data_centre);
+            let known = best.entry(centre).or_insert(status);
+            if relay_rank(status) < relay_rank(known) {
+                *known = status;
+            }
+        }
+        best.into_values().map(|status| status.from.clone()).collect()
+    }
+
+    /// Sets the instances that hold shares in the quotas if the leader fails. A leader that knows no
+    /// other instance yet leaves them as they are.
+    pub(crate) fn set_quota_holders(&mut self, holders: &[InstanceName]) {
+        if !holders.is_empty() && *holders != *self.quota_holders {
+            self.quota_holders = holders.to_vec();
+        }
+    }
+
+    pub(crate) fn quota_holders(&self) -> &[InstanceName] {
+        &self.quota_holders
+    }
+
     /// Requests in flight from the other instances at a server, as of the leader's last update.
     pub(crate) fn in_flight_at(&self, server: &str) -> u32 {
         self.in_flight_elsewhere.get(&server_key(server)).copied().unwrap_or(0)
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod message_delay;
 mod orders;
 mod peers;
+mod quotas;
 mod request_counts;
 mod run;
 mod server_notices;
@@ -34,6 +35,7 @@
 pub(crate) use crashes::{BanTest, CrashReports, LostRequest};
 pub(crate) use instances::Instances;
 use instances::{ServerKey, server_key};
+pub(crate) use quotas::Quotas;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
 pub(crate) use store_access::StoreAccess;
@@ -118,6 +120,8 @@
     /// Servers that refused a request for a model that they should hold, until this is reported
     /// to the leader.
     pub(crate) stale_holdings: RefCell<HashSet<ServerId>>,
+    /// Quotas of client accounts.
+    pub(crate) quotas: Quotas,
     /// Requests that are kept from the servers because they end them.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Whether a request of this instance tests a ban.
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -178,6 +178,7 @@
         age_ms: at.map_or(u32::MAX / 2, |at| at.elapsed().as_millis() as u32),
     };
     let sync = &cx.sync;
+    let quota_holders = cx.choose_quota_holders(now);
     Message::LeaderUpdate(LeaderUpdate {
         from: cx.settings.name.clone(),
         address: cx.settings.peers,
@@ -206,6 +207,7 @@
         registry_steady_ms: sync.outage_detector.borrow().steady_time().map_or(0, |steady| {
             steady.until.saturating_duration_since(steady.since).as_millis() as u32
         }),
+        quota_holders,
     })
 }
 
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -214,6 +214,12 @@
                 }
             }
             Ok(Message::Bans(notice)) => cx.receive_bans(&notice.from, &notice.bans),
+            Ok(Message::QuotaRequest(req)) => {
+                if let Some(grant) = cx.answer_quota_request(&req) {
+                    socket.send(&Message::QuotaGrant(grant), &[from]);
+                }
+            }
+            Ok(Message::QuotaGrant(grant)) => cx.receive_quota_grant(&grant),
             Ok(Message::PassOn(_)) => tracing::warn!(%from, "peers: message passed on twice"),
             Ok(Message::Released) => {
                 tracing::info!(%from, "orders: told that the lease is free");
@@ -301,6 +307,7 @@
     *cx.slow_servers.borrow_mut() =
         slow.map(|(server, percent)| (server, f64::from(percent) / 100.0)).collect();
     record_leaving(cx, &update.leaving, &update.from);
+    cx.record_quota_holder_alive(&update.from);
     cx.follow_quarantine(&update.quarantine);
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
     cx.servers_changed.notify_waiters();
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -18,8 +18,8 @@
 
 use super::peers::PeerSocket;
 use super::{
-    Entry, Instances, Phase, RequestCounts, StoreAccess, SyncState, WaitingRequests, crashes,
-    orders, peers, store_sync,
+    Entry, Instances, Phase, Quotas, RequestCounts, StoreAccess, SyncState, WaitingRequests,
+    crashes, orders, peers, quotas, store_sync,
 };
 use crate::connection::{
     ConnectionPools, accept_callers, accept_metrics, accept_readiness, accept_store_relays,
@@ -85,6 +85,7 @@
     tracing::info!(name = %settings.name, data_centre = %settings.data_centre,
         callers = %settings.callers, store = %settings.store, "process: started");
     let sync = SyncState::new(settings.heartbeat);
+    let instance_quotas = Quotas::new(&settings.name);
     let body_memory = BodyMemory::with_limit(settings.body_memory_bytes());
     let cx = Rc::new(Entry {
         store: StoreAccess::new(&settings, &body_memory),
@@ -110,6 +111,7 @@
         instances: RefCell::new(Instances::default()),
         ready_at: RefCell::new(HashMap::new()),
         stale_holdings: RefCell::default(),
+        quotas: instance_quotas,
         quarantine: RefCell::default(),
         is_testing_ban: Cell::new(false),
         ban_test_spread: rand::rng().random(),
@@ -138,6 +140,7 @@
     spawn_local(peers::receive(cx.clone(), peer_socket.clone()));
     spawn_local(peers::send_status(cx.clone(), peer_socket.clone(), rand::rng().random()));
     spawn_local(crashes::share_bans(cx.clone(), peer_socket.clone()));
+    spawn_local(quotas::exchange(cx.clone(), peer_socket.clone()));
     spawn_local(orders::maintain_lease(cx.clone(), peer_socket.clone()));
     spawn_local(orders::run_plan_loop(cx.clone(), peer_socket));
     spawn_local(watch_settings(cx.clone(), path.to_owned(), hangup));
--- a/components/process/entry/src/request/failure.rs
+++ b/components/process/entry/src/request/failure.rs
@@ -111,18 +111,31 @@
         retry_after: Duration,
     ) -> Response<Body> {
         let status = self.status(failure);
-        let mut response = text_response(status, failure.as_str());
-        if status == StatusCode::SERVICE_UNAVAILABLE {
-            let wait = retry_after + RETRY_AFTER_JITTER.mul_f64(rand::rng().random());
-            let seconds = format!("{:.2}", wait.as_secs_f64());
-            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                response.headers_mut().insert(header::RETRY_AFTER, seconds);
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => {
+                refusal_response(status, failure.as_str(), retry_after)
             }
+            _ => text_response(status, failure.as_str()),
         }
-        response
     }
 }
 
+/// A response that promises that the request was not run. The random addition keeps callers that
+/// were refused at the same time from coming back at the same time.
+pub(super) fn refusal_response(
+    status: StatusCode,
+    reason: &'static str,
+    retry_after: Duration,
+) -> Response<Body> {
+    let mut response = text_response(status, reason);
+    let wait = retry_after + RETRY_AFTER_JITTER.mul_f64(rand::rng().random());
+    let seconds = format!("{:.2}", wait.as_secs_f64());
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
 /// A plain-text response of this instance.
 pub(crate) fn text_response(status: StatusCode, text: &'static str) -> Response<Body> {
     let body = Full::new(text.into()).map_err(|never| match never {}).boxed_unsync();
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod events;
 mod failure;
+mod quota;
 mod select;
 mod stream;
 mod trace;
@@ -32,6 +33,7 @@
 use account::Caller;
 use attempt::{AttemptOutcome, attempt};
 use failure::{Failure, Sends, UNKNOWN_KEY, text_response};
+use quota::{QUOTA_REACHED, QuotaHold, admit_quota};
 use trace::{ANSWERED, Trace};
 use wait::select_server;
 
@@ -39,6 +41,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// `Retry-After` of refused requests if no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Part of the latency target of the route for which a request waits for the tokens of its quota.
+const QUOTA_WAIT_FRACTION: u32 = 3;
 /// A request fails after this many attempts of which no byte was sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 8;
 
@@ -71,6 +75,8 @@
     pub(crate) properties: Rc<[PropertyKey]>,
     /// Set if the request is let through to test a ban.
     pub(crate) ban_test: Option<BanTest>,
+    /// What it takes of the quota of its account.
+    pub(crate) quota: QuotaHold,
 }
 
 /// Properties of a request that other requests may share.
@@ -134,14 +140,14 @@
     response
 }
 
-/// Refuses a request that was not admitted; its `account` is known once its key was checked.
-fn refuse(
+/// Records that a request was not admitted; its `account` is known once its key was checked.
+fn record_refusal(
     cx: &Entry,
     status: StatusCode,
     text: &'static str,
     id: Option<&str>,
     account: Option<&str>,
-) -> Response<Body> {
+) {
     tracing::info!(
         id = id.unwrap_or("-"),
         account = account.unwrap_or(""),
@@ -156,6 +162,16 @@
     if let Some(account) = account {
         cx.metrics.accounts.record_refused(account, text);
     }
+}
+
+fn refuse(
+    cx: &Entry,
+    status: StatusCode,
+    text: &'static str,
+    id: Option<&str>,
+    account: Option<&str>,
+) -> Response<Body> {
+    record_refusal(cx, status, text, id, account);
     let mut response = text_response(status, text);
     if status == StatusCode::SERVICE_UNAVAILABLE {
         response = Sends::default().failure_response(Failure::NotServing, DEFAULT_RETRY_AFTER);
@@ -192,6 +208,18 @@
         Ok(facts) => facts,
         Err(_) => return Err(refuse(StatusCode::BAD_REQUEST, "header_missing_or_malformed")),
     };
+    let quota = match caller.account() {
+        Some(account) => {
+            let give_up_at = Instant::now() + route.latency_target / QUOTA_WAIT_FRACTION;
+            let admitted = admit_quota(cx, account, facts.stated_tokens, give_up_at).await;
+            admitted.map_err(|refusal| {
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                record_refusal(cx, status, QUOTA_REACHED, id.as_deref(), caller.name());
+                refusal.response()
+            })?
+        }
+        None => QuotaHold::default(),
+    };
     let (mut parts, body) = req.into_parts();
     remove_client_headers(&mut parts.headers);
     if !deployment.accounts.is_empty() {
@@ -236,6 +264,7 @@
     Ok(Job {
         properties: properties(&service, prompt, path.as_ref()),
         ban_test: None,
+        quota,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         facts,
         route,
@@ -285,10 +314,12 @@
         let may_switch = job.route.kind.may_run_again()
             && job.sends.possible_runs() + 1 < job.route.max_attempts;
         job.trace.begin_send(&selection);
+        job.quota.set_may_have_run(true);
         let outcome = attempt(cx, &job, &selection, None, may_switch).await;
         job.trace.record_send(&selection, &outcome);
         match outcome {
             AttemptOutcome::NotSent => {
+                job.quota.set_may_have_run(job.sends.possible_runs() > 0);
                 job.tried.push(selection.id);
                 unsent += 1;
                 if unsent >= MAX_UNSENT_ATTEMPTS {
@@ -297,6 +328,7 @@
             }
             AttemptOutcome::NotRun(status) => {
                 job.sends.record_not_run();
+                job.quota.set_may_have_run(job.sends.possible_runs() > 0);
                 if let Some(prompt) = &job.facts.prompt
                     && status == StatusCode::MISDIRECTED_REQUEST
                 {
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -10,4 +10,5 @@
 mod notice_tests;
 mod order_tests;
 mod process_tests;
+mod quota_tests;
 mod store_tests;
