--- a/components/request/admission/src/quota.rs
+++ b/components/request/admission/src/quota.rs
@@ -11,6 +11,7 @@
 //! no I/O. Their times are to be on a clock that counts suspension.
 
 mod decision;
+mod holders;
 mod messages;
 mod pool;
 mod share;
--- a/components/request/admission/src/quota/share.rs
+++ b/components/request/admission/src/quota/share.rs
@@ -3,6 +3,7 @@
 use types::prelude::*;
 
 use super::decision::{QuotaDecision, QuotaUse, QuotaVerdict, ShareState, Ticket};
+use super::holders::Holders;
 use super::messages::{
     AccountKey, InstanceKey, PledgeEcho, QuotaAnswer, QuotaAsk, QuotaGrant, QuotaRequest, RunKey,
 };
@@ -19,8 +20,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time without an answer after which a holder counts as failed although other messages of it arrive.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Least time for which a holder counts as failed.
-const MIN_FAILED_TIME: Duration = Duration::from_millis(1_000);
 /// Longest time for which a refusal of the holder is repeated without asking it again.
 const MAX_REFUSAL_REUSE: Duration = Duration::from_millis(250);
 /// Interval over which the recent use of an account is counted.
@@ -76,10 +75,7 @@
     run: RunKey,
     /// Number of registered instances, this one included.
     instances: usize,
-    /// Instances that may hold the share, the preferred one first.
-    holders: Box<[InstanceKey]>,
-    /// Holders that gave no answer, and since when they count as failed.
-    failed: HashMap<InstanceKey, Instant>,
+    holders: Holders,
     /// An earlier run may have pledged the share until then.
     blocked_until: Instant,
     pledge: Option<Pledge>,
@@ -105,8 +101,7 @@
             key,
             run,
             instances: 1,
-            holders: Box::default(),
-            failed: HashMap::new(),
+            holders: Holders::default(),
             blocked_until: now + PLEDGE_TERM,
             pledge: None,
             last_grant: None,
@@ -126,10 +121,7 @@
     /// first. An empty list keeps the former one.
     pub fn set_instances(&mut self, instances: usize, holders: &[InstanceKey]) {
         self.instances = instances;
-        if !holders.is_empty() && *holders != *self.holders {
-            self.holders = holders.into();
-            self.failed.retain(|holder, _| holders.contains(holder));
-        }
+        self.holders.set(holders);
     }
 
     /// Records that another message of an instance arrived: it gets more time to answer, and is tried
@@ -139,9 +131,7 @@
             let latest = sent.sent_at + MAX_ANSWER_TIMEOUT;
             sent.fail_at = sent.fail_at.max((now + ANSWER_TIMEOUT).min(latest));
         }
-        if self.failed.get(&holder).is_some_and(|since| now >= *since + MIN_FAILED_TIME) {
-            self.failed.remove(&holder);
-        }
+        self.holders.record_alive(holder, now);
     }
 
     /// Who counts the share.
@@ -328,7 +318,7 @@
         let Some(sent) = self.unanswered.take_if(is_answer) else { return Vec::new() };
         let echo = PledgeEcho { holder_run: grant.holder_run, stamp: grant.stamp };
         self.last_grant = Some(LastGrant { from: sent.to, echo, received_at: now });
-        self.failed.remove(&sent.to);
+        self.holders.record_answer(sent.to);
         let mut verdicts = Vec::new();
         let mut unusable = Vec::new();
         let stock_asks = &sent.req.asks[sent.waiting.len()..];
@@ -401,26 +391,15 @@
     /// Marks the holder as failed that did not answer, and asks the next one for its requests.
     fn record_no_answer(&mut self, now: Instant) {
         let Some(sent) = self.unanswered.take() else { return };
-        self.failed.insert(sent.to, now);
+        self.holders.record_failed(sent.to, now);
         self.requeue(sent.waiting);
     }
 
-    /// The holder that should have the share. If all have failed, it is the one that failed first,
-    /// after a time in which requests do not wait for any.
-    fn preferred(&self, now: Instant) -> Option<InstanceKey> {
-        let mut holders = self.holders.iter().copied();
-        if let Some(usable) = holders.find(|holder| !self.failed.contains_key(holder)) {
-            return Some(usable);
-        }
-        let first = self.failed.iter().min_by_key(|(_, since)| **since);
-        first.filter(|(_, since)| now >= **since + MIN_FAILED_TIME).map(|(holder, _)| *holder)
-    }
-
     /// The holder to ask: the one that has the share, until the pledge ends.
     fn target(&self, now: Instant) -> Option<InstanceKey> {
         match self.state(now) {
-            ShareState::Pledged(holder) if !self.failed.contains_key(&holder) => Some(holder),
-            _ => self.preferred(now),
+            ShareState::Pledged(holder) if !self.holders.is_failed(holder) => Some(holder),
+            _ => self.holders.preferred(now),
         }
     }
 
@@ -452,7 +431,7 @@
             ShareState::Blocked => false,
         };
         let until = last.received_at + PLEDGE_TERM;
-        if !is_free || until <= now || self.preferred(now) != Some(to) {
+        if !is_free || until <= now || self.holders.preferred(now) != Some(to) {
             return None;
         }
         self.standing.clear();
