--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -21,6 +21,8 @@
     pub cores: f64,
     /// `[instance] memory_mb`: memory available to the instance.
     pub memory_mb: f64,
+    /// `[instance] descriptors`: file descriptors available to the instance.
+    pub descriptors: usize,
     /// `[callers] address`: listen address for requests of callers.
     pub callers: SocketAddr,
     /// `[readiness] address`: listen address of the readiness check.
@@ -128,6 +130,7 @@
         let data_centre = r.required("data_centre", value::text);
         let cores = r.or("cores", 1.0, non_negative);
         let memory_mb = r.or("memory_mb", 256.0, non_negative);
+        let descriptors = r.or("descriptors", 4_096.0, non_negative);
         r.finish();
 
         let mut address = |section: &str| {
@@ -176,6 +179,7 @@
             data_centre: data_centre?,
             cores,
             memory_mb,
+            descriptors: descriptors as usize,
             callers: callers?,
             readiness: readiness?,
             metrics: metrics?,
