Limits on what callers' connections take

A crate of its own divides an instance's memory and descriptors into parts that add up, counts what each connection takes in its present state, and says which connection is closed when there is no room: the one that progresses least. Without a network, so that its tests need none.

--- /dev/null
+++ b/components/connection/caller_limits/src/tests.rs
@@ -0,0 +1,225 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+
+use super::*;
+
+const COST: Cost =
+    Cost { silent: 1, open: 10, request: 20, field: 1, unread: 5, buffered_head: 100 };
+const PACES: Paces = Paces {
+    idle: Duration::from_secs(16),
+    head: Duration::from_secs(4),
+    window: Duration::from_secs(10),
+    window_bytes: 100,
+    read: Duration::from_secs(30),
+};
+
+#[derive(Clone, Default)]
+struct Flag(Rc<Cell<bool>>);
+
+impl Close for Flag {
+    fn close(&self) {
+        self.0.set(true);
+    }
+}
+
+type Table = ConnectionTable<Flag>;
+
+fn table(connections: usize, bytes: usize) -> Table {
+    Table::new(TableLimits { connections, bytes }, COST, PACES)
+}
+
+/// What a connection does when others need its room.
+#[derive(Clone, Copy, Debug)]
+enum Doing {
+    Nothing,
+    Head,
+    Body,
+    Served,
+    UnreadAnswer,
+}
+
+fn open(table: &Table, doing: Doing, at: Instant) -> TrackedConnection<Flag> {
+    let connection = table.accept(Flag::default(), at).unwrap();
+    match doing {
+        Doing::Nothing => {}
+        Doing::Head => connection.read(1, || at).unwrap(),
+        Doing::Body => {
+            connection.read(1, || at).unwrap();
+            connection.begin_request(0, true, at).unwrap();
+        }
+        Doing::Served => {
+            connection.read(1, || at).unwrap();
+            connection.begin_request(0, false, at).unwrap();
+        }
+        Doing::UnreadAnswer => {
+            connection.read(1, || at).unwrap();
+            connection.begin_request(0, false, at).unwrap();
+            connection.blocked(|| at);
+        }
+    }
+    connection
+}
+
+/// Guards against a crowd that keeps ordinary callers out: the connections that progress least make
+/// room, in the stated order, and a request that is served is never given up.
+#[test]
+fn least_progress_makes_room_first() {
+    let table = table(5, 1_000);
+    let now = Instant::now();
+    let doing = [Doing::Served, Doing::UnreadAnswer, Doing::Body, Doing::Head, Doing::Nothing];
+    let crowd = doing.map(|doing| open(&table, doing, now));
+    let later = now + Duration::from_secs(2);
+    let mut kept = Vec::new();
+    for closed in [4, 3, 2, 1] {
+        kept.push(open(&table, Doing::Served, later));
+        let is_closed: Vec<bool> = crowd.iter().map(TrackedConnection::is_closed).collect();
+        assert_eq!(is_closed, (0..5).map(|n| n >= closed).collect::<Vec<_>>());
+    }
+    assert!(table.accept(Flag::default(), later).is_err());
+    assert!(!crowd[0].is_closed());
+    assert_eq!(table.closed().of(Reason::NoRoom), 1);
+}
+
+/// Guards against a crowd of unfinished heads that keeps new callers out: a new connection has time to
+/// bring its request.
+#[test]
+fn new_connection_stays_beside_unfinished_heads() {
+    let table = table(3, 1_000);
+    let now = Instant::now();
+    let _crowd = [open(&table, Doing::Head, now), open(&table, Doing::Head, now)];
+    let later = now + Duration::from_millis(200);
+    let new = open(&table, Doing::Nothing, later);
+    for _ in 0..10 {
+        drop(table.accept(Flag::default(), later + Duration::from_millis(200)));
+    }
+    assert!(!new.is_closed());
+    let full = Table::new(TableLimits { connections: 1, bytes: 1_000 }, COST, PACES);
+    let new = open(&full, Doing::Head, now);
+    assert!(full.accept(Flag::default(), now).is_err() && !new.is_closed());
+}
+
+/// Guards against a caller that sends many requests ahead, is answered again and again, and so looks
+/// like the most active one.
+#[test]
+fn requests_sent_ahead_make_room_first() {
+    let table = table(2, 1_000);
+    let now = Instant::now();
+    let ahead = open(&table, Doing::Head, now);
+    for _ in 0..3 {
+        ahead.begin_request(0, false, now).unwrap();
+        ahead.end_answer(|| now + Duration::from_secs(1));
+    }
+    let idle = open(&table, Doing::Nothing, now);
+    let _new = open(&table, Doing::Head, now + Duration::from_secs(1));
+    assert!(ahead.is_closed() && !idle.is_closed());
+}
+
+/// Guards against a crowd whose members were ranked once and progress since: they are not closed in
+/// the place of those that do not.
+#[test]
+fn connection_that_has_progressed_is_not_closed_by_an_old_rank() {
+    let table = table(3, 1_000);
+    let now = Instant::now();
+    let first = open(&table, Doing::Head, now);
+    let second = open(&table, Doing::Head, now + Duration::from_millis(1));
+    let third = open(&table, Doing::Head, now + Duration::from_millis(2));
+    let later = now + Duration::from_secs(1);
+    let _fourth = open(&table, Doing::Served, later);
+    assert!(first.is_closed());
+    second.begin_request(0, false, later).unwrap();
+    let _fifth = open(&table, Doing::Served, later);
+    assert!(!second.is_closed() && third.is_closed());
+}
+
+/// Guards against memory that is counted for less than the states of the connections, or is counted
+/// after their end.
+#[test]
+fn memory_follows_the_states() {
+    let table = table(100, 1_000);
+    let now = Instant::now();
+    let connection = open(&table, Doing::Nothing, now);
+    assert_eq!(table.bytes(), 1);
+    connection.read(60, || now).unwrap();
+    assert_eq!(table.bytes(), 10);
+    connection.read(60, || now).unwrap();
+    assert_eq!(table.bytes(), 10 + 2 * 120);
+    connection.begin_request(7, false, now).unwrap();
+    assert_eq!(table.bytes(), 10 + 2 * 120 + 20 + 7);
+    connection.read(3, || now).unwrap();
+    assert_eq!(table.bytes(), 10 + 2 * 120 + 20 + 7 + 5);
+    connection.end_answer(|| now);
+    assert_eq!(table.bytes(), 10 + 5);
+    drop(connection);
+    assert_eq!((table.bytes(), table.count()), (0, 0));
+}
+
+/// Guards against requests of a crowd that together take more than the memory: heads that grow close
+/// others, and a request without room is refused.
+#[test]
+fn sum_of_memory_stays_within_the_limit() {
+    let table = table(100, 200);
+    let now = Instant::now();
+    let heads: Vec<_> = (0..20).map(|_| open(&table, Doing::Head, now)).collect();
+    assert_eq!(table.bytes(), 200);
+    let later = now + Duration::from_secs(1);
+    let requests: Vec<_> =
+        heads.iter().filter(|head| head.begin_request(0, false, later).is_ok()).collect();
+    assert!(requests.len() >= 6 && table.bytes() <= 200, "{} {}", requests.len(), table.bytes());
+    assert!(requests.iter().all(|request| !request.is_closed()));
+}
+
+/// Guards against connections that hold their place without progress, and against closing callers
+/// that progress.
+#[rstest]
+#[case::idle(Doing::Nothing, 15, 16, Reason::IdleTimeout)]
+#[case::head(Doing::Head, 3, 4, Reason::HeadTimeout)]
+#[case::body(Doing::Body, 9, 10, Reason::BodyPace)]
+#[case::unread(Doing::UnreadAnswer, 29, 30, Reason::ReadTimeout)]
+fn connections_without_progress_end_in_time(
+    #[case] doing: Doing,
+    #[case] kept_s: u64,
+    #[case] closed_s: u64,
+    #[case] reason: Reason,
+) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let connection = open(&table, doing, now);
+    let served = open(&table, Doing::Served, now);
+    table.sweep(now + Duration::from_secs(kept_s));
+    assert!(!connection.is_closed());
+    table.sweep(now + Duration::from_secs(closed_s));
+    assert!(connection.is_closed() && !served.is_closed());
+    assert_eq!(table.closed().of(reason), 1);
+}
+
+/// Guards against cutting off a long body at a time of its own: it may take as long as it keeps the
+/// pace.
+#[test]
+fn body_that_keeps_the_pace_is_not_cut_off() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let connection = open(&table, Doing::Body, now);
+    for n in 1..=10 {
+        connection.read(100, || now).unwrap();
+        table.sweep(now + PACES.window * n);
+    }
+    assert!(!connection.is_closed());
+}
+
+/// Guards against parts that exceed the whole, for the smallest machines and for common ones.
+#[rstest]
+#[case(120.0, 3_075)]
+#[case(512.0, 10_250)]
+#[case(16.0, 640)]
+fn parts_add_up(#[case] memory_mb: f64, #[case] descriptors: usize) {
+    let bytes = memory_mb * f64::from(1 << 20);
+    let parts = Parts::new(bytes, descriptors);
+    // The allocator may take twice the memory of the bodies.
+    let for_callers = parts.connection_bytes + 2 * parts.body_bytes;
+    assert!(for_callers as f64 <= bytes * 0.625);
+    let reserved = 200 + 16 + 16 + 64 + 32 + 2 * 32 + 2 * 16;
+    assert!(parts.caller_connections + parts.server_connections + reserved <= descriptors);
+}
