Connections of callers stay within memory and descriptors

What callers saw: 500 connections that stop short of the end of a head or a body, or don't read, made an instance take more memory and descriptors than its settings state; at the peers' port they kept other instances from the store. Only bodies were bounded.

Change: each listener has a table of its connections (caller_limits). The stream, the request body and the response body record what happens; a look at the table each second closes what keeps no pace. Idle connections to servers are bounded. Lines about requests refused at arrival are bounded.

--- a/components/process/entry/src/connection/callers.rs
+++ b/components/process/entry/src/connection/callers.rs
@@ -1,16 +1,21 @@
 //! Connections of callers.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 
+use super::doors::TIMEOUT_MARGIN;
+use super::tracking::{AnswerBody, CallerBody, TaskCloser, Tracked, TrackedStream};
 use crate::process::{Entry, Phase};
 use crate::request;
 
@@ -18,13 +23,12 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest request head while there is no configuration yet, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
-/// Added to the idle timeout, so that the instance never closes the connection of a caller that
-/// keeps to the limit.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Pause after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Connections that are accepted in a row before other tasks run.
+const ACCEPTED_IN_A_ROW: usize = 16;
 
 /// Time in which a connection that was accepted during the shutdown must bring its request.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -33,6 +37,7 @@
 /// their callers try another instance.
 pub(crate) async fn accept_callers(cx: Rc<Entry>, listener: TcpListener) {
     let mut phase = cx.phase.subscribe();
+    let mut in_a_row = 0;
     loop {
         let accepted = tokio::select! {
             biased;
@@ -41,8 +46,19 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                cx.metrics.caller_connections.inc();
-                spawn_local(serve(cx.clone(), stream));
+                let closer = TaskCloser::default();
+                // Without room, the connection is closed before anything is read from it.
+                let table = &cx.doors.callers.connections;
+                if let Ok(tracked) = table.accept(closer.clone(), Instant::now()) {
+                    let open = OpenConnection::new(&cx);
+                    let task = spawn_local(serve(open, stream, tracked));
+                    closer.set(task.abort_handle());
+                }
+                in_a_row += 1;
+                if in_a_row == ACCEPTED_IN_A_ROW {
+                    in_a_row = 0;
+                    yield_now().await;
+                }
             }
             Err(error) => {
                 tracing::warn!(%error, "callers: connection not accepted");
@@ -52,45 +68,68 @@
     }
 }
 
-async fn serve(cx: Rc<Entry>, stream: TcpStream) {
+/// Counts a connection for as long as its task exists.
+struct OpenConnection(Rc<Entry>);
+
+impl OpenConnection {
+    fn new(cx: &Rc<Entry>) -> Self {
+        cx.metrics.caller_connections.inc();
+        Self(cx.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.metrics.caller_connections.dec();
+    }
+}
+
+async fn serve(open: OpenConnection, stream: TcpStream, tracked: Tracked) {
+    let cx = open.0.clone();
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "callers: TCP_NODELAY not set, connection already closed");
     }
+    // The buffers are allocated when the first byte has arrived.
+    let has_first_byte = tokio::select! {
+        biased;
+        readable = stream.readable() => readable.is_ok(),
+        () = last_request(&cx, std::future::pending()) => false,
+    };
+    if !has_first_byte {
+        return;
+    }
+    let has_request = Rc::new(watch::Sender::new(false));
     let limits = cx.deployment.borrow().as_ref().map(|d| d.limits);
     let idle_timeout =
-        limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_MARGIN;
+        limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout) + TIMEOUT_MARGIN;
     let max_head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
     let service_cx = cx.clone();
-    let has_request = Rc::new(watch::Sender::new(false));
     let first_request = has_request.clone();
+    let service_tracked = tracked.clone();
     let service = service_fn(move |req| {
         first_request.send_replace(true);
-        let cx = service_cx.clone();
-        async move { Ok::<_, Infallible>(request::serve(cx, req, Instant::now()).await) }
+        // The library reserves room for this future for the whole life of a connection.
+        Box::pin(respond(service_cx.clone(), service_tracked.clone(), req))
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // hyper runs this timer on idle connections as well, so it must allow the idle timeout.
         .header_read_timeout(idle_timeout)
         .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(TrackedStream { stream, tracked, is_relayed: false }),
+            service,
+        );
     tokio::pin!(connection);
-    let mut phase = cx.phase.subscribe();
-    let closing = async {
-        if phase.wait_for(|phase| *phase >= Phase::Closing).await.is_err() {
+    let mut has_request = has_request.subscribe();
+    let first = async {
+        if has_request.wait_for(|has_request| *has_request).await.is_err() {
             std::future::pending::<()>().await;
         }
-        // A connection without a request so far is closed at once by a graceful shutdown, although
-        // its first request may be on its way.
-        let mut has_request = has_request.subscribe();
-        let first = has_request.wait_for(|has_request| *has_request);
-        if tokio::time::timeout(LAST_REQUEST_TIMEOUT, first).await.is_err() {
-            tracing::debug!("callers: connection without a request closed at the shutdown");
-        }
     };
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = closing => {
+        () = last_request(&cx, first) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -98,5 +137,34 @@
     if let Err(error) = result {
         tracing::debug!(%error, "callers: connection ended");
     }
-    cx.metrics.caller_connections.dec();
+}
+
+/// Waits for the shutdown, and then for the first request of a connection or the time in which it
+/// must come: a connection without a request so far is closed at once by a graceful shutdown, although
+/// its first request may be on its way.
+async fn last_request(cx: &Entry, first: impl Future<Output = ()>) {
+    let mut phase = cx.phase.subscribe();
+    if phase.wait_for(|phase| *phase >= Phase::Closing).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    if tokio::time::timeout(LAST_REQUEST_TIMEOUT, first).await.is_err() {
+        tracing::debug!("callers: connection without a request closed at the shutdown");
+    }
+}
+
+async fn respond(
+    cx: Rc<Entry>,
+    tracked: Tracked,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let arrived_at = Instant::now();
+    let has_body = !req.body().is_end_stream();
+    let response = match tracked.begin_request(req.headers().len(), has_body, arrived_at) {
+        Ok(()) => {
+            let req = req.map(|body| CallerBody { body, tracked: tracked.clone() });
+            request::serve(cx, req, arrived_at).await
+        }
+        Err(_) => request::refuse_without_room(&cx),
+    };
+    Ok(response.map(|body| AnswerBody { body, tracked }))
 }
--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -1,18 +1,22 @@
 //! Listeners for callers and operators, and connections to backend servers.
 
 mod callers;
+mod doors;
 mod head_limit;
 mod operators;
 mod server;
 mod store_relay;
+mod tracking;
 
 pub(crate) use callers::accept_callers;
+pub(crate) use doors::{Doors, SOCKET_BUFFER_BYTES, watch_connections};
 pub(crate) use operators::{accept_metrics, accept_readiness};
 pub(crate) use server::{
     ConnectError, Connection, ConnectionPools, ControlReply, MAX_IDLE_PER_SERVER, SendError,
     control_call,
 };
 pub(crate) use store_relay::accept_store_relays;
+pub(crate) use tracking::CallerBody;
 
 use http_body_util::combinators::UnsyncBoxBody;
 use quick_error::quick_error;
--- a/components/process/entry/src/connection/operators.rs
+++ b/components/process/entry/src/connection/operators.rs
@@ -2,21 +2,31 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, yield_now};
 
+use super::doors::Door;
+use super::tracking::{AnswerBody, TaskCloser, Tracked, TrackedStream};
 use crate::process::Entry;
 
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8_192;
+/// Pause after a failed accept, for example when the process has no free file descriptor.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Connections that are accepted in a row before other tasks run.
+const ACCEPTED_IN_A_ROW: usize = 8;
 
 type TextResponse = Response<Full<Bytes>>;
 
@@ -47,30 +57,67 @@
 
 /// Accepts connections of the readiness check.
 pub(crate) async fn accept_readiness(cx: Rc<Entry>, listener: TcpListener) {
-    accept(cx, listener, readiness).await;
+    accept(cx, listener, |cx| &cx.doors.readiness, readiness).await;
 }
 
 /// Accepts connections that read the metrics.
 pub(crate) async fn accept_metrics(cx: Rc<Entry>, listener: TcpListener) {
-    accept(cx, listener, metrics).await;
+    accept(cx, listener, |cx| &cx.doors.metrics, metrics).await;
 }
 
-async fn accept(cx: Rc<Entry>, listener: TcpListener, respond: fn(&Entry, &str) -> TextResponse) {
+async fn accept(
+    cx: Rc<Entry>,
+    listener: TcpListener,
+    door: fn(&Entry) -> &Door,
+    respond: fn(&Entry, &str) -> TextResponse,
+) {
+    let mut in_a_row = 0;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let cx = cx.clone();
-        let service = service_fn(move |req: Request<Incoming>| {
-            let response = respond(&cx, req.uri().path());
-            async move { Ok::<_, Infallible>(response) }
-        });
-        spawn_local(async move {
-            let result = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = result.await {
-                tracing::debug!(%error, "operators: connection ended");
-            }
+        let closer = TaskCloser::default();
+        let accepted = door(&cx).connections.accept(closer.clone(), Instant::now());
+        if let Ok(tracked) = accepted {
+            let task = spawn_local(serve(cx.clone(), stream, tracked, respond));
+            closer.set(task.abort_handle());
+        }
+        in_a_row += 1;
+        if in_a_row == ACCEPTED_IN_A_ROW {
+            in_a_row = 0;
+            yield_now().await;
+        }
+    }
+}
+
+async fn serve(
+    cx: Rc<Entry>,
+    stream: TcpStream,
+    tracked: Tracked,
+    respond: fn(&Entry, &str) -> TextResponse,
+) {
+    if stream.readable().await.is_err() {
+        return;
+    }
+    let service_tracked = tracked.clone();
+    let service = service_fn(move |req: Request<Incoming>| {
+        // These listeners limit the number of connections only.
+        let _ = service_tracked.begin_request(0, false, Instant::now());
+        let mut response = respond(&cx, req.uri().path()).map(|text| AnswerBody {
+            body: text.map_err(|never| match never {}).boxed_unsync(),
+            tracked: service_tracked.clone(),
         });
+        if service_tracked.has_sent_ahead() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let result = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(
+        TokioIo::new(TrackedStream { stream, tracked, is_relayed: false }),
+        service,
+    );
+    if let Err(error) = result.await {
+        tracing::debug!(%error, "operators: connection ended");
     }
 }
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -1,12 +1,13 @@
 //! Connections to backend servers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use body_memory::{BodyMemory, collect};
 use bytes::Bytes;
+use caller_limits::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -128,6 +129,10 @@
         })
     }
 
+    fn is_reusable(&self, now: Instant) -> bool {
+        self.reuse_until > now && !self.sender.is_closed()
+    }
+
     /// Id of the server at the other end.
     pub(crate) fn server(&self) -> &str {
         &self.server
@@ -203,31 +208,69 @@
 }
 
 /// Pools of idle connections, one per server.
-#[derive(Default)]
 pub(crate) struct ConnectionPools {
+    /// Most connections to servers, and most idle ones among them.
+    max_count: usize,
+    max_idle_count: usize,
+    /// Number of connections in `idle`.
+    idle_count: Cell<usize>,
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
 }
 
 impl ConnectionPools {
+    /// Empty pools with the limits of an instance.
+    pub(crate) fn new(parts: &Parts) -> Self {
+        Self {
+            max_count: parts.server_connections,
+            max_idle_count: parts.idle_server_connections,
+            idle_count: Cell::new(0),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Whether `in_use` connections leave room for one more idle one. Removes expired ones if not.
+    fn has_room(&self, in_use: usize) -> bool {
+        let max_idle = self.max_idle_count.min(self.max_count.saturating_sub(in_use));
+        if self.idle_count.get() < max_idle {
+            return true;
+        }
+        let now = Instant::now();
+        let mut pools = self.idle.borrow_mut();
+        pools.retain(|_, connections| {
+            connections.retain(|connection| connection.is_reusable(now));
+            !connections.is_empty()
+        });
+        self.idle_count.set(pools.values().map(Vec::len).sum());
+        self.idle_count.get() < max_idle
+    }
+
     /// Takes an idle connection that was last known to work at most `max_idle` ago.
     pub(crate) fn take_idle(&self, server: &str, max_idle: Duration) -> Option<Connection> {
         let mut pools = self.idle.borrow_mut();
         let connections = pools.get_mut(server)?;
         let now = Instant::now();
-        connections
-            .retain(|connection| connection.reuse_until > now && !connection.sender.is_closed());
+        let before = connections.len();
+        connections.retain(|connection| connection.is_reusable(now));
         let index = connections.iter().rposition(|connection| {
             connection.sender.is_ready()
                 && now.saturating_duration_since(connection.last_used_at) <= max_idle
-        })?;
-        Some(connections.remove(index))
+        });
+        let connection = index.map(|index| connections.remove(index));
+        self.idle_count.set(self.idle_count.get() + connections.len() - before);
+        connection
     }
 
     /// Returns a connection to its pool, unless the pool already has `max_idle_count`. The response
-    /// must have been read to its end.
-    pub(crate) fn return_idle(&self, mut connection: Connection, max_idle_count: usize) {
+    /// must have been read to its end. At most `in_use` connections to servers serve requests now.
+    pub(crate) fn return_idle(
+        &self,
+        mut connection: Connection,
+        max_idle_count: usize,
+        in_use: usize,
+    ) {
         let now = Instant::now();
-        if connection.sender.is_closed() || connection.reuse_until <= now {
+        if connection.sender.is_closed() || connection.reuse_until <= now || !self.has_room(in_use)
+        {
             return;
         }
         connection.last_used_at = now;
@@ -236,12 +279,14 @@
         let connections = pools.entry(connection.server.clone()).or_default();
         if connections.len() < max_idle_count {
             connections.push(connection);
+            self.idle_count.set(self.idle_count.get() + 1);
         }
     }
 
     /// Closes the idle connections to a server.
     pub(crate) fn close_idle(&self, server: &str) {
-        self.idle.borrow_mut().remove(server);
+        let closed = self.idle.borrow_mut().remove(server).map_or(0, |closed| closed.len());
+        self.idle_count.set(self.idle_count.get() - closed);
     }
 }
 
--- a/components/process/entry/src/connection/store_relay.rs
+++ b/components/process/entry/src/connection/store_relay.rs
@@ -6,13 +6,12 @@
 
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout_at;
 
+use super::tracking::{TaskCloser, Tracked, TrackedStream};
 use crate::process::Entry;
 
-/// Most connections that are passed on at the same time.
-const MAX_RELAYED_CONNECTIONS: i64 = 16;
 /// Timeout for the connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a connection is passed on. The leader connects again.
@@ -24,14 +23,15 @@
 pub(crate) async fn accept_store_relays(cx: Rc<Entry>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, from)) => {
-                let count = cx.metrics.relayed_connections.inc();
-                if count >= MAX_RELAYED_CONNECTIONS {
-                    cx.metrics.relayed_connections.dec();
-                    tracing::warn!(%from, "store: connection not passed on; too many of them");
-                    continue;
+            Ok((stream, _)) => {
+                let closer = TaskCloser::default();
+                let table = &cx.doors.relays.connections;
+                if let Ok(tracked) = table.accept(closer.clone(), Instant::now()) {
+                    let task = spawn_local(relay(cx.clone(), stream, tracked));
+                    closer.set(task.abort_handle());
                 }
-                spawn_local(relay(cx.clone(), stream));
+                // A crowd at this listener must not delay the others.
+                yield_now().await;
             }
             Err(error) => {
                 tracing::warn!(%error, "store: connection not accepted");
@@ -41,13 +41,29 @@
     }
 }
 
-async fn relay(cx: Rc<Entry>, mut stream: TcpStream) {
+/// Counts a connection that is passed on.
+struct Relayed<'a>(&'a Entry);
+
+impl Drop for Relayed<'_> {
+    fn drop(&mut self) {
+        self.0.metrics.relayed_connections.dec();
+    }
+}
+
+async fn relay(cx: Rc<Entry>, stream: TcpStream, tracked: Tracked) {
+    // A connection that sends nothing does not use one to the store.
+    if stream.readable().await.is_err() {
+        return;
+    }
+    cx.metrics.relayed_connections.inc();
+    let _relayed = Relayed(&cx);
     let address = cx.store.address();
     let begins = Instant::now();
     let connect = timeout_at((begins + CONNECT_TIMEOUT).into(), TcpStream::connect(address));
     match connect.await {
         Ok(Ok(mut store)) => {
             // The leader's own keep-alive and timeouts find a store that does not answer.
+            let mut stream = TrackedStream { stream, tracked, is_relayed: true };
             let copy = copy_bidirectional(&mut stream, &mut store);
             if let Ok(Err(error)) = timeout_at((begins + MAX_CONNECTION_TIME).into(), copy).await {
                 tracing::debug!(%error, "store: passed-on connection ended");
@@ -56,5 +72,4 @@
         Ok(Err(error)) => tracing::debug!(%error, "store: not reached for another instance"),
         Err(_) => tracing::debug!("store: not reached in time for another instance"),
     }
-    cx.metrics.relayed_connections.dec();
 }
--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -14,6 +14,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of the counter of closed connections: the listener and the reason.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ClosedLabels {
+    pub(crate) listener: &'static str,
+    pub(crate) reason: &'static str,
+}
+
 /// Label of the histogram of first bytes: the kind of the call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct KindLabel {
@@ -37,7 +44,9 @@
     pub(crate) server_crashes: Counter,
     pub(crate) server_pauses: Counter,
     pub(crate) leaving_servers: Counter,
+    pub(crate) connections_closed: Family<ClosedLabels, Counter>,
     pub(crate) caller_connections: Gauge,
+    pub(crate) caller_memory: Gauge,
     pub(crate) relayed_connections: Gauge,
     pub(crate) configuration_version: Gauge,
     log_lines_dropped: Gauge,
@@ -58,6 +67,12 @@
             "Time from the arrival of a request to the first byte of its answer",
             first_byte.clone(),
         );
+        let connections_closed = Family::<ClosedLabels, Counter>::default();
+        registry.register(
+            "connections_closed",
+            "Connections that were closed to stay within the limits, by listener and reason",
+            connections_closed.clone(),
+        );
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -91,6 +106,8 @@
             gauge
         };
         let caller_connections = gauge("caller_connections", "Open connections of callers");
+        let caller_memory =
+            gauge("caller_memory_bytes", "Memory that connections of callers count for");
         let relayed_connections = gauge(
             "relayed_connections",
             "Open connections of another instance that are passed on to the store",
@@ -116,7 +133,9 @@
             server_crashes,
             server_pauses,
             leaving_servers,
+            connections_closed,
             caller_connections,
+            caller_memory,
             relayed_connections,
             configuration_version,
         }
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod follow;
 mod instances;
+mod log_limit;
 mod message_delay;
 mod orders;
 mod peers;
@@ -27,13 +28,14 @@
 use server_directory::{ChangeLog, Directory, OutageDetector, ServerId, SteadyTime};
 use tokio::sync::{Notify, watch};
 
-use crate::connection::{Connection, ConnectionPools, MAX_IDLE_PER_SERVER};
+use crate::connection::{Connection, ConnectionPools, Doors, MAX_IDLE_PER_SERVER};
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
 
 pub(crate) use crashes::{BanTest, CrashReports, LostRequest};
 pub(crate) use instances::Instances;
 use instances::{ServerKey, server_key};
+use log_limit::LogLimit;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
 pub(crate) use store_access::StoreAccess;
@@ -42,6 +44,9 @@
 /// Interval between two updates of the leader to all other instances.
 pub(crate) const PUBLISH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Connections with unfinished bodies or unread answers that are closed when a body finds no memory.
+const RELIEVED_BODIES: usize = 8;
+
 /// Stage of the shutdown. It never goes back to an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -97,6 +102,10 @@
     /// Whether the registry was listed at least once. Before that, a missing server may exist.
     pub(crate) has_registry: Cell<bool>,
     pub(crate) pools: ConnectionPools,
+    /// Connections of each listener.
+    pub(crate) doors: Doors,
+    /// Limits the lines about requests that are refused at arrival or find no memory.
+    pub(crate) refusal_lines: LogLimit,
     /// Memory for the bodies of requests and responses, and for pieces of streams.
     pub(crate) body_memory: BodyMemory,
     pub(crate) health: RefCell<HashMap<ServerId, Health>>,
@@ -217,7 +226,8 @@
     /// Returns an idle connection to the pool.
     pub(crate) fn return_to_pool(&self, connection: Connection) {
         let max_idle = self.max_idle_connections(connection.server());
-        self.pools.return_idle(connection, max_idle);
+        let in_use = self.doors.callers.connections.count();
+        self.pools.return_idle(connection, max_idle, in_use);
     }
 
     /// Maximum of idle connections that this instance keeps to a server: its share of half of the
@@ -262,7 +272,11 @@
     /// server's response to it.
     pub(crate) fn record_no_memory(&self, id: &str, server: &str) {
         self.metrics.bodies_without_memory.inc();
-        tracing::warn!(id, server, used = self.body_memory.used(), "request: no memory for a body");
+        self.doors.callers.connections.relieve_bodies(RELIEVED_BODIES, Instant::now());
+        if self.refusal_lines.allows_line(Instant::now()) {
+            let used = self.body_memory.used();
+            tracing::warn!(id, server, used, "request: no memory for a body");
+        }
     }
 
     /// Records that a server could not be reached.
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -7,22 +7,27 @@
 use std::time::{Duration, Instant};
 
 use body_memory::BodyMemory;
+use caller_limits::Parts;
 use quick_error::quick_error;
 use rand::Rng;
 use replica_placement::LeaderLease;
+use rustix::process::{Resource, getrlimit};
 use server_directory::Directory;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 
+use super::log_limit::LogLimit;
 use super::peers::PeerSocket;
 use super::{
     Entry, Instances, Phase, RequestCounts, StoreAccess, SyncState, WaitingRequests, crashes,
     orders, peers, store_sync,
 };
 use crate::connection::{
-    ConnectionPools, accept_callers, accept_metrics, accept_readiness, accept_store_relays,
+    ConnectionPools, Doors, SOCKET_BUFFER_BYTES, accept_callers, accept_metrics, accept_readiness,
+    accept_store_relays, watch_connections,
 };
 use crate::metrics::Metrics;
 use crate::settings::EntrySettings;
@@ -56,7 +61,23 @@
 }
 
 async fn bind(what: &'static str, address: std::net::SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.map_err(|error| Error::Bind(what, address, error))
+    let listener =
+        TcpListener::bind(address).await.map_err(|error| Error::Bind(what, address, error))?;
+    // Connections inherit the sizes, so that the kernel holds a bounded number of bytes for each.
+    let socket = SockRef::from(&listener);
+    let result = socket
+        .set_recv_buffer_size(SOCKET_BUFFER_BYTES)
+        .and_then(|()| socket.set_send_buffer_size(SOCKET_BUFFER_BYTES));
+    if let Err(error) = result {
+        tracing::warn!(what, %error, "process: sizes of socket buffers not set");
+    }
+    Ok(listener)
+}
+
+/// Descriptors that the settings and the system allow.
+fn descriptors(settings: &EntrySettings) -> usize {
+    let allowed = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    settings.descriptors.min(usize::try_from(allowed).unwrap_or(usize::MAX))
 }
 
 /// Runs an instance until SIGTERM or SIGINT. Must run inside a `LocalSet`. `dropped_lines` returns
@@ -85,7 +106,9 @@
     tracing::info!(name = %settings.name, data_centre = %settings.data_centre,
         callers = %settings.callers, store = %settings.store, "process: started");
     let sync = SyncState::new(settings.heartbeat);
-    let body_memory = BodyMemory::with_limit(settings.body_memory_bytes());
+    let parts = Parts::new(settings.memory_bytes(), descriptors(&settings));
+    tracing::info!(?parts, "process: limits");
+    let body_memory = BodyMemory::with_limit(parts.body_bytes);
     let cx = Rc::new(Entry {
         store: StoreAccess::new(&settings, &body_memory),
         leader_lease: RefCell::new(LeaderLease::new(
@@ -93,11 +116,13 @@
             settings.turn_gap,
             settings.claim_delay(),
         )),
+        doors: Doors::new(&settings, &parts),
+        refusal_lines: LogLimit::new(Instant::now()),
         settings,
         deployment: RefCell::new(None),
         directory: RefCell::new(Directory::default()),
         has_registry: Cell::new(false),
-        pools: ConnectionPools::default(),
+        pools: ConnectionPools::new(&parts),
         body_memory,
         health: RefCell::new(HashMap::new()),
         retry_budgets: RefCell::new(HashMap::new()),
@@ -130,6 +155,7 @@
     spawn_local(accept_readiness(cx.clone(), readiness));
     spawn_local(accept_metrics(cx.clone(), metrics));
     spawn_local(accept_store_relays(cx.clone(), store_relays));
+    spawn_local(watch_connections(cx.clone()));
     spawn_local(store_sync::follow_configuration(cx.clone()));
     spawn_local(store_sync::follow_registry(cx.clone()));
     spawn_local(store_sync::register_instance(cx.clone()));
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -17,22 +17,19 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use platform_adapter::{ClientHeaders, Prompt, remove_client_headers, remove_hop_by_hop_headers};
 use quarantine::{Property, PropertyKey, property_keys};
 use rand::Rng;
 use routes::{Route, ServiceName};
 use server_directory::ServerId;
 
-use crate::connection::Body;
+use crate::connection::{Body, CallerBody};
 use crate::process::{BanTest, Entry, ModelKey, Phase};
 use attempt::{AttemptOutcome, attempt};
 use failure::{Failure, Sends, text_response};
 use trace::Trace;
 use wait::select_server;
 
-/// Time within which a caller must send the whole body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// `Retry-After` of refused requests if no better estimate is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// A request fails after this many attempts of which no byte was sent.
@@ -101,7 +98,7 @@
 /// Serves one request.
 pub(crate) async fn serve(
     cx: Rc<Entry>,
-    req: Request<Incoming>,
+    req: Request<CallerBody>,
     arrived_at: Instant,
 ) -> Response<Body> {
     let admitted = admit(&cx, req, arrived_at).await;
@@ -119,12 +116,14 @@
 }
 
 fn refuse(cx: &Entry, status: StatusCode, text: &'static str, id: Option<&str>) -> Response<Body> {
-    tracing::info!(
-        id = id.unwrap_or("-"),
-        status = status.as_u16(),
-        reason = text,
-        "request: refused at arrival"
-    );
+    if cx.refusal_lines.allows_line(Instant::now()) {
+        tracing::info!(
+            id = id.unwrap_or("-"),
+            status = status.as_u16(),
+            reason = text,
+            "request: refused at arrival"
+        );
+    }
     cx.metrics
         .requests
         .get_or_create(&crate::metrics::OutcomeLabels { kind: "refused", outcome: text })
@@ -136,7 +135,16 @@
     response
 }
 
-fn host(req: &Request<Incoming>) -> Option<Box<str>> {
+/// Refuses a request that finds no room beside the others, before its body is read.
+pub(crate) fn refuse_without_room(cx: &Entry) -> Response<Body> {
+    let labels = crate::metrics::OutcomeLabels { kind: "refused", outcome: "no_room" };
+    cx.metrics.requests.get_or_create(&labels).inc();
+    let mut response = Sends::default().failure_response(Failure::NotServing, DEFAULT_RETRY_AFTER);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn host(req: &Request<CallerBody>) -> Option<Box<str>> {
     let from_uri = req.uri().authority().map(|authority| authority.as_str().into());
     let header = || req.headers().get(header::HOST)?.to_str().ok().map(Into::into);
     from_uri.or_else(header)
@@ -145,7 +153,7 @@
 /// Reads a request and matches it to a route and a service, or refuses it.
 async fn admit(
     cx: &Rc<Entry>,
-    req: Request<Incoming>,
+    req: Request<CallerBody>,
     arrived_at: Instant,
 ) -> Result<Job, Response<Body>> {
     let id = platform_adapter::attempt_id(req.headers()).map(Box::<str>::from);
@@ -163,8 +171,10 @@
     };
     let (mut parts, body) = req.into_parts();
     remove_client_headers(&mut parts.headers);
+    let timeout = facts.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let collected = collect(body, deployment.limits.max_body_bytes, &cx.body_memory);
-    let body = match tokio::time::timeout(BODY_TIMEOUT, collected).await {
+    // Bodies that come slower than the least pace are cut off before.
+    let body = match tokio::time::timeout_at((arrived_at + timeout).into(), collected).await {
         Ok(Ok(body)) => body,
         Ok(Err(CollectError::TooLong)) => {
             return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
@@ -178,7 +188,6 @@
         }
         Err(_) => return Err(refuse(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     };
-    let timeout = facts.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
     let service = route.choose_target(rand::rng().random()).service.clone();
     let has_engine = deployment.services.get(&service).is_some_and(|s| s.engine.is_some());
     let now = Instant::now();
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -25,6 +25,12 @@
     pub descriptors: usize,
     /// `[callers] address`: listen address for requests of callers.
     pub callers: SocketAddr,
+    /// `[callers] body_window_s`: time over which the pace of a request body is measured.
+    pub body_window: Duration,
+    /// `[callers] body_window_bytes`: least number of bytes of an incomplete body in that time.
+    pub body_window_bytes: usize,
+    /// `[callers] read_timeout_s`: longest time in which a caller takes nothing of a response.
+    pub read_timeout: Duration,
     /// `[readiness] address`: listen address of the readiness check.
     pub readiness: SocketAddr,
     /// `[metrics] address`: listen address of the metrics endpoint.
@@ -55,10 +61,6 @@
     pub log_level: Box<str>,
 }
 
-/// Fraction of an instance's memory for the bodies of requests and responses. The allocator may take
-/// twice as much for buffers that grow side by side.
-const BODY_MEMORY_FRACTION: f64 = 0.125;
-
 /// An instance with fewer cores becomes leader only if there is no larger one.
 const SMALL_MACHINE_CORES: f64 = 0.2;
 /// Delay before small machines claim the leader's lease; longer than a claim takes.
@@ -112,9 +114,9 @@
         if self.is_small() { SMALL_MACHINE_CLAIM_DELAY } else { Duration::ZERO }
     }
 
-    /// Memory for the bodies of requests and responses, in bytes.
-    pub(crate) fn body_memory_bytes(&self) -> usize {
-        (self.memory_mb * BODY_MEMORY_FRACTION * f64::from(1 << 20)) as usize
+    /// Memory available to the instance, in bytes.
+    pub(crate) fn memory_bytes(&self) -> f64 {
+        self.memory_mb * f64::from(1 << 20)
     }
 
     /// Whether this instance becomes leader only if there is no larger one.
@@ -133,13 +135,19 @@
         let descriptors = r.or("descriptors", 4_096.0, non_negative);
         r.finish();
 
+        let mut r = SectionReader::new(ini, "callers", diagnostics);
+        let callers = r.required("address", value::address);
+        let body_window_s = r.or("body_window_s", 10.0, non_negative);
+        let body_window_bytes = r.or("body_window_bytes", 1_024.0, non_negative);
+        let read_timeout_s = r.or("read_timeout_s", 30.0, non_negative);
+        r.finish();
+
         let mut address = |section: &str| {
             let mut r = SectionReader::new(ini, section, diagnostics);
             let address = r.required("address", value::address);
             r.finish();
             address
         };
-        let callers = address("callers");
         let readiness = address("readiness");
         let metrics = address("metrics");
         let peers = address("peers");
@@ -181,6 +189,9 @@
             memory_mb,
             descriptors: descriptors as usize,
             callers: callers?,
+            body_window: Duration::from_secs_f64(body_window_s),
+            body_window_bytes: body_window_bytes as usize,
+            read_timeout: Duration::from_secs_f64(read_timeout_s),
             readiness: readiness?,
             metrics: metrics?,
             peers: peers?,
