A planned stop answers connections that the system has accepted before the listener closes

Callers saw: a new connection late in a planned stop was reset without a response. requests_late_in_a_planned_stop_get_a_response failed once so at 10:11 (load average 17): the request c19-18 came on a new connection 90 ms before the process ended and was never read. Cause: the process ended as soon as it had no open connection, with the listener's queue unread. Change: after the last connection the listener hands out what the system has accepted and closes; those connections get their response, later ones are refused. The race has no test of its own that always shows it.

--- a/components/process/entry/src/connection/callers.rs
+++ b/components/process/entry/src/connection/callers.rs
@@ -34,7 +34,7 @@
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Accepts connections of callers until the process is about to end. Later ones are refused, so that
-/// their callers try another instance.
+/// their callers try another instance; those that the system has accepted by then are served.
 pub(crate) async fn accept_callers(cx: Rc<Entry>, listener: TcpListener) {
     let mut phase = cx.phase.subscribe();
     let mut in_a_row = 0;
@@ -42,18 +42,11 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase >= Phase::Ending) => return,
+            _ = phase.wait_for(|phase| *phase >= Phase::Ending) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                let closer = TaskCloser::default();
-                // Without room, the connection is closed before anything is read from it.
-                let table = &cx.doors.callers.connections;
-                if let Ok(tracked) = table.accept(closer.clone(), Instant::now()) {
-                    let open = OpenConnection::new(&cx);
-                    let task = spawn_local(serve(open, stream, tracked));
-                    closer.set(task.abort_handle());
-                }
+                spawn_serve(&cx, stream);
                 in_a_row += 1;
                 if in_a_row == ACCEPTED_IN_A_ROW {
                     in_a_row = 0;
@@ -66,6 +59,24 @@
             }
         }
     }
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => spawn_serve(&cx, stream),
+            Err(error) => tracing::warn!(%error, "callers: connection not accepted"),
+        }
+    }
+}
+
+/// Serves a connection in a task of its own. Without room, it is closed before anything is read from
+/// it.
+fn spawn_serve(cx: &Rc<Entry>, stream: TcpStream) {
+    let closer = TaskCloser::default();
+    if let Ok(tracked) = cx.doors.callers.connections.accept(closer.clone(), Instant::now()) {
+        let task = spawn_local(serve(OpenConnection::new(cx), stream, tracked));
+        closer.set(task.abort_handle());
+    }
 }
 
 /// Counts a connection for as long as its task exists.
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -192,12 +192,11 @@
     // Wakes requests that wait for a server, so that they are refused.
     cx.servers_changed.notify_waiters();
     let answer_by = began + cx.settings.grace.saturating_sub(ENDING_SLACK);
-    while cx.metrics.caller_connections.get() > 0 && Instant::now() < end_by {
-        if Instant::now() >= answer_by {
-            cx.phase.send_replace(Phase::Ending);
-        }
-        tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
-    }
+    wait_for_callers(cx, answer_by).await;
+    // Closes the listener. Connections that it had not handed out yet still get a response.
+    cx.phase.send_replace(Phase::Ending);
+    tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+    wait_for_callers(cx, end_by).await;
     tracing::info!(
         in_flight = in_flight(cx),
         took_ms = began.elapsed().as_millis() as u64,
@@ -205,6 +204,13 @@
     );
 }
 
+/// Waits until all connections of callers are closed, at most until `latest`.
+async fn wait_for_callers(cx: &Entry, latest: Instant) {
+    while cx.metrics.caller_connections.get() > 0 && Instant::now() < latest {
+        tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+    }
+}
+
 fn in_flight(cx: &Entry) -> u32 {
     cx.request_counts.borrow().in_flight.values().flat_map(|models| models.values()).sum()
 }
