--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -188,6 +188,8 @@
     pub limits: ClientLimits,
     /// Client accounts.
     pub accounts: Accounts,
+    /// Tightest latency target of the streams of each service.
+    stream_targets: HashMap<ServiceName, Duration>,
 }
 
 impl Deployment {
@@ -200,14 +202,20 @@
         accounts: Accounts,
     ) -> Self {
         let mut by_host: HashMap<Box<str>, Vec<Rc<Route>>> = HashMap::new();
+        let mut stream_targets: HashMap<ServiceName, Duration> = HashMap::new();
         for route in routes {
+            for target in route.targets.iter().filter(|_| route.kind.is_stream()) {
+                let tightest = stream_targets.entry(target.service.clone());
+                let tightest = tightest.or_insert(route.latency_target);
+                *tightest = route.latency_target.min(*tightest);
+            }
             by_host.entry(route.host.clone()).or_default().push(Rc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, routes: by_host, services, limits, accounts }
+        Self { version, routes: by_host, services, limits, accounts, stream_targets }
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
@@ -217,6 +225,11 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Tightest latency target of the streams of a service, if any route leads streams to it.
+    pub fn tightest_stream_target(&self, service: &str) -> Option<Duration> {
+        self.stream_targets.get(service).copied()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -72,3 +72,19 @@
     assert_eq!(timeout(500, 300, CallKind::ResumableStream), Some(2_400));
     assert_eq!(timeout(500, 300, CallKind::Idempotent), None);
 }
+
+/// Guards against a tightest target of calls that read no prompt, and of another service.
+#[test]
+fn the_tightest_stream_target_is_that_of_the_streams_of_a_service() {
+    let stream = |name: &str, target, service: &str| Route {
+        kind: CallKind::Stream,
+        latency_target: Duration::from_millis(target),
+        targets: [Target { service: service.into(), weight: 1 }].into(),
+        ..route(name, "h", "/")
+    };
+    let limits = deployment().limits;
+    let routes = [stream("x", 600, "a"), stream("y", 300, "a"), route("call", "h", "/c/")];
+    let d = Deployment::new(1, routes, [], limits, Accounts::default());
+    assert_eq!(d.tightest_stream_target("a"), Some(Duration::from_millis(300)));
+    assert_eq!(d.tightest_stream_target("b"), None);
+}
