--- a/components/request/server_choice/src/choice.rs
+++ b/components/request/server_choice/src/choice.rs
@@ -35,29 +35,58 @@
     pub failures: f64,
     /// Factor by which it is slower than usual; 1 if it is not slow. See [`crate::PaceBoard`].
     pub slowness: f64,
+    /// Requests in flight that the long prompts it still has to read count as; 0 if it has none. See
+    /// [`crate::PromptMix::reading_cost`].
+    pub reading: f64,
 }
 
-/// Hash of a model and a shared prompt part, which selects the server that caches the part.
-pub fn affinity_key(model: &str, part: &str) -> u64 {
-    xxh3_64_with_seed(part.as_bytes(), xxh3_64_with_seed(model.as_bytes(), 0))
+/// Preference for the server that caches the shared part of a prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct Affinity {
+    /// Hash of a model and the shared part, which selects the server.
+    key: u64,
+    /// Requests in flight by which the server may exceed the others.
+    bonus: f64,
+}
+
+impl Affinity {
+    /// Sets the requests in flight that reading the shared part counts as. Short parts count as much
+    /// as any.
+    pub fn with_reading_cost(self, cost: f64) -> Self {
+        Self { bonus: cost.max(AFFINITY_BONUS), ..self }
+    }
+
+    /// Index of the candidate that caches the part.
+    pub fn preferred(self, candidates: &[Candidate<'_>]) -> Option<usize> {
+        let rank = |c: &Candidate<'_>| xxh3_64_with_seed(c.id.as_bytes(), self.key);
+        candidates.iter().enumerate().max_by_key(|(_, c)| rank(c)).map(|(index, _)| index)
+    }
+}
+
+/// Affinity of the requests for a model that share a prompt part.
+pub fn affinity_key(model: &str, part: &str) -> Affinity {
+    let key = xxh3_64_with_seed(part.as_bytes(), xxh3_64_with_seed(model.as_bytes(), 0));
+    Affinity { key, bonus: AFFINITY_BONUS }
 }
 
 /// Returns the index of the best candidate. Only half of the candidates, selected by `draw` in
 /// `0..1`, and the one that caches the prompt part are considered: load figures lag, and if every
-/// instance considered all candidates, all would choose the same server until the next figures.
+/// instance considered all candidates, all would choose the same server until the next figures. If
+/// all of these have long prompts to read, those that have none are considered as well.
 pub fn choose_server(
     candidates: &[Candidate<'_>],
-    affinity: Option<u64>,
+    affinity: Option<Affinity>,
     draw: f64,
 ) -> Option<usize> {
-    let preferred = affinity.and_then(|key| {
-        let rank = |c: &Candidate<'_>| xxh3_64_with_seed(c.id.as_bytes(), key);
-        candidates.iter().enumerate().max_by_key(|(_, c)| rank(c)).map(|(index, _)| index)
-    });
+    let preferred = affinity.and_then(|affinity| affinity.preferred(candidates));
+    let bonus = affinity.map_or(0.0, |affinity| affinity.bonus);
     let seed = (draw * u32::MAX as f64) as u64;
     let mut considered: Vec<usize> = (0..candidates.len()).collect();
     considered.sort_by_key(|index| xxh3_64_with_seed(candidates[*index].id.as_bytes(), seed));
-    considered.truncate(candidates.len().div_ceil(2).max(2));
+    let others = considered.split_off(candidates.len().div_ceil(2).max(2).min(candidates.len()));
+    if considered.iter().all(|index| candidates[*index].reading > 0.0) {
+        considered.extend(others.into_iter().filter(|index| candidates[*index].reading == 0.0));
+    }
     considered.extend(preferred);
     let cost = |index: usize| {
         let c = &candidates[index];
@@ -67,9 +96,10 @@
         f64::from(c.in_flight) * c.slowness
             + (c.slowness - 1.0) * SLOW_WEIGHT
             + f64::from(queued) * QUEUED_WEIGHT
+            + c.reading * c.slowness
             + c.failures * FAILURE_WEIGHT
             + if c.is_local { 0.0 } else { REMOTE_WEIGHT }
-            - if preferred == Some(index) { AFFINITY_BONUS } else { 0.0 }
+            - if preferred == Some(index) { bonus } else { 0.0 }
     };
     considered.into_iter().min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
 }
--- a/components/request/server_choice/src/speed_tests.rs
+++ b/components/request/server_choice/src/speed_tests.rs
@@ -105,6 +105,7 @@
         slots: 12,
         failures: 0.0,
         slowness,
+        reading: 0.0,
     };
     let light = [candidate("a", 0, 4.0), candidate("b", 6, 1.0)];
     assert_eq!(choose_server(&light, None, 0.5), Some(1));
--- a/components/request/server_choice/src/tests.rs
+++ b/components/request/server_choice/src/tests.rs
@@ -5,7 +5,15 @@
 use super::*;
 
 fn candidate(id: &str, in_flight: u32) -> Candidate<'_> {
-    Candidate { id, is_local: true, in_flight, slots: 32, failures: 0.0, slowness: 1.0 }
+    Candidate {
+        id,
+        is_local: true,
+        in_flight,
+        slots: 32,
+        failures: 0.0,
+        slowness: 1.0,
+        reading: 0.0,
+    }
 }
 
 /// Guards against choosing the busier server.
