Requests pass by servers that have long prompts to read

An instance counts a long prompt from its send to the first event, reports it to the leader in a message of its own, and the leader tells all instances within 30 ms: load figures come too late. A first attempt counted a prompt until its predicted end; busy servers took several times as long, so it counts as a whole until the first event.

Steps of a request's line name the unread tokens and the expected time; metrics long_prompts and reading_servers_avoided.

--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -20,11 +20,19 @@
     pub(crate) kind: &'static str,
 }
 
+/// Label of the counter of avoided servers: whether the prompt is long or short.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PromptLabel {
+    pub(crate) prompt: &'static str,
+}
+
 /// Metrics of the process, with the registry that encodes them.
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     pub(crate) first_byte: Family<KindLabel, Histogram>,
+    pub(crate) reading_servers_avoided: Family<PromptLabel, Counter>,
+    pub(crate) long_prompts: Counter,
     pub(crate) sends: Counter,
     pub(crate) retries: Counter,
     pub(crate) orders: Counter,
@@ -58,11 +66,18 @@
             "Time from the arrival of a request to the first byte of its answer",
             first_byte.clone(),
         );
+        let reading_servers_avoided = Family::<PromptLabel, Counter>::default();
+        registry.register(
+            "reading_servers_avoided",
+            "Requests sent past a server because it had long prompts to read",
+            reading_servers_avoided.clone(),
+        );
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
             counter
         };
+        let long_prompts = counter("long_prompts", "Long prompts sent to engines");
         let sends = counter("sends", "Requests sent to backend servers");
         let retries = counter("repeats", "Requests sent once more");
         let orders = counter("orders", "Orders sent to engines");
@@ -104,6 +119,8 @@
             dropped_lines: Box::new(dropped_lines),
             requests,
             first_byte,
+            reading_servers_avoided,
+            long_prompts,
             sends,
             retries,
             orders,
--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -14,6 +14,7 @@
 
 use super::ModelKey;
 use super::crashes::{PublishedQuarantine, QuarantineReport};
+use super::long_prompts::LongPromptsNotice;
 use super::message_delay::MessageDelay;
 
 /// Time without a message after which an instance's requests no longer count as in flight.
@@ -57,6 +58,8 @@
     Holdings(HoldingsPart),
     /// New bans of an instance, sent to all others.
     Bans(BanNotice),
+    /// Long prompts that servers are reading.
+    LongPrompts(LongPromptsNotice),
 }
 
 /// Requests that an instance found to end servers.
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod follow;
 mod instances;
+mod long_prompts;
 mod message_delay;
 mod orders;
 mod peers;
@@ -23,7 +24,7 @@
 use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
-use server_choice::{Health, PaceMeter, RetryBudget, RunTime};
+use server_choice::{Health, PaceMeter, PromptMix, RetryBudget, RunTime};
 use server_directory::{ChangeLog, Directory, OutageDetector, ServerId, SteadyTime};
 use tokio::sync::{Notify, watch};
 
@@ -34,6 +35,8 @@
 pub(crate) use crashes::{BanTest, CrashReports, LostRequest};
 pub(crate) use instances::Instances;
 use instances::{ServerKey, server_key};
+use long_prompts::LongPrompts;
+pub(crate) use long_prompts::UnreadPrompt;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
 pub(crate) use store_access::StoreAccess;
@@ -110,6 +113,9 @@
     pub(crate) slow_servers: RefCell<HashMap<ServerKey, f64>>,
     /// Requests of all instances that wait for room at the servers of a model.
     pub(crate) queued: RefCell<HashMap<ModelName, u32>>,
+    /// Prompts of this instance's requests, by service.
+    pub(crate) prompt_mixes: RefCell<HashMap<ServiceName, PromptMix>>,
+    pub(crate) long_prompts: RefCell<LongPrompts>,
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) waiting_requests: RefCell<WaitingRequests>,
     pub(crate) instances: RefCell<Instances>,
@@ -134,6 +140,8 @@
     pub(crate) waiting_changed: Notify,
     /// Makes this instance send its bans to the others.
     pub(crate) bans_changed: Notify,
+    /// Makes this instance tell others of long prompts.
+    pub(crate) long_prompts_changed: Notify,
     /// Makes the leader plan again.
     pub(crate) plan_due: Notify,
     /// Signals that an update of the leader was applied, with its revisions of the store.
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -214,6 +214,7 @@
                 }
             }
             Ok(Message::Bans(notice)) => cx.receive_bans(&notice.from, &notice.bans),
+            Ok(Message::LongPrompts(notice)) => cx.receive_long_prompts(&notice),
             Ok(Message::PassOn(_)) => tracing::warn!(%from, "peers: message passed on twice"),
             Ok(Message::Released) => {
                 tracing::info!(%from, "orders: told that the lease is free");
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -19,7 +19,7 @@
 use super::peers::PeerSocket;
 use super::{
     Entry, Instances, Phase, RequestCounts, StoreAccess, SyncState, WaitingRequests, crashes,
-    orders, peers, store_sync,
+    long_prompts, orders, peers, store_sync,
 };
 use crate::connection::{
     ConnectionPools, accept_callers, accept_metrics, accept_readiness, accept_store_relays,
@@ -105,6 +105,8 @@
         paces: RefCell::default(),
         slow_servers: RefCell::default(),
         queued: RefCell::default(),
+        prompt_mixes: RefCell::default(),
+        long_prompts: RefCell::default(),
         request_counts: RefCell::new(RequestCounts::default()),
         waiting_requests: RefCell::new(WaitingRequests::default()),
         instances: RefCell::new(Instances::default()),
@@ -117,6 +119,7 @@
         servers_changed: Notify::new(),
         waiting_changed: Notify::new(),
         bans_changed: Notify::new(),
+        long_prompts_changed: Notify::new(),
         plan_due: Notify::new(),
         leader_updated: Notify::new(),
         list_instances: Notify::new(),
@@ -138,6 +141,7 @@
     spawn_local(peers::receive(cx.clone(), peer_socket.clone()));
     spawn_local(peers::send_status(cx.clone(), peer_socket.clone(), rand::rng().random()));
     spawn_local(crashes::share_bans(cx.clone(), peer_socket.clone()));
+    spawn_local(long_prompts::share_long_prompts(cx.clone(), peer_socket.clone()));
     spawn_local(orders::maintain_lease(cx.clone(), peer_socket.clone()));
     spawn_local(orders::run_plan_loop(cx.clone(), peer_socket));
     spawn_local(watch_settings(cx.clone(), path.to_owned(), hangup));
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -22,7 +22,7 @@
 use super::events::{EventError, EventSplitter};
 use super::select::{Selection, has_free_slot_elsewhere};
 use crate::connection::{Connection, SendError};
-use crate::process::{Entry, InFlight, LostRequest};
+use crate::process::{Entry, InFlight, LostRequest, UnreadPrompt};
 
 /// Largest response that is not a stream, in bytes. Such a response is read to its end before it
 /// is passed on.
@@ -285,6 +285,9 @@
         return AttemptOutcome::NotSent;
     };
     cx.metrics.sends.inc();
+    // Dropped at the first event, with which this function returns.
+    let long_read = selection.reading.and_then(|reading| reading.long_read);
+    let _unread = long_read.map(|time| UnreadPrompt::new(cx, &selection.id, time));
     let sent_at = Instant::now();
     let switch_after = (job.route.latency_target * SWITCH_AFTER_TARGETS).max(MIN_SWITCH_AFTER);
     let switch_at = match may_switch {
@@ -349,6 +352,13 @@
         if !matches!(started, AttemptOutcome::Stream(_)) {
             cx.update_health(&selection.id, |health, now| health.record_failure(now, 1.0));
         }
+        if matches!(&started, AttemptOutcome::Stream(start) if !start.has_ended)
+            && let Some(reading) = selection.reading.filter(|reading| reading.shows_pace)
+        {
+            let mut mixes = cx.prompt_mixes.borrow_mut();
+            let mix = mixes.entry(job.service.clone()).or_default();
+            mix.record_first_event(reading.unread, sent_at.elapsed());
+        }
         if matches!(started, AttemptOutcome::Lost(STREAM_BROKE_OFF)) {
             record_lost(cx, job, selection).await;
         }
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -46,6 +46,8 @@
     pub(crate) service: ServiceName,
     /// Whether the service's servers are engines.
     pub(crate) has_engine: bool,
+    /// Tightest latency target of the service's streams.
+    pub(crate) stream_target: Option<Duration>,
     pub(crate) method: Method,
     pub(crate) path: PathAndQuery,
     /// End-to-end headers as the caller sent them.
@@ -188,7 +190,10 @@
     if let Some(prompt) = facts.prompt.as_ref().filter(|_| has_engine) {
         let key = ModelKey { model: prompt.model.clone(), adapter: prompt.adapter.clone() };
         *cx.request_counts.borrow_mut().arrivals.entry(key).or_default() += 1;
+        let mut mixes = cx.prompt_mixes.borrow_mut();
+        mixes.entry(service.clone()).or_default().record_prompt(prompt.prompt_tokens);
     }
+    let stream_target = deployment.tightest_stream_target(&service);
     let deadline = arrived_at + timeout;
     let select_by =
         route.event_timeout().map_or(deadline, |max_wait| deadline.min(arrived_at + max_wait));
@@ -203,6 +208,7 @@
         route,
         service,
         has_engine,
+        stream_target,
         method: parts.method,
         headers: parts.headers,
         body,
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -1,12 +1,16 @@
 //! Selects a server for a request among those that can run it now.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use platform_adapter::Prompt;
 use rand::Rng;
-use server_choice::{Candidate, affinity_key, choose_server, in_flight_limit, turn_probability};
+use server_choice::{
+    Affinity, Candidate, PromptMix, affinity_key, choose_server, in_flight_limit, turn_probability,
+};
 use server_directory::{Directory, Server, ServerId};
 
 use super::Job;
+use crate::metrics::PromptLabel;
 use crate::process::{Entry, PUBLISH_INTERVAL};
 
 /// The server selected for a request.
@@ -22,11 +26,29 @@
     pub(crate) slots: u32,
     /// Number of servers that could have been selected.
     pub(crate) candidate_count: usize,
+    /// What the server has to read before the first event; `None` if it is no engine.
+    pub(crate) reading: Option<ReadingForecast>,
+}
+
+/// Prompts that a server has to read before the first event of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadingForecast {
+    /// Unread tokens of the long prompts that it was sent before.
+    pub(crate) tokens_ahead: u64,
+    /// Tokens of the request's prompt that the server likely does not keep.
+    pub(crate) unread: u64,
+    /// How long the server reads them, if the prompt is long.
+    pub(crate) long_read: Option<Duration>,
+    /// Predicted time from the send to the first event.
+    pub(crate) first_event: Duration,
+    /// Whether the time to the first event shows how fast the server reads: it has a free slot and
+    /// is not slow, and what it keeps of the prompt matters little.
+    pub(crate) shows_pace: bool,
 }
 
 /// Result of one try to select a server.
 pub(super) enum SelectResult {
-    Selected(Selection),
+    Selected(Box<Selection>),
     /// Every server that can run the request was already tried, and none of them is unreachable.
     AllTried,
     /// Every server that is left to try has a full queue.
@@ -153,6 +175,9 @@
         Err(result) => return result,
     };
     let health = cx.health.borrow();
+    let mix = cx.prompt_mixes.borrow().get(&job.service).copied().unwrap_or_default();
+    let long_prompts = cx.long_prompts.borrow();
+    let ahead = |server: &Server| long_prompts.unread_at(&server.entry.id, now);
     let candidates: Vec<Candidate<'_>> = servers
         .iter()
         .map(|server| Candidate {
@@ -162,22 +187,77 @@
             slots: server.entry.slots,
             failures: health.get(&server.entry.id).map_or(0.0, |health| health.failures(now)),
             slowness: cx.slowness(&server.entry.id),
+            reading: mix.reading_cost(ahead(server)),
         })
         .collect();
     if job.has_engine && !gets_turn(cx, job, &candidates, now) {
         return SelectResult::Full;
     }
-    let prefix_affinity =
-        job.prompt().and_then(|p| Some(affinity_key(&p.model, p.shared_prefix()?)));
-    match choose_server(&candidates, prefix_affinity, rand::rng().random()) {
-        Some(index) => SelectResult::Selected(Selection {
-            id: servers[index].entry.id.clone(),
-            address: servers[index].entry.address,
-            revision: servers[index].revision,
-            in_flight: candidates[index].in_flight,
-            slots: servers[index].entry.slots,
-            candidate_count: candidates.len(),
-        }),
-        None => SelectResult::NoServer,
+    let prefix_affinity = job.prompt().and_then(|p| prefix_affinity(job, p, &mix));
+    let preferred = prefix_affinity.and_then(|affinity| affinity.preferred(&candidates));
+    let draw = rand::rng().random();
+    let Some(index) = choose_server(&candidates, prefix_affinity, draw) else {
+        return SelectResult::NoServer;
+    };
+    let candidate = &candidates[index];
+    let reading = job.prompt().map(|prompt| {
+        let kept = if preferred == Some(index) { prompt.shared_tokens } else { 0 };
+        forecast(job, prompt, kept, &mix, candidate, ahead(servers[index]))
+    });
+    if candidates.iter().any(|c| c.reading > 0.0) {
+        let plain: Vec<Candidate<'_>> =
+            candidates.iter().map(|c| Candidate { reading: 0.0, ..c.clone() }).collect();
+        if choose_server(&plain, prefix_affinity, draw) != Some(index) {
+            let is_long = reading.is_some_and(|reading| reading.long_read.is_some());
+            let prompt = if is_long { "long" } else { "short" };
+            cx.metrics.reading_servers_avoided.get_or_create(&PromptLabel { prompt }).inc();
+        }
+    }
+    SelectResult::Selected(Box::new(Selection {
+        id: servers[index].entry.id.clone(),
+        address: servers[index].entry.address,
+        revision: servers[index].revision,
+        in_flight: candidate.in_flight,
+        slots: servers[index].entry.slots,
+        candidate_count: candidates.len(),
+        reading,
+    }))
+}
+
+/// Whether the request holds up others at a server that reads this many tokens of its prompt.
+fn is_long(job: &Job, tokens: u64, mix: &PromptMix) -> bool {
+    job.stream_target.is_some_and(|target| mix.is_long(tokens, target))
+}
+
+/// Preference for the server that caches the longest shared prefix of the prompt. For a long prompt
+/// it is as strong as reading the prefix takes.
+fn prefix_affinity(job: &Job, prompt: &Prompt, mix: &PromptMix) -> Option<Affinity> {
+    let affinity = affinity_key(&prompt.model, prompt.shared_prefix()?);
+    if !is_long(job, prompt.prompt_tokens, mix) {
+        return Some(affinity);
+    }
+    Some(affinity.with_reading_cost(mix.reading_cost(mix.read_time(prompt.shared_tokens))))
+}
+
+/// What a server that keeps `kept` tokens of the prompt has to read before the first event of the
+/// request, if its unread long prompts take `ahead` to read.
+fn forecast(
+    job: &Job,
+    prompt: &Prompt,
+    kept: u64,
+    mix: &PromptMix,
+    server: &Candidate<'_>,
+    ahead: Duration,
+) -> ReadingForecast {
+    let unread = prompt.prompt_tokens.saturating_sub(kept);
+    ReadingForecast {
+        tokens_ahead: mix.tokens_in(ahead),
+        unread,
+        long_read: is_long(job, unread, mix).then(|| mix.read_time(unread)),
+        first_event: mix.first_event(ahead, unread, server.slowness),
+        shows_pace: ahead.is_zero()
+            && server.in_flight < server.slots
+            && server.slowness <= 1.0
+            && prompt.shared_tokens * 2 <= prompt.prompt_tokens,
     }
 }
--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -52,10 +52,12 @@
 }
 
 fn describe(selection: &Selection) -> String {
-    format!(
-        "{} (revision {}, {} in flight, of {})",
-        selection.id, selection.revision, selection.in_flight, selection.candidate_count
-    )
+    let Selection { id, revision, in_flight, candidate_count, .. } = selection;
+    let reading = selection.reading.map_or_else(String::new, |reading| {
+        let first_event_ms = reading.first_event.as_millis();
+        format!(", {} tokens unread, {first_event_ms} ms expected", reading.tokens_ahead)
+    });
+    format!("{id} (revision {revision}, {in_flight} in flight, of {candidate_count}{reading})")
 }
 
 fn elapsed_ms(since: Instant) -> u64 {
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -105,7 +105,7 @@
                 self.service_wait_ends = None;
             }
             let wake_at = match result {
-                SelectResult::Selected(selection) => return Ok(selection),
+                SelectResult::Selected(selection) => return Ok(*selection),
                 SelectResult::AllTried => {
                     job.tried.clear();
                     now + RETRY_TRIED_DELAY
