--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -15,6 +15,7 @@
 
 use super::ModelKey;
 use super::crashes::{PublishedQuarantine, QuarantineReport};
+use super::long_prompts::LongPromptsNotice;
 use super::message_delay::MessageDelay;
 
 /// Time without a message after which an instance's requests no longer count as in flight.
@@ -62,6 +63,8 @@
     QuotaRequest(QuotaRequest),
     /// Answers a [`QuotaRequest`].
     QuotaGrant(QuotaGrant),
+    /// Long prompts that servers are reading.
+    LongPrompts(LongPromptsNotice),
 }
 
 /// Requests that an instance found to end servers.
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod instances;
 mod log_limit;
+mod long_prompts;
 mod message_delay;
 mod orders;
 mod peers;
@@ -25,7 +26,7 @@
 use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
-use server_choice::{Health, PaceMeter, RetryBudget, RunTime};
+use server_choice::{Health, PaceMeter, PromptMix, RetryBudget, RunTime};
 use server_directory::{ChangeLog, Directory, OutageDetector, ServerId, SteadyTime};
 use tokio::sync::{Notify, watch};
 
@@ -37,6 +38,8 @@
 pub(crate) use instances::Instances;
 use instances::{ServerKey, server_key};
 use log_limit::LogLimit;
+use long_prompts::LongPrompts;
+pub(crate) use long_prompts::UnreadPrompt;
 pub(crate) use quotas::Quotas;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
@@ -121,6 +124,9 @@
     pub(crate) slow_servers: RefCell<HashMap<ServerKey, f64>>,
     /// Requests of all instances that wait for room at the servers of a model.
     pub(crate) queued: RefCell<HashMap<ModelName, u32>>,
+    /// Prompts of this instance's requests, by service.
+    pub(crate) prompt_mixes: RefCell<HashMap<ServiceName, PromptMix>>,
+    pub(crate) long_prompts: RefCell<LongPrompts>,
     pub(crate) request_counts: RefCell<RequestCounts>,
     pub(crate) waiting_requests: RefCell<WaitingRequests>,
     pub(crate) instances: RefCell<Instances>,
@@ -147,6 +153,8 @@
     pub(crate) waiting_changed: Notify,
     /// Makes this instance send its bans to the others.
     pub(crate) bans_changed: Notify,
+    /// Makes this instance tell others of long prompts.
+    pub(crate) long_prompts_changed: Notify,
     /// Makes the leader plan again.
     pub(crate) plan_due: Notify,
     /// Signals that an update of the leader was applied, with its revisions of the store.
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -23,7 +23,7 @@
 use super::peers::PeerSocket;
 use super::{
     Entry, Instances, Phase, Quotas, RequestCounts, StoreAccess, SyncState, WaitingRequests,
-    crashes, orders, peers, quotas, store_sync,
+    crashes, long_prompts, orders, peers, quotas, store_sync,
 };
 use crate::connection::{
     ConnectionPools, Doors, SOCKET_BUFFER_BYTES, accept_callers, accept_metrics, accept_readiness,
@@ -131,6 +131,8 @@
         paces: RefCell::default(),
         slow_servers: RefCell::default(),
         queued: RefCell::default(),
+        prompt_mixes: RefCell::default(),
+        long_prompts: RefCell::default(),
         request_counts: RefCell::new(RequestCounts::default()),
         waiting_requests: RefCell::new(WaitingRequests::default()),
         instances: RefCell::new(Instances::default()),
@@ -144,6 +146,7 @@
         servers_changed: Notify::new(),
         waiting_changed: Notify::new(),
         bans_changed: Notify::new(),
+        long_prompts_changed: Notify::new(),
         plan_due: Notify::new(),
         leader_updated: Notify::new(),
         list_instances: Notify::new(),
@@ -167,6 +170,7 @@
     spawn_local(peers::send_status(cx.clone(), peer_socket.clone(), rand::rng().random()));
     spawn_local(crashes::share_bans(cx.clone(), peer_socket.clone()));
     spawn_local(quotas::exchange(cx.clone(), peer_socket.clone()));
+    spawn_local(long_prompts::share_long_prompts(cx.clone(), peer_socket.clone()));
     spawn_local(orders::maintain_lease(cx.clone(), peer_socket.clone()));
     spawn_local(orders::run_plan_loop(cx.clone(), peer_socket));
     spawn_local(watch_settings(cx.clone(), path.to_owned(), hangup));
--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -85,3 +85,19 @@
     assert!(!accounts.is_empty() && Accounts::default().is_empty());
     assert_eq!(accounts.iter().count(), 2);
 }
+
+/// Guards against a tightest target of calls that read no prompt, and of another service.
+#[test]
+fn the_tightest_stream_target_is_that_of_the_streams_of_a_service() {
+    let stream = |name: &str, target, service: &str| Route {
+        kind: CallKind::Stream,
+        latency_target: Duration::from_millis(target),
+        targets: [Target { service: service.into(), weight: 1 }].into(),
+        ..route(name, "h", "/")
+    };
+    let limits = deployment().limits;
+    let routes = [stream("x", 600, "a"), stream("y", 300, "a"), route("call", "h", "/c/")];
+    let d = Deployment::new(1, routes, [], limits, Accounts::default());
+    assert_eq!(d.tightest_stream_target("a"), Some(Duration::from_millis(300)));
+    assert_eq!(d.tightest_stream_target("b"), None);
+}
