The last accepts of a planned stop are bounded; writes of relayed connections count as taken

Found by the review of the part, by reading: a crowd that goes on connecting kept the process in the last accept loop, and a relayed connection that had to wait once on a write was closed 5 s later however well it progressed. Change: at most 128 last connections, the phase is looked at before the listener, and each write of a relayed connection ends its wait.

--- a/components/process/entry/src/connection/callers.rs
+++ b/components/process/entry/src/connection/callers.rs
@@ -29,6 +29,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Connections that are accepted in a row before other tasks run.
 const ACCEPTED_IN_A_ROW: usize = 16;
+/// Connections that are accepted at the end of the process, as many as fit into a usual backlog.
+const MAX_LAST_ACCEPTED: usize = 128;
 
 /// Time in which a connection that was accepted during the shutdown must bring its request.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,8 +43,8 @@
     loop {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
             _ = phase.wait_for(|phase| *phase >= Phase::Ending) => break,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -60,7 +62,9 @@
         }
     }
     let Ok(listener) = listener.into_std() else { return };
-    while let Ok((stream, _)) = listener.accept() {
+    // Bounded, so that a crowd that goes on connecting does not hold up the other tasks.
+    for _ in 0..MAX_LAST_ACCEPTED {
+        let Ok((stream, _)) = listener.accept() else { return };
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         match stream {
             Ok(stream) => spawn_serve(&cx, stream),
--- a/components/process/entry/src/connection/tracking.rs
+++ b/components/process/entry/src/connection/tracking.rs
@@ -51,8 +51,12 @@
 impl TrackedStream {
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         match written {
-            Poll::Ready(Ok(_)) if self.is_relayed => self.tracked.end_answer(Instant::now),
-            Poll::Ready(Ok(len)) => self.tracked.wrote(*len),
+            Poll::Ready(Ok(len)) => {
+                self.tracked.wrote(*len);
+                if self.is_relayed {
+                    self.tracked.end_answer(Instant::now);
+                }
+            }
             Poll::Ready(Err(_)) => {}
             Poll::Pending => self.tracked.blocked(Instant::now),
         }
