--- a/components/request/admission/benches/quota.rs
+++ b/components/request/admission/benches/quota.rs
@@ -49,11 +49,21 @@
     }))
 }
 
+/// Resident memory of this process in kB, if the system tells it.
+fn resident_kb() -> i64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
 /// Prints the time for the look-up of a key with the decision of the instance, and that for a
 /// request that the holder has to be asked for, without the network.
 fn measure_decisions(count: usize) {
+    let before = resident_kb();
     let accounts = accounts(count);
+    let of_accounts = resident_kb() - before;
     let keys: Vec<String> = (0..count).map(key).collect();
+    let before_use = resident_kb();
     let start = Instant::now();
     let mut share = QuotaShare::new(1, 1, start);
     share.set_instances(1, &[1]);
@@ -88,10 +98,12 @@
     let micros = |time: Duration| time.as_secs_f64() * 1e6 / ROUNDS as f64;
     println!(
         "{count} accounts: {:.2} us for look-up and decision, {:.2} us with ask and grant, \
-         {admitted} admitted, {} accounts tracked",
+         {admitted} admitted, {} accounts tracked, {of_accounts} kB for the accounts, {} kB for \
+         their quotas",
         micros(decided),
         micros(asked),
-        share.tracked_accounts()
+        share.tracked_accounts(),
+        resident_kb() - before_use
     );
 }
 
--- a/components/request/admission/src/quota/share.rs
+++ b/components/request/admission/src/quota/share.rs
@@ -28,8 +28,9 @@
 const MIN_STOCK_REQUESTS: u32 = 4;
 /// Most wishes in one request.
 const MAX_ASKS: usize = 512;
-/// `Retry-After` of requests that no holder answered.
-const UNANSWERED_RETRY: Duration = Duration::from_millis(500);
+/// `Retry-After` of requests that no holder answered, or whose holder has too few shares: the next
+/// one then has them.
+const UNANSWERED_RETRY: Duration = PLEDGE_TERM;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
