--- a/components/process/entry/src/process/instances/tests.rs
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -114,3 +114,18 @@
         }
     }
 }
+
+/// Guards against quotas that wait for instances which fail together with the leader, or for small
+/// ones while a larger one lives. Instances that were not heard lately are not named.
+#[test]
+fn quota_holders_are_one_large_instance_of_each_data_centre() {
+    let now = Instant::now();
+    let mut instances = instances(60, now);
+    instances.record_status(Status { is_leaving: true, ..status(10, "e") }, address(10), now);
+    let names = |holders: Vec<InstanceName>| holders.join(" ");
+    assert_eq!(
+        names(instances.choose_quota_holders("b", now)),
+        "entry-a-0 entry-c-20 entry-d-15 entry-e-40 entry-f-11 entry-b-1"
+    );
+    assert_eq!(names(instances.choose_quota_holders("b", now + IN_FLIGHT_EXPIRY)), "");
+}
