--- a/components/process/entry/src/process/long_prompts.rs
+++ b/components/process/entry/src/process/long_prompts.rs
@@ -175,8 +175,7 @@
 }
 
 /// Reports the long prompts of this instance to the leader, or as the leader those of all instances
-/// to the others, whenever one
-/// is sent or read.
+/// to the others, whenever one is sent or read.
 pub(super) async fn share_long_prompts(cx: Rc<Entry>, socket: Rc<PeerSocket>) {
     let own = server_key(&cx.settings.name);
     let mut turn = 0_usize;
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -6,6 +6,7 @@
 mod deadly_tests;
 mod endless_tests;
 mod golden_tests;
+mod long_prompt_tests;
 mod notice_tests;
 mod order_tests;
 mod process_tests;
