The leader sends each change once to instances with waiting requests

After each plan, up to 60 times a second, the leader sent its state to all instances with a request that waits for a model, whether it had news for them or not.

An instance is now sent a change if one of its models changed since its last message, or if it reported waiting requests since.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -211,6 +211,21 @@
     pub(crate) counted_arrivals: HashMap<ModelKey, u64>,
 }
 
+/// Another instance with waiting requests.
+pub(crate) struct WaitingInstance<'a> {
+    pub(crate) address: SocketAddr,
+    /// When its status arrived.
+    pub(crate) reported_at: Instant,
+    status: &'a Status,
+}
+
+impl WaitingInstance<'_> {
+    /// Models that its requests wait for.
+    pub(crate) fn models(&self) -> impl Iterator<Item = &ModelName> {
+        self.status.waiting.iter().map(|(_, key, _)| &key.model)
+    }
+}
+
 /// All other instances.
 #[derive(Debug, Default)]
 pub(crate) struct Instances {
@@ -431,18 +446,13 @@
         statuses.flat_map(|status| std::mem::take(&mut status.stale_holdings)).collect()
     }
 
-    /// Addresses of the instances that have requests waiting for one of `models`.
-    pub(crate) fn addresses_waiting_for(
-        &self,
-        models: &HashSet<ModelName>,
-        now: Instant,
-    ) -> Vec<SocketAddr> {
-        let names: Vec<&InstanceName> = self
-            .live(now)
-            .filter(|status| status.waiting.iter().any(|(_, key, _)| models.contains(&key.model)))
-            .map(|status| &status.from)
-            .collect();
-        names.into_iter().filter_map(|name| self.address(name)).collect()
+    /// Instances that have waiting requests.
+    pub(crate) fn waiting(&self, now: Instant) -> impl Iterator<Item = WaitingInstance<'_>> {
+        self.live(now).filter(|status| !status.waiting.is_empty()).filter_map(|status| {
+            let instance = self.by_name.get(&status.from)?;
+            let (address, reported_at) = (instance.address, instance.last_seen_at?);
+            Some(WaitingInstance { address, reported_at, status })
+        })
     }
 
     /// Returns arrivals at other instances since the last call, and marks them as counted.
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -1,6 +1,7 @@
 //! State of the leader.
 
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use replica_placement::{
@@ -65,8 +66,10 @@
     pub(super) ready_at: HashMap<ModelName, Instant>,
     /// Requests that wait although a server has their model, for models with several of them.
     pub(super) queued: HashMap<ModelName, u32>,
-    /// Servers whose holdings changed since the last update to all instances.
-    pub(super) changed: HashSet<ServerId>,
+    /// Servers whose holdings changed since the last update to all instances, and when.
+    pub(super) changed: HashMap<ServerId, Instant>,
+    /// When each instance with waiting requests was last sent a change in between.
+    pub(super) sent_to_waiting: HashMap<SocketAddr, Instant>,
     /// Index of the server whose holdings were last published in rotation.
     pub(super) publish_cursor: usize,
     /// Servers that are being queried for their holdings.
@@ -104,7 +107,8 @@
             counted_arrivals: HashMap::new(),
             ready_at: HashMap::new(),
             queued: HashMap::new(),
-            changed: HashSet::new(),
+            changed: HashMap::new(),
+            sent_to_waiting: HashMap::new(),
             publish_cursor: 0,
             queries_in_progress: 0,
             publish_count: 0,
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -32,7 +32,7 @@
     if let Some(born) = born {
         cx.directory.borrow_mut().observe(server, born, Instant::now(), change);
     }
-    leader.borrow_mut().changed.insert(server.into());
+    leader.borrow_mut().changed.insert(server.into(), Instant::now());
     cx.servers_changed.notify_waiters();
     cx.plan_due.notify_one();
 }
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -1,6 +1,7 @@
 //! Publishes the leader's state to the other instances.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use replica_placement::HeldLease;
@@ -37,7 +38,7 @@
         engines.map(|server| server.entry.id.clone()).collect()
     };
     ids.sort();
-    let mut published: HashSet<ServerId> = leader.changed.drain().collect();
+    let mut published: HashSet<ServerId> = leader.changed.drain().map(|(id, _)| id).collect();
     for _ in 0..ids.len().div_ceil(PUBLISH_CYCLE) {
         leader.publish_cursor = (leader.publish_cursor + 1) % ids.len();
         published.insert(ids[leader.publish_cursor].clone());
@@ -120,8 +121,8 @@
     InFlightFigures { part, parts, counts }
 }
 
-/// Sends changes to the instances that have requests waiting for a model that they affect. The
-/// other instances receive them with the next update to all.
+/// Sends changes to the instances that have requests waiting for a model that they affect, once
+/// each. The other instances receive them with the next update to all.
 pub(super) fn publish_to_waiting(
     cx: &Entry,
     socket: &PeerSocket,
@@ -129,20 +130,51 @@
     lease: HeldLease,
 ) {
     let now = Instant::now();
-    let mut models: HashSet<ModelName> = leader.ready_at.keys().cloned().collect();
+    let mut models: HashMap<ModelName, Instant> = HashMap::new();
     {
         let directory = cx.directory.borrow();
-        for server in leader.changed.iter().filter_map(|id| directory.get(id)) {
-            models.extend(server.entry.holdings.model_names().cloned());
+        for (id, at) in &leader.changed {
+            let Some(server) = directory.get(id) else { continue };
+            for model in server.entry.holdings.model_names() {
+                let newest = models.entry(model.clone()).or_insert(*at);
+                *newest = (*newest).max(*at);
+            }
         }
     }
-    let addresses = cx.instances.borrow().addresses_waiting_for(&models, now);
+    let addresses: Vec<SocketAddr> = {
+        let instances = cx.instances.borrow();
+        let waiting = instances.waiting(now).filter(|waiting| {
+            let sent_at = leader.sent_to_waiting.get(&waiting.address).copied();
+            has_news(waiting.models(), waiting.reported_at, sent_at, &models, &leader.ready_at)
+        });
+        waiting.map(|waiting| waiting.address).collect()
+    };
     if !addresses.is_empty() {
-        let published = leader.changed.iter().take(MAX_HOLDINGS).cloned().collect();
+        leader.sent_to_waiting.extend(addresses.iter().map(|address| (*address, now)));
+        let published = leader.changed.keys().take(MAX_HOLDINGS).cloned().collect();
         socket.send(&leader_update(cx, leader, published, None, lease), &addresses);
     }
 }
 
+/// Whether an instance, whose requests wait for `models`, does not know yet what the leader knows of
+/// these. `reported_at` is when its status arrived, `sent_at` when it was last sent a change, and
+/// `changed` when servers with a model last changed.
+fn has_news<'a>(
+    mut models: impl Iterator<Item = &'a ModelName>,
+    reported_at: Instant,
+    sent_at: Option<Instant>,
+    changed: &HashMap<ModelName, Instant>,
+    ready_at: &HashMap<ModelName, Instant>,
+) -> bool {
+    // Its requests may have begun to wait after the last message.
+    let is_newly_reported = sent_at.is_none_or(|sent| reported_at > sent);
+    models.any(|model| {
+        let is_changed = changed.get(model).is_some_and(|at| sent_at.is_none_or(|sent| *at > sent));
+        let is_known = changed.contains_key(model) || ready_at.contains_key(model);
+        is_changed || (is_newly_reported && is_known)
+    })
+}
+
 fn holdings_of<'a>(cx: &Entry, servers: impl Iterator<Item = &'a ServerId>) -> Vec<ServerHoldings> {
     let directory = cx.directory.borrow();
     servers
--- a/components/process/entry/src/process/orders/publish/tests.rs
+++ b/components/process/entry/src/process/orders/publish/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of publishing load figures in parts. Pattern: thousands of servers, whose figures do not
 //! fit into one message.
 
+use std::time::Duration;
+
 use super::*;
 
 fn totals(servers: u32, count: impl Fn(u32) -> u32) -> HashMap<ServerKey, u32> {
@@ -55,3 +57,29 @@
         assert_eq!((next.parts, next.counts.len()), (1, 120));
     }
 }
+
+/// Load: requests of most instances wait for models, and the leader plans again up to sixty times a
+/// second. Guards against a message to each of these instances after each plan, which filled the
+/// network link of the leader until its orders and the calls about its lease got through no more
+/// (karta-ph-grown, day scale-1, while a data centre was cut off).
+#[test]
+fn instances_with_waiting_requests_are_sent_each_change_once() {
+    let (start, ms) = (Instant::now(), Duration::from_millis(1));
+    let (rare, other): (ModelName, ModelName) = ("rare".into(), "other".into());
+    let waits_for_rare = || std::iter::once(&rare);
+    let ready_at = HashMap::from([(rare.clone(), start + 900 * ms)]);
+    let none = HashMap::new();
+    assert!(has_news(waits_for_rare(), start, None, &none, &ready_at), "newly reported");
+    let sent_at = Some(start + ms);
+    for plan in 1..60 {
+        let changed = HashMap::from([(other.clone(), start + plan * 15 * ms)]);
+        assert!(!has_news(waits_for_rare(), start, sent_at, &changed, &ready_at), "plan {plan}");
+    }
+    let changed = HashMap::from([(rare.clone(), start + 900 * ms)]);
+    assert!(has_news(waits_for_rare(), start, sent_at, &changed, &none), "model loaded");
+    assert!(!has_news(waits_for_rare(), start, Some(start + 901 * ms), &changed, &none), "sent");
+    // Requests that began to wait after the model was loaded, before the next update to all.
+    let reported_at = start + 950 * ms;
+    assert!(has_news(waits_for_rare(), reported_at, Some(start + 901 * ms), &changed, &none));
+    assert!(!has_news(std::iter::once(&other), reported_at, None, &changed, &none));
+}
