Data centres that are cut off are noticed as a whole

Three silent servers without an answer in between now mean a cut. The data centre is probed without requests until something there answers, requests that may run again move on, and the leader places the models elsewhere.

--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -40,6 +40,7 @@
     pub(crate) caller_connections: Gauge,
     pub(crate) relayed_connections: Gauge,
     pub(crate) configuration_version: Gauge,
+    pub(crate) cut_off_data_centres: Gauge,
     log_lines_dropped: Gauge,
     dropped_lines: Box<dyn Fn() -> usize>,
 }
@@ -96,6 +97,8 @@
             "Open connections of another instance that are passed on to the store",
         );
         let configuration_version = gauge("configuration_version", "Configuration in force");
+        let cut_off_data_centres =
+            gauge("cut_off_data_centres", "Data centres with servers that cannot be reached");
         let log_lines_dropped =
             gauge("log_lines_dropped", "Log lines dropped because nobody read standard output");
         Self {
@@ -119,6 +122,7 @@
             caller_connections,
             relayed_connections,
             configuration_version,
+            cut_off_data_centres,
         }
     }
 
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod message_delay;
 mod orders;
 mod peers;
+mod reach;
 mod request_counts;
 mod run;
 mod server_notices;
@@ -23,7 +24,7 @@
 use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
-use server_choice::{Health, PaceMeter, RetryBudget, RunTime};
+use server_choice::{Health, PaceMeter, Reach, RetryBudget, RunTime};
 use server_directory::{ChangeLog, Directory, OutageDetector, ServerId, SteadyTime};
 use tokio::sync::{Notify, watch};
 
@@ -100,6 +101,8 @@
     /// Memory for the bodies of requests and responses, and for pieces of streams.
     pub(crate) body_memory: BodyMemory,
     pub(crate) health: RefCell<HashMap<ServerId, Health>>,
+    /// Data centres that this instance can and cannot reach.
+    pub(crate) reach: RefCell<Reach>,
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Time for which a request occupies a slot, by service.
     pub(crate) run_times: RefCell<HashMap<ServiceName, RunTime>>,
@@ -136,6 +139,8 @@
     pub(crate) bans_changed: Notify,
     /// Makes the leader plan again.
     pub(crate) plan_due: Notify,
+    /// Wakes the probes of data centres, and requests at servers of one that is cut off.
+    pub(crate) reach_changed: Notify,
     /// Signals that an update of the leader was applied, with its revisions of the store.
     pub(crate) leader_updated: Notify,
     /// Makes this instance list the others, because it does not know the address of one.
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -264,6 +264,7 @@
     let instances = cx.instances.borrow();
     let unreachable = instances.unreachable(now);
     let (lease, boot) = (cx.leader_lease.borrow(), boot_now());
+    let reach = cx.reach.borrow();
     let mut views: Vec<ServerView<'a>> = directory
         .servers()
         .filter(|server| &*server.entry.service == service)
@@ -282,7 +283,8 @@
                     || !leader.has_current_holdings(server)
                     || is_paused
                     || !lease.has_gap_elapsed(id, boot)
-                    || health.is_backing_off(now),
+                    || health.is_backing_off(now)
+                    || reach.is_cut_off(&server.entry.data_centre),
                 pending_adapters: leader.adapters_loading.get(id).copied().unwrap_or(0),
                 pending_model: leader.orders_in_progress.get(id).cloned().flatten(),
                 pending_load: leader.loading.get(id).copied(),
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -99,8 +99,11 @@
         .collect();
     let now = Instant::now();
     let health = cx.health.borrow();
-    let unreachable = health.iter().filter(|(_, health)| health.is_backing_off(now));
-    let unreachable = unreachable.map(|(server, _)| server.clone()).collect();
+    let backing_off = health.iter().filter(|(_, health)| health.is_backing_off(now));
+    let mut unreachable: Vec<ServerId> = backing_off.map(|(server, _)| server.clone()).collect();
+    unreachable.extend(cx.cut_off_servers());
+    unreachable.sort();
+    unreachable.dedup();
     let stale_holdings = std::mem::take(&mut *cx.stale_holdings.borrow_mut()).into_iter().collect();
     let paces = cx.paces.borrow_mut().take();
     Status {
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -19,7 +19,7 @@
 use super::peers::PeerSocket;
 use super::{
     Entry, Instances, Phase, RequestCounts, StoreAccess, SyncState, WaitingRequests, crashes,
-    orders, peers, store_sync,
+    orders, peers, reach, store_sync,
 };
 use crate::connection::{
     ConnectionPools, accept_callers, accept_metrics, accept_readiness, accept_store_relays,
@@ -100,6 +100,7 @@
         pools: ConnectionPools::default(),
         body_memory,
         health: RefCell::new(HashMap::new()),
+        reach: RefCell::default(),
         retry_budgets: RefCell::new(HashMap::new()),
         run_times: RefCell::default(),
         paces: RefCell::default(),
@@ -118,6 +119,7 @@
         waiting_changed: Notify::new(),
         bans_changed: Notify::new(),
         plan_due: Notify::new(),
+        reach_changed: Notify::new(),
         leader_updated: Notify::new(),
         list_instances: Notify::new(),
         lease_due: Notify::new(),
@@ -137,6 +139,7 @@
     spawn_local(store_sync::expire_lapsed_entries(cx.clone()));
     spawn_local(peers::receive(cx.clone(), peer_socket.clone()));
     spawn_local(peers::send_status(cx.clone(), peer_socket.clone(), rand::rng().random()));
+    spawn_local(reach::probe_data_centres(cx.clone()));
     spawn_local(crashes::share_bans(cx.clone(), peer_socket.clone()));
     spawn_local(orders::maintain_lease(cx.clone(), peer_socket.clone()));
     spawn_local(orders::run_plan_loop(cx.clone(), peer_socket));
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -21,7 +21,7 @@
 use super::Job;
 use super::events::{EventError, EventSplitter};
 use super::select::{Selection, has_free_slot_elsewhere};
-use crate::connection::{Connection, SendError};
+use crate::connection::{ConnectError, Connection, SendError};
 use crate::process::{Entry, InFlight, LostRequest};
 
 /// Largest response that is not a stream, in bytes. Such a response is read to its end before it
@@ -77,6 +77,7 @@
     is_resumable: bool,
     server: ServerId,
     address: SocketAddr,
+    data_centre: Box<str>,
     service: ServiceName,
     model: ModelName,
     /// Id of the attempt, and the properties of the request.
@@ -137,6 +138,7 @@
         loop {
             match timeout_at(deadline.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
+                    cx.record_contact(&self.data_centre);
                     let Ok(data) = frame.into_data() else { continue };
                     let events = match self.splitter.push(&data) {
                         Ok(events) => events,
@@ -264,8 +266,14 @@
     let mut connection = match cx.pools.take_idle(&selection.id, max_idle) {
         Some(connection) => connection,
         None => match Connection::connect(&selection.id, selection.address, job.deadline).await {
-            Ok(connection) => connection,
-            Err(_) => {
+            Ok(connection) => {
+                cx.record_contact(&selection.data_centre);
+                connection
+            }
+            Err(error) => {
+                if error == ConnectError::Unreachable {
+                    cx.record_silence(&selection.id);
+                }
                 cx.record_unreachable(&selection.id);
                 return AttemptOutcome::NotSent;
             }
@@ -313,6 +321,7 @@
             return AttemptOutcome::Lost("no answer in time");
         }
     };
+    cx.record_contact(&selection.data_centre);
     let (parts, body) = response.into_parts();
     match classify_response(
         parts.status,
@@ -409,7 +418,8 @@
 
 /// Waits for a response until the deadline, or only until `switch_at` if another server has a free
 /// slot for the request then and the limits allow a retry. Moving from one full queue to another
-/// would only lose the place in the first.
+/// would only lose the place in the first. The time ends early if the data centre of the server is
+/// cut off.
 async fn wait_or_switch<T>(
     cx: &Entry,
     job: &Job,
@@ -418,8 +428,10 @@
     response: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::pin!(response);
-    if let Ok(response) = timeout_at(switch_at.into(), &mut response).await {
-        return Some(response);
+    tokio::select! {
+        response = &mut response => return Some(response),
+        () = tokio::time::sleep_until(switch_at.into()) => {}
+        () = cx.wait_for_cut(&selection.data_centre), if switch_at < job.deadline => {}
     }
     let can_switch = switch_at < job.deadline
         && cx.has_retry_left(&job.service)
@@ -452,6 +464,7 @@
         is_resumable,
         server: selection.id.clone(),
         address: selection.address,
+        data_centre: selection.data_centre.clone(),
         request: (job.facts.attempt_id.clone(), job.properties.clone()),
         is_answering: false,
         service: job.service.clone(),
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -20,6 +20,8 @@
     pub(crate) in_flight: u32,
     /// Requests that the server runs concurrently.
     pub(crate) slots: u32,
+    /// Data centre of the server.
+    pub(crate) data_centre: Box<str>,
     /// Number of servers that could have been selected.
     pub(crate) candidate_count: usize,
 }
@@ -74,9 +76,11 @@
 pub(crate) fn has_free_slot_elsewhere(cx: &Entry, job: &Job, server: &str) -> bool {
     let now = Instant::now();
     let health = cx.health.borrow();
+    let reach = cx.reach.borrow();
     eligible_servers(&cx.directory.borrow(), job).any(|other| {
         let id = &other.entry.id;
         **id != *server
+            && !reach.is_cut_off(&other.entry.data_centre)
             && !job.tried.contains(id)
             && !health.get(id).is_some_and(|health| health.is_backing_off(now))
             && cx.admits_request(id)
@@ -86,7 +90,7 @@
 
 /// Servers to select from, sorted by id: those that this request has not tried and that are
 /// reachable. If none of them is reachable, the untried ones, since trying one is better than
-/// failing.
+/// failing; but none of a data centre that is cut off, which is probed without requests.
 fn untried_servers<'a>(
     cx: &Entry,
     job: &Job,
@@ -97,10 +101,15 @@
     let is_backing_off = |server: &&&Server| {
         health.get(&server.entry.id).is_some_and(|health| health.is_backing_off(now))
     };
-    let untried = || eligible.iter().filter(|server| !job.tried.contains(&server.entry.id));
+    let reach = cx.reach.borrow();
+    let is_cut_off = |server: &Server| reach.is_cut_off(&server.entry.data_centre);
+    let untried = || {
+        let untried = eligible.iter().filter(|server| !job.tried.contains(&server.entry.id));
+        untried.filter(|server| !is_cut_off(server))
+    };
     let mut servers: Vec<&Server> = untried().filter(|s| !is_backing_off(s)).copied().collect();
     if servers.is_empty() {
-        if !eligible.iter().any(|server| is_backing_off(&server)) {
+        if !eligible.iter().any(|server| is_backing_off(&server) || is_cut_off(server)) {
             return Err(SelectResult::AllTried);
         }
         servers = untried().copied().collect();
@@ -176,6 +185,7 @@
             revision: servers[index].revision,
             in_flight: candidates[index].in_flight,
             slots: servers[index].entry.slots,
+            data_centre: servers[index].entry.data_centre.clone(),
             candidate_count: candidates.len(),
         }),
         None => SelectResult::NoServer,
--- a/components/request/server_choice/src/lib.rs
+++ b/components/request/server_choice/src/lib.rs
@@ -3,12 +3,15 @@
 mod admission;
 mod choice;
 mod health;
+mod reach;
 mod retry_budget;
 mod speed;
 
 #[cfg(test)]
 mod admission_tests;
 #[cfg(test)]
+mod reach_tests;
+#[cfg(test)]
 mod speed_tests;
 #[cfg(test)]
 mod tests;
@@ -16,5 +19,6 @@
 pub use admission::{RunTime, in_flight_limit, queue_timeout, turn_probability};
 pub use choice::{Candidate, affinity_key, choose_server};
 pub use health::{Health, MAX_PAUSE};
+pub use reach::{DataCentre, Reach};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use speed::{PaceBoard, PaceMeter, PaceSum};
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -3,6 +3,7 @@
 
 mod caller_tests;
 mod cluster;
+mod cut_tests;
 mod deadly_tests;
 mod endless_tests;
 mod golden_tests;
