--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -63,6 +63,7 @@
     pub(crate) relayed_connections: Gauge,
     pub(crate) configuration_version: Gauge,
     pub(crate) accounts: Rc<AccountMetrics>,
+    pub(crate) cut_off_data_centres: Gauge,
     log_lines_dropped: Gauge,
     dropped_lines: Box<dyn Fn() -> usize>,
 }
@@ -134,6 +135,8 @@
             "Open connections of another instance that are passed on to the store",
         );
         let configuration_version = gauge("configuration_version", "Configuration in force");
+        let cut_off_data_centres =
+            gauge("cut_off_data_centres", "Data centres with servers that cannot be reached");
         let log_lines_dropped =
             gauge("log_lines_dropped", "Log lines dropped because nobody read standard output");
         let accounts = Rc::new(AccountMetrics::new(&mut registry));
@@ -163,6 +166,7 @@
             caller_memory,
             relayed_connections,
             configuration_version,
+            cut_off_data_centres,
         }
     }
 
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -23,7 +23,7 @@
 use super::peers::PeerSocket;
 use super::{
     Entry, Instances, Phase, Quotas, RequestCounts, StoreAccess, SyncState, WaitingRequests,
-    crashes, long_prompts, orders, peers, quotas, store_sync,
+    crashes, long_prompts, orders, peers, quotas, reach, store_sync,
 };
 use crate::connection::{
     ConnectionPools, Doors, SOCKET_BUFFER_BYTES, accept_callers, accept_metrics, accept_readiness,
@@ -126,6 +126,7 @@
         pools: ConnectionPools::new(&parts),
         body_memory,
         health: RefCell::new(HashMap::new()),
+        reach: RefCell::default(),
         retry_budgets: RefCell::new(HashMap::new()),
         run_times: RefCell::default(),
         paces: RefCell::default(),
@@ -148,6 +149,7 @@
         bans_changed: Notify::new(),
         long_prompts_changed: Notify::new(),
         plan_due: Notify::new(),
+        reach_changed: Notify::new(),
         leader_updated: Notify::new(),
         list_instances: Notify::new(),
         lease_due: Notify::new(),
@@ -168,6 +170,7 @@
     spawn_local(store_sync::expire_lapsed_entries(cx.clone()));
     spawn_local(peers::receive(cx.clone(), peer_socket.clone()));
     spawn_local(peers::send_status(cx.clone(), peer_socket.clone(), rand::rng().random()));
+    spawn_local(reach::probe_data_centres(cx.clone()));
     spawn_local(crashes::share_bans(cx.clone(), peer_socket.clone()));
     spawn_local(quotas::exchange(cx.clone(), peer_socket.clone()));
     spawn_local(long_prompts::share_long_prompts(cx.clone(), peer_socket.clone()));
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -4,6 +4,7 @@
 mod account_tests;
 mod caller_tests;
 mod cluster;
+mod cut_tests;
 mod deadly_tests;
 mod endless_tests;
 mod golden_tests;
