Doors: requests that wait for their quota, the readiness check beside a crowd, data centres without servers

Found by the review of the parts, by reading. A request whose body this instance did not read yet, because it waited for tokens of its quota, counted as an unfinished body and could be closed without a response. A crowd that reconnects more than 320 times a second held all places of the readiness listener with connections too new to be closed. A data centre that was cut off and lost its registry entries was not probed again. Change: the pace of a body counts from its first read; the least time of a connection is 10 ms at the operators' listeners; probing goes on while a data centre is suspected, with or without known servers. Result: body_that_is_not_read_yet_is_held_to_no_pace and short_least_time_lets_a_check_in_beside_new_connections fail without their mechanisms (by construction: the first sees Body closed, the second Full); 16 tests of the crate pass. The last has no test of its own.

--- a/components/connection/caller_limits/src/connection.rs
+++ b/components/connection/caller_limits/src/connection.rs
@@ -29,10 +29,6 @@
 /// first request.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
 
-/// Time that each step has before the connection may be closed for others, so that a crowd that
-/// connects again and again does not take the room of a request under way.
-const MIN_TIME: Duration = Duration::from_millis(100);
-
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -69,6 +65,9 @@
     head_len: Cell<usize>,
     /// Whether the caller sent something before the answer to its former request had ended.
     has_sent_ahead: Cell<bool>,
+    /// Whether this instance reads the body of the request, which it does once it has room and the
+    /// request may be served. Until then the caller is not held to a pace.
+    pub(crate) is_reading_body: Cell<bool>,
     /// Part of the table's sum.
     pub(crate) bytes: Cell<usize>,
 }
@@ -99,6 +98,7 @@
             pace_due: Cell::new(now),
             head_len: Cell::new(0),
             has_sent_ahead: Cell::new(false),
+            is_reading_body: Cell::new(false),
             bytes,
         }
     }
@@ -112,9 +112,10 @@
             }
             return lasts(since, UNREAD_GRACE).then_some((Reason::Unread, since));
         }
-        let is_new = !lasts(self.begins.get(), MIN_TIME);
+        let is_new = !lasts(self.begins.get(), self.table.paces.get().least);
         let reason = match self.phase.get() {
             Phase::Served => return None,
+            Phase::Body if !self.is_reading_body.get() => return None,
             Phase::Idle if self.has_sent_ahead.get() => Reason::SentAhead,
             _ if is_new => return None,
             Phase::Idle if lasts(self.begins.get(), IDLE_GRACE) => Reason::Idle,
@@ -230,11 +231,21 @@
         }
         state.phase.set(if has_body { Phase::Body } else { Phase::Served });
         state.begins.set(now);
-        state.moved.set(0);
-        state.pace_due.set(now + state.table.paces.get().window);
+        state.is_reading_body.set(false);
         state.charge(state.cost(fields), || now)
     }
 
+    /// Records that the body of the request is read from now on.
+    pub fn begin_body(&self, now: impl Fn() -> Instant) {
+        let state = &*self.state;
+        if !state.is_reading_body.replace(true) {
+            let at = now();
+            state.begins.set(at);
+            state.moved.set(0);
+            state.pace_due.set(at + state.table.paces.get().window);
+        }
+    }
+
     /// Records that the body of the request was read to its end, or is no longer read.
     pub fn end_body(&self) {
         if self.state.phase.get() == Phase::Body {
--- a/components/connection/caller_limits/src/table.rs
+++ b/components/connection/caller_limits/src/table.rs
@@ -111,6 +111,8 @@
     pub window_bytes: usize,
     /// Longest time in which a caller takes nothing of an answer.
     pub read: Duration,
+    /// Least time from the start of a connection, head or body until it may be closed for others.
+    pub least: Duration,
 }
 
 /// Number of connections closed, by reason.
@@ -348,7 +350,7 @@
     match state.phase.get() {
         Phase::Idle => (lasted >= paces.idle).then_some(Reason::IdleTimeout),
         Phase::Head => (lasted >= paces.head).then_some(Reason::HeadTimeout),
-        Phase::Body if now >= state.pace_due.get() => {
+        Phase::Body if state.is_reading_body.get() && now >= state.pace_due.get() => {
             state.pace_due.set(now + paces.window);
             (state.moved.replace(0) < paces.window_bytes).then_some(Reason::BodyPace)
         }
--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -14,6 +14,7 @@
     window: Duration::from_secs(10),
     window_bytes: 100,
     read: Duration::from_secs(30),
+    least: Duration::from_millis(100),
 };
 
 #[derive(Clone, Default)]
@@ -49,6 +50,7 @@
         Doing::Body => {
             connection.read(1, || at).unwrap();
             connection.begin_request(0, true, at).unwrap();
+            connection.begin_body(|| at);
         }
         Doing::Served => {
             connection.read(1, || at).unwrap();
@@ -223,3 +225,34 @@
     let reserved = 200 + 16 + 16 + 64 + 32 + 2 * 32 + 2 * 16;
     assert!(parts.caller_connections + parts.server_connections + reserved <= descriptors);
 }
+
+/// Guards against closing a caller whose body this instance does not read yet, because the request
+/// waits for tokens of its quota.
+#[test]
+fn body_that_is_not_read_yet_is_held_to_no_pace() {
+    let table = table(1, 1_000);
+    let now = Instant::now();
+    let waiting = open(&table, Doing::Head, now);
+    waiting.begin_request(0, true, now).unwrap();
+    let later = now + Duration::from_secs(20);
+    assert!(table.accept(Flag::default(), later).is_err());
+    table.sweep(later);
+    assert!(!waiting.is_closed());
+    waiting.begin_body(|| later);
+    table.sweep(later + Duration::from_secs(9));
+    assert!(!waiting.is_closed());
+    table.sweep(later + Duration::from_secs(10));
+    assert!(waiting.is_closed());
+}
+
+/// Guards against a crowd that connects again and again to a listener of operators, so that the
+/// readiness check finds no room: all other connections are too new to be closed.
+#[test]
+fn short_least_time_lets_a_check_in_beside_new_connections() {
+    let table = table(32, 1_000);
+    table.set_paces(Paces { least: Duration::from_millis(10), ..PACES });
+    let now = Instant::now();
+    let _crowd: Vec<_> = (0..32).map(|_| open(&table, Doing::Nothing, now)).collect();
+    assert!(table.accept(Flag::default(), now + Duration::from_millis(9)).is_err());
+    assert!(table.accept(Flag::default(), now + Duration::from_millis(20)).is_ok());
+}
--- a/components/process/entry/src/connection/doors.rs
+++ b/components/process/entry/src/connection/doors.rs
@@ -17,6 +17,12 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Timeout for a head while there is no configuration yet.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time that each step has before the connection may be closed for others, so that a crowd that
+/// connects again and again does not take the room of a request under way.
+const LEAST_TIME: Duration = Duration::from_millis(100);
+/// The same at the operators' listeners, whose answers need no other process: a crowd that connects
+/// again and again must not keep the readiness check out.
+const OPERATOR_LEAST_TIME: Duration = Duration::from_millis(10);
 /// Added to the timeouts of the configuration, so that the instance never closes the connection of a
 /// caller that keeps to them.
 pub(super) const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
@@ -123,12 +129,14 @@
             window: settings.body_window,
             window_bytes: settings.body_window_bytes,
             read: DEFAULT_HEAD_TIMEOUT,
+            least: LEAST_TIME,
         };
+        let operator_paces = Paces { least: OPERATOR_LEAST_TIME, ..paces };
         let relay_paces = Paces { idle: RELAY_IDLE_TIMEOUT, head: RELAY_ANSWER_TIMEOUT, ..paces };
         Self {
             callers: Door::new("callers", caller_limits, paces),
-            readiness: Door::new("readiness", limits(OPERATOR_CONNECTIONS), paces),
-            metrics: Door::new("metrics", limits(OPERATOR_CONNECTIONS), paces),
+            readiness: Door::new("readiness", limits(OPERATOR_CONNECTIONS), operator_paces),
+            metrics: Door::new("metrics", limits(OPERATOR_CONNECTIONS), operator_paces),
             relays: Door::new("peers", limits(RELAYED_CONNECTIONS), relay_paces),
             body_window: settings.body_window,
             body_window_bytes: settings.body_window_bytes,
@@ -147,6 +155,7 @@
             window: self.body_window,
             window_bytes: self.body_window_bytes,
             read: self.read_timeout,
+            least: LEAST_TIME,
         }
     }
 }
--- a/components/process/entry/src/connection/tracking.rs
+++ b/components/process/entry/src/connection/tracking.rs
@@ -133,6 +133,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        self.tracked.begin_body(Instant::now);
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/components/process/entry/src/process/reach.rs
+++ b/components/process/entry/src/process/reach.rs
@@ -31,11 +31,12 @@
 pub(crate) async fn probe_data_centres(cx: Rc<Entry>) {
     loop {
         let changed = cx.reach_changed.notified();
-        let probes = cx.due_probes();
-        if probes.is_empty() {
+        if cx.reach.borrow().suspects(Instant::now()).next().is_none() {
             changed.await;
             continue;
         }
+        // Empty while the registry has no server of a data centre that was cut off before.
+        let probes = cx.due_probes();
         let next_round = Instant::now() + PROBE_INTERVAL;
         let mut running = JoinSet::new();
         for Probe { server, address } in probes {
@@ -116,6 +117,7 @@
             changed.await;
         }
     }
+
     /// Servers of the data centres that are cut off.
     pub(crate) fn cut_off_servers(&self) -> Vec<ServerId> {
         let (directory, reach) = (self.directory.borrow(), self.reach.borrow());
