Waiting requests by rank and client account, in the status and at the leader

The leader knew how many requests wait for a model, but not whose they are nor how urgent, so that neither the plan of loads nor the turns among instances could tell an account with many requests from the others.

Each instance counts its waiting requests by model, rank and account. Without accounts the message and its bytes are as before.

For the part `loads`: `replica_placement::Demand::waiting_groups`, a `Vec<admission::waiting::WaitingGroup { rank, account: Option<AccountTag>, accounts, count }>` of the requests in `waiting` and `pending_send`, summed over all instances in each plan; empty where the configuration has no accounts. `account: None` is the rest (`accounts` of them), or requests of public routes. `admission::waiting::sum_groups` adds up groups.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use admission::quota::{QuotaGrant, QuotaRequest};
+use admission::waiting::WaitingGroup;
 use quarantine::PublishedBan;
 use rand::seq::IteratorRandom;
 use replica_placement::{BootTime, HeldLease, InstanceName};
@@ -65,6 +66,9 @@
     QuotaGrant(QuotaGrant),
     /// Long prompts that servers are reading.
     LongPrompts(LongPromptsNotice),
+    /// A [`Message::Status`] with its `waiting_groups`. Sent only where the configuration has client
+    /// accounts.
+    StatusByAccount(Status, Vec<Vec<WaitingGroup>>),
 }
 
 /// Requests that an instance found to end servers.
@@ -143,6 +147,10 @@
     /// Waiting requests: service, model, number of requests.
     #[serde(rename = "wants")]
     pub(crate) waiting: Vec<(ServiceName, ModelKey, u32)>,
+    /// Groups of each entry of `waiting`, in the same order. Empty where the configuration has no
+    /// client accounts; a message of its own carries them.
+    #[serde(skip)]
+    pub(crate) waiting_groups: Vec<Vec<WaitingGroup>>,
     /// Servers that said lately that they are leaving, and the start of their runs.
     pub(crate) leaving: Vec<(ServerId, u64)>,
     pub(crate) quarantine: QuarantineReport,
--- a/components/process/entry/src/process/instances/tests.rs
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -25,6 +25,7 @@
         leaving: Vec::new(),
         quarantine: Default::default(),
         waiting: Vec::new(),
+        waiting_groups: Vec::new(),
     }
 }
 
@@ -93,6 +94,24 @@
     assert!(delivery.relayed.iter().all(|(_, to)| to.len() == 4), "{delivery:?}");
 }
 
+/// Guards against a deployment without client accounts whose messages change.
+#[test]
+fn a_status_carries_groups_only_in_the_message_for_them() {
+    let group = WaitingGroup { rank: 1, account: Some(7), accounts: 1, count: 2 };
+    let plain = status(3, "a");
+    let groups = vec![vec![group; 3]];
+    let grouped = Status { waiting_groups: groups.clone(), ..plain.clone() };
+    let encode = |message: &Message| postcard::to_allocvec(message).unwrap();
+    let bytes = encode(&Message::Status(plain));
+    assert_eq!(encode(&Message::Status(grouped.clone())), bytes);
+    let by_account = encode(&Message::StatusByAccount(grouped, groups.clone()));
+    assert!(by_account.len() <= bytes.len() + 32, "{} bytes", by_account.len());
+    match postcard::from_bytes(&by_account) {
+        Ok(Message::StatusByAccount(_, decoded)) => assert_eq!(decoded, groups),
+        other => panic!("{other:?}"),
+    }
+}
+
 proptest! {
     /// Guards against a datagram of another sender, or a spoiled one, that ends an instance.
     #[test]
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -183,6 +183,12 @@
             && self.deployment.borrow().is_some()
     }
 
+    /// Whether the configuration has client accounts.
+    pub(crate) fn has_accounts(&self) -> bool {
+        let deployment = self.deployment.borrow();
+        deployment.as_ref().is_some_and(|deployment| !deployment.accounts.is_empty())
+    }
+
     /// Waits for the shutdown phase in which requests without an answer are failed.
     pub(crate) async fn ending(&self) {
         let mut phase = self.phase.subscribe();
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use admission::waiting::{WaitingGroup, sum_groups};
 use replica_placement::{ModelPlacement, PlanLimits, ServerView, plan};
 use routes::{Engine, ModelName};
 use server_directory::ServerId;
@@ -171,6 +172,27 @@
     waiting
 }
 
+/// Groups of the waiting requests of all instances for a service, by model. Empty where the
+/// configuration has no client accounts.
+fn waiting_groups(cx: &Entry, service: &str) -> HashMap<ModelName, Vec<WaitingGroup>> {
+    if !cx.has_accounts() {
+        return HashMap::new();
+    }
+    let own = cx.waiting_requests.borrow();
+    let own = own.groups().map(|(name, key, groups)| (name, key, groups.collect()));
+    let instances = cx.instances.borrow();
+    let others = instances.live(Instant::now()).flat_map(|status| {
+        let groups = status.waiting_groups.iter().cloned();
+        status.waiting.iter().zip(groups).map(|((name, key, _), groups)| (name, key, groups))
+    });
+    let mut waiting: HashMap<ModelName, Vec<WaitingGroup>> = HashMap::new();
+    for (_, key, groups) in own.chain(others).filter(|(name, ..)| &***name == service) {
+        waiting.entry(key.model.clone()).or_default().extend::<Vec<WaitingGroup>>(groups);
+    }
+    waiting.values_mut().for_each(|groups| *groups = sum_groups(groups.drain(..)));
+    waiting
+}
+
 fn plan_services(cx: &Rc<Entry>, leader: &Rc<RefCell<Leader>>) {
     let Some(deployment) = cx.deployment.borrow().clone() else { return };
     let now = Instant::now();
@@ -215,6 +237,7 @@
     let views = server_views(cx, leader, &directory, service, now);
     for demand in leader.demands.models.values_mut() {
         (demand.waiting, demand.pending_send, demand.in_flight) = (0, 0, 0);
+        demand.waiting_groups.clear();
     }
     for view in &views {
         for (model, count) in &view.in_flight_by_model {
@@ -231,6 +254,9 @@
             false => demand.waiting += count,
         }
     }
+    for (model, groups) in waiting_groups(cx, service) {
+        leader.demands.models.entry(model).or_default().waiting_groups = groups;
+    }
     let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
     let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
     leader.queued.extend(queued);
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use admission::waiting::sum_groups;
 use replica_placement::{BootTime, HeldLease};
 use server_directory::{ServerId, SteadyTime};
 use tokio::net::UdpSocket;
@@ -91,12 +92,15 @@
         .filter(|(key, count)| recent.is_due(key, **count))
         .map(|(key, count)| (key.clone(), *count))
         .collect();
-    let waiting = cx
-        .waiting_requests
-        .borrow()
+    let requests = cx.waiting_requests.borrow();
+    let waiting = requests
         .iter()
         .map(|(service, key, count)| (service.clone(), key.clone(), count))
         .collect();
+    let waiting_groups = match cx.has_accounts() {
+        true => requests.groups().map(|(_, _, groups)| sum_groups(groups)).collect(),
+        false => Vec::new(),
+    };
     let now = Instant::now();
     let health = cx.health.borrow();
     let backing_off = health.iter().filter(|(_, health)| health.is_backing_off(now));
@@ -121,6 +125,7 @@
         in_flight,
         arrivals,
         waiting,
+        waiting_groups,
     }
 }
 
@@ -170,7 +175,7 @@
             cx.list_instances.notify_one();
             continue;
         };
-        let status = build_status(&cx, incarnation, &mut recent);
+        let mut status = build_status(&cx, incarnation, &mut recent);
         let is_quiet = status.in_flight.is_empty()
             && status.arrivals.is_empty()
             && status.waiting.is_empty()
@@ -185,7 +190,14 @@
             continue;
         }
         skipped = 0;
-        socket.send(&Message::Status(status), &[address]);
+        let message = match status.waiting_groups.is_empty() {
+            true => Message::Status(status),
+            false => {
+                let groups = std::mem::take(&mut status.waiting_groups);
+                Message::StatusByAccount(status, groups)
+            }
+        };
+        socket.send(&message, &[address]);
     }
 }
 
@@ -209,6 +221,9 @@
         }
         match message {
             Ok(Message::Status(status)) => receive_status(&cx, status, from),
+            Ok(Message::StatusByAccount(status, waiting_groups)) => {
+                receive_status(&cx, Status { waiting_groups, ..status }, from);
+            }
             Ok(Message::LeaderUpdate(update)) => receive_leader_update(&cx, update),
             Ok(Message::Holdings(part)) => {
                 if receive_lease(&cx, &part.from, part.lease, part.sent_at).is_some() {
--- a/components/process/entry/src/process/waiting_requests.rs
+++ b/components/process/entry/src/process/waiting_requests.rs
@@ -1,11 +1,13 @@
 //! Requests of this instance that wait for a model to be loaded.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use admission::waiting::{AccountTag, WaitingGroup};
 use routes::ServiceName;
 use tokio::task::spawn_local;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Entry, ModelKey};
 use crate::request::Job;
@@ -16,13 +18,57 @@
 /// Number of waiting requests by service and model or adapter.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingRequests {
-    counts: HashMap<(ServiceName, ModelKey), u32>,
+    models: HashMap<(ServiceName, ModelKey), BTreeMap<GroupKey, u32>>,
+}
+
+/// Rank of requests, and the tag of their client account if they have one.
+type GroupKey = (u8, Option<AccountTag>);
+
+/// The tag of an account in messages.
+fn account_tag(name: &str) -> AccountTag {
+    xxh3_64(name.as_bytes()) as AccountTag
 }
 
 impl WaitingRequests {
     /// Yields service, model and number of requests.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&ServiceName, &ModelKey, u32)> {
-        self.counts.iter().map(|((service, key), count)| (service, key, *count))
+        self.models.iter().map(|((service, key), groups)| (service, key, groups.values().sum()))
+    }
+
+    /// Yields service, model and the requests by rank and account, in the order of [`Self::iter`].
+    pub(crate) fn groups(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceName, &ModelKey, impl Iterator<Item = WaitingGroup>)> {
+        self.models.iter().map(|((service, key), groups)| {
+            let groups = groups.iter().map(|((rank, account), count)| WaitingGroup {
+                rank: *rank,
+                account: *account,
+                accounts: 1,
+                count: *count,
+            });
+            (service, key, groups)
+        })
+    }
+
+    /// Returns whether it is the first request for its model.
+    fn add(&mut self, model: &(ServiceName, ModelKey), group: GroupKey) -> bool {
+        let is_first = !self.models.contains_key(model);
+        let groups = self.models.entry(model.clone()).or_default();
+        *groups.entry(group).or_default() += 1;
+        is_first
+    }
+
+    fn remove(&mut self, model: &(ServiceName, ModelKey), group: GroupKey) {
+        let Some(groups) = self.models.get_mut(model) else { return };
+        if let Some(count) = groups.get_mut(&group) {
+            *count -= 1;
+            if *count == 0 {
+                groups.remove(&group);
+            }
+        }
+        if groups.is_empty() {
+            self.models.remove(model);
+        }
     }
 }
 
@@ -30,6 +76,7 @@
 pub(crate) struct WaitingRequest {
     cx: Rc<Entry>,
     key: (ServiceName, ModelKey),
+    group: GroupKey,
 }
 
 impl WaitingRequest {
@@ -37,7 +84,8 @@
     pub(crate) fn for_job(cx: &Rc<Entry>, job: &Job) -> Option<Self> {
         let prompt = job.prompt()?;
         let key = ModelKey { model: prompt.model.clone(), adapter: prompt.adapter.clone() };
-        Some(Self::new(cx, &job.service, key))
+        let group = (job.rank(), job.caller.name().map(account_tag));
+        Some(Self::new(cx, &job.service, key, group))
     }
 
     /// Keeps counting the request as waiting after its refusal, until the model is loaded or the
@@ -61,26 +109,17 @@
         })
     }
 
-    fn new(cx: &Rc<Entry>, service: &str, key: ModelKey) -> Self {
+    fn new(cx: &Rc<Entry>, service: &str, key: ModelKey, group: GroupKey) -> Self {
         let key = (ServiceName::from(service), key);
-        let mut requests = cx.waiting_requests.borrow_mut();
-        let count = requests.counts.entry(key.clone()).or_default();
-        *count += 1;
-        if *count == 1 {
+        if cx.waiting_requests.borrow_mut().add(&key, group) {
             cx.waiting_changed.notify_one();
         }
-        Self { cx: cx.clone(), key }
+        Self { cx: cx.clone(), key, group }
     }
 }
 
 impl Drop for WaitingRequest {
     fn drop(&mut self) {
-        let mut requests = self.cx.waiting_requests.borrow_mut();
-        if let Some(count) = requests.counts.get_mut(&self.key) {
-            *count -= 1;
-            if *count == 0 {
-                requests.counts.remove(&self.key);
-            }
-        }
+        self.cx.waiting_requests.borrow_mut().remove(&self.key, self.group);
     }
 }
--- a/components/process/replica_placement/src/demand.rs
+++ b/components/process/replica_placement/src/demand.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use admission::waiting::WaitingGroup;
 use routes::ModelName;
 
 /// Time constant of the smoothed arrival rate. Demand shifts between models within seconds.
@@ -16,6 +17,9 @@
     /// Requests that were last reported as waiting for the model or one of its adapters although a
     /// server already has the model: their instances are about to send them.
     pub pending_send: u32,
+    /// The requests of `waiting` and `pending_send` by rank and client account. Empty where the
+    /// configuration has no client accounts.
+    pub waiting_groups: Vec<WaitingGroup>,
     /// Requests in flight.
     pub in_flight: u32,
     /// Time of the last arrival.
--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Admission`] decides whether a request is queued or refused, in which order queued requests are
 //! served, and when a request has missed its deadline. [`shares`] divides limits that apply across
-//! all data centres, and [`quota`] what client accounts may use over all instances.
+//! all data centres, [`quota`] what client accounts may use over all instances, and [`waiting`] tells
+//! how many requests of which accounts wait.
 
 mod admission;
 mod fair_queue;
@@ -10,6 +11,7 @@
 mod request;
 pub mod shares;
 mod token_bucket;
+pub mod waiting;
 
 pub use admission::Admission;
 pub use request::{
