Moves with two unloads wait for the first one

Callers saw: a wait longer by a second and more for a model that displaces two smaller ones, and a model that made way for nothing.

Cause: the second unload was sent right after the server had accepted the first.

Change: the second unload is sent like the load that follows an unload: when the unload should be done, and again with backoff on 409.

The stand-in server gets a fault with which an unload takes 150 ms. The test failed before the change (the move was given up, 'is_done' false) and passes with it.

--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -77,7 +77,12 @@
             adapter: None,
             after_sequence: accepted_orders(cx, leader, server).await?,
         };
-        match send_order(cx, leader, server, &unload).await {
+        // The server takes the next order only after it has carried out the one before.
+        let ended = match unloaded_at {
+            Some(_) => send_after_unload(cx, leader, server, &unload, unloaded_at).await?,
+            None => send_order(cx, leader, server, &unload).await,
+        };
+        match ended {
             OrderOutcome::Accepted => {
                 count_accepted(leader, server);
                 unloaded_at = Some(Unload { accepted_at: Instant::now(), is_idle: is_idle(model) });
@@ -201,7 +206,7 @@
     is_idle: bool,
 }
 
-/// Sends the load that follows an unload once the unload should be done, and again with backoff
+/// Sends the order that follows an unload once the unload should be done, and again with backoff
 /// while the server is not done.
 async fn send_after_unload(
     cx: &Rc<Entry>,
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -5,7 +5,7 @@
 use platform_stand_in::{Call, Fault, Gate, Model, StoreFault, configuration};
 use rustix::process::Signal;
 
-use crate::cluster::{ROUTES, TestCluster, WAIT, engine, wait_for};
+use crate::cluster::{MODELS, ROUTES, TestCluster, WAIT, engine, wait_for};
 
 fn call<'a>(id: &'a str, model: &'a str) -> Call<'a> {
     let timeout = Duration::from_secs(15);
@@ -35,6 +35,27 @@
     assert_eq!(cluster.servers[0].over_capacity_loads(), 0);
 }
 
+/// Guards against giving up a move whose second unload comes while the server carries out the first
+/// one: the model made way for nothing, and the waiting request for the pause after a refused order
+/// (195 of 1,539 moves on rpra-points-grown, day trouble-1).
+#[tokio::test]
+async fn large_model_displaces_two_that_unload_one_after_the_other() {
+    let mut cluster = TestCluster::new(vec![engine("e1", &["m1", "m2"])]).await;
+    let mut cfg = configuration(4, ROUTES, MODELS);
+    for model in cfg["services"][0]["inference_engine"]["models"].as_array_mut().unwrap() {
+        if model["name"] == "m3" {
+            model["weights_mb"] = 2_000.0.into();
+        }
+    }
+    cluster.store.put("config", "main", cfg);
+    cluster.servers[0].set_fault(Fault::SlowUnloads);
+    cluster.start_instance().await;
+    let outcome = cluster.caller.call(cluster.entry_address(), &call("a1", "m3")).await;
+    assert_eq!((outcome.status, outcome.is_complete), (Some(200), true), "{outcome:?}");
+    let failed_moves = cluster.instances[0].log_lines(&["\"is_done\":false"]);
+    assert!(failed_moves.is_empty(), "{failed_moves:?}");
+}
+
 /// Guards against loading a model once for each instance that has requests for it.
 #[tokio::test]
 async fn burst_at_several_instances_causes_one_load() {
