Loads in the order of what waiting callers lose

Callers saw: the most urgent requests waited for their models behind the many of the least urgent kind.

Cause: the plan of loads ranked models by the count of waiting requests only.

Change: a group of waiting requests counts by its rank, by the share of its account among those that wait, and only while its callers could still be there at the end of the load (longest timeout of the routes of the rank). The place at the weight store goes to the greatest loss per time of the store. Models that make way are valued by the rank of their requests. Groups travel on the message of the fair queue, now also where the configuration has several ranks and no accounts; with one rank and no accounts all is as before.

--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -173,9 +173,9 @@
 }
 
 /// Groups of the waiting requests of all instances for a service, by model. Empty where the
-/// configuration has no client accounts.
+/// configuration has neither client accounts nor several ranks.
 fn waiting_groups(cx: &Entry, service: &str) -> HashMap<ModelName, Vec<WaitingGroup>> {
-    if !cx.has_accounts() {
+    if !cx.has_waiting_groups() {
         return HashMap::new();
     }
     let own = cx.waiting_requests.borrow();
@@ -257,6 +257,9 @@
     for (model, groups) in waiting_groups(cx, service) {
         leader.demands.models.entry(model).or_default().waiting_groups = groups;
     }
+    if let Some(deployment) = &*cx.deployment.borrow() {
+        leader.demands.weigh_waiting(deployment.engine_waits());
+    }
     let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
     let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
     leader.queued.extend(queued);
@@ -272,6 +275,13 @@
     let plan = plan(now, &views, &leader.demands, engine, &banned, limits);
     leader.ready_at.extend(plan.ready_at);
     for planned in &plan.placements {
+        let waiting = leader.demands.get(&planned.load);
+        tracing::info!(server = %planned.server, model = %planned.load, source = ?planned.source,
+            unload = ?planned.unload, spared = rounded(planned.spared),
+            displaced = rounded(planned.displaced),
+            waiting = waiting.map_or(0, |demand| demand.waiting),
+            pending_send = waiting.map_or(0, |demand| demand.pending_send),
+            "orders: move planned");
         leader.orders_in_progress.insert(planned.server.clone(), Some(planned.load.clone()));
         let ends = now + planned.source.load_time(&engine.models[&planned.load]);
         leader.loading.insert(planned.server.clone(), (planned.source, ends));
@@ -279,6 +289,11 @@
     plan.placements
 }
 
+/// For log lines.
+fn rounded(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 pub(super) fn server_views<'a>(
     cx: &Entry,
     leader: &Leader,
--- a/components/process/replica_placement/src/lib.rs
+++ b/components/process/replica_placement/src/lib.rs
@@ -9,6 +9,7 @@
 mod retention_value;
 mod store_limits;
 mod unload_time;
+mod waiting_loss;
 
 #[cfg(test)]
 mod leader_lease_tests;
@@ -18,6 +19,8 @@
 mod store_limits_tests;
 #[cfg(test)]
 mod unload_time_tests;
+#[cfg(test)]
+mod waiting_loss_tests;
 
 pub use adapters::{AdapterPlacement, AdapterUse, place_adapter};
 pub use demand::{Demand, Demands};
--- a/components/process/replica_placement/src/plan.rs
+++ b/components/process/replica_placement/src/plan.rs
@@ -103,7 +103,7 @@
 }
 
 /// A load of a model on a server, and the unloads that make room for it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ModelPlacement {
     /// Server that loads the model.
     pub server: ServerId,
@@ -113,6 +113,10 @@
     pub load: ModelName,
     /// Source of the weights.
     pub source: Source,
+    /// What it spares callers, in requests of the most urgent rank that waits.
+    pub spared: f64,
+    /// Value of the models that make way, in the same unit.
+    pub displaced: f64,
 }
 
 /// Placements to order now, and predicted load times.
@@ -126,8 +130,11 @@
 
 /// A model with fewer replicas than its demand requires.
 struct UnderReplicated<'a> {
-    /// Requests that an additional replica would soon serve.
+    /// What an additional replica would soon spare callers, in requests of the most urgent rank that
+    /// waits.
     score: f64,
+    /// The same per time of the weight store, if the replica must come from there.
+    precedence: f64,
     model: &'a Model,
     /// Whether it has no replica while requests wait for it.
     is_missing: bool,
@@ -141,6 +148,17 @@
     cost < score + max_cost && (is_missing || displaced < score * MAX_DISPLACED_RATIO)
 }
 
+/// Fastest source of a model at any server that stays.
+fn nearest_copy(servers: &[ServerView<'_>], model: &str) -> Source {
+    let nearest = servers.iter().filter(|server| !server.is_leaving);
+    nearest.map(|server| nearest_source(server.holdings, model)).min().unwrap_or(Source::Store)
+}
+
+/// Shortest time of a load from the weight store, as a fraction of the time of this model's.
+fn store_share(least_store_time: Duration, model: &Model) -> f64 {
+    least_store_time.as_secs_f64() / model.store_load_time.as_secs_f64().max(f64::MIN_POSITIVE)
+}
+
 /// Plans the next placements of one service. `engine` describes all models; those in `banned` are
 /// not loaded, but take memory where they are held.
 pub fn plan<'a>(
@@ -183,7 +201,10 @@
     };
     let mut plan = Plan::default();
 
-    // Models with too few replicas, highest score first.
+    let least_store_time =
+        engine.models.values().map(|model| model.store_load_time).min().unwrap_or_default();
+
+    // Models with too few replicas, highest precedence first.
     let mut under_replicated: Vec<UnderReplicated<'_>> = engine
         .models
         .values()
@@ -191,24 +212,35 @@
         .filter_map(|model| {
             let demand = demands.get(&model.name)?;
             let replicas = planner.replicas.get(&*model.name).copied().unwrap_or(0);
-            let waiting = f64::from(demand.waiting + demand.pending_send);
             let is_missing = replicas == 0 && demand.waiting > 0;
             let needs_more = replicas > 0 && replicas < planner.wanted_replicas(&model.name);
-            let score = waiting + planner.rate(&model.name) * RELOAD_DELAY_SECONDS;
+            if !is_missing && !needs_more {
+                return None;
+            }
+            let source = nearest_copy(servers, &model.name);
+            let arriving = planner.rate(&model.name) * demands.weight(&model.name);
+            let spared = demand.spared_loss(UNLOAD_DELAY + source.load_time(model));
+            let score = spared + arriving * RELOAD_DELAY_SECONDS;
             let score = if is_missing { score + MISSING_MODEL_SCORE } else { score };
-            (is_missing || needs_more).then_some(UnderReplicated { score, model, is_missing })
+            let precedence = match source {
+                Source::Store => score * store_share(least_store_time, model),
+                _ => score,
+            };
+            Some(UnderReplicated { score, precedence, model, is_missing })
         })
         .collect();
-    under_replicated
-        .sort_by(|a, b| b.score.total_cmp(&a.score).then_with(|| a.model.name.cmp(&b.model.name)));
+    under_replicated.sort_by(|a, b| {
+        b.precedence.total_cmp(&a.precedence).then_with(|| a.model.name.cmp(&b.model.name))
+    });
 
     let mut queued_store_loads = 0_u32;
-    for UnderReplicated { score, model, is_missing } in under_replicated {
+    for UnderReplicated { score, model, is_missing, .. } in under_replicated {
         let has_slot = limits.is_inventory_complete && store_ends.len() < limits.max_store_loads;
         match planner.best_placement(model, has_slot) {
-            Some((chosen, cost, displaced))
+            Some((mut chosen, cost, displaced))
                 if is_worthwhile(model, score, is_missing, cost, displaced) =>
             {
+                chosen.spared = score;
                 let ready_at = now + UNLOAD_DELAY + chosen.source.load_time(model);
                 if chosen.source == Source::Store {
                     store_ends.push(ready_at);
@@ -223,10 +255,7 @@
             }
             _ => {
                 // The model waits for a busy server or for a free load at the weight store.
-                let nearest = servers.iter().filter(|server| !server.is_leaving);
-                let nearest =
-                    nearest.map(|server| nearest_source(server.holdings, &model.name)).min();
-                let ready_at = match nearest.unwrap_or(Source::Store) {
+                let ready_at = match nearest_copy(servers, &model.name) {
                     Source::Store => {
                         queued_store_loads += 1;
                         let turns =
--- a/components/process/replica_placement/src/retention_value.rs
+++ b/components/process/replica_placement/src/retention_value.rs
@@ -115,8 +115,9 @@
     /// Value of keeping a model on a server; `None` if it must not be unloaded.
     fn retention_value(&self, server: &ServerView<'a>, model: &str) -> Option<f64> {
         let replicas = self.replicas.get(model).copied().unwrap_or(0);
+        let weight = self.demands.weight(model);
         let in_flight = f64::from(server.in_flight_by_model.get(model).copied().unwrap_or(0));
-        let rate = self.rate(model);
+        let rate = self.rate(model) * weight;
         let delay = if in_flight > 0.0 { BUSY_UNLOAD_COST } else { 0.0 };
         if replicas > self.wanted_replicas(model).max(1) {
             // A surplus replica. The unload takes longer with requests in flight.
@@ -216,7 +217,14 @@
                 + server.holdings.adapter_count() as f64 * COST_PER_ADAPTER;
             if best.as_ref().is_none_or(|(_, least, _)| cost < *least) {
                 let load = model.name.clone();
-                let chosen = ModelPlacement { server: server.id.into(), unload, load, source };
+                let chosen = ModelPlacement {
+                    server: server.id.into(),
+                    unload,
+                    load,
+                    source,
+                    spared: 0.0,
+                    displaced,
+                };
                 best = Some((chosen, cost, displaced));
             }
         }
--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request uses the version under which it was admitted for its whole duration: it holds an `Rc`
 //! of its [`Deployment`].
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -190,6 +190,8 @@
     pub accounts: Accounts,
     /// Tightest latency target of the streams of each service.
     stream_targets: HashMap<ServiceName, Duration>,
+    /// Longest time that a request of each rank may wait for a model engine.
+    engine_waits: BTreeMap<u8, Duration>,
 }
 
 impl Deployment {
@@ -214,8 +216,28 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self { version, routes: by_host, services, limits, accounts, stream_targets }
+        let services: HashMap<ServiceName, Service> =
+            services.into_iter().map(|s| (s.name.clone(), s)).collect();
+        let is_engine = |target: &Target| {
+            services.get(&target.service).is_some_and(|service| service.engine.is_some())
+        };
+        let engine_routes = by_host.values().flatten();
+        let engine_routes = engine_routes.filter(|route| route.targets.iter().any(is_engine));
+        let mut engine_waits: BTreeMap<u8, Duration> = BTreeMap::new();
+        for route in engine_routes {
+            // An account with a rank of its own may use any route.
+            let of_accounts = accounts.iter().filter_map(|account| account.rank);
+            for rank in of_accounts.chain([route.priority]) {
+                let longest = engine_waits.entry(rank).or_default();
+                *longest = route.timeout.max(*longest);
+            }
+        }
+        Self { version, routes: by_host, services, limits, accounts, stream_targets, engine_waits }
+    }
+
+    /// Longest time that a request may wait for a model engine, by rank.
+    pub fn engine_waits(&self) -> &BTreeMap<u8, Duration> {
+        &self.engine_waits
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
--- a/components/version/routes/src/tests.rs
+++ b/components/version/routes/src/tests.rs
@@ -101,3 +101,27 @@
     assert_eq!(d.tightest_stream_target("a"), Some(Duration::from_millis(300)));
     assert_eq!(d.tightest_stream_target("b"), None);
 }
+
+/// Guards against giving up on waiting requests too early: an account with a rank of its own may use
+/// the route with the longest timeout, and calls of plain services say nothing about engines.
+#[test]
+fn engine_waits_are_the_longest_timeouts_of_each_rank() {
+    let timed = |priority, seconds, service: &str| Route {
+        priority,
+        timeout: Duration::from_secs(seconds),
+        targets: [Target { service: service.into(), weight: 1 }].into(),
+        ..route("r", "h", "/")
+    };
+    let routes =
+        || [timed(0, 3, "llm"), timed(2, 12, "llm"), timed(2, 5, "llm"), timed(1, 9, "plain")];
+    let waits = |rank: Option<u8>| {
+        let engine = Some(Engine::default());
+        let services = [Service { name: "llm".into(), engine, ..Service::default() }];
+        let account = ClientAccount { name: "a".into(), rank, quota: None };
+        let accounts = Accounts::new([(account, Vec::new())]);
+        let d = Deployment::new(1, routes(), services, deployment().limits, accounts);
+        d.engine_waits().iter().map(|(rank, wait)| (*rank, wait.as_secs())).collect::<Vec<_>>()
+    };
+    assert_eq!(waits(None), [(0, 3), (2, 12)]);
+    assert_eq!(waits(Some(0)), [(0, 12), (2, 12)]);
+}
