Metric and log line: models without a copy

An instance that no longer leads publishes none.

Test: models_without_a_copy_are_told_to_operators, which has neither the metric nor the line without the change.

--- a/components/process/entry/src/metrics.rs
+++ b/components/process/entry/src/metrics.rs
@@ -38,6 +38,12 @@
     pub(crate) prompt: &'static str,
 }
 
+/// Label of the gauge of models without a copy. The configuration bounds the number of services.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabel {
+    pub(crate) service: String,
+}
+
 /// Metrics of the process, with the registry that encodes them.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -64,6 +70,7 @@
     pub(crate) configuration_version: Gauge,
     pub(crate) accounts: Rc<AccountMetrics>,
     pub(crate) cut_off_data_centres: Gauge,
+    pub(crate) models_without_copy: Family<ServiceLabel, Gauge>,
     log_lines_dropped: Gauge,
     dropped_lines: Box<dyn Fn() -> usize>,
 }
@@ -94,6 +101,12 @@
             "Requests sent past a server because it had long prompts to read",
             reading_servers_avoided.clone(),
         );
+        let models_without_copy = Family::<ServiceLabel, Gauge>::default();
+        registry.register(
+            "models_without_copy",
+            "Models that only the weight store has, at the instance that gives the orders",
+            models_without_copy.clone(),
+        );
         let mut counter = |name: &str, help: &str| {
             let counter = Counter::default();
             registry.register(name, help, counter.clone());
@@ -167,6 +180,7 @@
             relayed_connections,
             configuration_version,
             cut_off_data_centres,
+            models_without_copy,
         }
     }
 
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -66,6 +66,8 @@
     pub(super) ready_at: HashMap<ModelName, Instant>,
     /// Requests that wait although a server has their model, for models with several of them.
     pub(super) queued: HashMap<ModelName, u32>,
+    /// Models without a copy at any server that stays, by service, as logged last.
+    pub(super) without_copy: HashMap<ServiceName, Box<[ModelName]>>,
     /// Servers whose holdings changed since the last update to all instances, and when.
     pub(super) changed: HashMap<ServerId, Instant>,
     /// When each instance with waiting requests was last sent a change in between.
@@ -107,6 +109,7 @@
             counted_arrivals: HashMap::new(),
             ready_at: HashMap::new(),
             queued: HashMap::new(),
+            without_copy: HashMap::new(),
             changed: HashMap::new(),
             sent_to_waiting: HashMap::new(),
             publish_cursor: 0,
--- a/components/process/entry/src/process/orders/mod.rs
+++ b/components/process/entry/src/process/orders/mod.rs
@@ -1,6 +1,7 @@
 //! Sends orders to the engines while this instance is the leader, that is, holds the lease.
 
 mod adapters;
+mod copies;
 mod leader;
 mod lease;
 mod moves;
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -13,6 +13,7 @@
 
 use super::REFUSED_PAUSE;
 use super::adapters::load_adapter;
+use super::copies::record_without_copy;
 use super::leader::Leader;
 use super::moves::execute_move;
 use super::order::refresh_holdings;
@@ -51,6 +52,8 @@
         let Some((lease, term)) = held else {
             if was_leader {
                 tracing::warn!("orders: lease no longer held");
+                // Only the leader knows.
+                cx.metrics.models_without_copy.clear();
             }
             was_leader = false;
             plan_at = Instant::now() + PLAN_INTERVAL;
@@ -274,6 +277,9 @@
     let banned = banned_models(cx, service, engine);
     let plan = plan(now, &views, &leader.demands, engine, &banned, limits);
     leader.ready_at.extend(plan.ready_at);
+    if let Some(models) = plan.without_copy {
+        record_without_copy(cx, leader, service, models);
+    }
     for planned in &plan.placements {
         let waiting = leader.demands.get(&planned.load);
         tracing::info!(server = %planned.server, model = %planned.load, source = ?planned.source,
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -56,6 +56,20 @@
     assert!(failed_moves.is_empty(), "{failed_moves:?}");
 }
 
+/// Guards against a model without any copy that no figure and no line tells the operators of.
+#[tokio::test]
+async fn models_without_a_copy_are_told_to_operators() {
+    let mut cfg = engine("e1", &["m1", "m2"]);
+    cfg.models.retain(|model| model.name != "m4");
+    let cluster = TestCluster::with_instance(vec![cfg]).await;
+    let instance = &cluster.instances[0];
+    let line = ["models without a copy changed", "m4"];
+    assert!(wait_for(WAIT, || !instance.log_lines(&line).is_empty()).await);
+    let metrics = format!("http://{}/metrics", instance.addresses.metrics);
+    let metrics = reqwest::get(metrics).await.unwrap().text().await.unwrap();
+    assert!(metrics.contains("models_without_copy{service=\"engines\"} 1"), "{metrics}");
+}
+
 /// Guards against loading a model once for each instance that has requests for it.
 #[tokio::test]
 async fn burst_at_several_instances_causes_one_load() {
