Fair queue for any account and request type; ties by turn

Start-time fair queueing was tied to the requests of `serve`. The entry instances need the same order for requests that wait for places, with other accounts and other sort keys, and no second queue beside it.

`FairQueue<A, K>` has the order alone; `Queue` adds what `Admission` needs (deadlines, worth). Among accounts with the same start tag the one that got it first is next. Before, the lowest index always was: in an order in which many accounts begin at the same virtual time that is a standing preference.

--- a/components/request/admission/src/admission.rs
+++ b/components/request/admission/src/admission.rs
@@ -4,7 +4,7 @@
 
 use types::prelude::*;
 
-use crate::fair_queue::{ClientAccountIndex, FairQueue};
+use crate::queue::{ClientAccountIndex, Queue};
 use crate::request::{
     AdmissionRequest, Admitted, Expired, LocalLimits, QueueKey, QueueSummary, Ticket,
 };
@@ -20,7 +20,7 @@
     client_accounts: Vec<ClientAccount>,
     index: HashMap<ClientAccountId, ClientAccountIndex>,
     requests: HashMap<Ticket, Tracked>,
-    queues: HashMap<QueueKey, FairQueue>,
+    queues: HashMap<QueueKey, Queue>,
     deadlines: BTreeSet<(Instant, Ticket)>,
     /// Requests that were requeued and must not be dequeued before the given time.
     delayed: BTreeSet<(Instant, Ticket)>,
@@ -344,7 +344,7 @@
 
     /// Removes an empty queue, so that memory grows only with the models in use.
     fn remove_queue_if_empty(&mut self, queue: &QueueKey) {
-        if self.queues.get(queue).is_some_and(FairQueue::is_empty) {
+        if self.queues.get(queue).is_some_and(Queue::is_empty) {
             self.queues.remove(queue);
         }
     }
--- a/components/request/admission/src/fair_queue.rs
+++ b/components/request/admission/src/fair_queue.rs
@@ -1,115 +1,101 @@
 //! Start-time fair queueing (SFQ) among the client accounts of one queue.
 
-use std::cmp::Reverse;
+use std::hash::Hash;
 
 use types::prelude::*;
 
-use crate::request::{Admitted, Ticket};
-
-/// Index of a client account in `Admission::client_accounts`.
-pub(crate) type ClientAccountIndex = u32;
-
 /// Virtual time per unit of work at weight 1. The highest weight, 10 000 basis points, still
 /// advances the start tag by 104 per unit, so integer division loses little.
 const VIRTUAL_TIME_PER_WORK: u128 = 1 << 20;
 
-/// Sort key of the requests of one client account: deadline, then priority, then arrival.
-type Rank = (Instant, Reverse<u8>, Ticket);
+/// Number of a turn. Among client accounts with the same start tag, the one that got it first is next.
+type Turn = u64;
 
-/// Queued requests for one queue key.
-#[derive(Debug, Default)]
-pub(crate) struct FairQueue {
-    /// Start tag of the request selected last; never decreases while requests are queued.
+/// Queued requests of several client accounts. `A` names an account; `K` is a request, and orders the
+/// requests of one account.
+#[derive(Debug)]
+pub(crate) struct FairQueue<A, K> {
+    /// Start tag of the request selected last; never decreases.
     virtual_time: u128,
-    /// Client accounts that have queued a request since the queue was last empty.
-    flows: HashMap<ClientAccountIndex, Flow>,
-    /// Client accounts with queued requests, ordered by start tag.
-    active: BTreeSet<(u128, ClientAccountIndex)>,
-    /// First-token deadlines of all queued requests.
-    deadlines: BTreeSet<(Instant, Ticket)>,
-    worth_milli: u64,
+    /// Client accounts that have queued a request since the queue was created.
+    flows: HashMap<A, Flow<K>>,
+    /// Client accounts with queued requests, ordered by start tag and then by turn.
+    active: BTreeSet<(u128, Turn, A)>,
+    last_turn: Turn,
 }
 
-#[derive(Debug, Default)]
-struct Flow {
+#[derive(Debug)]
+struct Flow<K> {
     /// Virtual start time of the client account's next request.
     start_tag: u128,
-    requests: BTreeSet<Rank>,
+    turn: Turn,
+    requests: BTreeSet<K>,
 }
 
-impl FairQueue {
-    pub(crate) fn is_empty(&self) -> bool {
-        self.deadlines.is_empty()
-    }
-
-    pub(crate) fn len(&self) -> usize {
-        self.deadlines.len()
+impl<A, K> Default for FairQueue<A, K> {
+    fn default() -> Self {
+        Self { virtual_time: 0, flows: HashMap::new(), active: BTreeSet::new(), last_turn: 0 }
     }
+}
 
-    pub(crate) fn worth_milli(&self) -> u64 {
-        self.worth_milli
+impl<K> Default for Flow<K> {
+    fn default() -> Self {
+        Self { start_tag: 0, turn: 0, requests: BTreeSet::new() }
     }
+}
 
-    pub(crate) fn earliest_deadline(&self) -> Option<Instant> {
-        self.deadlines.first().map(|(at, _)| *at)
+impl<A: Copy + Ord + Hash, K: Copy + Ord> FairQueue<A, K> {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.active.is_empty()
     }
 
-    pub(crate) fn push(&mut self, client_account: ClientAccountIndex, request: &Admitted) {
-        let flow = self.flows.entry(client_account).or_default();
+    pub(crate) fn push(&mut self, account: A, request: K) {
+        let flow = self.flows.entry(account).or_default();
         if flow.requests.is_empty() {
+            self.last_turn += 1;
             // An idle client account accumulates no credit: it starts at the current virtual time.
             flow.start_tag = flow.start_tag.max(self.virtual_time);
-            self.active.insert((flow.start_tag, client_account));
+            flow.turn = self.last_turn;
+            self.active.insert((flow.start_tag, flow.turn, account));
         }
-        flow.requests.insert(rank(request));
-        self.deadlines.insert((request.first_token_by, request.ticket));
-        self.worth_milli += u64::from(request.worth_milli);
+        flow.requests.insert(request);
     }
 
-    pub(crate) fn remove(&mut self, client_account: ClientAccountIndex, request: &Admitted) {
-        if let Some(flow) = self.flows.get_mut(&client_account) {
-            flow.requests.remove(&rank(request));
-            if flow.requests.is_empty() {
-                self.active.remove(&(flow.start_tag, client_account));
-            }
+    pub(crate) fn remove(&mut self, account: A, request: K) {
+        let Some(flow) = self.flows.get_mut(&account) else { return };
+        flow.requests.remove(&request);
+        if flow.requests.is_empty() {
+            self.active.remove(&(flow.start_tag, flow.turn, account));
         }
-        self.deadlines.remove(&(request.first_token_by, request.ticket));
-        self.worth_milli -= u64::from(request.worth_milli);
     }
 
     /// Selects the next request of the eligible client account with the lowest start tag.
-    pub(crate) fn select_next(
-        &mut self,
-        eligible: impl Fn(ClientAccountIndex) -> bool,
-    ) -> Option<(ClientAccountIndex, Ticket)> {
-        let skipped =
-            self.active.iter().take_while(|(_, client_account)| !eligible(*client_account));
+    pub(crate) fn select_next(&mut self, eligible: impl Fn(A) -> bool) -> Option<(A, K)> {
+        let skipped = self.active.iter().take_while(|(_, _, account)| !eligible(*account));
         let skipped: Vec<_> = skipped.copied().collect();
-        let (start_tag, client_account) = *self.active.iter().nth(skipped.len())?;
+        let (start_tag, _, account) = *self.active.iter().nth(skipped.len())?;
         // A client account at its concurrency limit loses its turn; otherwise it could later catch
         // up on all the time that it was blocked and starve the others.
-        for (old_tag, blocked) in skipped {
-            self.active.remove(&(old_tag, blocked));
-            self.active.insert((start_tag, blocked));
+        for (old_tag, turn, blocked) in skipped {
+            self.active.remove(&(old_tag, turn, blocked));
+            self.active.insert((start_tag, turn, blocked));
             self.flows.entry(blocked).or_default().start_tag = start_tag;
         }
         self.virtual_time = self.virtual_time.max(start_tag);
-        let flow = self.flows.get(&client_account)?;
-        flow.requests.first().map(|(_, _, ticket)| (client_account, *ticket))
+        let flow = self.flows.get(&account)?;
+        flow.requests.first().map(|request| (account, *request))
     }
 
     /// Charges a client account for the work of a request that was selected.
-    pub(crate) fn charge(&mut self, client_account: ClientAccountIndex, work: u32, weight: u32) {
-        let Some(flow) = self.flows.get_mut(&client_account) else { return };
-        let was_active = self.active.remove(&(flow.start_tag, client_account));
+    pub(crate) fn charge(&mut self, account: A, work: u32, weight: u32) {
+        let Some(flow) = self.flows.get_mut(&account) else { return };
+        let was_active = self.active.remove(&(flow.start_tag, flow.turn, account));
         flow.start_tag +=
             u128::from(work.max(1)) * VIRTUAL_TIME_PER_WORK / u128::from(weight.max(1));
         if was_active {
-            self.active.insert((flow.start_tag, client_account));
+            self.last_turn += 1;
+            flow.turn = self.last_turn;
+            self.active.insert((flow.start_tag, flow.turn, account));
         }
     }
 }
-
-fn rank(request: &Admitted) -> Rank {
-    (request.first_token_by, Reverse(request.priority), request.ticket)
-}
--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod fair_queue;
+mod queue;
 pub mod quota;
 mod request;
 pub mod shares;
