Places at full servers in the order of rank and client account

With several accounts, an account that sent several times its usual took the places of the others of its rank: each waiting request polled by itself and drew a lot by the number of waiting requests, so that places went by the number of requests.

Where the configuration has accounts, the requests of an instance that wait for a place at the servers of a model stand in one order: the most urgent rank first, inside a rank start-time fair by account (`admission::PlaceQueue`, on the `FairQueue` of `serve`). One that cannot use the place (tried servers, an adapter elsewhere) lets the next one go first. The order among the requests of one account is by lot: with more requests than places, an order by arrival would make each of them late.

Without accounts nothing changes, neither messages nor turns.

Who is refused when the servers stay full follows: the requests that find no place in time are the hot account's.

--- a/components/process/entry/src/process/instances.rs
+++ b/components/process/entry/src/process/instances.rs
@@ -69,6 +69,8 @@
     /// A [`Message::Status`] with its `waiting_groups`. Sent only where the configuration has client
     /// accounts.
     StatusByAccount(Status, Vec<Vec<WaitingGroup>>),
+    /// Supplements [`LeaderUpdate::queued`]. Sent only where the configuration has client accounts.
+    QueuedByAccount(QueuedByAccount),
 }
 
 /// Requests that an instance found to end servers.
@@ -99,6 +101,17 @@
     pub(crate) holdings: Vec<ServerHoldings>,
 }
 
+/// Requests that wait although a server has their model, by rank and client account.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct QueuedByAccount {
+    pub(crate) from: InstanceName,
+    /// When the leader sent this, by its own clock.
+    pub(crate) sent_at: BootTime,
+    pub(crate) lease: HeldLease,
+    pub(crate) queued: Vec<(ModelName, Vec<WaitingGroup>)>,
+}
+
 /// Hash of a server's id, which is shorter. Two servers with the same hash, which is unlikely, get
 /// the sum of their figures.
 pub(crate) type ServerKey = u32;
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod message_delay;
 mod orders;
 mod peers;
+mod place_queues;
 mod quotas;
 mod reach;
 mod request_counts;
@@ -23,6 +24,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use admission::waiting::WaitingGroup;
 use body_memory::BodyMemory;
 use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
@@ -41,6 +43,7 @@
 use log_limit::LogLimit;
 use long_prompts::LongPrompts;
 pub(crate) use long_prompts::UnreadPrompt;
+pub(crate) use place_queues::{PlaceQueues, WaitingPlace, takes_place};
 pub(crate) use quotas::Quotas;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
@@ -127,6 +130,11 @@
     pub(crate) slow_servers: RefCell<HashMap<ServerKey, f64>>,
     /// Requests of all instances that wait for room at the servers of a model.
     pub(crate) queued: RefCell<HashMap<ModelName, u32>>,
+    /// The requests of `queued` by rank and client account. Empty where the configuration has no
+    /// client accounts.
+    pub(crate) queued_groups: RefCell<HashMap<ModelName, Vec<WaitingGroup>>>,
+    /// Requests of this instance that wait for room at the servers of a model, in their order.
+    pub(crate) place_queues: RefCell<PlaceQueues>,
     /// Prompts of this instance's requests, by service.
     pub(crate) prompt_mixes: RefCell<HashMap<ServiceName, PromptMix>>,
     pub(crate) long_prompts: RefCell<LongPrompts>,
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use admission::waiting::WaitingGroup;
 use replica_placement::{
     Demands, Source, StoreConcurrencyLimit, StoreRateLimiter, Term, UnloadTime,
 };
@@ -66,6 +67,8 @@
     pub(super) ready_at: HashMap<ModelName, Instant>,
     /// Requests that wait although a server has their model, for models with several of them.
     pub(super) queued: HashMap<ModelName, u32>,
+    /// The same by rank and client account.
+    pub(super) queued_groups: HashMap<ModelName, Vec<WaitingGroup>>,
     /// Servers whose holdings changed since the last update to all instances, and when.
     pub(super) changed: HashMap<ServerId, Instant>,
     /// When each instance with waiting requests was last sent a change in between.
@@ -107,6 +110,7 @@
             counted_arrivals: HashMap::new(),
             ready_at: HashMap::new(),
             queued: HashMap::new(),
+            queued_groups: HashMap::new(),
             changed: HashMap::new(),
             sent_to_waiting: HashMap::new(),
             publish_cursor: 0,
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -198,6 +198,7 @@
     let now = Instant::now();
     leader.borrow_mut().ready_at.clear();
     leader.borrow_mut().queued.clear();
+    leader.borrow_mut().queued_groups.clear();
     for (service, engine) in deployment.engines() {
         let waiting = waiting_by_model(cx, service);
         let moves = plan_service(cx, &mut leader.borrow_mut(), service, engine, &waiting, now);
@@ -213,6 +214,7 @@
     let ready_at = leader.borrow().ready_at.clone();
     *cx.ready_at.borrow_mut() = ready_at;
     (*cx.queued.borrow_mut()).clone_from(&leader.borrow().queued);
+    (*cx.queued_groups.borrow_mut()).clone_from(&leader.borrow().queued_groups);
     cx.servers_changed.notify_waiters();
 }
 
@@ -259,6 +261,12 @@
     }
     let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
     let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
+    for (model, _) in &queued {
+        let demand = leader.demands.models.get(model);
+        if let Some(demand) = demand.filter(|demand| !demand.waiting_groups.is_empty()) {
+            leader.queued_groups.insert(model.clone(), demand.waiting_groups.clone());
+        }
+    }
     leader.queued.extend(queued);
     let limits = PlanLimits {
         max_store_loads: leader.store_concurrency.limit(),
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -10,8 +10,8 @@
 
 use super::leader::Leader;
 use crate::process::instances::{
-    HoldingsPart, InFlightFigures, LeaderUpdate, Message, ServerHoldings, ServerKey,
-    SyncedRevision, server_key,
+    HoldingsPart, InFlightFigures, LeaderUpdate, Message, QueuedByAccount, ServerHoldings,
+    ServerKey, SyncedRevision, server_key,
 };
 use crate::process::peers::PeerSocket;
 use crate::process::{Entry, boot_now};
@@ -20,6 +20,8 @@
 const PUBLISH_CYCLE: usize = 15;
 /// Most servers whose holdings one message contains.
 const MAX_HOLDINGS: usize = 60;
+/// Most models whose waiting requests are published by account.
+const MAX_QUEUED_MODELS: usize = 200;
 /// Most servers of one part of the load figures.
 const MAX_FIGURES: usize = 400;
 
@@ -62,6 +64,16 @@
     let rest = published.split_off(published.len().min(MAX_HOLDINGS));
     let message = leader_update(cx, leader, published, Some(figures), lease);
     socket.deliver(&message, &delivery);
+    if !leader.queued_groups.is_empty() {
+        let queued = leader.queued_groups.iter().take(MAX_QUEUED_MODELS);
+        let queues = QueuedByAccount {
+            from: cx.settings.name.clone(),
+            sent_at: boot_now(),
+            lease,
+            queued: queued.map(|(model, groups)| (model.clone(), groups.clone())).collect(),
+        };
+        socket.deliver(&Message::QueuedByAccount(queues), &delivery);
+    }
     for servers in rest.chunks(MAX_HOLDINGS) {
         let part = HoldingsPart {
             from: cx.settings.name.clone(),
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -231,6 +231,11 @@
                     cx.servers_changed.notify_waiters();
                 }
             }
+            Ok(Message::QueuedByAccount(queues)) => {
+                if receive_lease(&cx, &queues.from, queues.lease, queues.sent_at).is_some() {
+                    *cx.queued_groups.borrow_mut() = queues.queued.into_iter().collect();
+                }
+            }
             Ok(Message::Bans(notice)) => cx.receive_bans(&notice.from, &notice.bans),
             Ok(Message::QuotaRequest(req)) => {
                 if let Some(grant) = cx.answer_quota_request(&req) {
@@ -329,5 +334,8 @@
     cx.record_quota_holder_alive(&update.from);
     cx.follow_quarantine(&update.quarantine);
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
+    let queued = cx.queued.borrow();
+    cx.queued_groups.borrow_mut().retain(|model, _| queued.contains_key(model));
+    drop(queued);
     cx.servers_changed.notify_waiters();
 }
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -132,6 +132,8 @@
         paces: RefCell::default(),
         slow_servers: RefCell::default(),
         queued: RefCell::default(),
+        queued_groups: RefCell::default(),
+        place_queues: RefCell::default(),
         prompt_mixes: RefCell::default(),
         long_prompts: RefCell::default(),
         request_counts: RefCell::new(RequestCounts::default()),
--- a/components/process/entry/src/process/waiting_requests.rs
+++ b/components/process/entry/src/process/waiting_requests.rs
@@ -25,7 +25,7 @@
 type GroupKey = (u8, Option<AccountTag>);
 
 /// The tag of an account in messages.
-fn account_tag(name: &str) -> AccountTag {
+pub(crate) fn account_tag(name: &str) -> AccountTag {
     xxh3_64(name.as_bytes()) as AccountTag
 }
 
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -10,7 +10,7 @@
 mod trace;
 mod wait;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -28,7 +28,7 @@
 use server_directory::ServerId;
 
 use crate::connection::{Body, CallerBody};
-use crate::process::{BanTest, Entry, ModelKey, Phase};
+use crate::process::{BanTest, Entry, ModelKey, Phase, WaitingPlace};
 use account::Caller;
 use attempt::{AttemptOutcome, attempt};
 use failure::{Failure, Sends, UNKNOWN_KEY, text_response};
@@ -67,6 +67,8 @@
     pub(crate) sends: Sends,
     /// Until when the request has lost its turn among those that wait for room at the same servers.
     pub(crate) lost_turn_until: Cell<Option<Instant>>,
+    /// The wait for a place at the servers of its model, in the order of the accounts.
+    pub(crate) place: RefCell<Option<WaitingPlace>>,
     /// Servers that were already tried and are skipped for now.
     pub(crate) tried: Vec<ServerId>,
     pub(crate) trace: Trace,
@@ -293,6 +295,7 @@
         select_by,
         sends: Sends::default(),
         lost_turn_until: Cell::new(None),
+        place: RefCell::new(None),
         tried: Vec::new(),
         trace,
     })
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -1,5 +1,6 @@
 //! Selects a server for a request among those that can run it now.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use platform_adapter::Prompt;
@@ -11,7 +12,7 @@
 
 use super::Job;
 use crate::metrics::PromptLabel;
-use crate::process::{Entry, PUBLISH_INTERVAL};
+use crate::process::{Entry, PUBLISH_INTERVAL, takes_place};
 
 /// The server selected for a request.
 #[derive(Clone, Debug)]
@@ -153,7 +154,7 @@
 
 /// Whether a candidate has room for the request, and the request gets a turn among those that wait
 /// for the same room at all instances.
-fn gets_turn(cx: &Entry, job: &Job, candidates: &[Candidate<'_>], now: Instant) -> bool {
+fn gets_turn(cx: &Rc<Entry>, job: &Job, candidates: &[Candidate<'_>], now: Instant) -> bool {
     let run_time = cx.run_times.borrow().get(&job.service).copied().unwrap_or_default();
     let (rank, target) = (job.rank(), job.route.latency_target);
     let room = |c: &Candidate<'_>| {
@@ -162,6 +163,9 @@
         in_flight_limit(slots, rank, target, run_time).saturating_sub(c.in_flight)
     };
     let room: u32 = candidates.iter().map(room).sum();
+    if cx.has_accounts() {
+        return takes_place(cx, job, room, now);
+    }
     if room == 0 || job.lost_turn_until.get().is_some_and(|until| until > now) {
         return false;
     }
@@ -171,7 +175,7 @@
     has_turn
 }
 
-pub(super) fn try_select(cx: &Entry, job: &Job) -> SelectResult {
+pub(super) fn try_select(cx: &Rc<Entry>, job: &Job) -> SelectResult {
     let now = Instant::now();
     let directory = cx.directory.borrow();
     let eligible: Vec<&Server> = eligible_servers(&directory, job).collect();
@@ -181,7 +185,11 @@
     }
     let servers = match untried_servers(cx, job, &eligible) {
         Ok(servers) => servers,
-        Err(result) => return result,
+        Err(result) => {
+            // The others in its queue do not wait for a request that can use no place.
+            job.place.take();
+            return result;
+        }
     };
     let health = cx.health.borrow();
     let mix = cx.prompt_mixes.borrow().get(&job.service).copied().unwrap_or_default();
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -59,6 +59,7 @@
     let mut wait =
         Wait { give_up_at, waiting: None, service_wait_ends: None, queue_wait_ends: None };
     let selection = wait.select(cx, job).await;
+    job.place.take();
     if let Err(error) = &selection
         && error.failure != Failure::UnknownKey
         && let Some(waiting) = wait.waiting
@@ -109,6 +110,9 @@
             if !matches!(result, SelectResult::NoServer | SelectResult::Unreachable) {
                 self.service_wait_ends = None;
             }
+            if !matches!(result, SelectResult::Full) {
+                job.place.take();
+            }
             let wake_at = match result {
                 SelectResult::Selected(selection) => return Ok(*selection),
                 SelectResult::AllTried => {
@@ -137,8 +141,16 @@
                     .get_or_insert(self.give_up_at.min(now + MAX_SERVICE_WAIT)),
             };
             self.check_timeouts(cx, job, now)?;
+            let place = job.place.borrow().as_ref().map(|place| place.waker().clone());
+            let kept = async {
+                match &place {
+                    Some(waker) => waker.notified().await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 () = changed => {}
+                () = kept => {}
                 () = tokio::time::sleep_until(wake_at.min(self.give_up_at).into()) => {}
             }
         }
--- a/components/request/admission/src/lib.rs
+++ b/components/request/admission/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod fair_queue;
+mod places;
 mod queue;
 pub mod quota;
 mod request;
@@ -15,6 +16,7 @@
 pub mod waiting;
 
 pub use admission::Admission;
+pub use places::{Look, PlaceQueue, PlaceTicket};
 pub use request::{
     AdmissionRequest, Admitted, Expired, LocalLimits, QueueKey, QueueSummary, Ticket,
 };
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -14,3 +14,4 @@
 mod process_tests;
 mod quota_tests;
 mod store_tests;
+mod waiting_order_tests;
