Quotas: one place decides that 0 means no limit

`platform/src/deployment.rs` decodes a rate of 0 into no quota, and two places of the instance asked again whether the rate is positive. The filters are gone and the doc of `routes::Quota` says that the rate is always positive. The log line of a refused request is indented like the others. No behaviour changes.

--- a/components/process/entry/src/process/quotas.rs
+++ b/components/process/entry/src/process/quotas.rs
@@ -54,8 +54,7 @@
         }
         self.version = Some(deployment.version);
         let quotas = deployment.accounts.iter().filter_map(|account| {
-            let quota = account.quota.as_ref().filter(|quota| quota.per_second > 0)?;
-            Some((account_key(&account.name), limits(quota)))
+            Some((account_key(&account.name), limits(account.quota.as_ref()?)))
         });
         self.limits = quotas.collect();
     }
--- a/components/process/entry/src/request/quota.rs
+++ b/components/process/entry/src/request/quota.rs
@@ -60,9 +60,7 @@
     tokens: Option<u64>,
     give_up_at: Instant,
 ) -> Result<QuotaHold, QuotaRefusal> {
-    let Some(quota) = account.quota.as_ref().filter(|quota| quota.per_second > 0) else {
-        return Ok(QuotaHold::default());
-    };
+    let Some(quota) = &account.quota else { return Ok(QuotaHold::default()) };
     let cost = quota.cost(tokens);
     let latest = cx.quotas.now() + give_up_at.saturating_duration_since(Instant::now());
     match cx.take_quota(&account.name, quota, cost, latest).await {
@@ -74,8 +72,13 @@
             let rest = |at: Instant| at.saturating_duration_since(cx.quotas.now());
             let retry_after = refused.retry_at.map_or(NEVER_RETRY_AFTER, rest);
             if cx.refusal_lines.allows_line(Instant::now()) {
-                tracing::info!(account = %account.name, cost, left = refused.level,
-                retry_after_ms = retry_after.as_millis() as u64, "quotas: request refused");
+                tracing::info!(
+                    account = %account.name,
+                    cost,
+                    left = refused.level,
+                    retry_after_ms = retry_after.as_millis() as u64,
+                    "quotas: request refused"
+                );
             }
             Err(QuotaRefusal { retry_after })
         }
--- a/components/version/routes/src/accounts.rs
+++ b/components/version/routes/src/accounts.rs
@@ -33,12 +33,12 @@
     },
 }
 
-/// Limit on what a client account may use over all instances. `0` per second means no limit.
+/// Limit on what a client account may use over all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quota {
     /// What is counted.
     pub unit: QuotaUnit,
-    /// Units per second.
+    /// Units per second; always positive.
     pub per_second: u64,
     /// Units that may be used at once after a pause.
     pub burst: u64,
