Quota share in three files by its jobs

`quota/share.rs` had 445 lines and three jobs. `pledge.rs` now says to whom the share of an instance is pledged and when the pledge is renewed, `account_tokens.rs` holds the stock, the recent use and the buckets of the own share, and `share.rs` (about 300 lines) decides about requests and exchanges messages.

--- a/components/request/admission/src/quota.rs
+++ b/components/request/admission/src/quota.rs
@@ -10,9 +10,11 @@
 //! [`QuotaPool`] is the state of a holder and [`QuotaShare`] that of an instance that asks. Both do
 //! no I/O. Their times are to be on a clock that counts suspension.
 
+mod account_tokens;
 mod decision;
 mod holders;
 mod messages;
+mod pledge;
 mod pool;
 mod share;
 mod stock;
--- a/components/request/admission/src/quota/share.rs
+++ b/components/request/admission/src/quota/share.rs
@@ -1,19 +1,16 @@
-//! The share of one instance in the quotas, and the tokens that holders granted to it.
+//! The quotas at one instance: decides about requests, and asks the holder of its share for tokens.
 
 use types::prelude::*;
 
+use super::account_tokens::AccountTokens;
 use super::decision::{QuotaDecision, QuotaUse, QuotaVerdict, ShareState, Ticket};
-use super::holders::Holders;
 use super::messages::{
     AccountKey, InstanceKey, PledgeEcho, QuotaAnswer, QuotaAsk, QuotaGrant, QuotaRequest, RunKey,
 };
-use super::stock::{RefusedCost, Stock};
+use super::pledge::{RENEW_INTERVAL, SharePledge};
+use super::stock::RefusedCost;
 use super::{MAX_RESERVATION, PLEDGE_TERM, QuotaLimits, TOKEN_LIFE};
-use crate::token_bucket::TokenBucket;
 
-/// Longest time between two requests to the holder of the share. The holder then counts the share
-/// for more than half of [`PLEDGE_TERM`] after each request.
-const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 /// Time until an unanswered request is repeated for the first time; it doubles with each one.
 const FIRST_REPEAT: Duration = Duration::from_millis(25);
 /// Time without an answer, and without another message, after which a holder counts as failed.
@@ -22,10 +19,6 @@
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time for which a refusal of the holder is repeated without asking it again.
 const MAX_REFUSAL_REUSE: Duration = Duration::from_millis(250);
-/// Interval over which the recent use of an account is counted.
-const USE_INTERVAL: Duration = Duration::from_millis(400);
-/// Requests of an account in [`USE_INTERVAL`] from which on a stock of tokens is asked for.
-const MIN_STOCK_REQUESTS: u32 = 4;
 /// Most wishes in one request.
 const MAX_ASKS: usize = 512;
 /// `Retry-After` of requests that no holder answered, or whose holder has too few shares: the next
@@ -55,20 +48,6 @@
     repeat_after: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Pledge {
-    to: InstanceKey,
-    until: Instant,
-}
-
-/// The newest grant of a holder.
-#[derive(Clone, Copy, Debug)]
-struct LastGrant {
-    from: InstanceKey,
-    echo: PledgeEcho,
-    received_at: Instant,
-}
-
 /// State of the quotas at one instance.
 #[derive(Debug)]
 pub struct QuotaShare {
@@ -76,23 +55,13 @@
     run: RunKey,
     /// Number of registered instances, this one included; `0` if it is not known.
     instances: usize,
-    holders: Holders,
-    /// An earlier run may have pledged the share until then.
-    blocked_until: Instant,
-    pledge: Option<Pledge>,
-    last_grant: Option<LastGrant>,
+    pledge: SharePledge,
+    tokens: AccountTokens,
     last_number: u32,
     last_sent_at: Option<Instant>,
     last_ticket: Ticket,
     waiting: VecDeque<Waiting>,
     unanswered: Option<Unanswered>,
-    /// Accounts with recent use.
-    stocks: HashMap<AccountKey, Stock>,
-    /// Stock that the accounts with many requests need until the next renewal.
-    wanted: Vec<(AccountKey, u64)>,
-    count_use_at: Instant,
-    /// Buckets of the share while it is not pledged. They were empty when that began.
-    standing: HashMap<AccountKey, TokenBucket>,
 }
 
 impl QuotaShare {
@@ -102,19 +71,13 @@
             key,
             run,
             instances: 0,
-            holders: Holders::default(),
-            blocked_until: now + PLEDGE_TERM,
-            pledge: None,
-            last_grant: None,
+            pledge: SharePledge::new(now),
+            tokens: AccountTokens::new(now),
             last_number: 0,
             last_sent_at: None,
             last_ticket: 0,
             waiting: VecDeque::new(),
             unanswered: None,
-            stocks: HashMap::new(),
-            wanted: Vec::new(),
-            count_use_at: now + USE_INTERVAL,
-            standing: HashMap::new(),
         }
     }
 
@@ -122,7 +85,7 @@
     /// first. An empty list keeps the former one.
     pub fn set_instances(&mut self, instances: usize, holders: &[InstanceKey]) {
         self.instances = instances;
-        self.holders.set(holders);
+        self.pledge.holders.set(holders);
     }
 
     /// Records that another message of an instance arrived: it gets more time to answer, and is tried
@@ -132,26 +95,22 @@
             let latest = sent.sent_at + MAX_ANSWER_TIMEOUT;
             sent.fail_at = sent.fail_at.max((now + ANSWER_TIMEOUT).min(latest));
         }
-        self.holders.record_alive(holder, now);
+        self.pledge.holders.record_alive(holder, now);
     }
 
     /// Who counts the share.
     pub fn state(&self, now: Instant) -> ShareState {
-        match self.pledge.filter(|pledge| pledge.until > now) {
-            Some(pledge) => ShareState::Pledged(pledge.to),
-            None if self.blocked_until > now => ShareState::Blocked,
-            None => ShareState::Standing,
-        }
+        self.pledge.state(now)
     }
 
     /// Number of accounts with recent use.
     pub fn tracked_accounts(&self) -> usize {
-        self.stocks.len()
+        self.tokens.count()
     }
 
     /// Tokens of an account that this instance may use without asking.
     pub fn stock(&self, account: AccountKey, now: Instant) -> u64 {
-        self.stocks.get(&account).map_or(0, |stock| stock.level(now))
+        self.tokens.level(account, now)
     }
 
     /// Decides about a request that arrives.
@@ -165,17 +124,15 @@
         if cost > limits.burst {
             return QuotaDecision::Refused { retry_at: None };
         }
-        let stock = self.stocks.entry(account).or_default();
-        if let Some(void_at) = stock.take(cost, now) {
-            stock.record_use(cost);
-            return QuotaDecision::Admitted(QuotaUse { account, cost, ready_at: now, void_at });
+        if let Some(used) = self.tokens.take(account, cost, now) {
+            return QuotaDecision::Admitted(used);
         }
-        let refused = stock.refused.filter(|refused| cost >= refused.cost);
+        let refused = self.tokens.refusal(account, cost);
         let standing = self.take_standing(account, limits, cost, now);
         match (standing, refused) {
             (Ok(used), _) => QuotaDecision::Admitted(used),
             (_, Some(refused)) => QuotaDecision::Refused { retry_at: Some(refused.retry_at) },
-            (Err(_), None) if self.target(now).is_some() => QuotaDecision::Ask,
+            (Err(_), None) if self.pledge.target(now).is_some() => QuotaDecision::Ask,
             (Err(at), None) => {
                 QuotaDecision::Refused { retry_at: Some(at.unwrap_or(now + UNANSWERED_RETRY)) }
             }
@@ -192,17 +149,12 @@
         now: Instant,
     ) -> Result<QuotaUse, Option<Instant>> {
         match self.state(now) {
-            ShareState::Standing => {}
-            ShareState::Pledged(_) => return Err(self.pledge.map(|pledge| pledge.until)),
-            ShareState::Blocked => return Err(Some(self.blocked_until)),
+            ShareState::Standing => {
+                let (since, instances) = (self.pledge.free_at(), self.instances);
+                self.tokens.take_standing(account, limits, cost, since, now, instances)
+            }
+            ShareState::Pledged(_) | ShareState::Blocked => Err(Some(self.pledge.free_at())),
         }
-        let since = self.pledge.map_or(self.blocked_until, |pledge| pledge.until);
-        let part = limits.part(1, self.instances);
-        let bucket =
-            self.standing.entry(account).or_insert_with(|| TokenBucket::empty(part, since));
-        bucket.set_limits(part, now);
-        bucket.try_take(cost, now)?;
-        Ok(QuotaUse { account, cost, ready_at: now, void_at: now + TOKEN_LIFE })
     }
 
     /// Queues a request until the holder answers. It gives up at `latest`.
@@ -224,10 +176,7 @@
 
     /// Puts back the tokens of a request that certainly did not run.
     pub fn put_back(&mut self, used: QuotaUse, now: Instant) {
-        if used.void_at > now && used.ready_at <= now {
-            let stock = self.stocks.entry(used.account).or_default();
-            stock.lots.push_back((used.void_at, used.cost));
-        }
+        self.tokens.put(used, now);
     }
 
     /// The request to send now, if one is due, and its receiver.
@@ -243,11 +192,14 @@
             }
             self.record_no_answer(now);
         }
-        let to = self.target(now)?;
+        let to = self.pledge.target(now)?;
         if now < self.next_request_at(to, now) {
             return None;
         }
-        let pledge = self.renew_pledge(to, now);
+        let pledge = self.pledge.renew(to, now);
+        if pledge.is_some() {
+            self.tokens.end_standing();
+        }
         let count = self.waiting.len().min(MAX_ASKS);
         let waiting: Vec<Waiting> = self.waiting.drain(..count).collect();
         let mut asks: Vec<QuotaAsk> = waiting
@@ -258,12 +210,7 @@
                 QuotaAsk::Request { account: *account, cost: *cost, wait_ms }
             })
             .collect();
-        for (account, wanted) in self.wanted.iter().take(MAX_ASKS) {
-            let tokens = wanted.saturating_sub(self.stock(*account, now));
-            if tokens > wanted / 2 {
-                asks.push(QuotaAsk::Stock { account: *account, tokens });
-            }
-        }
+        asks.extend(self.tokens.stock_asks(MAX_ASKS, now));
         self.last_number += 1;
         self.last_sent_at = Some(now);
         let req =
@@ -285,7 +232,7 @@
         if let Some(sent) = &self.unanswered {
             return sent.repeat_at.min(sent.fail_at);
         }
-        match self.target(now) {
+        match self.pledge.target(now) {
             Some(to) => self.next_request_at(to, now),
             None => now + RENEW_INTERVAL,
         }
@@ -293,22 +240,7 @@
 
     /// Counts the recent use of the accounts and drops those without any.
     pub fn count_use(&mut self, now: Instant) {
-        if now < self.count_use_at {
-            return;
-        }
-        self.count_use_at = now + USE_INTERVAL;
-        self.wanted.clear();
-        for (account, stock) in &mut self.stocks {
-            if stock.requests >= MIN_STOCK_REQUESTS {
-                self.wanted.push((*account, stock.tokens / 2));
-            }
-        }
-        self.stocks.retain(|_, stock| {
-            stock.drop_void(now);
-            let is_used = stock.requests > 0;
-            (stock.requests, stock.tokens) = (0, 0);
-            is_used || !stock.lots.is_empty() || stock.refused.is_some()
-        });
+        self.tokens.count_use(now);
     }
 
     /// Applies an answer of a holder. Returns the requests that it decides.
@@ -320,8 +252,7 @@
         };
         let Some(sent) = self.unanswered.take_if(is_answer) else { return Vec::new() };
         let echo = PledgeEcho { holder_run: grant.holder_run, stamp: grant.stamp };
-        self.last_grant = Some(LastGrant { from: sent.to, echo, received_at: now });
-        self.holders.record_answer(sent.to);
+        self.pledge.record_grant(sent.to, echo, now);
         let mut verdicts = Vec::new();
         let mut unusable = Vec::new();
         let stock_asks = &sent.req.asks[sent.waiting.len()..];
@@ -336,8 +267,9 @@
             if let (QuotaAsk::Stock { account, .. }, QuotaAnswer::Stock(tokens @ 1..)) =
                 (ask, answer)
             {
-                let stock = self.stocks.entry(*account).or_default();
-                stock.lots.push_back((sent.sent_at + TOKEN_LIFE, *tokens));
+                let void_at = sent.sent_at + TOKEN_LIFE;
+                let granted = QuotaUse { account: *account, cost: *tokens, ready_at: now, void_at };
+                self.tokens.put(granted, now);
             }
         }
         self.requeue(unusable);
@@ -364,8 +296,8 @@
                     return None;
                 }
                 match ticket {
-                    0 => self.put_back(used, now),
-                    _ => self.stocks.entry(account).or_default().record_use(cost),
+                    0 => self.tokens.put(used, now),
+                    _ => self.tokens.record_use(account, cost),
                 }
                 Some(QuotaVerdict::Granted(used))
             }
@@ -373,8 +305,8 @@
                 let retry_at = wait_ms.map(|ms| sent_at + Duration::from_millis(ms.into()));
                 if let Some(retry_at) = retry_at {
                     let until = retry_at.min(now + MAX_REFUSAL_REUSE);
-                    let stock = self.stocks.entry(account).or_default();
-                    stock.record_refusal(RefusedCost { cost, retry_at, until }, now);
+                    let refused = RefusedCost { cost, retry_at, until };
+                    self.tokens.record_refusal(account, refused, now);
                 }
                 let retry_at = retry_at.or(Some(now + UNANSWERED_RETRY));
                 Some(QuotaVerdict::Refused { retry_at, level })
@@ -395,51 +327,12 @@
     /// Marks the holder as failed that did not answer, and asks the next one for its requests.
     fn record_no_answer(&mut self, now: Instant) {
         let Some(sent) = self.unanswered.take() else { return };
-        self.holders.record_failed(sent.to, now);
+        self.pledge.holders.record_failed(sent.to, now);
         self.requeue(sent.waiting);
     }
 
-    /// The holder to ask: the one that has the share, until the pledge ends.
-    fn target(&self, now: Instant) -> Option<InstanceKey> {
-        match self.state(now) {
-            ShareState::Pledged(holder) if !self.holders.is_failed(holder) => Some(holder),
-            _ => self.holders.preferred(now),
-        }
-    }
-
     fn next_request_at(&self, to: InstanceKey, now: Instant) -> Instant {
-        // A holder has to answer once before the share can be pledged to it.
-        let is_known = self.last_grant.is_some_and(|last| last.from == to);
-        let Some(last_sent_at) = self.last_sent_at.filter(|_| self.waiting.is_empty() && is_known)
-        else {
-            return now;
-        };
-        let renewal = last_sent_at + RENEW_INTERVAL;
-        match (self.state(now), self.pledge) {
-            (ShareState::Standing, _) => now,
-            (ShareState::Blocked, _) => renewal.min(self.blocked_until),
-            (ShareState::Pledged(holder), Some(pledge)) if holder != to => {
-                renewal.min(pledge.until)
-            }
-            (ShareState::Pledged(_), _) => renewal,
-        }
-    }
-
-    /// Pledges the share to the receiver of the next request, if it is free and the receiver is the
-    /// preferred holder.
-    fn renew_pledge(&mut self, to: InstanceKey, now: Instant) -> Option<PledgeEcho> {
-        let last = self.last_grant.filter(|last| last.from == to)?;
-        let is_free = match self.state(now) {
-            ShareState::Standing => true,
-            ShareState::Pledged(holder) => holder == to,
-            ShareState::Blocked => false,
-        };
-        let until = last.received_at + PLEDGE_TERM;
-        if !is_free || until <= now || self.holders.preferred(now) != Some(to) {
-            return None;
-        }
-        self.standing.clear();
-        self.pledge = Some(Pledge { to, until });
-        Some(last.echo)
+        let last_sent_at = self.last_sent_at.filter(|_| self.waiting.is_empty());
+        last_sent_at.map_or(now, |at| self.pledge.renewal_due(to, at, now))
     }
 }
--- a/components/request/admission/src/quota/stock.rs
+++ b/components/request/admission/src/quota/stock.rs
@@ -12,11 +12,25 @@
     pub(super) until: Instant,
 }
 
+/// Tokens of one grant.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lot {
+    /// They may be used from then on.
+    pub(super) ready_at: Instant,
+    pub(super) void_at: Instant,
+    pub(super) tokens: u64,
+}
+
+impl Lot {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.ready_at <= now && now < self.void_at
+    }
+}
+
 /// Tokens in stock and the recent use of one account at this instance.
 #[derive(Debug, Default)]
 pub(super) struct Stock {
-    /// Tokens and when they are void.
-    pub(super) lots: VecDeque<(Instant, u64)>,
+    pub(super) lots: Vec<Lot>,
     /// The refusal that requests of at least its cost repeat.
     pub(super) refused: Option<RefusedCost>,
     /// Requests and tokens since the use was last counted.
@@ -26,7 +40,7 @@
 
 impl Stock {
     pub(super) fn drop_void(&mut self, now: Instant) {
-        self.lots.retain(|(void_at, _)| *void_at > now);
+        self.lots.retain(|lot| lot.void_at > now && lot.tokens > 0);
         self.refused = self.refused.filter(|refused| refused.until > now);
     }
 
@@ -39,8 +53,7 @@
     }
 
     pub(super) fn level(&self, now: Instant) -> u64 {
-        let usable = self.lots.iter().filter(|(void_at, _)| *void_at > now);
-        usable.map(|(_, tokens)| tokens).sum()
+        self.lots.iter().filter(|lot| lot.is_usable(now)).map(|lot| lot.tokens).sum()
     }
 
     pub(super) fn record_use(&mut self, cost: u64) {
@@ -54,16 +67,13 @@
         if self.lots.is_empty() || self.level(now) < cost {
             return None;
         }
-        let void_at = self.lots.iter().map(|(void_at, _)| *void_at).min()?;
+        let usable = || self.lots.iter().filter(|lot| lot.is_usable(now));
+        let void_at = usable().map(|lot| lot.void_at).min()?;
         let mut missing = cost;
-        while missing > 0 {
-            let (_, tokens) = self.lots.front_mut()?;
-            let taken = missing.min(*tokens);
-            *tokens -= taken;
+        for lot in self.lots.iter_mut().filter(|lot| lot.is_usable(now)) {
+            let taken = missing.min(lot.tokens);
+            lot.tokens -= taken;
             missing -= taken;
-            if *tokens == 0 {
-                self.lots.pop_front();
-            }
         }
         Some(void_at)
     }
