Quotas: a holder that does not know an account is asked again; granted tokens return

Callers of an account that the holder's configuration did not have yet, or no longer, were refused at once with a time to come back.

Tokens that a holder granted ahead were lost to the quota if the caller left while it waited for them. They now go into the stock of the instance, usable from when the bucket has them until they are void, so that the bound is the same: no token is used before its time, twice or after its life.

--- a/components/process/entry/src/process/quotas.rs
+++ b/components/process/entry/src/process/quotas.rs
@@ -137,6 +137,20 @@
     }
 }
 
+/// Puts back the tokens of a request whose caller leaves before they may be used.
+struct GrantGuard<'a> {
+    quotas: &'a Quotas,
+    used: Option<QuotaUse>,
+}
+
+impl Drop for GrantGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(used) = self.used.take() {
+            self.quotas.put_back(used);
+        }
+    }
+}
+
 /// Why a request gets no tokens.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct NoTokens {
@@ -177,7 +191,9 @@
         drop(guard);
         match verdict {
             Some(QuotaVerdict::Granted(used)) => {
+                let mut granted = GrantGuard { quotas, used: Some(used) };
                 quotas.sleep_until(used.ready_at).await;
+                granted.used = None;
                 let is_void = quotas.now() >= used.void_at;
                 if is_void {
                     Err(NoTokens { retry_at: Some(quotas.now()), level: None })
--- a/components/request/admission/src/quota/share.rs
+++ b/components/request/admission/src/quota/share.rs
@@ -19,6 +19,9 @@
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time for which a refusal of the holder is repeated without asking it again.
 const MAX_REFUSAL_REUSE: Duration = Duration::from_millis(250);
+/// Pause before a holder is asked again that does not know the account: its configuration may be older
+/// than that of this instance.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(40);
 /// Most wishes in one request.
 const MAX_ASKS: usize = 512;
 /// `Retry-After` of requests that no holder answered, or whose holder has too few shares: the next
@@ -32,6 +35,8 @@
     cost: u64,
     /// When the request gives up.
     latest: Instant,
+    /// Not before is the holder asked again; `None` if it may be asked at once.
+    ask_at: Option<Instant>,
 }
 
 /// A request to a holder without an answer.
@@ -161,7 +166,7 @@
     pub fn enqueue(&mut self, account: AccountKey, cost: u64, latest: Instant) -> Ticket {
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        self.waiting.push_back(Waiting { ticket, account, cost, latest });
+        self.waiting.push_back(Waiting { ticket, account, cost, latest, ask_at: None });
         ticket
     }
 
@@ -200,8 +205,13 @@
         if pledge.is_some() {
             self.tokens.end_standing();
         }
-        let count = self.waiting.len().min(MAX_ASKS);
-        let waiting: Vec<Waiting> = self.waiting.drain(..count).collect();
+        let is_due = |waiting: &Waiting| waiting.ask_at.is_none_or(|at| at <= now);
+        let (due, later): (VecDeque<Waiting>, _) = self.waiting.drain(..).partition(is_due);
+        let mut waiting = Vec::from(due);
+        self.waiting = later;
+        for rest in waiting.drain(waiting.len().min(MAX_ASKS)..).rev() {
+            self.waiting.push_front(rest);
+        }
         let mut asks: Vec<QuotaAsk> = waiting
             .iter()
             .map(|Waiting { account, cost, latest, .. }| {
@@ -258,6 +268,11 @@
         let stock_asks = &sent.req.asks[sent.waiting.len()..];
         let (answers, stock_answers) = grant.answers.split_at(sent.waiting.len());
         for (waiting, answer) in sent.waiting.iter().zip(answers) {
+            let ask_at = now + UNKNOWN_PAUSE;
+            if *answer == QuotaAnswer::Unknown && ask_at < waiting.latest {
+                unusable.push(Waiting { ask_at: Some(ask_at), ..*waiting });
+                continue;
+            }
             match self.apply_answer(waiting, *answer, sent.sent_at, now) {
                 Some(verdict) => verdicts.push((waiting.ticket, verdict)),
                 None => unusable.push(*waiting),
@@ -332,7 +347,11 @@
     }
 
     fn next_request_at(&self, to: InstanceKey, now: Instant) -> Instant {
-        let last_sent_at = self.last_sent_at.filter(|_| self.waiting.is_empty());
-        last_sent_at.map_or(now, |at| self.pledge.renewal_due(to, at, now))
+        let renewal = || self.last_sent_at.map_or(now, |at| self.pledge.renewal_due(to, at, now));
+        match self.waiting.iter().map(|waiting| waiting.ask_at).min() {
+            None => renewal(),
+            Some(None) => now,
+            Some(Some(ask_at)) => ask_at.min(renewal()).max(now),
+        }
     }
 }
--- a/components/request/admission/tests/quota.rs
+++ b/components/request/admission/tests/quota.rs
@@ -318,3 +318,44 @@
     share.put_back(used, now + ms(50));
     assert_eq!(share.stock(ACCOUNT, now + ms(100)), 0);
 }
+
+/// Guards against tokens that are lost with a caller that leaves while it waits for tokens granted
+/// ahead, and against tokens that are used before the bucket has them.
+#[test]
+fn tokens_granted_ahead_return_to_the_stock_when_they_are_ready() {
+    let now = Instant::now();
+    let mut share = QuotaShare::new(1, 1, now);
+    let (ready_at, void_at) = (now + ms(80), now + ms(500));
+    share.put_back(QuotaUse { account: ACCOUNT, cost: 500, ready_at, void_at }, now);
+    assert_eq!(share.stock(ACCOUNT, now + ms(79)), 0);
+    assert_eq!(share.stock(ACCOUNT, now + ms(80)), 500);
+    assert_eq!(share.stock(ACCOUNT, now + ms(500)), 0);
+}
+
+/// Guards against refusals of an account that the holder does not know for a moment, because its
+/// configuration is older than that of the instance.
+#[test]
+fn a_holder_that_does_not_know_an_account_yet_is_asked_again() {
+    let start = Instant::now();
+    let (mut share, mut pool) = (QuotaShare::new(1, 1, start), QuotaPool::new(9, start));
+    share.set_instances(1, &[2]);
+    let mut exchange = |share: &mut QuotaShare, at: Duration, known: bool| {
+        let Some((_, req)) = share.next_request(start + at) else { return Vec::new() };
+        let grant = pool.handle(&req, |_| known.then_some(LIMITS), 1, start + at).unwrap();
+        share.receive(&grant, start + at)
+    };
+    for at in (0..5_000).step_by(100) {
+        exchange(&mut share, ms(at), true);
+    }
+    let ticket = share.enqueue(ACCOUNT, 1, start + ms(5_250));
+    assert_eq!(exchange(&mut share, ms(5_000), false), []);
+    assert_eq!(exchange(&mut share, ms(5_020), false), [], "asked again at once");
+    assert_eq!(share.next_due(start + ms(5_020)), start + ms(5_040));
+    let verdicts = exchange(&mut share, ms(5_040), true);
+    assert!(
+        matches!(verdicts[..], [(known, QuotaVerdict::Granted(_))] if known == ticket),
+        "{verdicts:?}"
+    );
+    share.enqueue(ACCOUNT, 1, start + ms(5_130));
+    assert_eq!(exchange(&mut share, ms(5_100), false).len(), 1, "no time is left to ask again");
+}
