--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use admission::waiting::WaitingGroup;
 use replica_placement::{
     Demands, Source, StoreConcurrencyLimit, StoreRateLimiter, Term, UnloadTime,
 };
@@ -72,6 +73,8 @@
     pub(super) ready_at: HashMap<ModelName, Instant>,
     /// Requests that wait although a server has their model, for models with several of them.
     pub(super) queued: HashMap<ModelName, u32>,
+    /// The same by rank and client account.
+    pub(super) queued_groups: HashMap<ModelName, Vec<WaitingGroup>>,
     /// Models without a copy at any server that stays, by service, as logged last.
     pub(super) without_copy: HashMap<ServiceName, Box<[ModelName]>>,
     /// Servers whose holdings changed since the last update to all instances, and when.
@@ -116,6 +119,7 @@
             counted_arrivals: HashMap::new(),
             ready_at: HashMap::new(),
             queued: HashMap::new(),
+            queued_groups: HashMap::new(),
             without_copy: HashMap::new(),
             changed: HashMap::new(),
             sent_to_waiting: HashMap::new(),
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -201,6 +201,7 @@
     let now = Instant::now();
     leader.borrow_mut().ready_at.clear();
     leader.borrow_mut().queued.clear();
+    leader.borrow_mut().queued_groups.clear();
     for (service, engine) in deployment.engines() {
         let waiting = waiting_by_model(cx, service);
         let load_adapters = |hosts| {
@@ -220,6 +221,7 @@
     let ready_at = leader.borrow().ready_at.clone();
     *cx.ready_at.borrow_mut() = ready_at;
     (*cx.queued.borrow_mut()).clone_from(&leader.borrow().queued);
+    (*cx.queued_groups.borrow_mut()).clone_from(&leader.borrow().queued_groups);
     cx.servers_changed.notify_waiters();
 }
 
@@ -269,6 +271,13 @@
     }
     let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
     let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
+    // The order of accounts for places is used only where there are accounts.
+    for (model, _) in queued.iter().filter(|_| cx.has_accounts()) {
+        let demand = leader.demands.models.get(model);
+        if let Some(demand) = demand.filter(|demand| !demand.waiting_groups.is_empty()) {
+            leader.queued_groups.insert(model.clone(), demand.waiting_groups.clone());
+        }
+    }
     leader.queued.extend(queued);
     let limits = PlanLimits {
         max_store_loads: leader.store_concurrency.limit(),
