Messages between instances in a module of their own

A pure move: process/messages.rs has the messages and the keys in them; instances.rs keeps the state. Names in the process and on the wire are as before; tests only import from the new place.

--- a/components/process/entry/src/process/crashes.rs
+++ b/components/process/entry/src/process/crashes.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use server_directory::{Server, ServerId};
 
-use super::instances::{BanNotice, Message};
+use super::messages::{BanNotice, Message};
 use super::peers::PeerSocket;
 use super::{Entry, boot_now};
 use crate::connection::{ConnectError, Connection};
--- a/components/process/entry/src/process/instances/tests.rs
+++ b/components/process/entry/src/process/instances/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the way of the leader's messages. Pattern: hundreds of instances in several data
 //! centres.
 
+use admission::waiting::WaitingGroup;
 use proptest::prelude::*;
 
 use super::*;
+use crate::process::messages::Message;
 
 fn address(n: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (n / 200) as u8, (n % 200) as u8], 7_380))
--- a/components/process/entry/src/process/long_prompts.rs
+++ b/components/process/entry/src/process/long_prompts.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Entry;
-use super::instances::{Message, ServerKey, server_key};
+use super::messages::{Message, ServerKey, server_key};
 use super::peers::PeerSocket;
 
 /// Time over which an instance collects long prompts into one report to the leader.
--- a/components/process/entry/src/process/orders/lease.rs
+++ b/components/process/entry/src/process/orders/lease.rs
@@ -8,7 +8,7 @@
 use replica_placement::{Action, LeaseRecord};
 use serde::Deserialize;
 
-use crate::process::instances::Message;
+use crate::process::messages::Message;
 use crate::process::peers::PeerSocket;
 use crate::process::{Entry, boot_now};
 
--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -9,7 +9,7 @@
 use server_directory::ServerId;
 
 use super::leader::Leader;
-use crate::process::instances::{
+use crate::process::messages::{
     HoldingsPart, InFlightFigures, LeaderUpdate, Message, QueuedByAccount, ServerHoldings,
     ServerKey, SyncedRevision, server_key,
 };
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -12,7 +12,8 @@
 use server_directory::{ServerId, SteadyTime};
 use tokio::net::UdpSocket;
 
-use super::instances::{Delivery, LeaderUpdate, Message, PassOn, ServerHoldings, Status};
+use super::instances::Delivery;
+use super::messages::{LeaderUpdate, Message, PassOn, ServerHoldings, Status};
 use super::{Entry, Phase, boot_now};
 
 /// Interval between two status messages.
--- a/components/process/entry/src/process/quotas.rs
+++ b/components/process/entry/src/process/quotas.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::instances::Message;
+use super::messages::Message;
 use super::peers::PeerSocket;
 use super::{Entry, boot_now};
 
