No prefetch while servers still register

Cause: at the start of a deployment servers register one after the other within some seconds.

Change: models are prefetched, and told as without a copy, only if no new server has come up for 1 s. Loads for waiting requests do not wait for that.

Test: no_model_is_prefetched_while_servers_still_register failed before the change (order 'load m4' to a server without a copy).

--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -21,6 +21,10 @@
 /// the adapters of all places; later, a steady demand for others does not keep the server from moves.
 const ADAPTERS_FIRST: Duration = Duration::from_millis(500);
 
+/// Time without a new server after which all are taken to have registered. At the start of a
+/// deployment they register one after the other, within some seconds.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Number of orders that a server accepted, which the next order has to name.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AcceptedOrders {
@@ -64,6 +68,8 @@
     pub(super) last_order_at: HashMap<ServerId, Instant>,
     /// Servers that were queried for their holdings, with or without an answer.
     pub(super) queried: HashSet<ServerId>,
+    /// When the last new server was queried, or the term began.
+    pub(super) new_server_at: Instant,
     pub(super) adapters_used: HashMap<(ModelName, AdapterName), Instant>,
     pub(super) adapters_in_progress: HashSet<(ServiceName, ModelKey)>,
     /// Number of adapters by server that were ordered and are not known to be loaded yet.
@@ -113,6 +119,7 @@
             recent_loads: HashMap::new(),
             last_order_at: HashMap::new(),
             queried: HashSet::new(),
+            new_server_at: Instant::now(),
             adapters_used: HashMap::new(),
             adapters_in_progress: HashSet::new(),
             adapters_loading: HashMap::new(),
@@ -158,6 +165,18 @@
         self.loading.values().filter(|(source, _)| *source == Source::Store).count()
     }
 
+    /// Records that a server was queried for its holdings, with or without an answer.
+    pub(super) fn record_query(&mut self, server: &str, now: Instant) {
+        if self.queried.insert(server.into()) {
+            self.new_server_at = now;
+        }
+    }
+
+    /// Whether no new server has come up lately, so that a model without a copy has none indeed.
+    pub(super) fn are_servers_settled(&self, now: Instant) -> bool {
+        now >= self.new_server_at + SETTLE_TIME
+    }
+
     /// Whether the server was queried for its holdings. Plans do not wait for one that gave no
     /// answer.
     pub(super) fn has_been_queried(&self, server: &Server) -> bool {
--- a/components/process/entry/src/process/orders/order.rs
+++ b/components/process/entry/src/process/orders/order.rs
@@ -208,7 +208,7 @@
     // If the entry is removed and comes back meanwhile, `AcceptedOrders::is_of` rejects the result.
     let first_revision = cx.directory.borrow().get(server)?.first_revision;
     let report = fetch_report(cx, server).await;
-    leader.borrow_mut().queried.insert(server.into());
+    leader.borrow_mut().record_query(server, Instant::now());
     let Report { mut holdings, accepted_orders, is_busy } = report?;
     // A busy server is executing an order of a previous leader. What that order loads is not known,
     // so no plan may rely on this report.
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -281,7 +281,7 @@
     leader.queued.extend(queued);
     let limits = PlanLimits {
         max_store_loads: leader.store_concurrency.limit(),
-        is_prefetching: cx.settings.is_prefetching,
+        is_prefetching: cx.settings.is_prefetching && leader.are_servers_settled(now),
         is_inventory_complete: directory
             .servers()
             .filter(|server| &*server.entry.service == service)
@@ -290,7 +290,7 @@
     let banned = banned_models(cx, service, engine);
     let plan = plan(now, &views, &leader.demands, engine, &banned, limits);
     leader.ready_at.extend(plan.ready_at);
-    if let Some(models) = plan.without_copy {
+    if let Some(models) = plan.without_copy.filter(|_| leader.are_servers_settled(now)) {
         record_without_copy(cx, leader, service, models);
     }
     for planned in &plan.placements {
--- a/tests/platform_sessions/order_tests.rs
+++ b/tests/platform_sessions/order_tests.rs
@@ -80,6 +80,25 @@
     }
 }
 
+/// Guards against a weight store that loads a model ahead of requests although a server which
+/// registers a moment later has a copy: at the start, servers register over some seconds
+/// (karta-ph-grown: the first 13.2 s of the store went to such a model).
+#[tokio::test]
+async fn no_model_is_prefetched_while_servers_still_register() {
+    let mut first = engine("e1", &["m1"]);
+    first.models.retain(|model| model.name != "m4");
+    let mut cluster = TestCluster::new(vec![first, engine("e2", &["m2", "m3"])]).await;
+    cluster.store.delete("servers", "e2");
+    cluster.start_instance().await;
+    let has_read_report = || !cluster.instances[0].log_lines(&["orders: report read"]).is_empty();
+    assert!(wait_for(WAIT, has_read_report).await);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.store.put("servers", "e2", cluster.servers[1].entry(false));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let orders = cluster.servers[0].orders();
+    assert!(orders.iter().all(|order| order.command != "load m4"), "{orders:?}");
+}
+
 /// Guards against a model without any copy that no figure and no line tells the operators of.
 #[tokio::test]
 async fn models_without_a_copy_are_told_to_operators() {
