Copies at servers that cannot be reached count for the prefetch

Change: the plan knows which servers may return; their copies count for the prefetch and the metric. Models with waiting requests are loaded elsewhere as before.

Test: model_whose_last_copies_leave_is_prefetched, extended, fails without the change in models_without_copy (the third plan placed m9).

--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -333,6 +333,7 @@
             let health = cx.health.borrow().get(id).copied().unwrap_or_default();
             let is_paused = health.paused_until(now).is_some()
                 || leader.paused_until.get(id).is_some_and(|until| *until > now);
+            let is_going = server.entry.is_draining || server.grace_ends_at.is_some();
             ServerView {
                 id,
                 data_centre: &server.entry.data_centre,
@@ -349,9 +350,8 @@
                 pending_model: leader.orders_in_progress.get(id).cloned().flatten(),
                 pending_load: leader.loading.get(id).copied(),
                 slowness: cx.slowness(id),
-                is_leaving: server.entry.is_draining
-                    || server.grace_ends_at.is_some()
-                    || unreachable.contains(id),
+                is_leaving: is_going || unreachable.contains(id),
+                may_return: !is_going,
             }
         })
         .collect();
--- a/components/process/replica_placement/src/plan.rs
+++ b/components/process/replica_placement/src/plan.rs
@@ -76,8 +76,10 @@
     pub pending_load: Option<(Source, Instant)>,
     /// Factor by which it is slower than usual; 1 if it is not slow.
     pub slowness: f64,
-    /// Whether the server is about to leave, so that nothing is loaded on it.
+    /// Whether the server is about to leave or cannot be reached, so that nothing is loaded on it.
     pub is_leaving: bool,
+    /// Whether it only cannot be reached, and may come back with its copies.
+    pub may_return: bool,
 }
 
 /// Source of the weights for a load.
@@ -290,9 +292,10 @@
 }
 
 /// Models that only the weight store has, also while they are loaded from there, in the order of
-/// their names. Copies at servers that leave are lost soon.
+/// their names. Copies at servers that leave are lost soon. Those at servers that cannot be reached
+/// may be back before a load from the weight store would end.
 fn models_without_copy<'a>(planner: &Planner<'a>) -> Vec<&'a Model> {
-    let staying = planner.servers.iter().filter(|server| !server.is_leaving);
+    let staying = planner.servers.iter().filter(|server| !server.is_leaving || server.may_return);
     let copies = staying.flat_map(|server| {
         let holdings = server.holdings;
         holdings.models.keys().chain(&holdings.on_disk).chain(&holdings.in_memory)
--- a/components/process/replica_placement/src/plan_tests.rs
+++ b/components/process/replica_placement/src/plan_tests.rs
@@ -53,6 +53,7 @@
         pending_load: None,
         slowness: 1.0,
         is_leaving: false,
+        may_return: false,
     }
 }
 
@@ -213,6 +214,10 @@
     let second = plan(now, &servers, &no_demand, &engine(), &NO_BANS, LIMITS);
     let prefetched: Vec<_> = second.placements.iter().map(|m| (&*m.server, &*m.load)).collect();
     assert_eq!(prefetched, [("a", "m9")], "{second:?}");
+    // A server that cannot be reached may be back earlier (a data centre that is cut off for 6 s).
+    servers[1].may_return = true;
+    let third = plan(now, &servers, &no_demand, &engine(), &NO_BANS, LIMITS);
+    assert!(third.placements.is_empty(), "{third:?}");
 }
 
 /// Guards against a weight store that loads models without a copy in the order of their names, while
--- a/components/process/replica_placement/src/waiting_loss_tests.rs
+++ b/components/process/replica_placement/src/waiting_loss_tests.rs
@@ -58,6 +58,7 @@
         pending_load: None,
         slowness: 1.0,
         is_leaving: false,
+        may_return: false,
     }
 }
 
