Soak: client accounts with keys that come and go, a hot one and a moving quota

The soak knew no accounts, so nothing played keys and quotas beside the other faults.

Checked besides the former promises: the unknown key never runs and gets 401 after the faults; the hot account is never denied; what it lets through stays within the largest of its quotas in any 1, 3 and 9 s, within the last one after the faults, and is then at least half of it; the guest is served or denied after the faults as the last configuration says; a 429 has not run. Without the flag a seed gives the same plan and configuration as before.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,7 @@
 //! checks the system's guarantees from what callers and servers see. A seed always gives the same
 //! fault plan.
 
+mod accounts;
 mod checks;
 mod plan;
 mod proxy;
@@ -11,7 +12,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 
 fn command() -> Command {
     Command::new("soak")
@@ -48,6 +49,12 @@
                 .value_parser(value_parser!(u16).range(2..=200))
                 .help("Number of entry processes"),
         )
+        .arg(
+            Arg::new("accounts")
+                .long("accounts")
+                .action(ArgAction::SetTrue)
+                .help("Gives callers keys; adds a hot account, keys that come and go, and quotas"),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
@@ -79,9 +86,11 @@
             return ExitCode::FAILURE;
         }
     };
+    let has_accounts = matches.get_flag("accounts");
     let mut failed = 0;
     for seed in number("seed")..number("seed") + number("seeds") {
-        let report = runtime.block_on(run::run(&binary, seed, fault_duration, instances));
+        let run = run::run(&binary, seed, fault_duration, instances, has_accounts);
+        let report = runtime.block_on(run);
         println!("{report}");
         failed += u64::from(!report.violations.is_empty());
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -13,6 +13,7 @@
 };
 use rustix::process::Signal;
 
+use crate::accounts::{self, Accounts, GUEST_KEY, HOT_KEY, KeyRecord, STEADY_KEYS, UNKNOWN_KEY};
 use crate::checks::{RequestRecord, violations};
 use crate::plan::{Event, Kind, plan};
 use crate::proxy::{Mode, Proxy};
@@ -83,6 +84,8 @@
     /// For each instance, how many faults have begun and how many have ended.
     instance_faults: Vec<(AtomicU64, AtomicU64)>,
     version: AtomicU64,
+    /// Client accounts, if the run has any.
+    accounts: Option<Accounts>,
 }
 
 fn engine(id: &str, loaded: &[&'static str]) -> ServerConfig {
@@ -101,15 +104,29 @@
     }
 }
 
+fn full_configuration(version: u64, accounts: Option<&Accounts>) -> serde_json::Value {
+    let plain = configuration(version, ROUTES, MODELS);
+    match accounts {
+        Some(accounts) => accounts.add_to(plain),
+        None => plain,
+    }
+}
+
 impl Deployment {
     /// Starts a store, the servers and `count` instances of `binary`, and registers the servers.
     /// Instances reach the store and the servers through proxies that can inject faults. Settings
     /// and logs of the instances are written to `dir`; their loopback addresses depend on the id of
     /// this process and `seed`. Does not wait until the instances are ready; see
     /// [`Deployment::wait_until_ready`].
-    async fn start(binary: &Path, dir: &Path, seed: u64, count: u16) -> std::io::Result<Self> {
+    async fn start(
+        binary: &Path,
+        dir: &Path,
+        seed: u64,
+        count: u16,
+        accounts: Option<Accounts>,
+    ) -> std::io::Result<Self> {
         let store = Store::start().await;
-        store.put("config", "main", configuration(3, ROUTES, MODELS));
+        store.put("config", "main", full_configuration(3, accounts.as_ref()));
         let mut configs = vec![
             engine("e1", &["m1", "m2"]),
             engine("e2", &["m2", "m3"]),
@@ -145,6 +162,7 @@
             instances,
             instance_faults,
             version,
+            accounts,
         })
     }
 
@@ -234,10 +252,21 @@
                 self.with_instance(index, Instance::restart);
                 self.end_fault(index).await;
             }
-            Kind::Configuration => {
-                let version = self.version.fetch_add(2, Ordering::Relaxed) + 2;
-                self.store.put("config", "main", configuration(version, ROUTES, MODELS));
-            }
+            Kind::Configuration => self.publish_configuration(),
+        }
+    }
+
+    fn publish_configuration(&self) {
+        let version = self.version.fetch_add(2, Ordering::Relaxed) + 2;
+        self.store.put("config", "main", full_configuration(version, self.accounts.as_ref()));
+    }
+
+    /// Waits for the time of a change of the accounts and publishes it.
+    async fn change_accounts(&self, at: Duration, change: accounts::Change, started_at: Instant) {
+        tokio::time::sleep_until((started_at + at).into()).await;
+        if let Some(accounts) = &self.accounts {
+            accounts.apply(change);
+            self.publish_configuration();
         }
     }
 
@@ -303,6 +332,7 @@
             model: is_stream.then_some(model),
             body: (kind != RouteKind::Idempotent).then_some("{}"),
             timeout: Duration::from_secs(6),
+            key: deployment.accounts.is_some().then_some(STEADY_KEYS[caller_id as usize % 3]),
             ..Call::new(&id, path)
         };
         let to = {
@@ -321,12 +351,48 @@
     }
 }
 
+/// Sends requests with one key, each after the pause.
+async fn run_key(
+    deployment: Arc<Deployment>,
+    key: &'static str,
+    caller_id: usize,
+    pause: Duration,
+    records: Arc<Mutex<Vec<KeyRecord>>>,
+    (is_over, has_recovered): (Arc<AtomicBool>, Arc<AtomicBool>),
+) {
+    let caller = Caller::default();
+    let mut n = caller_id;
+    while !is_over.load(Ordering::Relaxed) {
+        n += 1;
+        let index = n % deployment.instances.len();
+        let id = format!("{key}-{caller_id}n{n}");
+        let call = Call { key: Some(key), ..Call::new(&id, "/read/x") };
+        let to = {
+            let instance = &deployment.instances[index];
+            instance.lock().unwrap_or_else(PoisonError::into_inner).addresses.callers
+        };
+        let is_after_faults = has_recovered.load(Ordering::SeqCst);
+        let sent_at = Instant::now();
+        let outcome = caller.call(to, &call).await;
+        let ended_at = Instant::now();
+        let record = KeyRecord { id, key, sent_at, ended_at, outcome, is_after_faults };
+        records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Number of callers of the hot account. Together they ask for more than any of its quotas.
+const HOT_CALLERS: usize = 6;
+/// Pause between two requests of the hot account's callers, and of those with other keys.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(120));
+
 /// Runs the fault plan of one seed.
 pub(crate) async fn run(
     binary: &Path,
     seed: u64,
     fault_duration: Duration,
     instances: u16,
+    has_accounts: bool,
 ) -> Report {
     let logs = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     let mut report = Report {
@@ -337,7 +403,10 @@
         logs: logs.clone(),
     };
     let deployment = match std::fs::create_dir_all(&logs) {
-        Ok(()) => Deployment::start(binary, &logs, seed, instances).await,
+        Ok(()) => {
+            let accounts = has_accounts.then(Accounts::default);
+            Deployment::start(binary, &logs, seed, instances, accounts).await
+        }
         Err(error) => Err(error),
     };
     let deployment = match deployment {
@@ -354,7 +423,7 @@
     let requests = Arc::new(Mutex::new(Vec::new()));
     let (is_over, has_recovered) =
         (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let callers: Vec<_> = (0..CALLER_COUNT)
+    let mut callers: Vec<_> = (0..CALLER_COUNT)
         .map(|n| {
             tokio::spawn(run_caller(
                 deployment.clone(),
@@ -365,6 +434,15 @@
             ))
         })
         .collect();
+    let records = Arc::new(Mutex::new(Vec::new()));
+    if has_accounts {
+        let hot = (0..HOT_CALLERS).map(|n| (HOT_KEY, n, PAUSES.0));
+        let others = [GUEST_KEY, UNKNOWN_KEY].map(|key| (key, 0, PAUSES.1));
+        callers.extend(hot.chain(others).map(|(key, n, pause)| {
+            let flags = (is_over.clone(), has_recovered.clone());
+            tokio::spawn(run_key(deployment.clone(), key, n, pause, records.clone(), flags))
+        }));
+    }
     let memory = tokio::spawn(watch_memory(deployment.clone(), is_over.clone()));
     let started_at = Instant::now();
     let events = plan(seed, fault_duration, deployment.servers.len(), deployment.instances.len());
@@ -376,6 +454,13 @@
         let deployment = deployment.clone();
         faults.spawn(async move { deployment.inject(event, started_at).await });
     }
+    if has_accounts {
+        for (at, change) in accounts::changes(seed, fault_duration) {
+            *report.injected.entry(format!("Accounts{change:?}")).or_default() += 1;
+            let deployment = deployment.clone();
+            faults.spawn(async move { deployment.change_accounts(at, change, started_at).await });
+        }
+    }
     while faults.join_next().await.is_some() {}
     for server in 0..deployment.servers.len() {
         deployment.servers[server].set_fault(Fault::None);
@@ -400,6 +485,14 @@
         *report.outcomes.entry(format!("{:?}:{status}", request.kind)).or_default() += 1;
     }
     report.violations.extend(violations(&requests, &deployment.servers));
+    if let Some(accounts) = &deployment.accounts {
+        let records = records.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for record in &records {
+            let status = record.outcome.status.map_or("none".into(), |s| s.to_string());
+            *report.outcomes.entry(format!("{}:{status}", record.key)).or_default() += 1;
+        }
+        report.violations.extend(accounts::violations(accounts, &records, &deployment.servers));
+    }
     if report.violations.is_empty() {
         // Only a violation needs the logs; a directory that cannot be removed does no harm.
         let _ = std::fs::remove_dir_all(&logs);
