--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -43,7 +43,7 @@
 use log_limit::LogLimit;
 use long_prompts::LongPrompts;
 pub(crate) use long_prompts::UnreadPrompt;
-pub(crate) use place_queues::{PlaceQueues, WaitingPlace, takes_place};
+pub(crate) use place_queues::{PlaceQueues, WaitingPlace, queue_of, takes_place};
 pub(crate) use quotas::Quotas;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
--- a/components/process/entry/src/process/place_queues.rs
+++ b/components/process/entry/src/process/place_queues.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use admission::waiting::turn_probability;
+use admission::waiting::{WaitingGroup, turn_probability};
 use admission::{PlaceQueue, PlaceTicket};
 use rand::Rng;
 use routes::{ModelName, ServiceName};
@@ -128,3 +128,25 @@
     }
     look.takes_place
 }
+
+/// What is known of the queue in which a request waits, for its trace; `None` where the configuration
+/// has no client accounts.
+pub(crate) fn queue_of(cx: &Entry, job: &Job) -> Option<Box<str>> {
+    if !cx.has_accounts() {
+        return None;
+    }
+    let groups = cx.queued_groups.borrow();
+    let groups = groups.get(&job.prompt()?.model).map_or(&[][..], Vec::as_slice);
+    let sum = |is_counted: &dyn Fn(&WaitingGroup) -> bool| {
+        groups.iter().filter(|group| is_counted(group)).map(|group| group.count).sum::<u32>()
+    };
+    let (rank, tag) = (job.rank(), job.caller.name().map(account_tag));
+    let more_urgent = sum(&|group| group.rank < rank);
+    let of_rank = sum(&|group| group.rank == rank);
+    let own = sum(&|group| group.rank == rank && group.account == tag && tag.is_some());
+    let queue = format!(
+        "waits for a place: {more_urgent} requests of more urgent ranks queued at all instances, \
+         {of_rank} of its rank, {own} of these of its account"
+    );
+    Some(queue.into())
+}
--- a/components/process/entry/src/request/wait.rs
+++ b/components/process/entry/src/request/wait.rs
@@ -8,7 +8,7 @@
 use super::Job;
 use super::failure::{Failure, RETRY_AFTER_JITTER};
 use super::select::{SelectResult, Selection, has_model, try_select};
-use crate::process::{Entry, Phase, WaitingRequest};
+use crate::process::{Entry, Phase, WaitingRequest, queue_of};
 
 /// Least time in which a server can respond: a round trip and the first step of the engine.
 const MIN_RESPONSE_TIME: Duration = Duration::from_millis(60);
@@ -125,6 +125,11 @@
                     if self.waiting.is_none() {
                         self.waiting = WaitingRequest::for_job(cx, job);
                     }
+                    if self.queue_wait_ends.is_none()
+                        && let Some(queue) = queue_of(cx, job)
+                    {
+                        job.trace.record(queue);
+                    }
                     self.queue_wait(job, now)?
                 }
                 SelectResult::Suspected(until) => until,
