Groups before the update that lets requests draw; accounts are forgotten

The leader's update wakes the waiting requests of an instance, which then draw lots by the groups that they know. `QueuedByAccount` came after it, so the lots were drawn by groups of 0.2 s before. It is sent first now.

The order of an instance remembered each account that ever waited for a model for as long as some request always waits. From 1,024 accounts on, those without a waiting request are forgotten.

--- a/components/process/entry/src/process/orders/publish.rs
+++ b/components/process/entry/src/process/orders/publish.rs
@@ -62,8 +62,7 @@
         cx.instances.borrow().delivery(&cx.settings.data_centre, leader.publish_count, now);
     let mut published: Vec<ServerId> = published.into_iter().collect();
     let rest = published.split_off(published.len().min(MAX_HOLDINGS));
-    let message = leader_update(cx, leader, published, Some(figures), lease);
-    socket.deliver(&message, &delivery);
+    // Before the update, which makes the waiting requests draw their lots.
     if !leader.queued_groups.is_empty() {
         let queued = leader.queued_groups.iter().take(MAX_QUEUED_MODELS);
         let queues = QueuedByAccount {
@@ -74,6 +73,8 @@
         };
         socket.deliver(&Message::QueuedByAccount(queues), &delivery);
     }
+    let message = leader_update(cx, leader, published, Some(figures), lease);
+    socket.deliver(&message, &delivery);
     for servers in rest.chunks(MAX_HOLDINGS) {
         let part = HoldingsPart {
             from: cx.settings.name.clone(),
--- a/components/request/admission/src/fair_queue.rs
+++ b/components/request/admission/src/fair_queue.rs
@@ -49,6 +49,17 @@
         self.active.is_empty()
     }
 
+    /// Forgets client accounts without queued requests. Those that were served last may then be
+    /// served once more before their turn.
+    pub(crate) fn forget_idle(&mut self) {
+        self.flows.retain(|_, flow| !flow.requests.is_empty());
+    }
+
+    /// Number of client accounts that are remembered.
+    pub(crate) fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
     pub(crate) fn push(&mut self, account: A, request: K) {
         let flow = self.flows.entry(account).or_default();
         if flow.requests.is_empty() {
--- a/components/request/admission/src/places.rs
+++ b/components/request/admission/src/places.rs
@@ -13,6 +13,9 @@
 /// How long a place that was won is kept for the first request, which is woken to take it.
 const OFFER_TERM: Duration = Duration::from_millis(40);
 
+/// Least number of remembered accounts at which idle ones are forgotten.
+const MIN_FORGET: usize = 1_024;
+
 /// Number of a waiting request; unique within its queue.
 pub type PlaceTicket = u64;
 
@@ -51,9 +54,16 @@
     /// Request for which a place is kept.
     offered_to: Option<PlaceTicket>,
     last_ticket: PlaceTicket,
+    /// Remembered accounts of a rank from which on idle ones are forgotten.
+    forget_at: usize,
 }
 
 impl PlaceQueue {
+    /// Number of accounts that the order remembers, those without a waiting request included.
+    pub fn remembered_accounts(&self) -> usize {
+        self.order.values().map(FairQueue::flows).sum()
+    }
+
     /// Whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
@@ -64,7 +74,12 @@
         self.last_ticket += 1;
         let ticket = self.last_ticket;
         let lot = (lot, ticket);
-        self.order.entry(rank).or_default().push(account, lot);
+        let queue = self.order.entry(rank).or_default();
+        if queue.flows() >= self.forget_at {
+            queue.forget_idle();
+            self.forget_at = MIN_FORGET.max(queue.flows() * 2);
+        }
+        queue.push(account, lot);
         let waiter = Waiter { rank, account, lot, drawn_until: None, is_in_order: true };
         self.waiting.insert(ticket, waiter);
         ticket
--- a/components/request/admission/tests/places.rs
+++ b/components/request/admission/tests/places.rs
@@ -75,6 +75,21 @@
     assert!(queue.look(tickets[2], true, now, now + LOT_TERM, || false).takes_place);
 }
 
+/// Guards against memory that grows with every account that ever waited, while some request always
+/// waits (load: 10,000 accounts in turn).
+#[test]
+fn accounts_that_wait_no_more_are_forgotten() {
+    let (mut queue, now) = (PlaceQueue::default(), Instant::now());
+    queue.join(1, Some(u32::MAX), u32::MAX);
+    for account in 0..10_000 {
+        let ticket = queue.join(1, Some(account), 0);
+        take_one(&mut queue, ticket, now + LOT_TERM * account);
+        queue.leave(ticket, now);
+        queue.join(1, Some(u32::MAX), u32::MAX);
+    }
+    assert!(queue.remembered_accounts() <= 2_048, "{}", queue.remembered_accounts());
+}
+
 fn group(rank: u8, account: AccountTag, count: u32) -> WaitingGroup {
     WaitingGroup { rank, account: Some(account), accounts: 1, count }
 }
