--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -44,7 +44,7 @@
 use long_prompts::LongPrompts;
 pub(crate) use long_prompts::UnreadPrompt;
 use messages::{ServerKey, server_key};
-pub(crate) use place_queues::{PlaceQueues, WaitingPlace, takes_place};
+pub(crate) use place_queues::{PlaceQueues, WaitingPlace, queue_of, takes_place};
 pub(crate) use quotas::Quotas;
 pub(crate) use request_counts::{InFlight, ModelKey, RequestCounts};
 pub use run::{Error, run};
