Review of the loads: store time, leader change, adapters of the loaded model

Found by the review of part loads and fair-queue; callers saw none of it yet. - The share of a load's time at the weight store also decided where a configuration has one rank and no accounts, and one model without a load time made the precedence of all others zero, so that names decided. It counts only where requests are told apart, and leaves such a model out. Both new tests failed on the code before. - QueuedByAccount may be the first message of a new leader; the change was then neither logged nor answered with a status. It is noticed in receive_lease. - Adapters went first after a failed move and for every model of the server; now after a load that succeeded, for its model. - Ranks of accounts were visited for each route when a configuration is decoded.

--- a/components/process/entry/src/process/orders/adapters.rs
+++ b/components/process/entry/src/process/orders/adapters.rs
@@ -24,8 +24,8 @@
 /// Servers on which an adapter may be loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AdapterHosts {
-    /// Only servers whose last load ended just now. They load the adapters that requests wait for
-    /// before their next move, which would keep these requests waiting for seconds.
+    /// Only servers that loaded the adapter's model just now. They load the adapters that requests
+    /// wait for before their next move, which would keep these requests waiting for seconds.
     JustLoaded,
     All,
 }
@@ -54,8 +54,9 @@
         let directory = cx.directory.borrow();
         let state = leader.borrow();
         let views = server_views(cx, &state, &directory, service, now);
-        let is_host =
-            |server: &str| hosts == AdapterHosts::All || state.has_just_loaded(server, now);
+        let is_host = |server: &str| {
+            hosts == AdapterHosts::All || state.has_just_loaded(server, &key.model, now)
+        };
         let mut hosts_of_model = directory
             .servers()
             .filter(|server| server.entry.holdings.models.contains_key(&key.model));
--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -56,8 +56,8 @@
     pub(super) orders_in_progress: HashMap<ServerId, Option<ModelName>>,
     /// Loads in progress: source and expected end.
     pub(super) loading: HashMap<ServerId, (Source, Instant)>,
-    /// When the last load of each server ended.
-    pub(super) loaded_at: HashMap<ServerId, Instant>,
+    /// The last model that each server loaded, and when the load ended.
+    pub(super) last_loads: HashMap<ServerId, (ModelName, Instant)>,
     /// Servers that get no orders before the given time.
     pub(super) paused_until: HashMap<ServerId, Instant>,
     /// Accepted orders of the servers that reported their holdings.
@@ -113,7 +113,7 @@
             demands: Demands::default(),
             orders_in_progress: HashMap::new(),
             loading: HashMap::new(),
-            loaded_at: HashMap::new(),
+            last_loads: HashMap::new(),
             paused_until: HashMap::new(),
             accepted_orders: HashMap::new(),
             recent_loads: HashMap::new(),
@@ -155,9 +155,10 @@
         cx.leader_lease.borrow().term(boot_now()) == Some(self.term)
     }
 
-    /// Whether a load of the server ended just now.
-    pub(super) fn has_just_loaded(&self, server: &str, now: Instant) -> bool {
-        self.loaded_at.get(server).is_some_and(|at| now < *at + ADAPTERS_FIRST)
+    /// Whether the server has loaded the model just now.
+    pub(super) fn has_just_loaded(&self, server: &str, model: &str, now: Instant) -> bool {
+        let last = self.last_loads.get(server);
+        last.is_some_and(|(loaded, at)| **loaded == *model && now < *at + ADAPTERS_FIRST)
     }
 
     /// Number of loads from the weight store that are planned or in progress.
--- a/components/process/entry/src/process/orders/moves.rs
+++ b/components/process/entry/src/process/orders/moves.rs
@@ -50,7 +50,9 @@
         invalidate_holdings(&cx, &leader, &server);
     }
     let mut state = leader.borrow_mut();
-    state.loaded_at.insert(server.clone(), Instant::now());
+    if is_done {
+        state.last_loads.insert(server.clone(), (planned.load.clone(), Instant::now()));
+    }
     state.orders_in_progress.remove(&server);
     state.loading.remove(&server);
     drop(state);
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -267,7 +267,8 @@
         leader.demands.models.entry(model).or_default().waiting_groups = groups;
     }
     if let Some(deployment) = &*cx.deployment.borrow() {
-        leader.demands.weigh_waiting(deployment.engine_waits());
+        let waits = cx.has_waiting_groups().then(|| deployment.engine_waits());
+        leader.demands.weigh_waiting(waits);
     }
     let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
     let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -280,7 +280,16 @@
 fn receive_lease(cx: &Entry, from: &str, lease: HeldLease, sent_at: BootTime) -> Option<Duration> {
     let now = boot_now();
     let (lease, delay) = cx.instances.borrow_mut().correct_delay(lease, sent_at, now)?;
-    cx.leader_lease.borrow_mut().receive_lease(from, lease, now).then_some(delay)
+    let former = cx.leader_lease.borrow().holder().map(Box::<str>::from);
+    if !cx.leader_lease.borrow_mut().receive_lease(from, lease, now) {
+        return None;
+    }
+    if former.as_deref() != Some(from) {
+        tracing::info!(holder = %from, fence = lease.fence, "peers: leader changed");
+        // The new leader does not know the waiting requests of this instance yet.
+        cx.waiting_changed.notify_one();
+    }
+    Some(delay)
 }
 
 fn observe_holdings(cx: &Entry, published: Vec<ServerHoldings>) {
@@ -299,14 +308,8 @@
 }
 
 fn receive_leader_update(cx: &Entry, update: LeaderUpdate) {
-    let former = cx.leader_lease.borrow().holder().map(Box::<str>::from);
     let delay = receive_lease(cx, &update.from, update.lease, update.sent_at);
     let Some(delay) = delay else { return };
-    if former.as_ref() != Some(&update.from) {
-        tracing::info!(holder = %update.from, fence = update.lease.fence, "peers: leader changed");
-        // The new leader does not know the waiting requests of this instance yet.
-        cx.waiting_changed.notify_one();
-    }
     let now = Instant::now();
     let sent_at = now.checked_sub(delay).unwrap_or(now);
     {
--- a/components/process/replica_placement/src/demand.rs
+++ b/components/process/replica_placement/src/demand.rs
@@ -65,6 +65,8 @@
     /// Demand for each model that was ever requested.
     pub models: HashMap<ModelName, Demand>,
     weights: WaitingWeights,
+    /// Whether the configuration has client accounts or several ranks.
+    are_weighed: bool,
 }
 
 impl Demands {
@@ -74,8 +76,14 @@
     }
 
     /// Weighs the `waiting_groups` of all models against each other, after these were set.
-    /// `longest_waits` is how long a request may wait at most, by rank.
-    pub fn weigh_waiting(&mut self, longest_waits: &BTreeMap<Rank, Duration>) {
+    /// `longest_waits` is how long a request may wait at most, by rank; `None` if the configuration
+    /// has neither client accounts nor several ranks.
+    pub fn weigh_waiting(&mut self, longest_waits: Option<&BTreeMap<Rank, Duration>>) {
+        self.are_weighed = longest_waits.is_some();
+        let Some(longest_waits) = longest_waits else {
+            self.weights = WaitingWeights::default();
+            return;
+        };
         let groups = self.models.values().flat_map(|demand| &demand.waiting_groups);
         self.weights = WaitingWeights::new(groups);
         for demand in self.models.values_mut() {
@@ -86,6 +94,11 @@
         }
     }
 
+    /// Whether requests are told apart by rank or account, so that what their callers lose decides.
+    pub(crate) fn are_weighed(&self) -> bool {
+        self.are_weighed
+    }
+
     /// Weight of a request for a model, compared with one of the most urgent rank that waits; 1 if
     /// the rank of its requests is not known.
     pub(crate) fn weight(&self, model: &str) -> f64 {
--- a/components/process/replica_placement/src/plan.rs
+++ b/components/process/replica_placement/src/plan.rs
@@ -159,9 +159,13 @@
     nearest.map(|server| nearest_source(server.holdings, model)).min().unwrap_or(Source::Store)
 }
 
-/// Shortest time of a load from the weight store, as a fraction of the time of this model's.
+/// Shortest time of a load from the weight store, as a fraction of the time of this model's; 1 for a
+/// model whose load takes no time.
 fn store_share(least_store_time: Duration, model: &Model) -> f64 {
-    least_store_time.as_secs_f64() / model.store_load_time.as_secs_f64().max(f64::MIN_POSITIVE)
+    match model.store_load_time {
+        Duration::ZERO => 1.0,
+        time => least_store_time.as_secs_f64() / time.as_secs_f64(),
+    }
 }
 
 /// Plans the next placements of one service. `engine` describes all models; those in `banned` are
@@ -206,8 +210,8 @@
     };
     let mut plan = Plan::default();
 
-    let least_store_time =
-        engine.models.values().map(|model| model.store_load_time).min().unwrap_or_default();
+    let store_times = engine.models.values().map(|model| model.store_load_time);
+    let least_store_time = store_times.filter(|time| !time.is_zero()).min().unwrap_or_default();
 
     // Models with too few replicas, highest precedence first.
     let mut under_replicated: Vec<UnderReplicated<'_>> = engine
@@ -228,7 +232,9 @@
             let score = spared + arriving * RELOAD_DELAY_SECONDS;
             let score = if is_missing { score + MISSING_MODEL_SCORE } else { score };
             let precedence = match source {
-                Source::Store => score * store_share(least_store_time, model),
+                Source::Store if demands.are_weighed() => {
+                    score * store_share(least_store_time, model)
+                }
                 _ => score,
             };
             Some(UnderReplicated { score, precedence, model, is_missing })
--- a/components/process/replica_placement/src/waiting_loss_tests.rs
+++ b/components/process/replica_placement/src/waiting_loss_tests.rs
@@ -71,7 +71,7 @@
     let demand = demands.models.entry(model.into()).or_default();
     demand.waiting_groups = groups.into_iter().collect();
     demand.waiting = demand.waiting_groups.iter().map(|group| group.count).sum();
-    demands.weigh_waiting(&LONGEST_WAITS.into());
+    demands.weigh_waiting(Some(&LONGEST_WAITS.into()));
 }
 
 /// Plans for two empty servers.
@@ -198,3 +198,28 @@
     let plan = plan(now, &servers, &demands, &engine(), &NO_BANS, LIMITS);
     assert_eq!(plan.placements[0].unload, [ModelName::from("m2")], "{plan:?}");
 }
+
+/// Guards against load times that change the order where a configuration has one rank and no accounts.
+#[test]
+fn place_at_the_weight_store_goes_by_count_without_ranks_and_accounts() {
+    let mut engine = engine();
+    engine.models.get_mut("m1").unwrap().store_load_time = Duration::from_secs(14);
+    let mut demands = Demands::default();
+    for (model, count) in [("m1", 5), ("m2", 3)] {
+        demands.models.entry(model.into()).or_default().waiting = count;
+    }
+    demands.weigh_waiting(None);
+    assert_eq!(loaded(&demands, &engine), ["m1".into()]);
+}
+
+/// Guards against a model without a load time, which made every other load worth nothing, so that the
+/// names decided.
+#[test]
+fn model_without_a_load_time_leaves_the_order_of_the_others() {
+    let mut engine = engine();
+    engine.models.get_mut("m0").unwrap().store_load_time = Duration::ZERO;
+    let mut demands = Demands::default();
+    add(&mut demands, "m1", [group(0, None, 3)]);
+    add(&mut demands, "m2", [group(0, None, 5)]);
+    assert_eq!(loaded(&demands, &engine), ["m2".into()]);
+}
--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request uses the version under which it was admitted for its whole duration: it holds an `Rc`
 //! of its [`Deployment`].
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -224,10 +224,11 @@
         let engine_routes = by_host.values().flatten();
         let engine_routes = engine_routes.filter(|route| route.targets.iter().any(is_engine));
         let mut engine_waits: BTreeMap<u8, Duration> = BTreeMap::new();
+        // An account with a rank of its own may use any route.
+        let of_accounts: BTreeSet<u8> =
+            accounts.iter().filter_map(|account| account.rank).collect();
         for route in engine_routes {
-            // An account with a rank of its own may use any route.
-            let of_accounts = accounts.iter().filter_map(|account| account.rank);
-            for rank in of_accounts.chain([route.priority]) {
+            for rank in of_accounts.iter().copied().chain([route.priority]) {
                 let longest = engine_waits.entry(rank).or_default();
                 *longest = route.timeout.max(*longest);
             }
