Long prompts: one sum by server, and one choice for each selection

What was seen: each selection looked through all unread prompts for each candidate, and chose a second time without the forecast whenever a candidate reads, only for the metric reading_servers_avoided.

Cause: the prompts were kept by sender only, and the choice did not tell what it would have been without them.

Change: the sums by server are kept until a prompt is sent, read, heard of or too old. choose_server tells in one pass over the candidates whether it avoids a server that reads, and whether the choice is the one of the affinity, which was computed twice as well. Choices are as before.

Tests: sums_follow_each_change fails without the reset at the end of a prompt, a_reading_server_is_avoided_if_it_would_have_been_chosen (against the choice at the same draw with nothing to read) fails if the flag is wrong; both were seen to fail so. No time was measured.

--- a/components/process/entry/src/process/long_prompts.rs
+++ b/components/process/entry/src/process/long_prompts.rs
@@ -62,6 +62,40 @@
     prompts: Vec<PublishedPrompt>,
 }
 
+/// Time in which each server, if it does nothing else, reads its long prompts that have no first
+/// event yet.
+#[derive(Debug, Default)]
+pub(crate) struct UnreadTimes {
+    by_server: HashMap<ServerKey, Duration>,
+    /// When the first prompt of another instance stops counting.
+    valid_until: Option<Instant>,
+}
+
+impl UnreadTimes {
+    /// Sums the prompts of this instance and those of others that still count.
+    fn sum<'a>(
+        own: impl Iterator<Item = &'a SentPrompt>,
+        elsewhere: impl Iterator<Item = &'a SentPrompt> + Clone,
+        now: Instant,
+    ) -> Self {
+        let mut unread = Self::default();
+        let recent = elsewhere.filter(|prompt| now < prompt.sent_at + MAX_AGE);
+        for prompt in own.chain(recent.clone()) {
+            *unread.by_server.entry(prompt.server).or_default() += prompt.read_time;
+        }
+        unread.valid_until = recent.map(|prompt| prompt.sent_at + MAX_AGE).min();
+        unread
+    }
+
+    /// The time of one server.
+    pub(crate) fn at(&self, server: &str) -> Duration {
+        if self.by_server.is_empty() {
+            return Duration::ZERO;
+        }
+        self.by_server.get(&server_key(server)).copied().unwrap_or_default()
+    }
+}
+
 /// Long prompts that have no first event yet.
 #[derive(Debug, Default)]
 pub(crate) struct LongPrompts {
@@ -70,32 +104,39 @@
     own: HashMap<u64, SentPrompt>,
     /// Those of other instances, as last heard.
     elsewhere: HashMap<InstanceKey, Vec<SentPrompt>>,
+    /// Sums of the prompts above; `None` after a change.
+    unread: Option<UnreadTimes>,
 }
 
 impl LongPrompts {
-    /// Time in which a server, if it does nothing else, reads the long prompts that have no first
-    /// event yet.
-    pub(crate) fn unread_at(&self, server: &str, now: Instant) -> Duration {
-        if self.own.is_empty() && self.elsewhere.is_empty() {
-            return Duration::ZERO;
-        }
-        let key = server_key(server);
-        let is_recent =
-            |prompt: &&SentPrompt| now.saturating_duration_since(prompt.sent_at) < MAX_AGE;
-        let elsewhere = self.elsewhere.values().flatten().filter(is_recent);
-        let all = self.own.values().chain(elsewhere);
-        all.filter(|prompt| prompt.server == key).map(|prompt| prompt.read_time).sum()
+    /// Time in which each server reads its long prompts. It is summed again only after a change, since
+    /// all requests that wait select again whenever the servers change.
+    pub(crate) fn unread(&mut self, now: Instant) -> &UnreadTimes {
+        let is_over =
+            |unread: &mut UnreadTimes| unread.valid_until.is_some_and(|until| until <= now);
+        self.unread.take_if(is_over);
+        self.unread.get_or_insert_with(|| {
+            let elsewhere = self.elsewhere.values().flatten();
+            UnreadTimes::sum(self.own.values(), elsewhere, now)
+        })
     }
 
     fn add(&mut self, prompt: SentPrompt) -> u64 {
+        self.unread = None;
         self.next_id += 1;
         self.own.insert(self.next_id, prompt);
         self.next_id
     }
 
+    fn remove(&mut self, id: u64) {
+        self.unread = None;
+        self.own.remove(&id);
+    }
+
     /// Applies a message of another instance. `own` is the key of this instance, whose prompts it
     /// knows best itself.
     fn apply(&mut self, notice: &LongPromptsNotice, own: InstanceKey, now: Instant) {
+        self.unread = None;
         if notice.is_of_all {
             self.elsewhere.clear();
         } else {
@@ -158,7 +199,7 @@
 
 impl Drop for UnreadPrompt {
     fn drop(&mut self) {
-        self.cx.long_prompts.borrow_mut().own.remove(&self.id);
+        self.cx.long_prompts.borrow_mut().remove(self.id);
         self.cx.long_prompts_changed.notify_one();
     }
 }
--- a/components/process/entry/src/process/long_prompts/tests.rs
+++ b/components/process/entry/src/process/long_prompts/tests.rs
@@ -34,8 +34,8 @@
     assert!(postcard::to_allocvec(&update).unwrap().len() < 1_500);
     for (name, instance) in names.iter().zip(&mut instances) {
         instance.apply(&update, server_key(name), now);
-        assert_eq!(instance.unread_at("s1", now), ms(6_400));
-        assert_eq!(instance.unread_at("s2", now), Duration::ZERO);
+        assert_eq!(instance.unread(now).at("s1"), ms(6_400));
+        assert_eq!(instance.unread(now).at("s2"), Duration::ZERO);
     }
 }
 
@@ -49,12 +49,12 @@
     let sent = sender.publishable(1, false, now + ms(40));
     receiver.apply(&notice("a", false, sent.clone()), 2, now + ms(40));
     // A busy server may take several times as long.
-    assert_eq!(receiver.unread_at("s1", now + ms(900)), ms(300));
-    sender.own.remove(&first);
+    assert_eq!(receiver.unread(now + ms(900)).at("s1"), ms(300));
+    sender.remove(first);
     let rest = sender.publishable(1, false, now + ms(950));
     receiver.apply(&notice("a", true, rest), 2, now + ms(950));
-    assert_eq!(receiver.unread_at("s1", now + ms(1_000)), ms(100));
-    assert_eq!(receiver.unread_at("s1", now + MAX_AGE), Duration::ZERO);
+    assert_eq!(receiver.unread(now + ms(1_000)).at("s1"), ms(100));
+    assert_eq!(receiver.unread(now + MAX_AGE).at("s1"), Duration::ZERO);
     assert_eq!(receiver.publishable(2, true, now + MAX_AGE), []);
 }
 
@@ -64,12 +64,36 @@
     let now = Instant::now();
     let mut prompts = LongPrompts::default();
     let (first, _second) = (send(&mut prompts, "s1", now, 200), send(&mut prompts, "s1", now, 100));
-    assert_eq!(prompts.unread_at("s1", now), ms(300));
-    prompts.own.remove(&first);
-    assert_eq!(prompts.unread_at("s1", now), ms(100));
+    assert_eq!(prompts.unread(now).at("s1"), ms(300));
+    prompts.remove(first);
+    assert_eq!(prompts.unread(now).at("s1"), ms(100));
     assert_eq!(prompts.publishable(1, false, now).len(), 1);
 }
 
+/// Guards against sums that are kept after a prompt is sent, read or heard of. Pattern: many
+/// selections between two changes, with prompts that get too old in between.
+#[test]
+fn sums_follow_each_change() {
+    let now = Instant::now();
+    let mut prompts = LongPrompts::default();
+    assert_eq!(prompts.unread(now).at("s1"), Duration::ZERO);
+    let first = send(&mut prompts, "s1", now, 200);
+    assert_eq!(prompts.unread(now).at("s1"), ms(200));
+    let elsewhere = [(0, 10), (1_000, 20)].map(|(age_ms, read_ms)| PublishedPrompt {
+        server: server_key("s1"),
+        sender: 7,
+        age_ms,
+        read_ms,
+    });
+    prompts.apply(&notice("a", true, elsewhere.into()), 1, now);
+    assert_eq!(prompts.unread(now).at("s1"), ms(230));
+    assert_eq!(prompts.unread(now).at("s2"), Duration::ZERO);
+    assert_eq!(prompts.unread(now + MAX_AGE - ms(1_000)).at("s1"), ms(210));
+    assert_eq!(prompts.unread(now + MAX_AGE).at("s1"), ms(200));
+    prompts.remove(first);
+    assert_eq!(prompts.unread(now + MAX_AGE).at("s1"), Duration::ZERO);
+}
+
 /// Guards against messages that do not fit into a datagram. Pattern: a crowd of long prompts.
 #[test]
 fn messages_about_many_prompts_are_cut() {
--- a/components/process/entry/src/request/select.rs
+++ b/components/process/entry/src/request/select.rs
@@ -185,8 +185,9 @@
     };
     let health = cx.health.borrow();
     let mix = cx.prompt_mixes.borrow().get(&job.service).copied().unwrap_or_default();
-    let long_prompts = cx.long_prompts.borrow();
-    let ahead = |server: &Server| long_prompts.unread_at(&server.entry.id, now);
+    let mut long_prompts = cx.long_prompts.borrow_mut();
+    let unread = long_prompts.unread(now);
+    let ahead = |server: &Server| unread.at(&server.entry.id);
     let candidates: Vec<Candidate<'_>> = servers
         .iter()
         .map(|server| Candidate {
@@ -203,32 +204,26 @@
         return SelectResult::Full;
     }
     let prefix_affinity = job.prompt().and_then(|p| prefix_affinity(job, p, &mix));
-    let preferred = prefix_affinity.and_then(|affinity| affinity.preferred(&candidates));
-    let draw = rand::rng().random();
-    let Some(index) = choose_server(&candidates, prefix_affinity, draw) else {
+    let Some(choice) = choose_server(&candidates, prefix_affinity, rand::rng().random()) else {
         return SelectResult::NoServer;
     };
-    let candidate = &candidates[index];
+    let (candidate, server) = (&candidates[choice.index], servers[choice.index]);
     let reading = job.prompt().map(|prompt| {
-        let kept = if preferred == Some(index) { prompt.shared_tokens } else { 0 };
-        forecast(job, prompt, kept, &mix, candidate, ahead(servers[index]))
+        let kept = if choice.is_preferred { prompt.shared_tokens } else { 0 };
+        forecast(job, prompt, kept, &mix, candidate, ahead(server))
     });
-    if candidates.iter().any(|c| c.reading > 0.0) {
-        let plain: Vec<Candidate<'_>> =
-            candidates.iter().map(|c| Candidate { reading: 0.0, ..c.clone() }).collect();
-        if choose_server(&plain, prefix_affinity, draw) != Some(index) {
-            let is_long = reading.is_some_and(|reading| reading.long_read.is_some());
-            let prompt = if is_long { "long" } else { "short" };
-            cx.metrics.reading_servers_avoided.get_or_create(&PromptLabel { prompt }).inc();
-        }
+    if choice.avoids_reading {
+        let is_long = reading.is_some_and(|reading| reading.long_read.is_some());
+        let prompt = if is_long { "long" } else { "short" };
+        cx.metrics.reading_servers_avoided.get_or_create(&PromptLabel { prompt }).inc();
     }
     SelectResult::Selected(Box::new(Selection {
-        id: servers[index].entry.id.clone(),
-        address: servers[index].entry.address,
-        revision: servers[index].revision,
+        id: server.entry.id.clone(),
+        address: server.entry.address,
+        revision: server.revision,
         in_flight: candidate.in_flight,
-        slots: servers[index].entry.slots,
-        data_centre: servers[index].entry.data_centre.clone(),
+        slots: server.entry.slots,
+        data_centre: server.entry.data_centre.clone(),
         candidate_count: candidates.len(),
         reading,
     }))
--- a/components/request/server_choice/src/choice.rs
+++ b/components/request/server_choice/src/choice.rs
@@ -69,26 +69,43 @@
     Affinity { key, bonus: AFFINITY_BONUS }
 }
 
-/// Returns the index of the best candidate. Only half of the candidates, selected by `draw` in
-/// `0..1`, and the one that caches the prompt part are considered: load figures lag, and if every
-/// instance considered all candidates, all would choose the same server until the next figures. If
-/// all of these have long prompts to read, those that have none are considered as well.
+/// A selected candidate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Whether it is the one that caches the shared part of the prompt.
+    pub is_preferred: bool,
+    /// Whether another one would have been selected if no candidate had long prompts to read.
+    pub avoids_reading: bool,
+}
+
+fn cheapest(indices: impl Iterator<Item = usize>, cost: impl Fn(usize) -> f64) -> Option<usize> {
+    indices.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
+}
+
+/// Selects the best candidate. Only half of the candidates, selected by `draw` in `0..1`, and the one
+/// that caches the prompt part are considered: load figures lag, and if every instance considered all
+/// candidates, all would choose the same server until the next figures. If all of these have long
+/// prompts to read, those that have none are considered as well.
 pub fn choose_server(
     candidates: &[Candidate<'_>],
     affinity: Option<Affinity>,
     draw: f64,
-) -> Option<usize> {
+) -> Option<Choice> {
     let preferred = affinity.and_then(|affinity| affinity.preferred(candidates));
     let bonus = affinity.map_or(0.0, |affinity| affinity.bonus);
     let seed = (draw * u32::MAX as f64) as u64;
-    let mut considered: Vec<usize> = (0..candidates.len()).collect();
-    considered.sort_by_key(|index| xxh3_64_with_seed(candidates[*index].id.as_bytes(), seed));
-    let others = considered.split_off(candidates.len().div_ceil(2).max(2).min(candidates.len()));
-    if considered.iter().all(|index| candidates[*index].reading > 0.0) {
-        considered.extend(others.into_iter().filter(|index| candidates[*index].reading == 0.0));
+    let mut drawn: Vec<usize> = (0..candidates.len()).collect();
+    drawn.sort_by_key(|index| xxh3_64_with_seed(candidates[*index].id.as_bytes(), seed));
+    let mut others = drawn.split_off(candidates.len().div_ceil(2).max(2).min(candidates.len()));
+    if drawn.iter().all(|index| candidates[*index].reading > 0.0) {
+        others.retain(|index| candidates[*index].reading == 0.0);
+    } else {
+        others.clear();
     }
-    considered.extend(preferred);
-    let cost = |index: usize| {
+    drawn.extend(preferred);
+    let cost_without_reading = |index: usize| {
         let c = &candidates[index];
         // A full server queues: each request beyond its slots waits until another one completes.
         let queued = c.in_flight.saturating_sub(c.slots.saturating_sub(1));
@@ -96,10 +113,17 @@
         f64::from(c.in_flight) * c.slowness
             + (c.slowness - 1.0) * SLOW_WEIGHT
             + f64::from(queued) * QUEUED_WEIGHT
-            + c.reading * c.slowness
             + c.failures * FAILURE_WEIGHT
             + if c.is_local { 0.0 } else { REMOTE_WEIGHT }
             - if preferred == Some(index) { bonus } else { 0.0 }
     };
-    considered.into_iter().min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
+    let costs: Vec<f64> = (0..candidates.len()).map(cost_without_reading).collect();
+    let cost = |index: usize| costs[index] + candidates[index].reading * candidates[index].slowness;
+    let without_reading = cheapest(drawn.iter().copied(), |index| costs[index]);
+    let index = cheapest(drawn.iter().chain(&others).copied(), cost)?;
+    Some(Choice {
+        index,
+        is_preferred: preferred == Some(index),
+        avoids_reading: without_reading != Some(index),
+    })
 }
--- a/components/request/server_choice/src/lib.rs
+++ b/components/request/server_choice/src/lib.rs
@@ -20,7 +20,7 @@
 mod tests;
 
 pub use admission::{RunTime, in_flight_limit, queue_timeout, turn_probability};
-pub use choice::{Affinity, Candidate, affinity_key, choose_server};
+pub use choice::{Affinity, Candidate, Choice, affinity_key, choose_server};
 pub use health::{Health, MAX_PAUSE};
 pub use prefill::PromptMix;
 pub use reach::{DataCentre, Reach};
--- a/components/request/server_choice/src/prefill_tests.rs
+++ b/components/request/server_choice/src/prefill_tests.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 
 use super::*;
+use crate::tests::choose_server;
 
 const SHORT: u64 = 650;
 const LONG: u64 = 9_000;
@@ -152,4 +153,29 @@
             prop_assert!(mix.first_event(ms(10), SHORT, 1.0) >= ms(10));
         }
     }
+
+    /// Guards against a count of servers passed by that is not what the prompts changed: the other
+    /// choice is the one at the same draw with nothing to read.
+    #[test]
+    fn a_reading_server_is_avoided_if_it_would_have_been_chosen(
+        loads in prop::collection::vec((0..40_u32, 0..3_u8), 1..9),
+        draw in 0.0..1.0_f64,
+        has_affinity in any::<bool>(),
+    ) {
+        let names: Vec<String> = (0..loads.len()).map(|n| format!("s{n}")).collect();
+        let reading = |kind: u8| f64::from(kind) * 20.0;
+        let c: Vec<_> = names
+            .iter()
+            .zip(&loads)
+            .map(|(id, (in_flight, kind))| candidate(id, *in_flight, reading(*kind)))
+            .collect();
+        let plain: Vec<_> = c.iter().map(|c| Candidate { reading: 0.0, ..c.clone() }).collect();
+        let affinity = has_affinity.then(|| affinity_key("m", "5c1e07a2"));
+        let choice = crate::choose_server(&c, affinity, draw).unwrap();
+        let without = crate::choose_server(&plain, affinity, draw).unwrap();
+        prop_assert_eq!(choice.avoids_reading, choice.index != without.index);
+        prop_assert!(!without.avoids_reading);
+        let preferred = affinity.and_then(|affinity| affinity.preferred(&c));
+        prop_assert_eq!(choice.is_preferred, preferred == Some(choice.index));
+    }
 }
--- a/components/request/server_choice/src/speed_tests.rs
+++ b/components/request/server_choice/src/speed_tests.rs
@@ -3,7 +3,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{Candidate, PaceBoard, PaceMeter, choose_server};
+use crate::tests::choose_server;
+use crate::{Candidate, PaceBoard, PaceMeter};
 
 const INSTANCES: usize = 50;
 const SERVERS: u32 = 40;
--- a/components/request/server_choice/src/tests.rs
+++ b/components/request/server_choice/src/tests.rs
@@ -16,6 +16,15 @@
     }
 }
 
+/// Index of the selected candidate.
+pub(crate) fn choose_server(
+    candidates: &[Candidate<'_>],
+    affinity: Option<Affinity>,
+    draw: f64,
+) -> Option<usize> {
+    super::choose_server(candidates, affinity, draw).map(|choice| choice.index)
+}
+
 /// Guards against choosing the busier server.
 #[test]
 fn the_less_loaded_server_is_chosen() {
