Decoding a configuration tells what in it cannot work

What operators saw: an instance that rejects a configuration logs the first reason, without its place; what it clamps, leaves out or can never match it does not tell at all. An error inside an account could print a key of it.

Cause: the decoding returned the configuration or one error of serde.

Change: each entry is decoded by itself, and decode_deployment returns notices with their places beside the configuration, or all reasons of a rejection. What is rejected stays the same. Notices hold no text of an account, and keys as the start of their hash. compare_deployments tells what differs between two configurations and what it means for requests. The rule that a quota without a burst has one second of its rate moved from the instance to Quota, where the check uses it too.

Existing tests of decode_deployment take the field `deployment` of its result; their assertions are unchanged.

--- a/components/process/entry/src/process/quotas.rs
+++ b/components/process/entry/src/process/quotas.rs
@@ -33,11 +33,8 @@
     xxh3_64(name.as_bytes()) as InstanceKey
 }
 
-/// Limits of a quota. One without a burst may use up to one second of its rate at once, since
-/// requests need some.
 fn limits(quota: &Quota) -> QuotaLimits {
-    let burst = if quota.burst == 0 { quota.per_second } else { quota.burst };
-    QuotaLimits { per_second: quota.per_second, burst }
+    QuotaLimits { per_second: quota.per_second, burst: quota.at_once() }
 }
 
 /// Quotas of one configuration version.
--- a/components/process/entry/src/process/store_sync.rs
+++ b/components/process/entry/src/process/store_sync.rs
@@ -40,8 +40,8 @@
             return;
         }
         match platform_adapter::decode_deployment(&object.value) {
-            Ok(deployment) => {
-                version::apply(&self.0, deployment, object.revision);
+            Ok(decoded) => {
+                version::apply(&self.0, decoded, object.revision);
                 self.0.sync.configuration_revision.set(object.revision);
             }
             Err(error) => {
--- a/components/version/routes/src/accounts.rs
+++ b/components/version/routes/src/accounts.rs
@@ -3,6 +3,7 @@
 //! An account is found by the hash of a key in constant time. Keys themselves are not kept.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 
 use sha2::{Digest, Sha256};
@@ -21,6 +22,12 @@
     }
 }
 
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// What a quota counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuotaUnit {
@@ -40,11 +47,17 @@
     pub unit: QuotaUnit,
     /// Units per second.
     pub per_second: u64,
-    /// Units that may be used at once after a pause.
+    /// Units that may be used at once after a pause; 0 if the configuration states none.
     pub burst: u64,
 }
 
 impl Quota {
+    /// Units that may be used at once. Without a burst this is one second of the rate, since requests
+    /// need some.
+    pub fn at_once(&self) -> u64 {
+        if self.burst == 0 { self.per_second } else { self.burst }
+    }
+
     /// Units that a request uses; `tokens` is the sum that it states, if it states any.
     pub fn cost(&self, tokens: Option<u64>) -> u64 {
         match self.unit {
--- a/components/version/routes/src/lib.rs
+++ b/components/version/routes/src/lib.rs
@@ -230,6 +230,11 @@
         self.stream_targets.get(service).copied()
     }
 
+    /// All routes, in no order of hosts.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
