--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,9 +1,12 @@
-//! `check`: validates contract, catalogue and settings files without a running deployment.
+//! `check`: validates contract, catalogue and settings files, and configurations of deployments,
+//! without a running deployment.
+
+mod deployment;
 
 use std::path::Path;
 use std::process::ExitCode;
 
-use clap::{ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use contracts::CATALOGUE_FILE;
 use ini_file::ini::list_files;
 use ini_file::{Diagnostics, Ini};
@@ -17,10 +20,21 @@
 /// Returns the definition of the command.
 pub(crate) fn command() -> Command {
     Command::new("check")
-        .about("Checks contract, catalogue or settings files without a running deployment")
+        .about("Checks contract, catalogue, settings or deployment files")
         .arg(args::path_arg(
             "FILE|DIR",
-            "A directory of contracts or of settings, or one contract, catalogue or settings file",
+            "A directory of contracts or of settings, or one contract, catalogue, settings or \
+             deployment file",
+        ))
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .action(ArgAction::SetTrue)
+                .help("Takes the file as a deployment's configuration; JSON files are without it"),
+        )
+        .arg(Arg::new("against").long("against").value_name("FILE|URL").help(
+            "Shows what differs from another configuration of the deployment: a file, or \
+                     the one in force in the platform's store, such as http://127.0.0.1:7000",
         ))
         .arg(args::format_arg(&["text", "json"]))
 }
@@ -28,6 +42,10 @@
 /// Runs the command. It writes the mistakes to standard output, since they are its result.
 pub(crate) fn run(matches: &ArgMatches) -> Result<ExitCode, CommandError> {
     let path = args::path(matches);
+    let against = matches.get_one::<String>("against").map(String::as_str);
+    if matches.get_flag("deployment") || against.is_some() || deployment::is_deployment(&path) {
+        return deployment::run(&path, against, matches);
+    }
     let result = check(&path);
     match args::format(matches) {
         Format::Json => print_json(&path, &result)?,
--- a/src/error.rs
+++ b/src/error.rs
@@ -44,6 +44,14 @@
         Platform(e: platform::Error, tried: String) {
             display("{e} (addresses tried: {tried})")
         }
+        /// The store of the platform cannot be read at the address.
+        Store(address: SocketAddr, e: platform_adapter::Error) {
+            display("{address}: {e}")
+        }
+        /// The configuration to compare with is not there or not valid.
+        Against(source: String, message: String) {
+            display("{source}: {message}")
+        }
         /// An object that another object refers to does not exist.
         MissingObject(object: String) {
             display("platform: object {object} does not exist")
