The line of a stream has its longest gap

What an operator could not see: how long a caller of a stream waited between two events. A pause over the target makes a response late, and a long prompt that a server reads between the events of others causes such pauses.

Change: `request: ended` has longest_gap_ms, the longest time between two parts of a stream as they arrive from servers, also over a resumption.

Test: the_line_of_a_stream_has_its_longest_gap; the field did not exist.

--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -35,6 +35,7 @@
 pub(crate) fn start(cx: &Rc<Entry>, mut job: Job, started: StreamStart) -> Response<Body> {
     let StreamStart { mut parts, first, has_ended, source } = started;
     job.trace.record_first_byte(cx);
+    job.trace.record_part();
     remove_hop_by_hop_headers(&mut parts.headers);
     // The length of a stream that may be resumed at another server is unknown.
     parts.headers.remove(header::CONTENT_LENGTH);
@@ -69,6 +70,7 @@
         };
         match chunk {
             Chunk::Data(data) => {
+                job.trace.record_part();
                 if tx.send(Ok(Frame::data(data))).await.is_err() {
                     return job.trace.end("caller_left", status);
                 }
@@ -93,6 +95,7 @@
                     }
                     return;
                 };
+                job.trace.record_part();
                 if !started.first.is_empty()
                     && tx.send(Ok(Frame::data(started.first))).await.is_err()
                 {
--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -47,6 +47,10 @@
     version: DeploymentVersion,
     arrived_at: Instant,
     first_byte_ms: Option<u64>,
+    /// When the last part of a stream arrived from a server.
+    last_part_at: Option<Instant>,
+    /// Longest time between two parts of a stream; `None` if there are less than two.
+    longest_gap_ms: Option<u64>,
     steps: String,
     /// The send that has no outcome yet.
     pending_send: Option<Box<str>>,
@@ -111,6 +115,8 @@
             version,
             arrived_at,
             first_byte_ms: None,
+            last_part_at: None,
+            longest_gap_ms: None,
             steps: String::new(),
             pending_send: None,
             has_ended: false,
@@ -157,6 +163,13 @@
             .observe(self.arrived_at.elapsed().as_secs_f64());
     }
 
+    /// Records that a part of a stream arrived.
+    pub(crate) fn record_part(&mut self) {
+        if let Some(last) = self.last_part_at.replace(Instant::now()) {
+            self.longest_gap_ms = self.longest_gap_ms.max(Some(elapsed_ms(last)));
+        }
+    }
+
     /// Writes the log line of the request, unless it was already written.
     pub(crate) fn end(&mut self, outcome: &'static str, status: StatusCode) {
         self.write(outcome, status.as_u16());
@@ -178,7 +191,7 @@
         tracing::info!(id = %self.id, account = %self.account, route = %self.route, service = %self.service,
             model = %self.model, prompt_tokens = self.tokens.0, answer_tokens = self.tokens.1,
             kind = self.kind, parts = %self.parts, version = self.version, outcome, status,
-            first_byte_ms = self.first_byte_ms, took_ms = elapsed_ms(self.arrived_at),
+            first_byte_ms = self.first_byte_ms, longest_gap_ms = self.longest_gap_ms, took_ms = elapsed_ms(self.arrived_at),
             steps = %self.steps, "request: ended");
     }
 }
--- a/tests/platform_sessions/long_prompt_tests.rs
+++ b/tests/platform_sessions/long_prompt_tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform_stand_in::{Call, Fault, Server};
+use platform_stand_in::{Call, Fault, Server, ServerConfig};
 
 use crate::cluster::{TestCluster, WAIT, engine, wait_for};
 
@@ -62,3 +62,22 @@
         assert_eq!(cluster.caller.call(second, &call(&last)).await.status, Some(200));
     }
 }
+
+/// Guards against a pause in a stream that its line does not show. Pattern: a long prompt that a
+/// server reads between the events of a stream.
+#[tokio::test]
+async fn the_line_of_a_stream_has_its_longest_gap() {
+    let interval = Duration::from_millis(150);
+    let server = ServerConfig { event_interval: interval, events: 3, ..engine("e1", &["m1"]) };
+    let mut cluster = TestCluster::new(vec![server]).await;
+    cluster.start_instance().await;
+    let address = cluster.instances[0].addresses.callers;
+    assert_eq!(cluster.caller.call(address, &call("a1")).await.status, Some(200));
+    let lines = || cluster.instances[0].log_lines(&["request: ended", "\"id\":\"a1\""]);
+    assert!(wait_for(WAIT, || !lines().is_empty()).await);
+    let line: serde_json::Value = serde_json::from_str(&lines()[0]).unwrap();
+    let text = line.to_string();
+    let (_, gap) = text.split_once("\"longest_gap_ms\":").expect("the gap");
+    let gap: u64 = gap.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap();
+    assert!(gap >= 100, "{text}");
+}
