--- a/components/process/entry/src/process/orders/leader.rs
+++ b/components/process/entry/src/process/orders/leader.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use admission::waiting::WaitingGroup;
 use replica_placement::{
     Demands, Source, StoreConcurrencyLimit, StoreRateLimiter, Term, UnloadTime,
 };
@@ -16,6 +17,14 @@
 /// Upper bound of the concurrency limit of loads from the weight store.
 const MAX_CONCURRENT_LOADS: usize = 8;
 
+/// Time after a load in which the adapters of the model come before the next move. It is enough for
+/// the adapters of all places; later, a steady demand for others does not keep the server from moves.
+const ADAPTERS_FIRST: Duration = Duration::from_millis(500);
+
+/// Time without a new server after which all are taken to have registered. At the start of a
+/// deployment they register one after the other, within some seconds.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Number of orders that a server accepted, which the next order has to name.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AcceptedOrders {
@@ -47,6 +56,8 @@
     pub(super) orders_in_progress: HashMap<ServerId, Option<ModelName>>,
     /// Loads in progress: source and expected end.
     pub(super) loading: HashMap<ServerId, (Source, Instant)>,
+    /// When the last load of each server ended.
+    pub(super) loaded_at: HashMap<ServerId, Instant>,
     /// Servers that get no orders before the given time.
     pub(super) paused_until: HashMap<ServerId, Instant>,
     /// Accepted orders of the servers that reported their holdings.
@@ -57,6 +68,8 @@
     pub(super) last_order_at: HashMap<ServerId, Instant>,
     /// Servers that were queried for their holdings, with or without an answer.
     pub(super) queried: HashSet<ServerId>,
+    /// When the last new server was queried, or the term began.
+    pub(super) new_server_at: Instant,
     pub(super) adapters_used: HashMap<(ModelName, AdapterName), Instant>,
     pub(super) adapters_in_progress: HashSet<(ServiceName, ModelKey)>,
     /// Number of adapters by server that were ordered and are not known to be loaded yet.
@@ -66,6 +79,10 @@
     pub(super) ready_at: HashMap<ModelName, Instant>,
     /// Requests that wait although a server has their model, for models with several of them.
     pub(super) queued: HashMap<ModelName, u32>,
+    /// The same by rank and client account.
+    pub(super) queued_groups: HashMap<ModelName, Vec<WaitingGroup>>,
+    /// Models without a copy at any server that stays, by service, as logged last.
+    pub(super) without_copy: HashMap<ServiceName, Box<[ModelName]>>,
     /// Servers whose holdings changed since the last update to all instances, and when.
     pub(super) changed: HashMap<ServerId, Instant>,
     /// When each instance with waiting requests was last sent a change in between.
@@ -96,17 +113,21 @@
             demands: Demands::default(),
             orders_in_progress: HashMap::new(),
             loading: HashMap::new(),
+            loaded_at: HashMap::new(),
             paused_until: HashMap::new(),
             accepted_orders: HashMap::new(),
             recent_loads: HashMap::new(),
             last_order_at: HashMap::new(),
             queried: HashSet::new(),
+            new_server_at: Instant::now(),
             adapters_used: HashMap::new(),
             adapters_in_progress: HashSet::new(),
             adapters_loading: HashMap::new(),
             counted_arrivals: HashMap::new(),
             ready_at: HashMap::new(),
             queued: HashMap::new(),
+            queued_groups: HashMap::new(),
+            without_copy: HashMap::new(),
             changed: HashMap::new(),
             sent_to_waiting: HashMap::new(),
             publish_cursor: 0,
@@ -134,11 +155,28 @@
         cx.leader_lease.borrow().term(boot_now()) == Some(self.term)
     }
 
+    /// Whether a load of the server ended just now.
+    pub(super) fn has_just_loaded(&self, server: &str, now: Instant) -> bool {
+        self.loaded_at.get(server).is_some_and(|at| now < *at + ADAPTERS_FIRST)
+    }
+
     /// Number of loads from the weight store that are planned or in progress.
     pub(super) fn store_loads(&self) -> usize {
         self.loading.values().filter(|(source, _)| *source == Source::Store).count()
     }
 
+    /// Records that a server was queried for its holdings, with or without an answer.
+    pub(super) fn record_query(&mut self, server: &str, now: Instant) {
+        if self.queried.insert(server.into()) {
+            self.new_server_at = now;
+        }
+    }
+
+    /// Whether no new server has come up lately, so that a model without a copy has none indeed.
+    pub(super) fn are_servers_settled(&self, now: Instant) -> bool {
+        now >= self.new_server_at + SETTLE_TIME
+    }
+
     /// Whether the server was queried for its holdings. Plans do not wait for one that gave no
     /// answer.
     pub(super) fn has_been_queried(&self, server: &Server) -> bool {
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -7,11 +7,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use admission::waiting::sum_groups;
 use replica_placement::{BootTime, HeldLease};
 use server_directory::{ServerId, SteadyTime};
 use tokio::net::UdpSocket;
 
-use super::instances::{Delivery, LeaderUpdate, Message, PassOn, ServerHoldings, Status};
+use super::instances::Delivery;
+use super::messages::{LeaderUpdate, Message, PassOn, ServerHoldings, Status};
 use super::{Entry, Phase, boot_now};
 
 /// Interval between two status messages.
@@ -91,12 +93,15 @@
         .filter(|(key, count)| recent.is_due(key, **count))
         .map(|(key, count)| (key.clone(), *count))
         .collect();
-    let waiting = cx
-        .waiting_requests
-        .borrow()
+    let requests = cx.waiting_requests.borrow();
+    let waiting = requests
         .iter()
         .map(|(service, key, count)| (service.clone(), key.clone(), count))
         .collect();
+    let waiting_groups = match cx.has_waiting_groups() {
+        true => requests.groups().map(|(_, _, groups)| sum_groups(groups)).collect(),
+        false => Vec::new(),
+    };
     let now = Instant::now();
     let health = cx.health.borrow();
     let backing_off = health.iter().filter(|(_, health)| health.is_backing_off(now));
@@ -121,6 +126,7 @@
         in_flight,
         arrivals,
         waiting,
+        waiting_groups,
     }
 }
 
@@ -170,7 +176,7 @@
             cx.list_instances.notify_one();
             continue;
         };
-        let status = build_status(&cx, incarnation, &mut recent);
+        let mut status = build_status(&cx, incarnation, &mut recent);
         let is_quiet = status.in_flight.is_empty()
             && status.arrivals.is_empty()
             && status.waiting.is_empty()
@@ -185,7 +191,14 @@
             continue;
         }
         skipped = 0;
-        socket.send(&Message::Status(status), &[address]);
+        let message = match status.waiting_groups.is_empty() {
+            true => Message::Status(status),
+            false => {
+                let groups = std::mem::take(&mut status.waiting_groups);
+                Message::StatusByAccount(status, groups)
+            }
+        };
+        socket.send(&message, &[address]);
     }
 }
 
@@ -209,6 +222,9 @@
         }
         match message {
             Ok(Message::Status(status)) => receive_status(&cx, status, from),
+            Ok(Message::StatusByAccount(status, waiting_groups)) => {
+                receive_status(&cx, Status { waiting_groups, ..status }, from);
+            }
             Ok(Message::LeaderUpdate(update)) => receive_leader_update(&cx, update),
             Ok(Message::Holdings(part)) => {
                 if receive_lease(&cx, &part.from, part.lease, part.sent_at).is_some() {
@@ -216,6 +232,11 @@
                     cx.servers_changed.notify_waiters();
                 }
             }
+            Ok(Message::QueuedByAccount(queues)) => {
+                if receive_lease(&cx, &queues.from, queues.lease, queues.sent_at).is_some() {
+                    *cx.queued_groups.borrow_mut() = queues.queued.into_iter().collect();
+                }
+            }
             Ok(Message::Bans(notice)) => cx.receive_bans(&notice.from, &notice.bans),
             Ok(Message::QuotaRequest(req)) => {
                 if let Some(grant) = cx.answer_quota_request(&req) {
@@ -314,5 +335,8 @@
     cx.record_quota_holder_alive(&update.from);
     cx.follow_quarantine(&update.quarantine);
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
+    let queued = cx.queued.borrow();
+    cx.queued_groups.borrow_mut().retain(|model, _| queued.contains_key(model));
+    drop(queued);
     cx.servers_changed.notify_waiters();
 }
