One way to spawn the task of a tracked connection; memory_mb below 1 is an error

Three listeners made a closer, asked the table, spawned the task and set its handle, each by itself, and had a pause after a failed accept of their own; the callers' idle timeout was worked out twice. With `[instance] memory_mb = 0` an instance started and refused each body.

`spawn_tracked` serves all three, the closer's parts are private, the pause is one constant, and the idle timeout is that of `Doors::caller_paces`. Settings with less than 1 MB end the start with the key. The harness of tests/caller_limits took a memory or descriptors that it could not read for 0, which passes each bound; it fails now (stricter).

an_instance_without_memory_does_not_start is new; the parser before accepted these values.

--- a/components/process/entry/src/connection/callers.rs
+++ b/components/process/entry/src/connection/callers.rs
@@ -13,21 +13,17 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::yield_now;
 
-use super::doors::TIMEOUT_MARGIN;
-use super::tracking::{AnswerBody, CallerBody, TaskCloser, Tracked, TrackedStream};
+use super::ACCEPT_RETRY_DELAY;
+use super::tracking::{AnswerBody, CallerBody, Tracked, TrackedStream, spawn_tracked};
 use crate::process::{Entry, Phase};
 use crate::request;
 
-/// Idle timeout while there is no configuration yet.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest request head while there is no configuration yet, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
-/// Pause after a failed accept, for example when the process has no free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Connections that are accepted in a row before other tasks run.
 const ACCEPTED_IN_A_ROW: usize = 16;
 /// Connections that are accepted at the end of the process, as many as fit into a usual backlog.
@@ -77,11 +73,9 @@
 /// Serves a connection in a task of its own. Without room, it is closed before anything is read from
 /// it.
 fn spawn_serve(cx: &Rc<Entry>, stream: TcpStream) {
-    let closer = TaskCloser::default();
-    if let Ok(tracked) = cx.doors.callers.connections.accept(closer.clone(), Instant::now()) {
-        let task = spawn_local(serve(OpenConnection::new(cx), stream, tracked));
-        closer.set(task.abort_handle());
-    }
+    spawn_tracked(&cx.doors.callers.connections, |tracked| {
+        serve(OpenConnection::new(cx), stream, tracked)
+    });
 }
 
 /// Counts a connection for as long as its task exists.
@@ -116,8 +110,7 @@
     }
     let has_request = Rc::new(watch::Sender::new(false));
     let limits = cx.deployment.borrow().as_ref().map(|d| d.limits);
-    let idle_timeout =
-        limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout) + TIMEOUT_MARGIN;
+    let idle_timeout = cx.doors.caller_paces(&cx).idle;
     let max_head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.max_header_bytes);
     let service_cx = cx.clone();
     let first_request = has_request.clone();
--- a/components/process/entry/src/connection/doors.rs
+++ b/components/process/entry/src/connection/doors.rs
@@ -25,7 +25,7 @@
 const OPERATOR_LEAST_TIME: Duration = Duration::from_millis(10);
 /// Added to the timeouts of the configuration, so that the instance never closes the connection of a
 /// caller that keeps to them.
-pub(super) const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Idle timeout of connections to the operators' listeners.
 const OPERATOR_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle timeout of connections that are passed on to the store.
@@ -145,7 +145,7 @@
     }
 
     /// Times for callers under the configuration in force.
-    fn caller_paces(&self, cx: &Entry) -> Paces {
+    pub(super) fn caller_paces(&self, cx: &Entry) -> Paces {
         let limits = cx.deployment.borrow().as_ref().map(|deployment| deployment.limits);
         let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
         let head = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.header_timeout);
--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -18,9 +18,14 @@
 pub(crate) use store_relay::accept_store_relays;
 pub(crate) use tracking::CallerBody;
 
+use std::time::Duration;
+
 use http_body_util::combinators::UnsyncBoxBody;
 use quick_error::quick_error;
 
+/// Pause after a failed accept, for example when the process has no free file descriptor.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Body of a response to a caller.
 pub(crate) type Body = UnsyncBoxBody<bytes::Bytes, BodyError>;
 
--- a/components/process/entry/src/connection/operators.rs
+++ b/components/process/entry/src/connection/operators.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -12,19 +12,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::yield_now;
 
+use super::ACCEPT_RETRY_DELAY;
 use super::doors::Door;
-use super::tracking::{AnswerBody, TaskCloser, Tracked, TrackedStream};
+use super::tracking::{AnswerBody, Tracked, TrackedStream, spawn_tracked};
 use crate::process::Entry;
 
 /// Path of the metrics endpoint.
 const METRICS_PATH: &str = "/metrics";
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 8_192;
-/// Pause after a failed accept, for example when the process has no free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Connections that are accepted in a row before other tasks run.
 const ACCEPTED_IN_A_ROW: usize = 8;
 
@@ -77,12 +75,9 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let closer = TaskCloser::default();
-        let accepted = door(&cx).connections.accept(closer.clone(), Instant::now());
-        if let Ok(tracked) = accepted {
-            let task = spawn_local(serve(cx.clone(), stream, tracked, respond));
-            closer.set(task.abort_handle());
-        }
+        spawn_tracked(&door(&cx).connections, |tracked| {
+            serve(cx.clone(), stream, tracked, respond)
+        });
         in_a_row += 1;
         if in_a_row == ACCEPTED_IN_A_ROW {
             in_a_row = 0;
--- a/components/process/entry/src/connection/store_relay.rs
+++ b/components/process/entry/src/connection/store_relay.rs
@@ -6,30 +6,26 @@
 
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, yield_now};
+use tokio::task::yield_now;
 use tokio::time::timeout_at;
 
-use super::tracking::{TaskCloser, Tracked, TrackedStream};
+use super::ACCEPT_RETRY_DELAY;
+use super::tracking::{Tracked, TrackedStream, spawn_tracked};
 use crate::process::Entry;
 
 /// Timeout for the connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a connection is passed on. The other instance connects again.
 const MAX_CONNECTION_TIME: Duration = Duration::from_secs(60);
-/// Pause after a failed accept, for example when the process has no free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Accepts connections of other instances to the store until the process ends.
 pub(crate) async fn accept_store_relays(cx: Rc<Entry>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let closer = TaskCloser::default();
-                let table = &cx.doors.relays.connections;
-                if let Ok(tracked) = table.accept(closer.clone(), Instant::now()) {
-                    let task = spawn_local(relay(cx.clone(), stream, tracked));
-                    closer.set(task.abort_handle());
-                }
+                spawn_tracked(&cx.doors.relays.connections, |tracked| {
+                    relay(cx.clone(), stream, tracked)
+                });
                 // A crowd at this listener must not delay the others.
                 yield_now().await;
             }
--- a/components/process/entry/src/connection/tracking.rs
+++ b/components/process/entry/src/connection/tracking.rs
@@ -1,6 +1,7 @@
 //! Records in a table of connections what happens on a connection.
 
 use std::cell::OnceCell;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,7 +13,7 @@
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, spawn_local};
 
 use super::Body;
 
@@ -22,7 +23,7 @@
 
 impl TaskCloser {
     /// Sets the task, once.
-    pub(super) fn set(&self, task: AbortHandle) {
+    fn set(&self, task: AbortHandle) {
         if self.0.set(task).is_err() {
             tracing::error!("connections: task set twice");
         }
@@ -40,6 +41,18 @@
 pub(crate) type Connections = ConnectionTable<TaskCloser>;
 pub(crate) type Tracked = TrackedConnection<TaskCloser>;
 
+/// Takes a connection into the table and serves it in a task of its own. Without room, `task` is not
+/// called, and the connection that it holds is closed.
+pub(super) fn spawn_tracked<F>(connections: &Connections, task: impl FnOnce(Tracked) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let closer = TaskCloser::default();
+    if let Ok(tracked) = connections.accept(closer.clone(), Instant::now()) {
+        closer.set(spawn_local(task(tracked)).abort_handle());
+    }
+}
+
 /// A stream that records its reads and writes.
 pub(super) struct TrackedStream {
     pub(super) stream: TcpStream,
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -66,6 +66,9 @@
 /// Delay before small machines claim the leader's lease; longer than a claim takes.
 const SMALL_MACHINE_CLAIM_DELAY: Duration = Duration::from_millis(900);
 
+/// Least memory of an instance, in MB.
+const MIN_MEMORY_MB: f64 = 1.0;
+
 const SECTIONS: &[&str] = &[
     "instance",
     "callers",
@@ -90,6 +93,15 @@
         .ok_or_else(|| value::ValueError::Other("expected a number that is not negative".into()))
 }
 
+/// Parses the memory of an instance: without any, each body would be refused.
+fn memory(text: &str) -> Result<f64, value::ValueError> {
+    let memory_mb = non_negative(text)?;
+    match memory_mb >= MIN_MEMORY_MB {
+        true => Ok(memory_mb),
+        false => Err(value::ValueError::Other("expected a number of at least 1".into())),
+    }
+}
+
 impl EntrySettings {
     /// Reads a settings file.
     pub fn load(path: &Path) -> Result<Self, Diagnostics> {
@@ -131,7 +143,7 @@
         let name = r.required("name", value::text);
         let data_centre = r.required("data_centre", value::text);
         let cores = r.or("cores", 1.0, non_negative);
-        let memory_mb = r.or("memory_mb", 256.0, non_negative);
+        let memory_mb = r.or("memory_mb", 256.0, memory);
         let descriptors = r.or("descriptors", 4_096.0, non_negative);
         r.finish();
 
--- a/components/process/entry/src/settings/tests.rs
+++ b/components/process/entry/src/settings/tests.rs
@@ -25,3 +25,13 @@
     let error = EntrySettings::parse("f.ini", &text).unwrap_err().to_string();
     assert!(error.contains("store") && error.contains("address"), "{error}");
 }
+
+/// Guards against an instance that starts without memory for bodies and refuses each of them.
+#[test]
+fn an_instance_without_memory_does_not_start() {
+    for memory in ["0", "0.5", "-1"] {
+        let text = VALID.replace("[callers]", &format!("memory_mb = {memory}\n[callers]"));
+        let error = EntrySettings::parse("f.ini", &text).unwrap_err().to_string();
+        assert!(error.contains("memory_mb"), "{error}");
+    }
+}
--- a/tests/caller_limits/harness.rs
+++ b/tests/caller_limits/harness.rs
@@ -143,11 +143,16 @@
             return vec!["the process ended".into()];
         }
         let mut exceeded = Vec::new();
-        let growth = self.instance.peak_memory().unwrap_or(0).saturating_sub(self.memory_before);
+        let growth = self
+            .instance
+            .peak_memory()
+            .expect("memory of the instance cannot be read")
+            .saturating_sub(self.memory_before);
         if growth > MAX_GROWTH_BYTES {
             exceeded.push(format!("memory grew by {growth} bytes of {MAX_GROWTH_BYTES}"));
         }
-        let descriptors = self.instance.descriptors().unwrap_or(0);
+        let descriptors =
+            self.instance.descriptors().expect("descriptors of the instance cannot be read");
         if descriptors > DESCRIPTORS - FILE_DESCRIPTORS {
             exceeded.push(format!("{descriptors} descriptors open"));
         }
