Relayed calls that wait keep their place; sent-ahead marks end; refused bodies are no heads

Three findings of the review of the limits on callers:

- At the peers' port each byte of a relayed call counted as a head, so a call that waited for the store was closed after 100 ms for a crowd of silent connections.
A reader beside the copied bytes finds the end of each call; a complete one ranks as served, and has 10 s for its answer (`answer_timeout`).
- A connection that once sent ahead kept that mark, and went first under pressure.
The mark ends when a read finds nothing more and no request is under way.
- The rest of a body that was refused unread counted as the next head, so an idle caller was closed by the time limit of heads.
The library reads at most once to skip such a rest; that read is no head.

The table's tests with the mechanism taken out: caller_that_sends_in_turn_again_counts_as_others, rest_of_a_refused_body_is_no_head (both cases) and request_without_an_answer_ends_in_time_where_that_is_limited fail.

--- a/components/connection/caller_limits/src/connection.rs
+++ b/components/connection/caller_limits/src/connection.rs
@@ -42,6 +42,18 @@
     Served,
 }
 
+/// What is known of the rest of a body that was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyRest {
+    /// There is none.
+    None,
+    /// The next bytes may belong to it. The library reads at most once to skip a body, and closes the
+    /// connection if that was not enough.
+    Expected,
+    /// Bytes that may belong to it, and to the next head, were read.
+    Read,
+}
+
 /// A connection in a table, which it leaves when it is dropped. Its task records here what happens.
 pub struct TrackedConnection<C: Close> {
     pub(crate) state: Rc<State<C>>,
@@ -63,8 +75,11 @@
     pub(crate) pace_due: Cell<Instant>,
     /// Bytes of the head so far.
     head_len: Cell<usize>,
-    /// Whether the caller sent something before the answer to its former request had ended.
+    /// Whether the caller sent something before the answer to its former request had ended, and
+    /// there may be more of it.
     has_sent_ahead: Cell<bool>,
+    /// The rest of a refused body.
+    body_rest: Cell<BodyRest>,
     /// Whether this instance reads the body of the request, which it does once it has room and the
     /// request may be served. Until then the caller is not held to a pace.
     pub(crate) is_reading_body: Cell<bool>,
@@ -98,6 +113,7 @@
             pace_due: Cell::new(now),
             head_len: Cell::new(0),
             has_sent_ahead: Cell::new(false),
+            body_rest: Cell::new(BodyRest::None),
             is_reading_body: Cell::new(false),
             bytes,
         }
@@ -159,7 +175,8 @@
 }
 
 impl<C: Close> TrackedConnection<C> {
-    /// Whether the caller sent something before the answer to its former request had ended.
+    /// Whether the caller sent something before the answer to its former request had ended, and
+    /// there may be more of it.
     pub fn has_sent_ahead(&self) -> bool {
         self.state.has_sent_ahead.get()
     }
@@ -176,7 +193,14 @@
     /// Fails if there is no room for a longer head. The connection is then to be closed.
     pub fn read(&self, len: usize, now: impl Fn() -> Instant) -> Result<(), Full> {
         let state = &*self.state;
-        match state.phase.get() {
+        let phase = state.phase.get();
+        if state.body_rest.get() == BodyRest::Expected
+            && matches!(phase, Phase::Idle | Phase::Served)
+        {
+            state.body_rest.set(BodyRest::Read);
+            return Ok(());
+        }
+        match phase {
             Phase::Idle => {
                 let at = now();
                 state.phase.set(Phase::Head);
@@ -204,6 +228,14 @@
         }
     }
 
+    /// Records that nothing more has arrived. Without a request, nothing that was sent ahead is left.
+    pub fn read_all(&self) {
+        let state = &*self.state;
+        if state.phase.get() == Phase::Idle && state.has_sent_ahead.replace(false) {
+            state.table.resize(state, state.cost(0));
+        }
+    }
+
     /// Records that the kernel took `len` bytes of an answer.
     pub fn wrote(&self, len: usize) {
         if len > 0 && self.state.blocked_since.get().is_some() {
@@ -225,7 +257,8 @@
     /// Fails if there is no room for the request.
     pub fn begin_request(&self, fields: usize, has_body: bool, now: Instant) -> Result<(), Full> {
         let state = &*self.state;
-        if state.phase.get() == Phase::Idle {
+        let body_rest = state.body_rest.replace(BodyRest::None);
+        if state.phase.get() == Phase::Idle && body_rest != BodyRest::Read {
             // The head was in the buffer already when the answer before ended.
             state.has_sent_ahead.set(true);
         }
@@ -246,13 +279,19 @@
         }
     }
 
-    /// Records that the body of the request was read to its end, or is no longer read.
+    /// Records that the body of the request was read to its end.
     pub fn end_body(&self) {
         if self.state.phase.get() == Phase::Body {
             self.state.phase.set(Phase::Served);
         }
     }
 
+    /// Records that the rest of the body of the request is not used.
+    pub fn abandon_body(&self) {
+        self.end_body();
+        self.state.body_rest.set(BodyRest::Expected);
+    }
+
     /// Records that the answer has ended; its last bytes may not have been written yet.
     pub fn end_answer(&self, now: impl Fn() -> Instant) {
         let state = &*self.state;
--- a/components/connection/caller_limits/src/table.rs
+++ b/components/connection/caller_limits/src/table.rs
@@ -44,13 +44,15 @@
     BodyPace,
     /// Its caller took nothing of the answer for too long.
     ReadTimeout,
+    /// Its request was not answered in time.
+    AnswerTimeout,
     /// There was no room for it, or for its request.
     NoRoom,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::SentAhead,
         Self::Idle,
         Self::LongHead,
@@ -62,6 +64,7 @@
         Self::HeadTimeout,
         Self::BodyPace,
         Self::ReadTimeout,
+        Self::AnswerTimeout,
         Self::NoRoom,
     ];
 
@@ -79,6 +82,7 @@
             Self::HeadTimeout => "head_timeout",
             Self::BodyPace => "body_too_slow",
             Self::ReadTimeout => "read_timeout",
+            Self::AnswerTimeout => "answer_timeout",
             Self::NoRoom => "no_room",
         }
     }
@@ -111,6 +115,9 @@
     pub window_bytes: usize,
     /// Longest time in which a caller takes nothing of an answer.
     pub read: Duration,
+    /// Longest time from the end of a request to the first byte of its answer, where requests have no
+    /// time limit of their own.
+    pub answer: Option<Duration>,
     /// Least time from the start of a connection, head or body until it may be closed for others.
     pub least: Duration,
 }
@@ -354,6 +361,9 @@
             state.pace_due.set(now + paces.window);
             (state.moved.replace(0) < paces.window_bytes).then_some(Reason::BodyPace)
         }
-        Phase::Body | Phase::Served => None,
+        Phase::Served => {
+            paces.answer.is_some_and(|answer| lasted >= answer).then_some(Reason::AnswerTimeout)
+        }
+        Phase::Body => None,
     }
 }
--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -14,6 +14,7 @@
     window: Duration::from_secs(10),
     window_bytes: 100,
     read: Duration::from_secs(30),
+    answer: None,
     least: Duration::from_millis(100),
 };
 
@@ -256,3 +257,81 @@
     assert!(table.accept(Flag::default(), now + Duration::from_millis(9)).is_err());
     assert!(table.accept(Flag::default(), now + Duration::from_millis(20)).is_ok());
 }
+
+/// Guards against closing a caller for requests that it sent ahead once, although it has read the
+/// answers since and sends in turn.
+#[test]
+fn caller_that_sends_in_turn_again_counts_as_others() {
+    let table = table(2, 1_000);
+    let now = Instant::now();
+    let once_ahead = open(&table, Doing::Served, now);
+    once_ahead.read(1, || now).unwrap();
+    once_ahead.end_answer(|| now);
+    once_ahead.begin_request(0, false, now).unwrap();
+    once_ahead.end_answer(|| now);
+    assert_eq!(table.bytes(), COST.open + COST.unread);
+    once_ahead.read_all();
+    assert_eq!(table.bytes(), COST.open);
+    let later = now + Duration::from_secs(1);
+    once_ahead.read(1, || later).unwrap();
+    let idle = open(&table, Doing::Nothing, now);
+    let _new = open(&table, Doing::Served, later);
+    assert!(idle.is_closed() && !once_ahead.is_closed());
+}
+
+/// Guards against requests sent ahead that are forgotten while they wait behind the one that is
+/// served.
+#[test]
+fn requests_sent_ahead_count_while_one_is_served() {
+    let table = table(2, 1_000);
+    let now = Instant::now();
+    let ahead = open(&table, Doing::Served, now);
+    ahead.read(1, || now).unwrap();
+    ahead.read_all();
+    assert!(ahead.has_sent_ahead());
+}
+
+/// Guards against taking the rest of a refused body for the beginning of a head: the caller is idle,
+/// and a connection that it keeps for its next request would be closed as an unfinished head.
+#[rstest]
+#[case::before_the_answer_ends(true)]
+#[case::after_it(false)]
+fn rest_of_a_refused_body_is_no_head(#[case] is_before: bool) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let refused = open(&table, Doing::Head, now);
+    refused.begin_request(0, true, now).unwrap();
+    refused.abandon_body();
+    if is_before {
+        refused.read(100, || now).unwrap();
+        refused.end_answer(|| now);
+    } else {
+        refused.end_answer(|| now);
+        refused.read(100, || now).unwrap();
+    }
+    table.sweep(now + PACES.head);
+    assert!(!refused.is_closed() && !refused.has_sent_ahead());
+    // The next head came with the rest of the body.
+    refused.begin_request(0, false, now).unwrap();
+    assert!(!refused.has_sent_ahead());
+    refused.end_answer(|| now);
+    refused.read(1, || now).unwrap();
+    table.sweep(now + PACES.head);
+    assert!(refused.is_closed());
+}
+
+/// Guards against calls that wait for another process without an end, where nothing else limits
+/// them.
+#[test]
+fn request_without_an_answer_ends_in_time_where_that_is_limited() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let answer = Duration::from_secs(8);
+    table.set_paces(Paces { answer: Some(answer), ..PACES });
+    let waiting = open(&table, Doing::Served, now);
+    table.sweep(now + answer - Duration::from_secs(1));
+    assert!(!waiting.is_closed());
+    table.sweep(now + answer);
+    assert!(waiting.is_closed());
+    assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
+}
--- a/components/process/entry/src/connection/callers.rs
+++ b/components/process/entry/src/connection/callers.rs
@@ -125,10 +125,7 @@
         // hyper runs this timer on idle connections as well, so it must allow the idle timeout.
         .header_read_timeout(idle_timeout)
         .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(
-            TokioIo::new(TrackedStream { stream, tracked, is_relayed: false }),
-            service,
-        );
+        .serve_connection(TokioIo::new(TrackedStream { stream, tracked, relayed: None }), service);
     tokio::pin!(connection);
     let mut has_request = has_request.subscribe();
     let first = async {
@@ -170,7 +167,7 @@
     let has_body = !req.body().is_end_stream();
     let mut response = match tracked.begin_request(req.headers().len(), has_body, arrived_at) {
         Ok(()) => {
-            let req = req.map(|body| CallerBody { body, tracked: tracked.clone() });
+            let req = req.map(|body| CallerBody::new(body, tracked.clone()));
             request::serve(cx.clone(), req, arrived_at).await
         }
         Err(_) => request::refuse_without_room(&cx),
--- a/components/process/entry/src/connection/doors.rs
+++ b/components/process/entry/src/connection/doors.rs
@@ -30,8 +30,8 @@
 const OPERATOR_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle timeout of connections that are passed on to the store.
 const RELAY_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time from the first byte of a call that is passed on until the store answers. Longer than the
-/// longest wait of the leader's calls.
+/// Time from the end of a call that is passed on until the store answers. Longer than the longest wait
+/// of the leader's calls.
 const RELAY_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Interval of checks whether connections progress.
@@ -129,10 +129,12 @@
             window: settings.body_window,
             window_bytes: settings.body_window_bytes,
             read: DEFAULT_HEAD_TIMEOUT,
+            answer: None,
             least: LEAST_TIME,
         };
         let operator_paces = Paces { least: OPERATOR_LEAST_TIME, ..paces };
-        let relay_paces = Paces { idle: RELAY_IDLE_TIMEOUT, head: RELAY_ANSWER_TIMEOUT, ..paces };
+        let relay_paces =
+            Paces { idle: RELAY_IDLE_TIMEOUT, answer: Some(RELAY_ANSWER_TIMEOUT), ..paces };
         Self {
             callers: Door::new("callers", caller_limits, paces),
             readiness: Door::new("readiness", limits(OPERATOR_CONNECTIONS), operator_paces),
@@ -155,6 +157,7 @@
             window: self.body_window,
             window_bytes: self.body_window_bytes,
             read: self.read_timeout,
+            answer: None,
             least: LEAST_TIME,
         }
     }
--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -4,6 +4,7 @@
 mod doors;
 mod head_limit;
 mod operators;
+mod relayed_calls;
 mod server;
 mod store_relay;
 mod tracking;
--- a/components/process/entry/src/connection/operators.rs
+++ b/components/process/entry/src/connection/operators.rs
@@ -108,10 +108,9 @@
         }
         async move { Ok::<_, Infallible>(response) }
     });
-    let result = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(
-        TokioIo::new(TrackedStream { stream, tracked, is_relayed: false }),
-        service,
-    );
+    let result = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(TrackedStream { stream, tracked, relayed: None }), service);
     if let Err(error) = result.await {
         tracing::debug!(%error, "operators: connection ended");
     }
--- a/components/process/entry/src/connection/store_relay.rs
+++ b/components/process/entry/src/connection/store_relay.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout_at;
 
 use super::ACCEPT_RETRY_DELAY;
-use super::tracking::{Tracked, TrackedStream, spawn_tracked};
+use super::tracking::{RelayedCalls, Tracked, TrackedStream, spawn_tracked};
 use crate::process::Entry;
 
 /// Timeout for the connection to the store.
@@ -59,7 +59,8 @@
     match connect.await {
         Ok(Ok(mut store)) => {
             // The other instance's keep-alive and timeouts find a store that does not answer.
-            let mut stream = TrackedStream { stream, tracked, is_relayed: true };
+            let mut stream =
+                TrackedStream { stream, tracked, relayed: Some(RelayedCalls::default()) };
             let copy = copy_bidirectional(&mut stream, &mut store);
             if let Ok(Err(error)) = timeout_at((begins + MAX_CONNECTION_TIME).into(), copy).await {
                 tracing::debug!(%error, "store: passed-on connection ended");
--- a/components/process/entry/src/connection/tracking.rs
+++ b/components/process/entry/src/connection/tracking.rs
@@ -16,6 +16,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use super::Body;
+use super::relayed_calls::{CallReader, Progress};
 
 /// Closes a connection by ending its task.
 #[derive(Clone, Default)]
@@ -57,8 +58,36 @@
 pub(super) struct TrackedStream {
     pub(super) stream: TcpStream,
     pub(super) tracked: Tracked,
-    /// The requests are passed on as bytes, so that each write counts as an answer.
-    pub(super) is_relayed: bool,
+    /// Set if the requests are passed on as bytes, so that each write counts as an answer.
+    pub(super) relayed: Option<RelayedCalls>,
+}
+
+/// The calls of a connection that is passed on.
+#[derive(Default)]
+pub(super) struct RelayedCalls {
+    reader: CallReader,
+    /// Whether the body of the last call is incomplete.
+    is_in_body: bool,
+}
+
+impl RelayedCalls {
+    /// Records how much of a call was read. These connections have no limit on their memory, so there
+    /// is room for each call.
+    fn record(&mut self, bytes: &[u8], tracked: &Tracked) {
+        let progress = self.reader.read(bytes);
+        let was_in_body = std::mem::replace(&mut self.is_in_body, progress == Progress::Body);
+        match progress {
+            Progress::Complete if was_in_body => tracked.end_body(),
+            Progress::Complete => {
+                let _ = tracked.begin_request(0, false, Instant::now());
+            }
+            Progress::Body if !was_in_body => {
+                let _ = tracked.begin_request(0, true, Instant::now());
+                tracked.begin_body(Instant::now);
+            }
+            Progress::Body | Progress::Head => {}
+        }
+    }
 }
 
 impl TrackedStream {
@@ -66,7 +95,7 @@
         match written {
             Poll::Ready(Ok(len)) => {
                 self.tracked.wrote(*len);
-                if self.is_relayed {
+                if self.relayed.is_some() {
                     self.tracked.end_answer(Instant::now);
                 }
             }
@@ -83,10 +112,19 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let len = buf.filled().len() - before;
-        if len > 0 && self.tracked.read(len, Instant::now).is_err() {
-            return Poll::Ready(Err(io::Error::other("no room for the head of a request")));
+        let this = &mut *self;
+        let result = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if result.is_pending() {
+            this.tracked.read_all();
+        }
+        let read = &buf.filled()[before..];
+        if !read.is_empty() {
+            if this.tracked.read(read.len(), Instant::now).is_err() {
+                return Poll::Ready(Err(io::Error::other("no room for the head of a request")));
+            }
+            if let Some(relayed) = &mut this.relayed {
+                relayed.record(read, &this.tracked);
+            }
         }
         result
     }
@@ -128,13 +166,25 @@
 
 /// Body of a request, which records its end.
 pub(crate) struct CallerBody {
-    pub(super) body: Incoming,
-    pub(super) tracked: Tracked,
+    body: Incoming,
+    tracked: Tracked,
+    /// Whether the body was read to its end.
+    has_ended: bool,
+}
+
+impl CallerBody {
+    pub(super) fn new(body: Incoming, tracked: Tracked) -> Self {
+        Self { has_ended: body.is_end_stream(), body, tracked }
+    }
 }
 
 impl Drop for CallerBody {
     fn drop(&mut self) {
-        self.tracked.end_body();
+        if self.has_ended || self.body.is_end_stream() {
+            self.tracked.end_body();
+        } else {
+            self.tracked.abandon_body();
+        }
     }
 }
 
@@ -147,7 +197,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         self.tracked.begin_body(Instant::now);
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        self.has_ended |= matches!(frame, Poll::Ready(None));
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/tests/caller_limits/main.rs
+++ b/tests/caller_limits/main.rs
@@ -6,3 +6,4 @@
 mod bounds_tests;
 mod crowd;
 mod harness;
+mod waiting_tests;
