Callers that do not take their answers no longer hold servers back

When a caller had not taken 16 pieces of a stream, nothing more was read from its server. Servers cut off an answer that stays unread for some seconds, so such a caller lost the rest, and the server's slot stayed taken meanwhile. A stream that found no memory was given up, whoever had used it.

The rest of a stream is joined in one buffer, counted in the memory of bodies, of which such backlogs take at most half. Beyond, the server is held back while callers that have not read for a second are disconnected, the one that took least for the longest first, at most 8 each 50 ms. Events and whole responses that find no memory wait up to 1.5 s for that before they count as lost. The connection to the server is returned when its stream has ended there.

Seen failing first: answer_is_read_from_its_server_before_its_caller_takes_it with the binary of ("the answer broke off after 3923882 bytes" of 6 million). With the mechanism taken out stream_goes_on_while_its_caller_does_not_read, backlogs_leave_half_of_the_memory_to_others and data_without_memory_leaves_the_splitter_unchanged fail.

The stand-in cuts off responses that have an end after two seconds in which they are not read; the tests that use such responses send some hundred bytes.

--- a/components/connection/body_memory/src/buffer.rs
+++ b/components/connection/body_memory/src/buffer.rs
@@ -76,6 +76,11 @@
         Ok(())
     }
 
+    /// Drops the bytes after the first `len`. The capacity stays.
+    pub fn truncate(&mut self, len: usize) {
+        self.buf.truncate(len);
+    }
+
     /// Takes the first `len` bytes out of the buffer.
     ///
     /// # Errors
--- a/components/connection/body_memory/src/collect.rs
+++ b/components/connection/body_memory/src/collect.rs
@@ -39,6 +39,24 @@
     max_bytes: usize,
     memory: &BodyMemory,
 ) -> Result<Bytes, CollectError>
+where
+    B: Body<Data = Bytes, Error: Display>,
+{
+    collect_waiting(body, max_bytes, memory, async || false).await
+}
+
+/// Collects a body like [`collect`]. If it finds no room in `memory`, calls `wait` and tries again if
+/// that returns true.
+///
+/// # Errors
+///
+/// Fails if the body is too long, breaks off, or finds no room and may not wait any longer.
+pub async fn collect_waiting<B>(
+    body: B,
+    max_bytes: usize,
+    memory: &BodyMemory,
+    mut wait: impl AsyncFnMut() -> bool,
+) -> Result<Bytes, CollectError>
 where
     B: Body<Data = Bytes, Error: Display>,
 {
@@ -55,7 +73,11 @@
         if buffer.len() + data.len() > max_bytes {
             return Err(CollectError::TooLong);
         }
-        buffer.extend(&data, expected)?;
+        while let Err(error) = buffer.extend(&data, expected) {
+            if !wait().await {
+                return Err(error.into());
+            }
+        }
     }
     Ok(buffer.into_bytes())
 }
--- a/components/connection/body_memory/src/lib.rs
+++ b/components/connection/body_memory/src/lib.rs
@@ -14,7 +14,7 @@
 use quick_error::quick_error;
 
 pub use buffer::BodyBuffer;
-pub use collect::{CollectError, collect};
+pub use collect::{CollectError, collect, collect_waiting};
 
 #[cfg(test)]
 mod tests;
@@ -61,6 +61,11 @@
         Self { shared: Arc::new(Shared { limit, used: AtomicUsize::new(0) }) }
     }
 
+    /// Bytes that all bodies together may take.
+    pub fn limit(&self) -> usize {
+        self.shared.limit
+    }
+
     /// Bytes that the bodies take now.
     pub fn used(&self) -> usize {
         self.shared.used.load(Ordering::Relaxed)
--- a/components/connection/caller_limits/src/table.rs
+++ b/components/connection/caller_limits/src/table.rs
@@ -10,6 +10,9 @@
 /// Most connections that are ranked at a time, so that not each new connection of a crowd ranks all.
 const RANKED: usize = 64;
 
+/// Least time between two reliefs of answers.
+pub(crate) const RELIEF_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Progress of a connection; the least comes first.
 type Rank = (Reason, Instant);
 
@@ -153,6 +156,8 @@
     /// Sum of the memory of all connections in the table.
     bytes: Cell<usize>,
     closed: Cell<Counts>,
+    /// Before that time, no answers are relieved.
+    relief_due: Cell<Option<Instant>>,
 }
 
 impl<C: Close> Shared<C> {
@@ -270,6 +275,7 @@
             count: Cell::new(0),
             bytes: Cell::new(0),
             closed: Cell::default(),
+            relief_due: Cell::new(None),
         };
         Self { shared: Rc::new(shared) }
     }
@@ -323,12 +329,26 @@
     /// Closes up to `count` connections whose bodies or answers take memory without progress: bodies
     /// that are incomplete, then answers that are not read.
     pub fn relieve_bodies(&self, count: usize, now: Instant) {
+        self.relieve(count, now, |_, reason| matches!(reason, Reason::Body | Reason::Unread));
+    }
+
+    /// Closes up to `count` connections whose callers do not read their answers. Does nothing if it
+    /// was called less than [`RELIEF_INTERVAL`] ago, because each call ranks all connections.
+    pub fn relieve_answers(&self, count: usize, now: Instant) {
+        let due = self.shared.relief_due.get();
+        if due.is_none_or(|due| now >= due) {
+            self.shared.relief_due.set(Some(now + RELIEF_INTERVAL));
+            self.relieve(count, now, |state, _| state.blocked_since.get().is_some());
+        }
+    }
+
+    fn relieve(&self, count: usize, now: Instant, may_close: impl Fn(&State<C>, Reason) -> bool) {
         let mut victims: Vec<_> = self
             .shared
             .connections()
             .into_iter()
             .filter_map(|state| Some((state.rank(now)?, state)))
-            .filter(|((reason, _), _)| matches!(reason, Reason::Body | Reason::Unread))
+            .filter(|((reason, _), state)| may_close(state, *reason))
             .collect();
         victims.sort_unstable_by_key(|(rank, _)| *rank);
         for ((reason, _), state) in victims.into_iter().take(count) {
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -296,6 +296,12 @@
         }
     }
 
+    /// Disconnects callers that have not read their answers for a while, so that there is memory for
+    /// other answers.
+    pub(crate) fn disconnect_unread(&self) {
+        self.doors.callers.connections.relieve_answers(RELIEVED_BODIES, Instant::now());
+    }
+
     /// Records that a server could not be reached.
     pub(crate) fn record_unreachable(&self, server: &str) {
         let until = self.update_health(server, |health, now| health.record_unreachable(now));
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use body_memory::{BodyBuffer, CollectError, collect};
+use body_memory::{BodyBuffer, BodyMemory, CollectError, collect_waiting};
 use bytes::Bytes;
 use http::response::Parts;
 use http::{Request, StatusCode, header};
@@ -20,6 +20,7 @@
 
 use super::Job;
 use super::events::{EventError, EventSplitter};
+use super::memory_wait::MemoryWait;
 use super::select::{Selection, has_free_slot_elsewhere};
 use crate::connection::{ConnectError, Connection, SendError};
 use crate::process::{Entry, InFlight, LostRequest, UnreadPrompt};
@@ -87,6 +88,9 @@
     started_at: Instant,
     /// Number of events, and the time, at the last measurement of the server's pace.
     measured: (u64, Instant),
+    /// Data that found no memory yet.
+    unsplit: Option<Bytes>,
+    memory_wait: MemoryWait,
     _in_flight: InFlight,
 }
 
@@ -136,33 +140,41 @@
     /// bytes ready, but never a complete event, does not hold the request any longer.
     async fn next_until(&mut self, cx: &Entry, deadline: Instant) -> Chunk {
         loop {
+            if let Some(data) = self.unsplit.take() {
+                match self.split(&data, &cx.body_memory) {
+                    Ok(ready) => {
+                        self.memory_wait.end();
+                        self.measure_pace(cx);
+                        if self.splitter.event_count() >= ANSWERING_EVENTS {
+                            self.record_answering(cx);
+                        }
+                        if !ready.is_empty() {
+                            return Chunk::Data(ready);
+                        }
+                        // The timeout does not expire while bytes are ready whenever it is polled.
+                        if Instant::now() >= deadline {
+                            return Chunk::Broken(STREAM_SILENT);
+                        }
+                    }
+                    Err(EventError::TooLong) => {
+                        cx.metrics.oversized_responses.inc();
+                        return Chunk::Broken(EVENT_TOO_LONG);
+                    }
+                    Err(EventError::OutOfMemory) => {
+                        self.unsplit = Some(data);
+                        let (id, _) = &self.request;
+                        if !self.memory_wait.pause(cx, id, &self.server, deadline).await {
+                            return Chunk::Broken(NO_MEMORY);
+                        }
+                        continue;
+                    }
+                }
+            }
             match timeout_at(deadline.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     cx.record_contact(&self.data_centre);
                     let Ok(data) = frame.into_data() else { continue };
-                    let events = match self.splitter.push(&data) {
-                        Ok(events) => events,
-                        Err(error) => return self.unbuffered(cx, error),
-                    };
-                    self.measure_pace(cx);
-                    if self.splitter.event_count() >= ANSWERING_EVENTS {
-                        self.record_answering(cx);
-                    }
-                    if self.is_resumable {
-                        if !events.is_empty() {
-                            return Chunk::Data(events);
-                        }
-                    } else if !data.is_empty() {
-                        // The connection's read buffer, to which `data` refers, may be much larger.
-                        return match BodyBuffer::copy_of(&data, &cx.body_memory) {
-                            Ok(copy) => Chunk::Data(copy.into_bytes()),
-                            Err(error) => self.unbuffered(cx, error.into()),
-                        };
-                    }
-                    // The timeout does not expire while bytes are ready whenever it is polled.
-                    if Instant::now() >= deadline {
-                        return Chunk::Broken(STREAM_SILENT);
-                    }
+                    self.unsplit = Some(data);
                 }
                 Ok(Some(Err(_))) => return Chunk::Broken(STREAM_BROKE_OFF),
                 Ok(None) if self.splitter.is_inside_event() => {
@@ -181,17 +193,15 @@
         }
     }
 
-    fn unbuffered(&self, cx: &Entry, error: EventError) -> Chunk {
-        match error {
-            EventError::TooLong => {
-                cx.metrics.oversized_responses.inc();
-                Chunk::Broken(EVENT_TOO_LONG)
-            }
-            EventError::OutOfMemory => {
-                cx.record_no_memory(&self.request.0, &self.server);
-                Chunk::Broken(NO_MEMORY)
-            }
+    /// Splits data, and returns what may be passed on.
+    fn split(&mut self, data: &[u8], memory: &BodyMemory) -> Result<Bytes, EventError> {
+        if self.is_resumable {
+            return self.splitter.push(data);
         }
+        // The connection's read buffer, to which `data` refers, may be much larger.
+        let copy = BodyBuffer::copy_of(data, memory)?;
+        self.splitter.push(data)?;
+        Ok(copy.into_bytes())
     }
 
     /// Measures the server's pace once every few events.
@@ -379,7 +389,10 @@
         }
         return started;
     }
-    let collected = collect(body, MAX_RESPONSE_BYTES, &cx.body_memory);
+    let mut memory_wait = MemoryWait::default();
+    let wait =
+        async || memory_wait.pause(cx, &job.facts.attempt_id, &selection.id, job.deadline).await;
+    let collected = collect_waiting(body, MAX_RESPONSE_BYTES, &cx.body_memory, wait);
     let collected = tokio::select! {
         collected = timeout_at(job.deadline.into(), collected) => collected,
         () = cx.ending() => return AttemptOutcome::Lost(INSTANCE_STOPS),
@@ -406,10 +419,7 @@
                     cx.metrics.oversized_responses.inc();
                     AttemptOutcome::Lost("body of the answer too long")
                 }
-                CollectError::OutOfMemory => {
-                    cx.record_no_memory(&job.facts.attempt_id, &selection.id);
-                    AttemptOutcome::Lost(NO_MEMORY)
-                }
+                CollectError::OutOfMemory => AttemptOutcome::Lost(NO_MEMORY),
                 CollectError::Broken(_) => {
                     drop((connection, in_flight));
                     record_lost(cx, job, selection).await;
@@ -483,6 +493,8 @@
         data_centre: selection.data_centre.clone(),
         request: (job.facts.attempt_id.clone(), job.properties.clone()),
         is_answering: false,
+        unsplit: None,
+        memory_wait: MemoryWait::default(),
         service: job.service.clone(),
         model: job.prompt().map_or_else(|| "".into(), |prompt| prompt.model.clone()),
         started_at: Instant::now(),
--- a/components/process/entry/src/request/events.rs
+++ b/components/process/entry/src/request/events.rs
@@ -61,14 +61,22 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is longer than [`MAX_EVENT_BYTES`] or finds no memory.
+    /// Fails if an event is longer than [`MAX_EVENT_BYTES`], or finds no memory; then nothing was
+    /// appended.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+        let before = self.partial.len();
         self.partial.extend(bytes, MAX_EVENT_BYTES)?;
         let len = complete_events_len(&self.partial, self.searched);
         // Blank lines between events belong to no event.
         let rest = self.partial[len..].iter();
         let len = len + rest.take_while(|byte| matches!(byte, b'\n' | b'\r')).count();
-        let complete = self.partial.take_front(len)?;
+        let complete = match self.partial.take_front(len) {
+            Ok(complete) => complete,
+            Err(error) => {
+                self.partial.truncate(before);
+                return Err(error.into());
+            }
+        };
         self.searched = self.partial.len().saturating_sub(SEPARATOR_OVERLAP);
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
--- a/components/process/entry/src/request/events/tests.rs
+++ b/components/process/entry/src/request/events/tests.rs
@@ -62,6 +62,24 @@
     }
 }
 
+/// Guards against bytes of a stream that are doubled when the data is split again after it found no
+/// memory.
+#[test]
+fn data_without_memory_leaves_the_splitter_unchanged() {
+    let memory = BodyMemory::with_limit(4_000);
+    let mut splitter = EventSplitter::new(&memory);
+    assert_eq!(splitter.push(b"id: 1\nda").unwrap(), "");
+    let others = BodyBuffer::copy_of(&[0; 1_500], &memory).unwrap();
+    // The rest fits into the buffer, and its first part has to be copied.
+    let rest = [&b"ta: "[..], &[b'a'; 450], b"\n\nid: 2\nd"].concat();
+    let more = BodyBuffer::copy_of(&[0; 700], &memory).unwrap();
+    assert_eq!(splitter.push(&rest), Err(EventError::OutOfMemory));
+    drop((others, more));
+    let events = splitter.push(&rest).unwrap();
+    assert_eq!(events, [&b"id: 1\nda"[..], &rest[..rest.len() - 7]].concat());
+    assert_eq!(splitter.event_count(), 1);
+}
+
 proptest! {
     /// Guards against events that depend on how the bytes of a stream arrive.
     #[test]
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -2,8 +2,10 @@
 
 mod account;
 mod attempt;
+mod backlog;
 mod events;
 mod failure;
+mod memory_wait;
 mod quota;
 mod select;
 mod stream;
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -7,30 +7,25 @@
 use futures_util::stream::poll_fn;
 use http::{Response, header};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use platform_adapter::remove_hop_by_hop_headers;
-use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 use super::Job;
 use super::attempt::{AttemptOutcome, Chunk, StreamSource, StreamStart, attempt};
+use super::backlog::{Backlog, CallerLeft};
 use super::trace::ANSWERED;
 use super::wait::select_server;
-use crate::connection::{Body, BodyError};
+use crate::connection::Body;
 use crate::process::Entry;
 
-/// Chunks buffered for a caller that reads slowly. While the buffer is full, no more is read from
-/// the server.
-const MAX_BUFFERED_CHUNKS: usize = 16;
-
+/// Interval of attempts to find memory for data whose caller does not take it.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which a stream must be resumed; callers leave a stream after two seconds without
 /// events.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// Interval of checks whether the limits allow a retry again.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-type ChunkSender = mpsc::Sender<Result<Frame<Bytes>, BodyError>>;
-
 /// Starts the response with the first events of a stream, and relays the rest in a task.
 pub(crate) fn start(cx: &Rc<Entry>, mut job: Job, started: StreamStart) -> Response<Body> {
     let StreamStart { mut parts, first, has_ended, source } = started;
@@ -40,67 +35,73 @@
     parts.headers.remove(header::CONTENT_LENGTH);
     parts.version = http::Version::HTTP_11;
     parts.extensions.clear();
-    let (tx, mut rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    if !first.is_empty() && tx.try_send(Ok(Frame::data(first))).is_err() {
-        tracing::debug!("stream: caller left before the first event");
+    let (mut backlog, mut rx) = Backlog::new(&cx.body_memory);
+    if !first.is_empty() && backlog.push(first).is_err() {
+        tracing::error!("stream: no room for the first event");
     }
     if has_ended {
         job.trace.end(ANSWERED, parts.status);
         source.finish(cx);
     } else {
-        spawn_local(relay(cx.clone(), job, parts.status, source, tx));
+        spawn_local(relay(cx.clone(), job, parts.status, source, backlog));
     }
     let body = StreamBody::new(poll_fn(move |task| rx.poll_recv(task))).boxed_unsync();
     Response::from_parts(parts, body)
 }
 
+/// Relays a stream and writes its log line.
 async fn relay(
     cx: Rc<Entry>,
     mut job: Job,
     status: http::StatusCode,
-    mut source: StreamSource,
-    tx: ChunkSender,
+    source: StreamSource,
+    backlog: Backlog,
 ) {
+    let passed_on = pass_on(&cx, &mut job, source, backlog).await;
+    let outcome = passed_on.unwrap_or("caller_left");
+    job.trace.end(outcome, status);
+}
+
+async fn pass_on(
+    cx: &Rc<Entry>,
+    job: &mut Job,
+    mut source: StreamSource,
+    mut backlog: Backlog,
+) -> Result<&'static str, CallerLeft> {
     loop {
         let chunk = tokio::select! {
             biased;
-            () = tx.closed() => return job.trace.end("caller_left", status),
-            chunk = source.next(&cx, &job) => chunk,
+            advanced = backlog.advance() => {
+                advanced?;
+                continue;
+            }
+            chunk = source.next(cx, job) => chunk,
         };
         match chunk {
-            Chunk::Data(data) => {
-                if tx.send(Ok(Frame::data(data))).await.is_err() {
-                    return job.trace.end("caller_left", status);
-                }
-            }
+            Chunk::Data(data) => add(cx, job, &mut backlog, data).await?,
             Chunk::End => {
-                job.trace.end(ANSWERED, status);
-                return source.finish(&cx);
+                // The server is free although the caller has not taken everything.
+                source.finish(cx);
+                return backlog.finish().await.map(|()| ANSWERED);
             }
             Chunk::Broken(reason) => {
                 job.trace.record(reason);
                 let last_event = source.last_id().map(Box::<str>::from);
                 // Closes the connection to this server before the next one gets the request.
-                source.abandon(&cx, reason).await;
+                source.abandon(cx, reason).await;
                 let resumed = tokio::select! {
-                    () = tx.closed() => return job.trace.end("caller_left", status),
-                    resumed = resume(&cx, &mut job, last_event) => resumed,
+                    left = backlog.closed() => return Err(left),
+                    resumed = resume(cx, job, last_event) => resumed,
                 };
                 let Some(started) = resumed else {
-                    job.trace.end("broke_off", status);
-                    if tx.send(Err(BodyError::Incomplete)).await.is_err() {
-                        tracing::debug!("stream: caller left before the error was sent");
-                    }
-                    return;
+                    return backlog.break_off().await.map(|()| "broke_off");
                 };
-                if !started.first.is_empty()
-                    && tx.send(Ok(Frame::data(started.first))).await.is_err()
-                {
-                    return job.trace.end("caller_left", status);
+                if !started.first.is_empty() {
+                    add(cx, job, &mut backlog, started.first).await?;
                 }
                 if started.has_ended {
-                    job.trace.end(ANSWERED, status);
-                    return started.source.finish(&cx);
+                    started.source.finish(cx);
+                    return backlog.finish().await.map(|()| ANSWERED);
                 }
                 source = started.source;
             }
@@ -108,6 +109,29 @@
     }
 }
 
+/// Adds data for the caller. If the memory is used up, the server is held back until the caller reads
+/// or until callers that have not read for a while, possibly this one, have been disconnected.
+async fn add(
+    cx: &Entry,
+    job: &mut Job,
+    backlog: &mut Backlog,
+    mut data: Bytes,
+) -> Result<(), CallerLeft> {
+    let mut is_held_back = false;
+    while let Err(refused) = backlog.push(data) {
+        data = refused;
+        if !std::mem::replace(&mut is_held_back, true) {
+            job.trace.record("no memory for a caller that does not read");
+        }
+        cx.disconnect_unread();
+        tokio::select! {
+            room = backlog.wait_for_room() => room?,
+            () = tokio::time::sleep(MEMORY_POLL_INTERVAL) => {}
+        }
+    }
+    Ok(())
+}
+
 /// Resumes a stream after `last_event` at another server.
 async fn resume(
     cx: &Rc<Entry>,
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -13,4 +13,5 @@
 mod order_tests;
 mod process_tests;
 mod quota_tests;
+mod slow_caller_tests;
 mod store_tests;
