A least pace for callers that take an answer

A caller that took a few bytes now and then was disconnected only when others needed its room. It now has to take 1,024 bytes in 30 s while more is ready than the kernel's buffers hold (`[callers] read_window_bytes`, over `read_timeout_s`); a share of the slowest link brings 27,000. The reason is `read_too_slow` in the metric and the bounded line about closed connections. Callers that are slow in this sense also rank by the time since they have been so, not since their last byte.

With the mechanism taken out answer_is_taken_at_a_least_pace (case too_slow), caller_that_has_caught_up_starts_a_new_measurement and callers_that_do_not_read_give_up_the_memory_of_answers fail.

--- a/components/connection/caller_limits/src/connection.rs
+++ b/components/connection/caller_limits/src/connection.rs
@@ -69,7 +69,13 @@
     pub(crate) begins: Cell<Instant>,
     /// Since when the caller has taken no byte of what is ready for it.
     pub(crate) blocked_since: Cell<Option<Instant>>,
-    /// Bytes that the caller sent or took since the last check of its pace.
+    /// Since when the caller has taken fewer than the least number of bytes. It says something only
+    /// while the caller is blocked: the kernel's buffer was full then and is full again, so what was
+    /// written meanwhile is what the caller took.
+    pub(crate) slow_since: Cell<Option<Instant>>,
+    /// Bytes that the caller took after `slow_since`.
+    taken: Cell<usize>,
+    /// Bytes that the caller sent since the last check of its pace.
     pub(crate) moved: Cell<usize>,
     /// When the pace is checked next; only while a body is incomplete.
     pub(crate) pace_due: Cell<Instant>,
@@ -109,6 +115,8 @@
             phase: Cell::new(Phase::Idle),
             begins: Cell::new(now),
             blocked_since: Cell::new(None),
+            slow_since: Cell::new(None),
+            taken: Cell::new(0),
             moved: Cell::new(0),
             pace_due: Cell::new(now),
             head_len: Cell::new(0),
@@ -123,6 +131,7 @@
     pub(crate) fn rank(&self, now: Instant) -> Option<(Reason, Instant)> {
         let lasts = |since, least: Duration| now.saturating_duration_since(since) >= least;
         if let Some(since) = self.blocked_since.get() {
+            let since = self.slow_since.get().unwrap_or(since);
             if self.has_sent_ahead.get() {
                 return Some((Reason::SentAhead, since));
             }
@@ -238,15 +247,28 @@
 
     /// Records that the kernel took `len` bytes of an answer.
     pub fn wrote(&self, len: usize) {
-        if len > 0 && self.state.blocked_since.get().is_some() {
-            self.state.blocked_since.set(None);
+        let state = &*self.state;
+        if len == 0 || state.slow_since.get().is_none() {
+            return;
+        }
+        state.blocked_since.set(None);
+        state.taken.set(state.taken.get() + len);
+        if state.taken.get() >= state.table.paces.get().read_bytes {
+            state.slow_since.set(None);
         }
     }
 
     /// Records that the caller does not take what is ready for it.
     pub fn blocked(&self, now: impl Fn() -> Instant) {
-        if self.state.blocked_since.get().is_none() {
-            self.state.blocked_since.set(Some(now()));
+        let state = &*self.state;
+        if state.blocked_since.get().is_some() {
+            return;
+        }
+        let at = now();
+        state.blocked_since.set(Some(at));
+        if state.slow_since.get().is_none() {
+            state.slow_since.set(Some(at));
+            state.taken.set(0);
         }
     }
 
--- a/components/connection/caller_limits/src/table.rs
+++ b/components/connection/caller_limits/src/table.rs
@@ -47,6 +47,8 @@
     BodyPace,
     /// Its caller took nothing of the answer for too long.
     ReadTimeout,
+    /// Its caller took the answer too slowly.
+    ReadPace,
     /// Its request was not answered in time.
     AnswerTimeout,
     /// There was no room for it, or for its request.
@@ -55,7 +57,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::SentAhead,
         Self::Idle,
         Self::LongHead,
@@ -67,6 +69,7 @@
         Self::HeadTimeout,
         Self::BodyPace,
         Self::ReadTimeout,
+        Self::ReadPace,
         Self::AnswerTimeout,
         Self::NoRoom,
     ];
@@ -85,6 +88,7 @@
             Self::HeadTimeout => "head_timeout",
             Self::BodyPace => "body_too_slow",
             Self::ReadTimeout => "read_timeout",
+            Self::ReadPace => "read_too_slow",
             Self::AnswerTimeout => "answer_timeout",
             Self::NoRoom => "no_room",
         }
@@ -116,8 +120,11 @@
     pub window: Duration,
     /// Least number of bytes of a body in that time.
     pub window_bytes: usize,
-    /// Longest time in which a caller takes nothing of an answer.
+    /// Longest time in which a caller takes nothing of an answer. Time over which the pace of taking it
+    /// is measured.
     pub read: Duration,
+    /// Least number of bytes that a caller takes in that time.
+    pub read_bytes: usize,
     /// Longest time from the end of a request to the first byte of its answer, where requests have no
     /// time limit of their own.
     pub answer: Option<Duration>,
@@ -371,8 +378,16 @@
 fn overdue<C: Close>(state: &State<C>, paces: &Paces, now: Instant) -> Option<Reason> {
     let lasted = now.saturating_duration_since(state.begins.get());
     if let Some(since) = state.blocked_since.get() {
-        let is_over = now.saturating_duration_since(since) >= paces.read;
-        return is_over.then_some(Reason::ReadTimeout);
+        let is_over = |since| now.saturating_duration_since(since) >= paces.read;
+        let is_slow = state.slow_since.get().is_some_and(is_over);
+        return match is_over(since) {
+            true => Some(Reason::ReadTimeout),
+            false => is_slow.then_some(Reason::ReadPace),
+        };
+    }
+    if state.slow_since.get().is_some_and(|since| now >= since + paces.read) {
+        // The caller has caught up.
+        state.slow_since.set(None);
     }
     match state.phase.get() {
         Phase::Idle => (lasted >= paces.idle).then_some(Reason::IdleTimeout),
--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -14,6 +14,7 @@
     window: Duration::from_secs(10),
     window_bytes: 100,
     read: Duration::from_secs(30),
+    read_bytes: 100,
     answer: None,
     least: Duration::from_millis(100),
 };
@@ -335,3 +336,60 @@
     assert!(waiting.is_closed());
     assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
 }
+
+/// Guards against a caller that takes a few bytes now and then and so holds an answer for ever, and
+/// against closing slow callers that keep the pace.
+#[rstest]
+#[case::too_slow(9, true)]
+#[case::at_the_least_pace(10, false)]
+fn answer_is_taken_at_a_least_pace(#[case] bytes_each_3_s: usize, #[case] is_closed: bool) {
+    let table = table(10, 1_000);
+    let begins = Instant::now();
+    let slow = open(&table, Doing::Served, begins);
+    for n in 0..20 {
+        let now = begins + Duration::from_secs(3) * n;
+        if n > 0 {
+            slow.wrote(bytes_each_3_s);
+        }
+        slow.blocked(|| now);
+        table.sweep(now);
+    }
+    assert_eq!(slow.is_closed(), is_closed);
+    assert_eq!(table.closed().of(Reason::ReadPace), u64::from(is_closed));
+}
+
+/// Guards against closing a caller for an answer that it has taken since, when a later one is larger
+/// than the kernel's buffer for a moment.
+#[test]
+fn caller_that_has_caught_up_starts_a_new_measurement() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let caller = open(&table, Doing::UnreadAnswer, now);
+    caller.wrote(1);
+    table.sweep(now + PACES.read);
+    let later = now + PACES.read + Duration::from_secs(1);
+    caller.blocked(|| later);
+    table.sweep(later);
+    assert!(!caller.is_closed());
+}
+
+/// Guards against answers that are not read and use up the memory: their callers go, the one that has
+/// taken least for the longest first, and no caller that sends a body does.
+#[test]
+fn callers_that_do_not_read_give_up_the_memory_of_answers() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let body = open(&table, Doing::Body, now);
+    let served = open(&table, Doing::Served, now);
+    let slow = open(&table, Doing::UnreadAnswer, now);
+    let unread = open(&table, Doing::UnreadAnswer, now + Duration::from_millis(500));
+    let begins = now + Duration::from_secs(2);
+    slow.wrote(1);
+    slow.blocked(|| begins);
+    table.relieve_answers(1, begins);
+    assert!(slow.is_closed() && !unread.is_closed());
+    table.relieve_answers(1, begins);
+    assert!(!unread.is_closed());
+    table.relieve_answers(9, begins + Duration::from_secs(1));
+    assert!(unread.is_closed() && !body.is_closed() && !served.is_closed());
+}
--- a/components/process/entry/src/connection/doors.rs
+++ b/components/process/entry/src/connection/doors.rs
@@ -72,6 +72,7 @@
     body_window: Duration,
     body_window_bytes: usize,
     read_timeout: Duration,
+    read_window_bytes: usize,
 }
 
 impl Door {
@@ -129,6 +130,7 @@
             window: settings.body_window,
             window_bytes: settings.body_window_bytes,
             read: DEFAULT_HEAD_TIMEOUT,
+            read_bytes: settings.read_window_bytes,
             answer: None,
             least: LEAST_TIME,
         };
@@ -143,6 +145,7 @@
             body_window: settings.body_window,
             body_window_bytes: settings.body_window_bytes,
             read_timeout: settings.read_timeout,
+            read_window_bytes: settings.read_window_bytes,
         }
     }
 
@@ -157,6 +160,7 @@
             window: self.body_window,
             window_bytes: self.body_window_bytes,
             read: self.read_timeout,
+            read_bytes: self.read_window_bytes,
             answer: None,
             least: LEAST_TIME,
         }
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -31,6 +31,9 @@
     pub body_window_bytes: usize,
     /// `[callers] read_timeout_s`: longest time in which a caller takes nothing of a response.
     pub read_timeout: Duration,
+    /// `[callers] read_window_bytes`: least number of bytes of a response that a caller takes in that
+    /// time while more is ready for it.
+    pub read_window_bytes: usize,
     /// `[readiness] address`: listen address of the readiness check.
     pub readiness: SocketAddr,
     /// `[metrics] address`: listen address of the metrics endpoint.
@@ -152,6 +155,7 @@
         let body_window_s = r.or("body_window_s", 10.0, non_negative);
         let body_window_bytes = r.or("body_window_bytes", 1_024.0, non_negative);
         let read_timeout_s = r.or("read_timeout_s", 30.0, non_negative);
+        let read_window_bytes = r.or("read_window_bytes", 1_024.0, non_negative);
         r.finish();
 
         let mut address = |section: &str| {
@@ -204,6 +208,7 @@
             body_window: Duration::from_secs_f64(body_window_s),
             body_window_bytes: body_window_bytes as usize,
             read_timeout: Duration::from_secs_f64(read_timeout_s),
+            read_window_bytes: read_window_bytes as usize,
             readiness: readiness?,
             metrics: metrics?,
             peers: peers?,
