soak: crowds of callers that misbehave

Each seed plans crowds of its own, from a generator of their own, so that the other faults of a seed stay as they were: 120 connections at each listener of an instance, which send nothing, unfinished heads, bodies, chunks or fields, or requests ahead, and stay. No request of theirs reaches a server, and the checks of ordinary requests and of memory apply as without them.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,6 +3,7 @@
 //! fault plan.
 
 mod checks;
+mod crowd;
 mod plan;
 mod proxy;
 mod run;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,6 +14,7 @@
 use rustix::process::Signal;
 
 use crate::checks::{RequestRecord, violations};
+use crate::crowd;
 use crate::plan::{Event, Kind, plan};
 use crate::proxy::{Mode, Proxy};
 
@@ -376,6 +377,14 @@
         let deployment = deployment.clone();
         faults.spawn(async move { deployment.inject(event, started_at).await });
     }
+    for crowd in crowd::plan(seed, fault_duration, deployment.instances.len()) {
+        *report.injected.entry("Crowd".into()).or_default() += 1;
+        let mut addresses = None;
+        deployment.with_instance(crowd.instance, |instance| addresses = Some(instance.addresses));
+        if let Some(addresses) = addresses {
+            faults.spawn(crowd.play(addresses, started_at));
+        }
+    }
     while faults.join_next().await.is_some() {}
     for server in 0..deployment.servers.len() {
         deployment.servers[server].set_fault(Fault::None);
