--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -14,6 +14,8 @@
     window: Duration::from_secs(10),
     window_bytes: 100,
     read: Duration::from_secs(30),
+    read_bytes: 100,
+    answer: None,
     least: Duration::from_millis(100),
 };
 
@@ -256,3 +258,138 @@
     assert!(table.accept(Flag::default(), now + Duration::from_millis(9)).is_err());
     assert!(table.accept(Flag::default(), now + Duration::from_millis(20)).is_ok());
 }
+
+/// Guards against closing a caller for requests that it sent ahead once, although it has read the
+/// answers since and sends in turn.
+#[test]
+fn caller_that_sends_in_turn_again_counts_as_others() {
+    let table = table(2, 1_000);
+    let now = Instant::now();
+    let once_ahead = open(&table, Doing::Served, now);
+    once_ahead.read(1, || now).unwrap();
+    once_ahead.end_answer(|| now);
+    once_ahead.begin_request(0, false, now).unwrap();
+    once_ahead.end_answer(|| now);
+    assert_eq!(table.bytes(), COST.open + COST.unread);
+    once_ahead.read_all();
+    assert_eq!(table.bytes(), COST.open);
+    let later = now + Duration::from_secs(1);
+    once_ahead.read(1, || later).unwrap();
+    let idle = open(&table, Doing::Nothing, now);
+    let _new = open(&table, Doing::Served, later);
+    assert!(idle.is_closed() && !once_ahead.is_closed());
+}
+
+/// Guards against requests sent ahead that are forgotten while they wait behind the one that is
+/// served.
+#[test]
+fn requests_sent_ahead_count_while_one_is_served() {
+    let table = table(2, 1_000);
+    let now = Instant::now();
+    let ahead = open(&table, Doing::Served, now);
+    ahead.read(1, || now).unwrap();
+    ahead.read_all();
+    assert!(ahead.has_sent_ahead());
+}
+
+/// Guards against taking the rest of a refused body for the beginning of a head: the caller is idle,
+/// and a connection that it keeps for its next request would be closed as an unfinished head.
+#[rstest]
+#[case::before_the_answer_ends(true)]
+#[case::after_it(false)]
+fn rest_of_a_refused_body_is_no_head(#[case] is_before: bool) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let refused = open(&table, Doing::Head, now);
+    refused.begin_request(0, true, now).unwrap();
+    refused.abandon_body();
+    if is_before {
+        refused.read(100, || now).unwrap();
+        refused.end_answer(|| now);
+    } else {
+        refused.end_answer(|| now);
+        refused.read(100, || now).unwrap();
+    }
+    table.sweep(now + PACES.head);
+    assert!(!refused.is_closed() && !refused.has_sent_ahead());
+    // The next head came with the rest of the body.
+    refused.begin_request(0, false, now).unwrap();
+    assert!(!refused.has_sent_ahead());
+    refused.end_answer(|| now);
+    refused.read(1, || now).unwrap();
+    table.sweep(now + PACES.head);
+    assert!(refused.is_closed());
+}
+
+/// Guards against calls that wait for another process without an end, where nothing else limits
+/// them.
+#[test]
+fn request_without_an_answer_ends_in_time_where_that_is_limited() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let answer = Duration::from_secs(8);
+    table.set_paces(Paces { answer: Some(answer), ..PACES });
+    let waiting = open(&table, Doing::Served, now);
+    table.sweep(now + answer - Duration::from_secs(1));
+    assert!(!waiting.is_closed());
+    table.sweep(now + answer);
+    assert!(waiting.is_closed());
+    assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
+}
+
+/// Guards against a caller that takes a few bytes now and then and so holds an answer for ever, and
+/// against closing slow callers that keep the pace.
+#[rstest]
+#[case::too_slow(9, true)]
+#[case::at_the_least_pace(10, false)]
+fn answer_is_taken_at_a_least_pace(#[case] bytes_each_3_s: usize, #[case] is_closed: bool) {
+    let table = table(10, 1_000);
+    let begins = Instant::now();
+    let slow = open(&table, Doing::Served, begins);
+    for n in 0..20 {
+        let now = begins + Duration::from_secs(3) * n;
+        if n > 0 {
+            slow.wrote(bytes_each_3_s);
+        }
+        slow.blocked(|| now);
+        table.sweep(now);
+    }
+    assert_eq!(slow.is_closed(), is_closed);
+    assert_eq!(table.closed().of(Reason::ReadPace), u64::from(is_closed));
+}
+
+/// Guards against closing a caller for an answer that it has taken since, when a later one is larger
+/// than the kernel's buffer for a moment.
+#[test]
+fn caller_that_has_caught_up_starts_a_new_measurement() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let caller = open(&table, Doing::UnreadAnswer, now);
+    caller.wrote(1);
+    table.sweep(now + PACES.read);
+    let later = now + PACES.read + Duration::from_secs(1);
+    caller.blocked(|| later);
+    table.sweep(later);
+    assert!(!caller.is_closed());
+}
+
+/// Guards against answers that are not read and use up the memory: their callers go, the one that has
+/// taken least for the longest first, and no caller that sends a body does.
+#[test]
+fn callers_that_do_not_read_give_up_the_memory_of_answers() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let body = open(&table, Doing::Body, now);
+    let served = open(&table, Doing::Served, now);
+    let slow = open(&table, Doing::UnreadAnswer, now);
+    let unread = open(&table, Doing::UnreadAnswer, now + Duration::from_millis(500));
+    let begins = now + Duration::from_secs(2);
+    slow.wrote(1);
+    slow.blocked(|| begins);
+    table.relieve_answers(1, begins);
+    assert!(slow.is_closed() && !unread.is_closed());
+    table.relieve_answers(1, begins);
+    assert!(!unread.is_closed());
+    table.relieve_answers(9, begins + Duration::from_secs(1));
+    assert!(unread.is_closed() && !body.is_closed() && !served.is_closed());
+}
--- a/components/process/entry/src/connection/doors.rs
+++ b/components/process/entry/src/connection/doors.rs
@@ -25,13 +25,13 @@
 const OPERATOR_LEAST_TIME: Duration = Duration::from_millis(10);
 /// Added to the timeouts of the configuration, so that the instance never closes the connection of a
 /// caller that keeps to them.
-pub(super) const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+const TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Idle timeout of connections to the operators' listeners.
 const OPERATOR_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle timeout of connections that are passed on to the store.
 const RELAY_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time from the first byte of a call that is passed on until the store answers. Longer than the
-/// longest wait of the leader's calls.
+/// Time from the end of a call that is passed on until the store answers. Longer than the longest wait
+/// of the leader's calls.
 const RELAY_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Interval of checks whether connections progress.
@@ -72,6 +72,7 @@
     body_window: Duration,
     body_window_bytes: usize,
     read_timeout: Duration,
+    read_window_bytes: usize,
 }
 
 impl Door {
@@ -129,10 +130,13 @@
             window: settings.body_window,
             window_bytes: settings.body_window_bytes,
             read: DEFAULT_HEAD_TIMEOUT,
+            read_bytes: settings.read_window_bytes,
+            answer: None,
             least: LEAST_TIME,
         };
         let operator_paces = Paces { least: OPERATOR_LEAST_TIME, ..paces };
-        let relay_paces = Paces { idle: RELAY_IDLE_TIMEOUT, head: RELAY_ANSWER_TIMEOUT, ..paces };
+        let relay_paces =
+            Paces { idle: RELAY_IDLE_TIMEOUT, answer: Some(RELAY_ANSWER_TIMEOUT), ..paces };
         Self {
             callers: Door::new("callers", caller_limits, paces),
             readiness: Door::new("readiness", limits(OPERATOR_CONNECTIONS), operator_paces),
@@ -141,11 +145,12 @@
             body_window: settings.body_window,
             body_window_bytes: settings.body_window_bytes,
             read_timeout: settings.read_timeout,
+            read_window_bytes: settings.read_window_bytes,
         }
     }
 
     /// Times for callers under the configuration in force.
-    fn caller_paces(&self, cx: &Entry) -> Paces {
+    pub(super) fn caller_paces(&self, cx: &Entry) -> Paces {
         let limits = cx.deployment.borrow().as_ref().map(|deployment| deployment.limits);
         let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
         let head = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.header_timeout);
@@ -155,6 +160,8 @@
             window: self.body_window,
             window_bytes: self.body_window_bytes,
             read: self.read_timeout,
+            read_bytes: self.read_window_bytes,
+            answer: None,
             least: LEAST_TIME,
         }
     }
--- a/components/process/entry/src/settings.rs
+++ b/components/process/entry/src/settings.rs
@@ -31,6 +31,9 @@
     pub body_window_bytes: usize,
     /// `[callers] read_timeout_s`: longest time in which a caller takes nothing of a response.
     pub read_timeout: Duration,
+    /// `[callers] read_window_bytes`: least number of bytes of a response that a caller takes in that
+    /// time while more is ready for it.
+    pub read_window_bytes: usize,
     /// `[readiness] address`: listen address of the readiness check.
     pub readiness: SocketAddr,
     /// `[metrics] address`: listen address of the metrics endpoint.
@@ -66,6 +69,9 @@
 /// Delay before small machines claim the leader's lease; longer than a claim takes.
 const SMALL_MACHINE_CLAIM_DELAY: Duration = Duration::from_millis(900);
 
+/// Least memory of an instance, in MB.
+const MIN_MEMORY_MB: f64 = 1.0;
+
 const SECTIONS: &[&str] = &[
     "instance",
     "callers",
@@ -90,6 +96,15 @@
         .ok_or_else(|| value::ValueError::Other("expected a number that is not negative".into()))
 }
 
+/// Parses the memory of an instance: without any, each body would be refused.
+fn memory(text: &str) -> Result<f64, value::ValueError> {
+    let memory_mb = non_negative(text)?;
+    match memory_mb >= MIN_MEMORY_MB {
+        true => Ok(memory_mb),
+        false => Err(value::ValueError::Other("expected a number of at least 1".into())),
+    }
+}
+
 impl EntrySettings {
     /// Reads a settings file.
     pub fn load(path: &Path) -> Result<Self, Diagnostics> {
@@ -131,7 +146,7 @@
         let name = r.required("name", value::text);
         let data_centre = r.required("data_centre", value::text);
         let cores = r.or("cores", 1.0, non_negative);
-        let memory_mb = r.or("memory_mb", 256.0, non_negative);
+        let memory_mb = r.or("memory_mb", 256.0, memory);
         let descriptors = r.or("descriptors", 4_096.0, non_negative);
         r.finish();
 
@@ -140,6 +155,7 @@
         let body_window_s = r.or("body_window_s", 10.0, non_negative);
         let body_window_bytes = r.or("body_window_bytes", 1_024.0, non_negative);
         let read_timeout_s = r.or("read_timeout_s", 30.0, non_negative);
+        let read_window_bytes = r.or("read_window_bytes", 1_024.0, non_negative);
         r.finish();
 
         let mut address = |section: &str| {
@@ -192,6 +208,7 @@
             body_window: Duration::from_secs_f64(body_window_s),
             body_window_bytes: body_window_bytes as usize,
             read_timeout: Duration::from_secs_f64(read_timeout_s),
+            read_window_bytes: read_window_bytes as usize,
             readiness: readiness?,
             metrics: metrics?,
             peers: peers?,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 
 mod accounts;
 mod checks;
+mod crowd;
 mod plan;
 mod proxy;
 mod run;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -15,6 +15,7 @@
 
 use crate::accounts::{self, Accounts, GUEST_KEY, HOT_KEY, KeyRecord, STEADY_KEYS, UNKNOWN_KEY};
 use crate::checks::{RequestRecord, violations};
+use crate::crowd;
 use crate::plan::{Event, Kind, plan};
 use crate::proxy::{Mode, Proxy};
 
@@ -461,6 +462,14 @@
             faults.spawn(async move { deployment.change_accounts(at, change, started_at).await });
         }
     }
+    for crowd in crowd::plan(seed, fault_duration, deployment.instances.len()) {
+        *report.injected.entry("Crowd".into()).or_default() += 1;
+        let mut addresses = None;
+        deployment.with_instance(crowd.instance, |instance| addresses = Some(instance.addresses));
+        if let Some(addresses) = addresses {
+            faults.spawn(crowd.play(addresses, started_at));
+        }
+    }
     while faults.join_next().await.is_some() {}
     for server in 0..deployment.servers.len() {
         deployment.servers[server].set_fault(Fault::None);
--- a/tests/platform_sessions/main.rs
+++ b/tests/platform_sessions/main.rs
@@ -13,5 +13,6 @@
 mod order_tests;
 mod process_tests;
 mod quota_tests;
+mod slow_caller_tests;
 mod store_tests;
 mod waiting_order_tests;
