Order of loads by loss only where the configuration has client accounts

A part that brings nothing goes out: without accounts models are loaded by the number of waiting requests, as before.

--- a/components/process/entry/src/process/messages.rs
+++ b/components/process/entry/src/process/messages.rs
@@ -38,7 +38,7 @@
     /// Long prompts that servers are reading.
     LongPrompts(LongPromptsNotice),
     /// A [`Message::Status`] with its `waiting_groups`. Sent only where the configuration has client
-    /// accounts or several ranks.
+    /// accounts.
     StatusByAccount(Status, Vec<Vec<WaitingGroup>>),
     /// Supplements [`LeaderUpdate::queued`]. Sent only where the configuration has client accounts.
     QueuedByAccount(QueuedByAccount),
@@ -131,8 +131,8 @@
     /// Waiting requests: service, model, number of requests.
     #[serde(rename = "wants")]
     pub(crate) waiting: Vec<(ServiceName, ModelKey, u32)>,
-    /// Groups of each entry of `waiting`, in the same order. Empty where the configuration has
-    /// neither client accounts nor several ranks; a message of its own carries them.
+    /// Groups of each entry of `waiting`, in the same order. Empty where the configuration has no
+    /// client accounts; a message of its own carries them.
     #[serde(skip)]
     pub(crate) waiting_groups: Vec<Vec<WaitingGroup>>,
     /// Servers that said lately that they are leaving, and the start of their runs.
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -198,13 +198,6 @@
         deployment.as_ref().is_some_and(|deployment| !deployment.accounts.is_empty())
     }
 
-    /// Whether waiting requests are told apart by rank and account.
-    pub(crate) fn has_waiting_groups(&self) -> bool {
-        let deployment = self.deployment.borrow();
-        deployment.as_ref().is_some_and(|deployment| deployment.engine_waits().len() > 1)
-            || self.has_accounts()
-    }
-
     /// Waits for the shutdown phase in which requests without an answer are failed.
     pub(crate) async fn ending(&self) {
         let mut phase = self.phase.subscribe();
--- a/components/process/entry/src/process/orders/plan_loop.rs
+++ b/components/process/entry/src/process/orders/plan_loop.rs
@@ -176,21 +176,23 @@
 }
 
 /// Groups of the waiting requests of all instances for a service, by model. Empty where the
-/// configuration has neither client accounts nor several ranks.
+/// configuration has no client accounts.
 fn waiting_groups(cx: &Entry, service: &str) -> HashMap<ModelName, Vec<WaitingGroup>> {
-    if !cx.has_waiting_groups() {
+    if !cx.has_accounts() {
         return HashMap::new();
     }
     let own = cx.waiting_requests.borrow();
-    let own = own.groups().map(|(name, key, groups)| (name, key, groups.collect()));
+    let own = own.groups().filter(|(name, ..)| &***name == service);
+    let own = own.map(|(_, key, groups)| (key, groups.collect::<Vec<_>>()));
     let instances = cx.instances.borrow();
     let others = instances.live(Instant::now()).flat_map(|status| {
-        let groups = status.waiting_groups.iter().cloned();
-        status.waiting.iter().zip(groups).map(|((name, key, _), groups)| (name, key, groups))
+        let of_service = status.waiting.iter().zip(&status.waiting_groups);
+        let of_service = of_service.filter(|((name, ..), _)| **name == *service);
+        of_service.map(|((_, key, _), groups)| (key, groups.clone()))
     });
     let mut waiting: HashMap<ModelName, Vec<WaitingGroup>> = HashMap::new();
-    for (_, key, groups) in own.chain(others).filter(|(name, ..)| &***name == service) {
-        waiting.entry(key.model.clone()).or_default().extend::<Vec<WaitingGroup>>(groups);
+    for (key, groups) in own.chain(others) {
+        waiting.entry(key.model.clone()).or_default().extend(groups);
     }
     waiting.values_mut().for_each(|groups| *groups = sum_groups(groups.drain(..)));
     waiting
@@ -267,13 +269,12 @@
         leader.demands.models.entry(model).or_default().waiting_groups = groups;
     }
     if let Some(deployment) = &*cx.deployment.borrow() {
-        let waits = cx.has_waiting_groups().then(|| deployment.engine_waits());
+        let waits = cx.has_accounts().then(|| deployment.engine_waits());
         leader.demands.weigh_waiting(waits);
     }
     let queued = leader.demands.models.iter().filter(|(_, demand)| demand.pending_send > 1);
     let queued: Vec<_> = queued.map(|(model, d)| (model.clone(), d.pending_send)).collect();
-    // The order of accounts for places is used only where there are accounts.
-    for (model, _) in queued.iter().filter(|_| cx.has_accounts()) {
+    for (model, _) in &queued {
         let demand = leader.demands.models.get(model);
         if let Some(demand) = demand.filter(|demand| !demand.waiting_groups.is_empty()) {
             leader.queued_groups.insert(model.clone(), demand.waiting_groups.clone());
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -98,7 +98,7 @@
         .iter()
         .map(|(service, key, count)| (service.clone(), key.clone(), count))
         .collect();
-    let waiting_groups = match cx.has_waiting_groups() {
+    let waiting_groups = match cx.has_accounts() {
         true => requests.groups().map(|(_, _, groups)| sum_groups(groups)).collect(),
         false => Vec::new(),
     };
--- a/components/process/replica_placement/src/demand.rs
+++ b/components/process/replica_placement/src/demand.rs
@@ -20,7 +20,7 @@
     /// server already has the model: their instances are about to send them.
     pub pending_send: u32,
     /// The requests of `waiting` and `pending_send` by rank and client account. Empty where the
-    /// configuration has neither client accounts nor several ranks.
+    /// configuration has no client accounts.
     pub waiting_groups: Vec<WaitingGroup>,
     /// Requests in flight.
     pub in_flight: u32,
@@ -65,7 +65,7 @@
     /// Demand for each model that was ever requested.
     pub models: HashMap<ModelName, Demand>,
     weights: WaitingWeights,
-    /// Whether the configuration has client accounts or several ranks.
+    /// Whether the configuration has client accounts.
     are_weighed: bool,
 }
 
@@ -77,7 +77,7 @@
 
     /// Weighs the `waiting_groups` of all models against each other, after these were set.
     /// `longest_waits` is how long a request may wait at most, by rank; `None` if the configuration
-    /// has neither client accounts nor several ranks.
+    /// has no client accounts.
     pub fn weigh_waiting(&mut self, longest_waits: Option<&BTreeMap<Rank, Duration>>) {
         self.are_weighed = longest_waits.is_some();
         let Some(longest_waits) = longest_waits else {
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Whether requests are told apart by rank or account, so that what their callers lose decides.
+    /// Whether requests are told apart by rank and account, so that what their callers lose decides.
     pub(crate) fn are_weighed(&self) -> bool {
         self.are_weighed
     }
