Instances collect at most 200 notices of a configuration

Cause: the decoding collects whatever it finds, for instances as for the check command.

Change: decode_deployment collects 200 notices, and beyond them the first reason of a rejection, and counts the others; for an unknown field of an account it then builds no text either. check_deployment, which the check command uses, collects all.

--- a/components/process/entry/src/version.rs
+++ b/components/process/entry/src/version.rs
@@ -13,7 +13,7 @@
 /// Applies a configuration if it is newer than the current one. Requests that were admitted under
 /// an earlier version keep using that version.
 pub(crate) fn apply(cx: &Entry, decoded: Decoded, revision: u64) {
-    let Decoded { deployment, notices } = decoded;
+    let Decoded { deployment, notices, notice_count } = decoded;
     let former = cx.deployment.borrow().as_ref().map(|d| d.version);
     if former.is_some_and(|former| former >= deployment.version) {
         return;
@@ -24,7 +24,7 @@
         revision,
         routes = deployment.route_count(),
         services = deployment.services.len(),
-        notices = notices.len(),
+        notices = notice_count,
         "configuration: in force"
     );
     log_notices(deployment.version, &notices);
--- a/src/cmd/check/deployment.rs
+++ b/src/cmd/check/deployment.rs
@@ -13,8 +13,8 @@
 use platform::Call;
 use platform_adapter::{
     CONFIGURATION_KIND, CONFIGURATION_NAME, Change, Decoded, Document, Notice, NoticeKind,
-    SERVER_KIND, Store, check_servers, check_version, compare_deployments, decode_deployment,
-    decode_server_entry,
+    SERVER_KIND, Store, check_deployment, check_servers, check_version, compare_deployments,
+    decode_deployment, decode_server_entry,
 };
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -203,7 +203,7 @@
         }
     };
     let value = source.document.value();
-    let decoded = match decode_deployment(value) {
+    let decoded = match check_deployment(value) {
         Ok(decoded) => decoded,
         Err(rejected) => {
             report.add(&source, &rejected.notices);
