--- a/components/version/routes/src/accounts.rs
+++ b/components/version/routes/src/accounts.rs
@@ -12,7 +12,7 @@
 pub type AccountName = Box<str>;
 
 /// SHA-256 of an API key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct KeyHash([u8; 32]);
 
 impl KeyHash {
