--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -47,9 +47,11 @@
     version: DeploymentVersion,
     arrived_at: Instant,
     first_byte_ms: Option<u64>,
-    /// When the last part of a stream arrived from a server.
+    /// When this instance read the last part of a stream.
     last_part_at: Option<Instant>,
-    /// Longest time between two parts of a stream; `None` if there are less than two.
+    /// Longest time between two parts of a stream as this instance reads them, which may be later
+    /// than their arrival: it stops reading while a slow caller takes nothing. `None` if there are
+    /// less than two.
     longest_gap_ms: Option<u64>,
     steps: String,
     /// The send that has no outcome yet.
@@ -163,7 +165,7 @@
             .observe(self.arrived_at.elapsed().as_secs_f64());
     }
 
-    /// Records that a part of a stream arrived.
+    /// Records that a part of a stream was read.
     pub(crate) fn record_part(&mut self) {
         if let Some(last) = self.last_part_at.replace(Instant::now()) {
             self.longest_gap_ms = self.longest_gap_ms.max(Some(elapsed_ms(last)));
