Streams: count backlogs by their own memory

A stream whose caller reads slowly may wait in memory, and all such backlogs together take at most half of the memory for bodies. The check compared all bodies with that half, those of requests included. With many streams of long prompts the bodies alone passed it. Each stream whose channel was full then disconnected callers that had not read for a second, although memory was left and nothing waited.

The backlogs now count their own buffers, until the caller has taken the last reference. Data is refused, and callers are disconnected, only if these have used up their half, or if the memory itself has no room.

The test bodies_of_requests_are_no_backlog failed before the change. The other tests of backlogs make their memory from BacklogMemory; their checks are unchanged.

--- a/components/connection/body_memory/src/buffer.rs
+++ b/components/connection/body_memory/src/buffer.rs
@@ -76,6 +76,11 @@
         Ok(())
     }
 
+    /// Memory that the buffer takes, in bytes.
+    pub fn reserved(&self) -> usize {
+        self.reservation.bytes
+    }
+
     /// Drops the bytes after the first `len`. The capacity stays.
     pub fn truncate(&mut self, len: usize) {
         self.buf.truncate(len);
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -36,6 +36,7 @@
 
 use crate::connection::{Connection, ConnectionPools, Doors, MAX_IDLE_PER_SERVER};
 use crate::metrics::Metrics;
+use crate::request::BacklogMemory;
 use crate::settings::EntrySettings;
 
 pub(crate) use crashes::{BanTest, CrashReports, LostRequest};
@@ -118,6 +119,8 @@
     pub(crate) refusal_lines: LogLimit,
     /// Memory for the bodies of requests and responses, and for pieces of streams.
     pub(crate) body_memory: BodyMemory,
+    /// Part of it for streams whose callers read slowly.
+    pub(crate) backlog_memory: Rc<BacklogMemory>,
     pub(crate) health: RefCell<HashMap<ServerId, Health>>,
     /// Data centres that this instance can and cannot reach.
     pub(crate) reach: RefCell<Reach>,
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -30,6 +30,7 @@
     accept_store_relays, watch_connections,
 };
 use crate::metrics::Metrics;
+use crate::request::BacklogMemory;
 use crate::settings::EntrySettings;
 
 /// Time after SIGTERM in which the instance still accepts new requests: it is out of rotation after
@@ -124,6 +125,7 @@
         directory: RefCell::new(Directory::default()),
         has_registry: Cell::new(false),
         pools: ConnectionPools::new(&parts),
+        backlog_memory: Rc::new(BacklogMemory::new(&body_memory)),
         body_memory,
         health: RefCell::new(HashMap::new()),
         reach: RefCell::default(),
--- a/components/process/entry/src/request/backlog/tests.rs
+++ b/components/process/entry/src/request/backlog/tests.rs
@@ -17,7 +17,8 @@
 #[tokio::test]
 async fn stream_goes_on_while_its_caller_does_not_read() {
     let memory = BodyMemory::with_limit(1 << 20);
-    let (mut backlog, mut rx) = Backlog::new(&memory);
+    let backlogs = Rc::new(BacklogMemory::new(&memory));
+    let (mut backlog, mut rx) = Backlog::new(&backlogs);
     let mut sent = Vec::new();
     for n in 0..1_000_u32 {
         let data = format!("data: {n}\n\n").into_bytes();
@@ -41,10 +42,11 @@
 #[test]
 fn backlogs_leave_half_of_the_memory_to_others() {
     let memory = BodyMemory::with_limit(1 << 20);
-    let mut backlogs: Vec<_> = (0..10).map(|_| Backlog::new(&memory)).collect();
+    let backlogs = Rc::new(BacklogMemory::new(&memory));
+    let mut streams: Vec<_> = (0..10).map(|_| Backlog::new(&backlogs)).collect();
     let mut refused = 0;
     for _ in 0..500 {
-        for (backlog, _) in &mut backlogs {
+        for (backlog, _) in &mut streams {
             refused += usize::from(backlog.push(Bytes::from_static(&[b'x'; 1_000])).is_err());
         }
     }
@@ -54,11 +56,26 @@
     assert!(BodyBuffer::copy_of(&[b'x'; 100_000], &memory).is_ok());
 }
 
+/// Guards against disconnecting callers for streams that wait, because bodies of requests take half of
+/// the memory: there is memory left, and no stream waits yet.
+#[test]
+fn bodies_of_requests_are_no_backlog() {
+    let memory = BodyMemory::with_limit(1 << 20);
+    let backlogs = Rc::new(BacklogMemory::new(&memory));
+    let bodies = [500_000, 250_000].map(|len| BodyBuffer::copy_of(&vec![b'x'; len], &memory));
+    assert!(bodies.iter().all(Result::is_ok));
+    let (mut backlog, _rx) = Backlog::new(&backlogs);
+    for _ in 0..MAX_PIECES + 20 {
+        assert!(backlog.push(Bytes::from_static(&[b'x'; 1_000])).is_ok());
+    }
+}
+
 /// Guards against a stream that finds no memory and then stands still although its caller reads.
 #[tokio::test]
 async fn refused_data_goes_on_when_the_caller_reads() {
     let memory = BodyMemory::with_limit(1_000);
-    let (mut backlog, mut rx) = Backlog::new(&memory);
+    let backlogs = Rc::new(BacklogMemory::new(&memory));
+    let (mut backlog, mut rx) = Backlog::new(&backlogs);
     for _ in 0..MAX_PIECES {
         assert!(backlog.push(Bytes::from_static(b"first")).is_ok());
     }
--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -33,6 +33,7 @@
 use crate::process::{BanTest, Entry, ModelKey, Phase, WaitingPlace};
 use account::Caller;
 use attempt::{AttemptOutcome, attempt};
+pub(crate) use backlog::BacklogMemory;
 use failure::{Failure, Sends, UNKNOWN_KEY, text_response};
 use quota::{QUOTA_REACHED, QuotaHold, admit_quota};
 use trace::{ANSWERED, Trace};
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -36,7 +36,7 @@
     parts.headers.remove(header::CONTENT_LENGTH);
     parts.version = http::Version::HTTP_11;
     parts.extensions.clear();
-    let (mut backlog, mut rx) = Backlog::new(&cx.body_memory);
+    let (mut backlog, mut rx) = Backlog::new(&cx.backlog_memory);
     if !first.is_empty() && backlog.push(first).is_err() {
         tracing::error!("stream: no room for the first event");
     }
