Caller limits: a head that was sent ahead is a head

A connection whose caller sent a request and, before the answer ended, the beginning of the next head, counted as idle once nothing more came. The bytes that the HTTP library held were not charged, and the idle timeout applied instead of the head timeout. A crowd of such connections took memory without an account.

Bytes read while a request is served are now counted. If no request took them when nothing more arrives, the state is Head, charged by their number and due by the head timeout.

Both cases of head_that_began_before_the_answer_ended_is_a_head failed with the count left out. read_all now takes the time and may fail like read; two existing tests pass it.

Not covered: the length of a head is not known here, so the next request takes all bytes that were sent ahead. The beginning of a head behind two whole requests, or in the same read as the request before it, is not seen.

--- a/components/connection/caller_limits/src/connection.rs
+++ b/components/connection/caller_limits/src/connection.rs
@@ -84,6 +84,9 @@
     /// Whether the caller sent something before the answer to its former request had ended, and
     /// there may be more of it.
     has_sent_ahead: Cell<bool>,
+    /// Bytes that were read before the answer to the former request had ended. The next request takes
+    /// all of them.
+    ahead: Cell<usize>,
     /// The rest of a refused body.
     body_rest: Cell<BodyRest>,
     /// Whether this instance reads the body of the request, which it does once it has room and the
@@ -121,6 +124,7 @@
             pace_due: Cell::new(now),
             head_len: Cell::new(0),
             has_sent_ahead: Cell::new(false),
+            ahead: Cell::new(0),
             body_rest: Cell::new(BodyRest::None),
             is_reading_body: Cell::new(false),
             bytes,
@@ -214,7 +218,7 @@
                 let at = now();
                 state.phase.set(Phase::Head);
                 state.begins.set(at);
-                state.head_len.set(len);
+                state.head_len.set(state.ahead.replace(0) + len);
                 state.charge(state.cost(0), || at)
             }
             Phase::Head => {
@@ -229,20 +233,34 @@
                 state.moved.set(state.moved.get() + len);
                 Ok(())
             }
-            Phase::Served if state.has_sent_ahead.get() => Ok(()),
             Phase::Served => {
-                state.has_sent_ahead.set(true);
+                state.ahead.set(state.ahead.get() + len);
+                if state.has_sent_ahead.replace(true) {
+                    return Ok(());
+                }
                 state.charge(state.bytes.get() + state.table.cost.unread, now)
             }
         }
     }
 
-    /// Records that nothing more has arrived. Without a request, nothing that was sent ahead is left.
-    pub fn read_all(&self) {
+    /// Records that nothing more has arrived. Without a request, nothing that was sent ahead is left in
+    /// the kernel, and what no request took is the beginning of a head.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for that head. The connection is then to be closed.
+    pub fn read_all(&self, now: impl Fn() -> Instant) -> Result<(), Full> {
         let state = &*self.state;
-        if state.phase.get() == Phase::Idle && state.has_sent_ahead.replace(false) {
-            state.table.resize(state, state.cost(0));
+        if state.phase.get() != Phase::Idle || !state.has_sent_ahead.replace(false) {
+            return Ok(());
+        }
+        let ahead = state.ahead.replace(0);
+        if ahead > 0 {
+            state.phase.set(Phase::Head);
+            state.begins.set(now());
+            state.head_len.set(ahead);
         }
+        state.charge(state.cost(0), now)
     }
 
     /// Records that the kernel took `len` bytes of an answer.
@@ -287,6 +305,7 @@
         state.phase.set(if has_body { Phase::Body } else { Phase::Served });
         state.begins.set(now);
         state.is_reading_body.set(false);
+        state.ahead.set(0);
         state.charge(state.cost(fields), || now)
     }
 
--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -271,7 +271,7 @@
     once_ahead.begin_request(0, false, now).unwrap();
     once_ahead.end_answer(|| now);
     assert_eq!(table.bytes(), COST.open + COST.unread);
-    once_ahead.read_all();
+    once_ahead.read_all(|| now).unwrap();
     assert_eq!(table.bytes(), COST.open);
     let later = now + Duration::from_secs(1);
     once_ahead.read(1, || later).unwrap();
@@ -288,10 +288,30 @@
     let now = Instant::now();
     let ahead = open(&table, Doing::Served, now);
     ahead.read(1, || now).unwrap();
-    ahead.read_all();
+    ahead.read_all(|| now).unwrap();
     assert!(ahead.has_sent_ahead());
 }
 
+/// Guards against a crowd that sends a request and the beginning of the next head at once and then
+/// falls silent: these heads are charged, and end in time, like others.
+#[rstest]
+#[case::nothing_more(0)]
+#[case::more_of_it(60)]
+fn head_that_began_before_the_answer_ended_is_a_head(#[case] more: usize) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let caller = open(&table, Doing::Served, now);
+    caller.read(120, || now).unwrap();
+    caller.end_answer(|| now);
+    if more > 0 {
+        caller.read(more, || now).unwrap();
+    }
+    caller.read_all(|| now).unwrap();
+    assert!(table.bytes() >= COST.open + 2 * (120 + more));
+    table.sweep(now + PACES.head);
+    assert_eq!(table.closed().of(Reason::HeadTimeout), 1);
+}
+
 /// Guards against taking the rest of a refused body for the beginning of a head: the caller is idle,
 /// and a connection that it keeps for its next request would be closed as an unfinished head.
 #[rstest]
--- a/components/process/entry/src/connection/tracking.rs
+++ b/components/process/entry/src/connection/tracking.rs
@@ -114,17 +114,17 @@
         let before = buf.filled().len();
         let this = &mut *self;
         let result = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if result.is_pending() {
-            this.tracked.read_all();
-        }
         let read = &buf.filled()[before..];
-        if !read.is_empty() {
-            if this.tracked.read(read.len(), Instant::now).is_err() {
-                return Poll::Ready(Err(io::Error::other("no room for the head of a request")));
-            }
-            if let Some(relayed) = &mut this.relayed {
-                relayed.record(read, &this.tracked);
-            }
+        let recorded = match result {
+            Poll::Pending => this.tracked.read_all(Instant::now),
+            Poll::Ready(_) if read.is_empty() => Ok(()),
+            Poll::Ready(_) => this.tracked.read(read.len(), Instant::now),
+        };
+        if recorded.is_err() {
+            return Poll::Ready(Err(io::Error::other("no room for the head of a request")));
+        }
+        if let Some(relayed) = this.relayed.as_mut().filter(|_| !read.is_empty()) {
+            relayed.record(read, &this.tracked);
         }
         result
     }
