Caller limits: expect no rest of a body that came whole

After a refusal that reads no body, the next read counted as the rest of that body, also if a small body had come with its head. The beginning of the next head was then taken for that rest: the connection stayed idle, with the idle timeout instead of the head timeout.

The HTTP library reads at most once to skip a body and closes the connection if that was not enough. If it reads and nothing has arrived, either the whole body was in its buffer or the connection ends. Nothing more is expected from then on.

Both cases of head_after_a_refused_body_that_came_whole_is_a_head failed without the change.

Not covered: a read that brings the rest of a body and part of the next head together still counts as the rest.

--- a/components/connection/caller_limits/src/connection.rs
+++ b/components/connection/caller_limits/src/connection.rs
@@ -48,7 +48,7 @@
     /// There is none.
     None,
     /// The next bytes may belong to it. The library reads at most once to skip a body, and closes the
-    /// connection if that was not enough.
+    /// connection if that was not enough. If it had the whole body already, it reads the next head.
     Expected,
     /// Bytes that may belong to it, and to the next head, were read.
     Read,
@@ -251,7 +251,14 @@
     /// Fails if there is no room for that head. The connection is then to be closed.
     pub fn read_all(&self, now: impl Fn() -> Instant) -> Result<(), Full> {
         let state = &*self.state;
-        if state.phase.get() != Phase::Idle || !state.has_sent_ahead.replace(false) {
+        let phase = state.phase.get();
+        if state.body_rest.get() == BodyRest::Expected
+            && matches!(phase, Phase::Idle | Phase::Served)
+        {
+            // The whole body came with the head, or the library closes the connection.
+            state.body_rest.set(BodyRest::None);
+        }
+        if phase != Phase::Idle || !state.has_sent_ahead.replace(false) {
             return Ok(());
         }
         let ahead = state.ahead.replace(0);
--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -341,6 +341,29 @@
     assert!(refused.is_closed());
 }
 
+/// Guards against a crowd that sends a small body with the head of a request that is refused, and then
+/// part of a head: no rest of that body is to come, so the part is a head.
+#[rstest]
+#[case::before_the_answer_ends(true)]
+#[case::after_it(false)]
+fn head_after_a_refused_body_that_came_whole_is_a_head(#[case] is_before: bool) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let refused = open(&table, Doing::Head, now);
+    refused.begin_request(0, true, now).unwrap();
+    refused.abandon_body();
+    if is_before {
+        refused.read_all(|| now).unwrap();
+        refused.end_answer(|| now);
+    } else {
+        refused.end_answer(|| now);
+        refused.read_all(|| now).unwrap();
+    }
+    refused.read(100, || now).unwrap();
+    table.sweep(now + PACES.head);
+    assert_eq!(table.closed().of(Reason::HeadTimeout), 1);
+}
+
 /// Guards against calls that wait for another process without an end, where nothing else limits
 /// them.
 #[test]
