Streams: free the body of a request when its server has ended

A stream whose caller reads slowly kept the whole request until the caller had taken the rest: its body, which counts in the memory for bodies, and its hold on the quota of its account. No server gets the request again by then. Both are now given up when the last server has ended or no further one takes over. The tokens stay used, as before.

docs/OPERATIONS.md says that took_ms of a stream ends when its caller has taken the rest. No test of its own; the platform's slow_caller tests run this path.

--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -118,6 +118,12 @@
         self.caller.key_failure(cx.deployment.borrow().as_deref()?)
     }
 
+    /// Frees what only a further send needs. The caller may take the rest of its stream much later.
+    pub(crate) fn end_sends(&mut self) {
+        self.body = Bytes::new();
+        self.quota = QuotaHold::default();
+    }
+
     /// Whether the request may be sent again although a server may have run it.
     pub(crate) fn may_retry(&self) -> bool {
         self.route.kind.may_run_again() && self.sends.possible_runs() < self.route.max_attempts
--- a/components/process/entry/src/request/stream.rs
+++ b/components/process/entry/src/request/stream.rs
@@ -83,6 +83,7 @@
             Chunk::End => {
                 // The server is free although the caller has not taken everything.
                 source.finish(cx);
+                job.end_sends();
                 return backlog.finish().await.map(|()| ANSWERED);
             }
             Chunk::Broken(reason) => {
@@ -95,6 +96,7 @@
                     resumed = resume(cx, job, last_event) => resumed,
                 };
                 let Some(started) = resumed else {
+                    job.end_sends();
                     return backlog.break_off().await.map(|()| "broke_off");
                 };
                 if !started.first.is_empty() {
@@ -102,6 +104,7 @@
                 }
                 if started.has_ended {
                     started.source.finish(cx);
+                    job.end_sends();
                     return backlog.finish().await.map(|()| ANSWERED);
                 }
                 source = started.source;
