Relayed calls: end a body also if the next head has begun

A call to the store whose end came in the same read as the beginning of the next head stayed an incomplete body, and was closed by the pace of bodies while it waited for its answer. The end of the body is now recorded then too.

The limit on the time until an answer is said to run from the end of a request, but ran from the beginning of its body. The end of a body now begins the time.

Case next_head of call_that_was_read_whole_is_held_to_no_pace and answer_timeout_begins_at_the_end_of_the_body failed without the change. end_body and abandon_body take the time; one existing test passes it.

--- a/components/connection/caller_limits/src/connection.rs
+++ b/components/connection/caller_limits/src/connection.rs
@@ -328,15 +328,16 @@
     }
 
     /// Records that the body of the request was read to its end.
-    pub fn end_body(&self) {
+    pub fn end_body(&self, now: impl Fn() -> Instant) {
         if self.state.phase.get() == Phase::Body {
             self.state.phase.set(Phase::Served);
+            self.state.begins.set(now());
         }
     }
 
     /// Records that the rest of the body of the request is not used.
-    pub fn abandon_body(&self) {
-        self.end_body();
+    pub fn abandon_body(&self, now: impl Fn() -> Instant) {
+        self.end_body(now);
         self.state.body_rest.set(BodyRest::Expected);
     }
 
--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -322,7 +322,7 @@
     let now = Instant::now();
     let refused = open(&table, Doing::Head, now);
     refused.begin_request(0, true, now).unwrap();
-    refused.abandon_body();
+    refused.abandon_body(|| now);
     if is_before {
         refused.read(100, || now).unwrap();
         refused.end_answer(|| now);
@@ -351,7 +351,7 @@
     let now = Instant::now();
     let refused = open(&table, Doing::Head, now);
     refused.begin_request(0, true, now).unwrap();
-    refused.abandon_body();
+    refused.abandon_body(|| now);
     if is_before {
         refused.read_all(|| now).unwrap();
         refused.end_answer(|| now);
@@ -380,6 +380,22 @@
     assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
 }
 
+/// Guards against closing a call whose body took a while as if it had waited since its head.
+#[test]
+fn answer_timeout_begins_at_the_end_of_the_body() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let answer = Duration::from_secs(8);
+    table.set_paces(Paces { answer: Some(answer), ..PACES });
+    let caller = open(&table, Doing::Body, now);
+    let ended_at = now + Duration::from_secs(5);
+    caller.end_body(|| ended_at);
+    table.sweep(now + answer);
+    assert!(!caller.is_closed());
+    table.sweep(ended_at + answer);
+    assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
+}
+
 /// Guards against a caller that takes a few bytes now and then and so holds an answer for ever, and
 /// against closing slow callers that keep the pace.
 #[rstest]
--- a/components/process/entry/src/connection/tracking.rs
+++ b/components/process/entry/src/connection/tracking.rs
@@ -18,6 +18,9 @@
 use super::Body;
 use super::relayed_calls::{CallReader, Progress};
 
+#[cfg(test)]
+mod tests;
+
 /// Closes a connection by ending its task.
 #[derive(Clone, Default)]
 pub(crate) struct TaskCloser(Rc<OnceCell<AbortHandle>>);
@@ -77,7 +80,8 @@
         let progress = self.reader.read(bytes);
         let was_in_body = std::mem::replace(&mut self.is_in_body, progress == Progress::Body);
         match progress {
-            Progress::Complete if was_in_body => tracked.end_body(),
+            // The next head may have begun already.
+            Progress::Complete | Progress::Head if was_in_body => tracked.end_body(Instant::now),
             Progress::Complete => {
                 let _ = tracked.begin_request(0, false, Instant::now());
             }
@@ -181,9 +185,9 @@
 impl Drop for CallerBody {
     fn drop(&mut self) {
         if self.has_ended || self.body.is_end_stream() {
-            self.tracked.end_body();
+            self.tracked.end_body(Instant::now);
         } else {
-            self.tracked.abandon_body();
+            self.tracked.abandon_body(Instant::now);
         }
     }
 }
