soak: bound the connections of all crowds together

Up to four crowds overlap, each with 480 connections in the process of the soak, which also has its ordinary callers, the stand-in servers and the proxies. With the usual 1,024 descriptors those could find none, and the checks would see that as a fault of the system.

All crowds now share room for 480 connections, as many as one crowd has.

--- a/soak/src/crowd.rs
+++ b/soak/src/crowd.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
 /// Keeps the times of crowds apart from those of the other faults of a seed, whose plans stay as they
@@ -20,6 +21,9 @@
 const MAX_DURATION: Duration = Duration::from_secs(6);
 /// Connections of a crowd at each listener.
 const CONNECTIONS: usize = 120;
+/// Room for the connections of all crowds at one time: those of one crowd. The process often has 1,024
+/// descriptors, and ordinary callers and the stand-ins need theirs beside it.
+static ROOM: Semaphore = Semaphore::const_new(4 * CONNECTIONS);
 /// Pause before a connection that was closed is made again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -66,6 +70,8 @@
 
 async fn member(door: SocketAddr, number: usize) {
     loop {
+        // Fails only once the semaphore is closed, which it never is.
+        let Ok(_room) = ROOM.acquire().await else { return };
         if let Ok(mut stream) = TcpStream::connect(door).await
             && stream.write_all(sent(number).as_bytes()).await.is_ok()
         {
