--- a/components/connection/caller_limits/src/tests.rs
+++ b/components/connection/caller_limits/src/tests.rs
@@ -271,7 +271,7 @@
     once_ahead.begin_request(0, false, now).unwrap();
     once_ahead.end_answer(|| now);
     assert_eq!(table.bytes(), COST.open + COST.unread);
-    once_ahead.read_all();
+    once_ahead.read_all(|| now).unwrap();
     assert_eq!(table.bytes(), COST.open);
     let later = now + Duration::from_secs(1);
     once_ahead.read(1, || later).unwrap();
@@ -288,10 +288,30 @@
     let now = Instant::now();
     let ahead = open(&table, Doing::Served, now);
     ahead.read(1, || now).unwrap();
-    ahead.read_all();
+    ahead.read_all(|| now).unwrap();
     assert!(ahead.has_sent_ahead());
 }
 
+/// Guards against a crowd that sends a request and the beginning of the next head at once and then
+/// falls silent: these heads are charged, and end in time, like others.
+#[rstest]
+#[case::nothing_more(0)]
+#[case::more_of_it(60)]
+fn head_that_began_before_the_answer_ended_is_a_head(#[case] more: usize) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let caller = open(&table, Doing::Served, now);
+    caller.read(120, || now).unwrap();
+    caller.end_answer(|| now);
+    if more > 0 {
+        caller.read(more, || now).unwrap();
+    }
+    caller.read_all(|| now).unwrap();
+    assert!(table.bytes() >= COST.open + 2 * (120 + more));
+    table.sweep(now + PACES.head);
+    assert_eq!(table.closed().of(Reason::HeadTimeout), 1);
+}
+
 /// Guards against taking the rest of a refused body for the beginning of a head: the caller is idle,
 /// and a connection that it keeps for its next request would be closed as an unfinished head.
 #[rstest]
@@ -302,7 +322,7 @@
     let now = Instant::now();
     let refused = open(&table, Doing::Head, now);
     refused.begin_request(0, true, now).unwrap();
-    refused.abandon_body();
+    refused.abandon_body(|| now);
     if is_before {
         refused.read(100, || now).unwrap();
         refused.end_answer(|| now);
@@ -321,6 +341,29 @@
     assert!(refused.is_closed());
 }
 
+/// Guards against a crowd that sends a small body with the head of a request that is refused, and then
+/// part of a head: no rest of that body is to come, so the part is a head.
+#[rstest]
+#[case::before_the_answer_ends(true)]
+#[case::after_it(false)]
+fn head_after_a_refused_body_that_came_whole_is_a_head(#[case] is_before: bool) {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let refused = open(&table, Doing::Head, now);
+    refused.begin_request(0, true, now).unwrap();
+    refused.abandon_body(|| now);
+    if is_before {
+        refused.read_all(|| now).unwrap();
+        refused.end_answer(|| now);
+    } else {
+        refused.end_answer(|| now);
+        refused.read_all(|| now).unwrap();
+    }
+    refused.read(100, || now).unwrap();
+    table.sweep(now + PACES.head);
+    assert_eq!(table.closed().of(Reason::HeadTimeout), 1);
+}
+
 /// Guards against calls that wait for another process without an end, where nothing else limits
 /// them.
 #[test]
@@ -337,6 +380,22 @@
     assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
 }
 
+/// Guards against closing a call whose body took a while as if it had waited since its head.
+#[test]
+fn answer_timeout_begins_at_the_end_of_the_body() {
+    let table = table(10, 1_000);
+    let now = Instant::now();
+    let answer = Duration::from_secs(8);
+    table.set_paces(Paces { answer: Some(answer), ..PACES });
+    let caller = open(&table, Doing::Body, now);
+    let ended_at = now + Duration::from_secs(5);
+    caller.end_body(|| ended_at);
+    table.sweep(now + answer);
+    assert!(!caller.is_closed());
+    table.sweep(ended_at + answer);
+    assert_eq!(table.closed().of(Reason::AnswerTimeout), 1);
+}
+
 /// Guards against a caller that takes a few bytes now and then and so holds an answer for ever, and
 /// against closing slow callers that keep the pace.
 #[rstest]
