A prompt that ends servers is recognised apart from its session

Other requests of the session are sound and are answered, before and between. Every property that the instances knew of (model, parts, parts of the model) was therefore answered again and again, and none could stay banned.

Change: the whole prompt - model, shared parts, number of tokens - is a property.

Test: prompt_that_ends_servers_is_banned_without_its_session; before, "24 requests reached servers".

--- a/components/process/entry/src/request/mod.rs
+++ b/components/process/entry/src/request/mod.rs
@@ -92,8 +92,9 @@
     let model_name = &*prompt.model;
     let parts = prompt.shared_parts.iter();
     let parts = parts.flat_map(|part| [Property::Part(part), Property::PartOf(model_name, part)]);
-    let model = std::iter::once(Property::Model(&prompt.model));
-    property_keys(service, model.chain(adapter).chain(parts)).into()
+    let whole = Property::Prompt(model_name, &prompt.shared_parts, prompt.prompt_tokens);
+    let own = [whole, Property::Model(model_name)].into_iter();
+    property_keys(service, own.chain(adapter).chain(parts)).into()
 }
 
 impl Job {
--- a/components/process/quarantine/src/property.rs
+++ b/components/process/quarantine/src/property.rs
@@ -15,6 +15,9 @@
     Part(&'a str),
     /// A part of the prompt as one model reads it: (model, id of the part).
     PartOf(&'a str, &'a str),
+    /// The whole prompt, by what is known of it: (model, ids of its shared parts, its tokens).
+    /// Callers send a request that failed again.
+    Prompt(&'a str, &'a [Box<str>], u64),
     /// The model.
     Model(&'a str),
     /// The adapter of a model.
@@ -33,6 +36,11 @@
             Self::Model(model) => hash(2, model),
             Self::Adapter(model, adapter) => xxh3_64_with_seed(adapter.as_bytes(), hash(3, model)),
             Self::PartOf(model, part) => xxh3_64_with_seed(part.as_bytes(), hash(7, model)),
+            Self::Prompt(model, parts, tokens) => {
+                let parts = parts.iter().map(|part| part.as_bytes());
+                let seed = parts.fold(hash(8, model), |seed, part| xxh3_64_with_seed(part, seed));
+                xxh3_64_with_seed(&tokens.to_le_bytes(), seed)
+            }
             Self::Call(path) => hash(4, path),
             Self::Load(model, None) => hash(5, model),
             Self::Load(model, Some(adapter)) => {
--- a/components/process/quarantine/src/tests.rs
+++ b/components/process/quarantine/src/tests.rs
@@ -352,6 +352,9 @@
         key("s", Property::Model("x")),
         key("s", Property::Call("x")),
         key("s", Property::Adapter("x", "x")),
+        key("s", Property::Prompt("x", &["x".into()], 1)),
+        key("s", Property::Prompt("x", &["x".into()], 2)),
+        key("s", Property::Prompt("x", &["x".into(), "x".into()], 1)),
         crash_id("x", 1),
         crash_id("x", 2),
     ];
--- a/tests/platform_sessions/deadly_tests.rs
+++ b/tests/platform_sessions/deadly_tests.rs
@@ -143,3 +143,33 @@
         }
     }
 }
+
+/// Guards against banning a session, or its model, for one request that its caller sends again and
+/// again, and against not banning it because others with the same parts are answered (BUDGET).
+#[tokio::test]
+async fn prompt_that_ends_servers_is_banned_without_its_session() {
+    let servers = (1..=8).map(|n| engine(&format!("e{n}"), &["m1"])).collect();
+    let mut cluster = TestCluster::new(servers).await;
+    for _ in 0..2 {
+        cluster.start_instance().await;
+    }
+    for server in &cluster.servers {
+        server.set_deadly(Some(Deadly::Prompt("5c1e07a2:20,91bd3f06:10,0badf00d:36")));
+    }
+    let sound = ["5c1e07a2:20,91bd3f06:10,e4402b7d:10", "5c1e07a2:20,91bd3f06:10,77aa01cc:52"];
+    let is_served = |outcome: &Outcome| outcome.status == Some(200) && outcome.is_complete;
+    for n in 0..4 {
+        call(&cluster, n, "/chat/x", sound[n % 2]).await;
+    }
+    for n in 10..22 {
+        call(&cluster, 3 * n, "/chat/x", "5c1e07a2:20,91bd3f06:10,0badf00d:36").await;
+        call(&cluster, 3 * n + 1, "/chat/x", sound[n % 2]).await;
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    let arrivals = total(&cluster.servers, Server::deadly_arrivals);
+    assert!(arrivals <= MAX_LATE_ARRIVALS, "{arrivals} requests reached servers");
+    for n in 100..120 {
+        let outcome = call(&cluster, n, "/chat/x", sound[n % 2]).await;
+        assert!(is_served(&outcome), "{outcome:?}");
+    }
+}
