Soak: servers that leave or ask for a pause are left alone

The stand-in server records what it receives while it gives notice and for 3 s after a pause was asked for; soak/src/notices.rs compares that with what callers saw: a leaving server gets nothing from an instance that a caller sent more than 2 s after that instance passed on an answer of the server's run, and a pausing one at most two requests from an instance between 0.5 s after a refusal and the end of the pause. Excused: an instance with a fault in between, and pauses that overlap a fault of the connections to the server.

Tests: servers_that_give_notice_are_left_alone (seven cases, four of them allowed ones). Not shown: a product that breaks the checks; only the check itself was seen failing.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,6 +3,9 @@
 //! fault plan.
 
 mod checks;
+mod notices;
+#[cfg(test)]
+mod notices_tests;
 mod plan;
 mod proxy;
 mod run;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,6 +14,7 @@
 use rustix::process::Signal;
 
 use crate::checks::{RequestRecord, violations};
+use crate::notices::{Noticed, PAUSE_TEXT, Trip, notice_violations, way_faults};
 use crate::plan::{Event, Kind, plan};
 use crate::proxy::{Mode, Proxy};
 
@@ -48,6 +49,9 @@
 /// little less than the 2.8 s of the processes, because a request may be in flight when that ends.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_400);
 
+/// What the callers record, all together.
+type Records<T> = Arc<Mutex<Vec<T>>>;
+
 /// Injected faults, request outcomes and violations of one run.
 pub(crate) struct Report {
     seed: u64,
@@ -209,7 +213,7 @@
                 self.register(server, false);
             }
             Kind::Pausing(server) => {
-                self.servers[server].set_pause(Some("1.5"));
+                self.servers[server].set_pause(Some(PAUSE_TEXT));
                 tokio::time::sleep(duration).await;
                 self.servers[server].set_pause(None);
             }
@@ -286,7 +290,7 @@
 async fn run_caller(
     deployment: Arc<Deployment>,
     caller_id: u64,
-    requests: Arc<Mutex<Vec<RequestRecord>>>,
+    (requests, trips): (Records<RequestRecord>, Records<Trip>),
     is_over: Arc<AtomicBool>,
     has_recovered: Arc<AtomicBool>,
 ) {
@@ -312,8 +316,18 @@
         };
         let (before, is_faultless) = deployment.fault_state(index);
         let is_after_faults = has_recovered.load(Ordering::SeqCst);
+        let sent_at = Instant::now();
         let outcome = caller.call(to, &request).await;
         let (after, _) = deployment.fault_state(index);
+        let trip = Trip {
+            id: id.clone(),
+            instance: index,
+            sent_at,
+            ended_at: Instant::now(),
+            faults: (before, after),
+            answered_by: outcome.signature.clone().filter(|_| outcome.status == Some(200)),
+        };
+        trips.lock().unwrap_or_else(PoisonError::into_inner).push(trip);
         let overlaps_fault = !is_faultless || before != after;
         let record = RequestRecord { kind, outcome, overlaps_fault, is_after_faults, id };
         requests.lock().unwrap_or_else(PoisonError::into_inner).push(record);
@@ -351,7 +365,7 @@
         report.violations.push("instances did not become ready".into());
         return report;
     }
-    let requests = Arc::new(Mutex::new(Vec::new()));
+    let (requests, trips) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
     let (is_over, has_recovered) =
         (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let callers: Vec<_> = (0..CALLER_COUNT)
@@ -359,7 +373,7 @@
             tokio::spawn(run_caller(
                 deployment.clone(),
                 n,
-                requests.clone(),
+                (requests.clone(), trips.clone()),
                 is_over.clone(),
                 has_recovered.clone(),
             ))
@@ -369,7 +383,7 @@
     let started_at = Instant::now();
     let events = plan(seed, fault_duration, deployment.servers.len(), deployment.instances.len());
     let mut faults = tokio::task::JoinSet::new();
-    for event in events {
+    for event in events.clone() {
         let name = format!("{:?}", event.kind);
         let name = name.split(['(', ' ']).next().unwrap_or("").to_owned();
         *report.injected.entry(name).or_default() += 1;
@@ -400,6 +414,13 @@
         *report.outcomes.entry(format!("{:?}:{status}", request.kind)).or_default() += 1;
     }
     report.violations.extend(violations(&requests, &deployment.servers));
+    let trips = trips.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    for (index, server) in deployment.servers.iter().enumerate() {
+        let arrivals = server.noticed_arrivals();
+        let faults = way_faults(&events, index, started_at);
+        let noticed = Noticed { server: &server.cfg.id, arrivals: &arrivals, faults };
+        report.violations.extend(notice_violations(&trips, &noticed));
+    }
     if report.violations.is_empty() {
         // Only a violation needs the logs; a directory that cannot be removed does no harm.
         let _ = std::fs::remove_dir_all(&logs);
