--- a/components/process/entry/src/connection/mod.rs
+++ b/components/process/entry/src/connection/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use operators::{accept_metrics, accept_readiness};
 pub(crate) use server::{
     ConnectError, Connection, ConnectionPools, ControlReply, MAX_IDLE_PER_SERVER, SendError,
-    UNACKNOWLEDGED_TIMEOUT, control_call,
+    control_call,
 };
 pub(crate) use store_relay::accept_store_relays;
 pub(crate) use tracking::CallerBody;
--- a/components/process/entry/src/connection/server.rs
+++ b/components/process/entry/src/connection/server.rs
@@ -25,15 +25,10 @@
 /// Timeout for a new connection. A round trip within a region takes a few milliseconds. TCP sends
 /// a lost SYN again only after a second; trying another server is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// The kernel closes a connection whose data or probes stay unacknowledged for this long. It sends
-/// no reset, so the network may deliver the data later.
-pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_800);
-/// Idle time before the first keep-alive probe, and time between probes. A connection that was idle
-/// when a cut began is ended by the kernel this much earlier than [`UNACKNOWLEDGED_TIMEOUT`] after
-/// it at most.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
-/// Unanswered probes after which the kernel closes a connection.
-const KEEPALIVE_RETRIES: u32 = 4;
+/// The kernel closes a connection whose data or probes stay unacknowledged for this long.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Idle time before the first keep-alive probe, and time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// A connection is no longer reused this long before the server's own idle timeout.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// Idle timeout for servers that send no `Keep-Alive` timeout; theirs is then below a second.
@@ -143,11 +138,6 @@
         &self.server
     }
 
-    /// When the connection was last known to work.
-    pub(crate) fn last_used_at(&self) -> Instant {
-        self.last_used_at
-    }
-
     /// Whether an earlier request used the connection.
     pub(crate) fn is_reused(&self) -> bool {
         self.is_reused
@@ -206,7 +196,7 @@
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_retries(2);
     let result = stream
         .set_nodelay(true)
         .and_then(|()| socket.set_linger(Some(Duration::ZERO)))
--- a/components/process/entry/src/process/mod.rs
+++ b/components/process/entry/src/process/mod.rs
@@ -30,7 +30,7 @@
 use quarantine::Quarantine;
 use replica_placement::{BootTime, LeaderLease};
 use routes::{Deployment, ModelName, ServiceName};
-use server_choice::{Health, LifeSigns, PaceMeter, PromptMix, Reach, RetryBudget, RunTime};
+use server_choice::{Health, PaceMeter, PromptMix, Reach, RetryBudget, RunTime};
 use server_directory::{ChangeLog, Directory, OutageDetector, ServerId, SteadyTime};
 use tokio::sync::{Notify, watch};
 
@@ -121,8 +121,6 @@
     pub(crate) health: RefCell<HashMap<ServerId, Health>>,
     /// Data centres that this instance can and cannot reach.
     pub(crate) reach: RefCell<Reach>,
-    /// When each data centre last gave a sign of life.
-    pub(crate) life_signs: RefCell<LifeSigns>,
     pub(crate) retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Time for which a request occupies a slot, by service.
     pub(crate) run_times: RefCell<HashMap<ServiceName, RunTime>>,
--- a/components/process/entry/src/process/reach.rs
+++ b/components/process/entry/src/process/reach.rs
@@ -3,7 +3,6 @@
 //! The servers of a suspected data centre are probed with connections of this instance, so that no
 //! request of a caller has to wait for an answer that does not come.
 
-use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,14 +12,12 @@
 use tokio::task::JoinSet;
 
 use super::Entry;
-use crate::connection::{ConnectError, Connection, UNACKNOWLEDGED_TIMEOUT};
+use crate::connection::{ConnectError, Connection};
 
 /// Time between two rounds of probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time that a probe waits for a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Pause between two probes for a request that waits.
-const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Servers that are probed in one round: enough to tell a cut from a failed server.
 const PROBED_SERVERS: usize = 3;
 
@@ -79,7 +76,6 @@
 
     /// Records a sign of life of a server in a data centre.
     pub(crate) fn record_contact(&self, data_centre: &str) {
-        self.life_signs.borrow_mut().record(data_centre, Instant::now());
         let Some(since) = self.reach.borrow_mut().record_answer(data_centre) else { return };
         self.metrics.cut_off_data_centres.dec();
         tracing::info!(
@@ -122,42 +118,6 @@
         }
     }
 
-    /// Waits until a server to which a request was sent turns out to be behind a cut, or for ever
-    /// if the request has arrived. The caller then resets the connection, so that what the network
-    /// holds up is lost; after the kernel has ended the connection it could not.
-    pub(crate) async fn wait_until_lost(
-        &self,
-        server: &str,
-        address: SocketAddr,
-        sent_at: Instant,
-    ) {
-        let Some(data_centre) = self.data_centre_of(server) else { return pending().await };
-        // The kernel would have ended the connection by then if the request had not arrived.
-        let arrives_by = sent_at + UNACKNOWLEDGED_TIMEOUT;
-        loop {
-            let probe_at = self.life_signs.borrow().probe_at(&data_centre, sent_at);
-            tokio::time::sleep_until(probe_at.into()).await;
-            let now = Instant::now();
-            if now >= arrives_by {
-                return pending().await;
-            }
-            if self.life_signs.borrow().probe_at(&data_centre, sent_at) > now {
-                continue;
-            }
-            match Connection::connect(server, address, now + PROBE_TIMEOUT).await {
-                Ok(_) | Err(ConnectError::Refused) => self.record_contact(&data_centre),
-                Err(ConnectError::Unreachable) => {
-                    self.record_silence(server);
-                    let now = Instant::now();
-                    if self.life_signs.borrow().is_lost(&data_centre, sent_at, now) {
-                        return;
-                    }
-                    tokio::time::sleep(PROBE_PAUSE).await;
-                }
-            }
-        }
-    }
-
     /// Servers of the data centres that are cut off.
     pub(crate) fn cut_off_servers(&self) -> Vec<ServerId> {
         let (directory, reach) = (self.directory.borrow(), self.reach.borrow());
--- a/components/process/entry/src/process/run.rs
+++ b/components/process/entry/src/process/run.rs
@@ -127,7 +127,6 @@
         body_memory,
         health: RefCell::new(HashMap::new()),
         reach: RefCell::default(),
-        life_signs: RefCell::default(),
         retry_budgets: RefCell::new(HashMap::new()),
         run_times: RefCell::default(),
         paces: RefCell::default(),
--- a/components/process/entry/src/request/attempt.rs
+++ b/components/process/entry/src/request/attempt.rs
@@ -41,8 +41,6 @@
 const EVENTS_PER_MEASUREMENT: u64 = 8;
 /// Reason recorded for a request that got no response before the instance stopped.
 const INSTANCE_STOPS: &str = "instance stops before the answer";
-/// Reason recorded for a request whose server cannot be reached any more.
-const SERVER_CUT_OFF: &str = "server cut off before the answer";
 /// Reason recorded for a stream that sent nothing until its deadline.
 const STREAM_SILENT: &str = "stream sent no data in time";
 /// Reason recorded for a stream with an event beyond the size limit.
@@ -280,11 +278,7 @@
     let in_flight = InFlight::new(cx, &selection.id, model);
     let max_idle =
         if job.route.kind.may_run_again() { Duration::MAX } else { MAX_IDLE_FOR_SINGLE_RUN };
-    let is_alive = |connection: &Connection| {
-        let signs = cx.life_signs.borrow();
-        signs.may_reuse(&selection.data_centre, connection.last_used_at(), Instant::now())
-    };
-    let mut connection = match cx.pools.take_idle(&selection.id, max_idle).filter(is_alive) {
+    let mut connection = match cx.pools.take_idle(&selection.id, max_idle) {
         Some(connection) => connection,
         None => match Connection::connect(&selection.id, selection.address, job.deadline).await {
             Ok(connection) => {
@@ -326,11 +320,6 @@
     };
     let result = tokio::select! {
         result = wait_or_switch(cx, job, selection, switch_at, connection.send(req)) => result,
-        () = cx.wait_until_lost(&selection.id, selection.address, sent_at) => {
-            cx.update_health(&selection.id, |health, now| health.record_failure(now, 1.0));
-            cx.record_unreachable(&selection.id);
-            return AttemptOutcome::Lost(SERVER_CUT_OFF);
-        }
         () = cx.ending() => return AttemptOutcome::Lost(INSTANCE_STOPS),
     };
     let response = match result {
--- a/components/request/server_choice/src/lib.rs
+++ b/components/request/server_choice/src/lib.rs
@@ -3,7 +3,6 @@
 mod admission;
 mod choice;
 mod health;
-mod life_signs;
 mod prefill;
 mod reach;
 mod retry_budget;
@@ -12,8 +11,6 @@
 #[cfg(test)]
 mod admission_tests;
 #[cfg(test)]
-mod life_signs_tests;
-#[cfg(test)]
 mod prefill_tests;
 #[cfg(test)]
 mod reach_tests;
@@ -25,7 +22,6 @@
 pub use admission::{RunTime, in_flight_limit, queue_timeout, turn_probability};
 pub use choice::{Affinity, Candidate, Choice, affinity_key, choose_server};
 pub use health::{Health, MAX_PAUSE};
-pub use life_signs::LifeSigns;
 pub use prefill::PromptMix;
 pub use reach::{DataCentre, Reach};
 pub use retry_budget::{RetryBudget, RetryLimits};
