Prompts do not push other properties out of the quarantine's memory

Cause: each answered request adds its prompt, which nearly no other request has, to the 8,192 recent keys, and each lost one a suspect of one end to the 512 suspects and the 64 watched ones.

Change: the keys of prompts have a bit of their own.

Test: prompts_push_out_nothing_else. Before the change it failed at the watch list, which had lost the deadly part after 600 lost requests.

--- a/components/process/quarantine/src/property.rs
+++ b/components/process/quarantine/src/property.rs
@@ -2,9 +2,18 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Hash of a property, within one service.
+/// Hash of a property, within one service. [`PROMPT_BIT`] is set in those of prompts only.
 pub type PropertyKey = u64;
 
+/// Tells the keys of prompts from all others. Nearly each request has a prompt of its own, so that
+/// prompts are kept apart where memory is bounded.
+const PROMPT_BIT: PropertyKey = 1 << 63;
+
+/// Whether a key is that of a [`Property::Prompt`].
+pub(crate) fn is_prompt(key: PropertyKey) -> bool {
+    key & PROMPT_BIT != 0
+}
+
 /// Hash of a server and its run, which ends once.
 pub type CrashId = u64;
 
@@ -31,7 +40,7 @@
 impl Property<'_> {
     fn key(self, seed: u64) -> PropertyKey {
         let hash = |kind: u64, text: &str| xxh3_64_with_seed(text.as_bytes(), seed ^ kind);
-        match self {
+        let key = match self {
             Self::Part(id) => hash(1, id),
             Self::Model(model) => hash(2, model),
             Self::Adapter(model, adapter) => xxh3_64_with_seed(adapter.as_bytes(), hash(3, model)),
@@ -46,6 +55,10 @@
             Self::Load(model, Some(adapter)) => {
                 xxh3_64_with_seed(adapter.as_bytes(), hash(6, model))
             }
+        };
+        match self {
+            Self::Prompt(..) => key | PROMPT_BIT,
+            _ => key & !PROMPT_BIT,
         }
     }
 }
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ban::term;
+use crate::property::is_prompt;
 use crate::recent_keys::RecentKeys;
 use crate::{Ban, CrashId, PropertyKey, PublishedBan};
 
@@ -19,10 +20,14 @@
 const MIN_SPREAD_OF_ANSWERED: Duration = Duration::from_secs(1);
 /// Time after which the end of a server no longer counts.
 const SUSPICION_TTL: Duration = Duration::from_secs(60);
-/// Most suspects; the oldest ones are dropped.
+/// Most suspects, prompts aside; the oldest ones are dropped.
 const MAX_SUSPECTS: usize = 512;
-/// Most suspects that are published.
+/// Most suspects that are prompts. Each lost request adds one.
+const MAX_SUSPECT_PROMPTS: usize = 128;
+/// Most suspects that are published, prompts aside.
 const MAX_WATCHED: usize = 64;
+/// Most prompts that are published.
+const MAX_WATCHED_PROMPTS: usize = 16;
 /// Most ends of servers with a known cause that are remembered.
 const MAX_EXPLAINED: usize = 256;
 /// Most bans.
@@ -261,11 +266,18 @@
         self.bans.retain(|ban| ban.forgotten_at > now);
         self.cleared.retain(|_, at| now.saturating_duration_since(*at) < CLEARED_TTL);
         self.suspects.retain(|_, s| now.saturating_duration_since(s.last_at) < SUSPICION_TTL);
-        if self.suspects.len() > MAX_SUSPECTS {
-            let mut times: Vec<Instant> = self.suspects.values().map(|s| s.last_at).collect();
+        self.drop_oldest_suspects(MAX_SUSPECTS, |key| !is_prompt(key));
+        self.drop_oldest_suspects(MAX_SUSPECT_PROMPTS, is_prompt);
+    }
+
+    /// Keeps half of `max` suspects of a kind if there are more than `max`.
+    fn drop_oldest_suspects(&mut self, max: usize, is_kind: impl Fn(PropertyKey) -> bool) {
+        let suspects = self.suspects.iter().filter(|(key, _)| is_kind(**key));
+        let mut times: Vec<Instant> = suspects.map(|(_, suspect)| suspect.last_at).collect();
+        if times.len() > max {
             times.sort_unstable();
-            let oldest = times[times.len() - MAX_SUSPECTS / 2];
-            self.suspects.retain(|_, suspect| suspect.last_at >= oldest);
+            let oldest = times[times.len() - max / 2];
+            self.suspects.retain(|key, suspect| !is_kind(*key) || suspect.last_at >= oldest);
         }
     }
 
@@ -293,14 +305,17 @@
 
     /// Properties for which the other instances should say when a request with them was last
     /// answered: those of the bans, and all suspects from their first end on, those at most ends
-    /// first.
+    /// first. Prompts have places of their own.
     pub fn watch_list(&self) -> Vec<PropertyKey> {
         let mut suspects: Vec<_> = self.suspects.iter().collect();
         suspects.sort_unstable_by_key(|(key, s)| Reverse((s.crashes.len(), s.last_at, **key)));
         let suspects = suspects.into_iter().map(|(key, _)| *key);
         let banned = self.bans.iter().flat_map(|ban| ban.properties.iter().copied());
         let mut known = HashSet::new();
-        banned.chain(suspects).filter(|key| known.insert(*key)).take(MAX_WATCHED).collect()
+        let keys = banned.chain(suspects).filter(|key| known.insert(*key));
+        let (prompts, others): (Vec<_>, Vec<_>) = keys.partition(|key| is_prompt(*key));
+        let others = others.into_iter().take(MAX_WATCHED);
+        others.chain(prompts.into_iter().take(MAX_WATCHED_PROMPTS)).collect()
     }
 
     /// Properties that were lately taken out of a ban, with the milliseconds since then.
--- a/components/process/quarantine/src/tests.rs
+++ b/components/process/quarantine/src/tests.rs
@@ -341,6 +341,35 @@
     assert!(quarantine.watch_list().len() <= 64 && quarantine.published_bans(now).len() <= 64);
 }
 
+/// Key of a prompt, all of which differ.
+fn prompt(n: u64) -> PropertyKey {
+    property_keys("s", [Property::Prompt("m", &[], n)].into_iter())[0]
+}
+
+/// Guards against prompts, of which each request has one of its own, that push out what is known of
+/// the properties that requests share. Workload: 20,000 answered requests, and 600 ends of servers
+/// under requests that share nothing but a part that is rarely used.
+#[test]
+fn prompts_push_out_nothing_else() {
+    let (mut quarantine, mut now) = (Quarantine::default(), Instant::now());
+    quarantine.record_answer(&[SESSION], now);
+    quarantine.record_crash(1, &[DEADLY], now);
+    for n in 0..20_000 {
+        now += seconds(0.001);
+        quarantine.record_answer(&[COMMON, prompt(n)], now);
+        if n < 600 {
+            quarantine.record_crash(1_000 + n, &[prompt(100_000 + n)], now);
+        }
+    }
+    assert!(quarantine.len() < 10_000, "{}", quarantine.len());
+    assert!(quarantine.watch_list().contains(&DEADLY));
+    // It is still known that requests with the session were answered.
+    for crash in 2..=3 {
+        assert!(quarantine.record_crash(crash, &[SESSION], now).is_none());
+    }
+    assert!(quarantine.record_crash(4, &[DEADLY], now).is_some());
+}
+
 /// Guards against mixing up properties of different kinds, services or servers with equal names.
 #[test]
 fn keys_tell_kinds_services_and_runs_apart() {
