Ages in the leader's updates on bans count from when it sent them

Cause: ages were turned into times with the time of reading. An instance that reads a queued ban and the message that lifted it at once took the ban to have begun after it was lifted, kept it, and told the leader of it as one that it had forgotten.

Change: the known delay of the leader's updates, which the revisions use already, applies to bans, to what was cleared and to what is left of a term. What the leader does not publish is told with ages of the moment of telling. Statuses and the notice of a new ban have no send time, so their ages still count from reading.

Test: updates_that_are_read_at_once_lift_a_ban; with the time of reading in place of the time of sending it fails because the lifted ban stays. The existing tests pass the send time as a further argument.

--- a/components/process/entry/src/process/crashes.rs
+++ b/components/process/entry/src/process/crashes.rs
@@ -253,7 +253,7 @@
         let crashes = self.crash_reports.borrow_mut().current(now);
         let quarantine = self.quarantine.borrow();
         let answers = quarantine.watched_answers(now);
-        QuarantineReport { crashes, answers, unpublished: quarantine.unpublished().to_vec() }
+        QuarantineReport { crashes, answers, unpublished: quarantine.unpublished(now) }
     }
 
     pub(super) fn published_quarantine(&self) -> PublishedQuarantine {
@@ -266,10 +266,11 @@
         }
     }
 
-    pub(super) fn follow_quarantine(&self, published: &PublishedQuarantine) {
+    /// Follows what the leader sent at `sent_at`.
+    pub(super) fn follow_quarantine(&self, published: &PublishedQuarantine, sent_at: Instant) {
         let PublishedQuarantine { bans, cleared, watched } = published;
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.follow_leader(bans, cleared, watched, Instant::now()) {
+        if quarantine.follow_leader(bans, cleared, watched, sent_at, Instant::now()) {
             tracing::info!(cleared = %aged(cleared), "quarantine: the leader narrowed or lifted a ban");
             self.servers_changed.notify_waiters();
         }
--- a/components/process/entry/src/process/peers.rs
+++ b/components/process/entry/src/process/peers.rs
@@ -336,7 +336,7 @@
         slow.map(|(server, percent)| (server, f64::from(percent) / 100.0)).collect();
     record_leaving(cx, &update.leaving, &update.from);
     cx.record_quota_holder_alive(&update.from);
-    cx.follow_quarantine(&update.quarantine);
+    cx.follow_quarantine(&update.quarantine, sent_at);
     *cx.queued.borrow_mut() = update.queued.into_iter().collect();
     let queued = cx.queued.borrow();
     cx.queued_groups.borrow_mut().retain(|model, _| queued.contains_key(model));
--- a/components/process/quarantine/src/ban.rs
+++ b/components/process/quarantine/src/ban.rs
@@ -120,11 +120,12 @@
         }
     }
 
-    pub(crate) fn from_published(published: &PublishedBan, now: Instant) -> Self {
+    /// A ban that was published at `sent_at`.
+    pub(crate) fn from_published(published: &PublishedBan, sent_at: Instant, now: Instant) -> Self {
         let ms = |ms: u32| Duration::from_millis(u64::from(ms));
-        let ago = |time: u32| now.checked_sub(ms(time)).unwrap_or(now);
+        let ago = |time: u32| sent_at.checked_sub(ms(time)).unwrap_or(sent_at);
         let began_at = ago(published.age_ms);
-        let until = now + ms(published.remaining_ms).min(term(published.count));
+        let until = sent_at + ms(published.remaining_ms).min(term(published.count));
         Self {
             properties: published.properties.clone(),
             began_at,
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -55,8 +55,8 @@
     /// Properties that were lately taken out of a ban, and when. They stay out of bans of others
     /// that began before.
     cleared: HashMap<PropertyKey, Instant>,
-    /// Bans that the leader does not publish, as after its restart.
-    unpublished: Vec<PublishedBan>,
+    /// Properties of bans that the leader does not publish, as after its restart.
+    unpublished: Vec<Box<[PropertyKey]>>,
     /// Ends of servers that a banned property explains.
     explained: VecDeque<CrashId>,
     /// Suspects for which the leader asks whether requests with them were answered.
@@ -328,16 +328,21 @@
     /// Takes over bans of another instance, without the properties that were cleared since they
     /// began or whose answers speak against them.
     pub fn merge(&mut self, published: &[PublishedBan], now: Instant) {
+        self.merge_sent(published, now, now);
+    }
+
+    /// Takes over bans that were sent at `sent_at`, as [`Self::merge`] does.
+    fn merge_sent(&mut self, published: &[PublishedBan], sent_at: Instant, now: Instant) {
         self.expire(now);
         for ban in published {
-            let mut ban = Ban::from_published(ban, now);
+            let mut ban = Ban::from_published(ban, sent_at, now);
             let is_sound = |key: &PropertyKey| {
                 self.cleared.get(key).is_some_and(|at| *at >= ban.began_at)
                     || is_refuted(&ban, self.answered.last(*key))
             };
             let (sound, others): (Vec<_>, Vec<_>) =
                 ban.properties.iter().copied().partition(is_sound);
-            self.cleared.extend(sound.into_iter().map(|key| (key, now)));
+            self.cleared.extend(sound.into_iter().map(|key| (key, sent_at)));
             ban.properties = others.into();
             let is_covered = self
                 .bans
@@ -359,35 +364,38 @@
         }
     }
 
-    /// Follows the leader, which publishes all bans that it knows of and what it cleared. Returns
-    /// whether that took a property out of a ban.
+    /// Follows the leader, which publishes all bans that it knows of and what it cleared. Ages count
+    /// from `sent_at`, when the leader sent them. Returns whether that took a property out of a ban.
     pub fn follow_leader(
         &mut self,
         published: &[PublishedBan],
         cleared: &[(PropertyKey, u32)],
         watched: &[PropertyKey],
+        sent_at: Instant,
         now: Instant,
     ) -> bool {
-        let cleared = cleared.iter().filter_map(|(key, age_ms)| Some((*key, ago(now, *age_ms)?)));
+        let cleared =
+            cleared.iter().filter_map(|(key, age_ms)| Some((*key, ago(sent_at, *age_ms)?)));
         let cleared: HashMap<PropertyKey, Instant> = cleared.collect();
         let is_cleared = |key, ban: &Ban| cleared.get(&key).is_some_and(|at| *at >= ban.began_at);
         let has_changed = self.clear_banned(now, is_cleared);
         self.cleared.extend(cleared);
-        self.merge(published, now);
-        let is_published = |ban: &PublishedBan| {
+        self.merge_sent(published, sent_at, now);
+        let is_published = |ban: &Ban| {
             published
                 .iter()
                 .any(|known| known.properties.iter().all(|k| ban.properties.contains(k)))
         };
-        self.unpublished = self.published_bans(now);
-        self.unpublished.retain(|ban| !is_published(ban));
+        let unpublished = self.bans.iter().filter(|ban| !is_published(ban));
+        self.unpublished = unpublished.map(|ban| ban.properties.clone()).collect();
         self.watched = watched.iter().copied().collect();
         has_changed
     }
 
     /// Bans that the leader does not publish.
-    pub fn unpublished(&self) -> &[PublishedBan] {
-        &self.unpublished
+    pub fn unpublished(&self, now: Instant) -> Vec<PublishedBan> {
+        let bans = self.bans.iter().filter(|ban| self.unpublished.contains(&ban.properties));
+        bans.map(|ban| ban.published(now)).collect()
     }
 
     /// Watched properties of requests that this instance answered, with the milliseconds since the
--- a/components/process/quarantine/src/tests.rs
+++ b/components/process/quarantine/src/tests.rs
@@ -106,9 +106,9 @@
 fn exchange(leader: &mut Quarantine, others: &mut [Quarantine], now: Instant) {
     for other in others {
         let (bans, cleared) = (leader.published_bans(now), leader.cleared(now));
-        other.follow_leader(&bans, &cleared, &leader.watch_list(), now);
+        other.follow_leader(&bans, &cleared, &leader.watch_list(), now, now);
         leader.record_answers_elsewhere(&other.watched_answers(now), now);
-        leader.merge(other.unpublished(), now);
+        leader.merge(&other.unpublished(now), now);
     }
 }
 
@@ -254,6 +254,7 @@
         &leader.cleared(now),
         &leader.watch_list(),
         now,
+        now,
     );
     assert!(other.ban(&[SESSION, DEADLY], now).is_some());
     let answers = other.watched_answers(now);
@@ -264,6 +265,7 @@
         &leader.cleared(now),
         &leader.watch_list(),
         now,
+        now,
     );
     assert!(other.ban(&[OTHER_SESSION, DEADLY], now).is_some());
     // A new answer lifts a ban at the leader.
@@ -274,6 +276,7 @@
         &leader.cleared(now),
         &leader.watch_list(),
         now,
+        now,
     );
     assert!(other.ban(&[DEADLY], now).is_none());
 }
@@ -287,12 +290,12 @@
     other.record_crash(1, &[COMMON, DEADLY], now);
     other.record_crash(2, &[COMMON, DEADLY], now);
     other.record_answer(&[COMMON], now);
-    other.follow_leader(&[], &[], &[], now + seconds(5.0));
+    other.follow_leader(&[], &[], &[], now + seconds(5.0), now + seconds(5.0));
     assert!(other.ban(&[DEADLY], now).is_some());
-    leader.merge(other.unpublished(), now);
+    leader.merge(&other.unpublished(now), now);
     assert!(leader.ban(&[DEADLY], now).is_some());
-    other.follow_leader(&leader.published_bans(now), &[], &[], now);
-    assert!(other.unpublished().is_empty());
+    other.follow_leader(&leader.published_bans(now), &[], &[], now, now);
+    assert!(other.unpublished(now).is_empty());
 }
 
 /// Guards against two instances that keep telling each other of a ban that was lifted.
@@ -306,11 +309,32 @@
     leader.record_answer(&[SESSION], now);
     // The other instance missed the message with the cleared property.
     let later = now + seconds(5.0);
-    other.follow_leader(&leader.published_bans(later), &[], &[], later);
-    leader.merge(other.unpublished(), later);
+    other.follow_leader(&leader.published_bans(later), &[], &[], later, later);
+    leader.merge(&other.unpublished(later), later);
     assert!(leader.ban(&[SESSION], later).is_none());
-    other.follow_leader(&leader.published_bans(later), &leader.cleared(later), &[], later);
-    assert!(other.ban(&[SESSION], later).is_none() && other.unpublished().is_empty());
+    other.follow_leader(&leader.published_bans(later), &leader.cleared(later), &[], later, later);
+    assert!(other.ban(&[SESSION], later).is_none() && other.unpublished(later).is_empty());
+}
+
+/// Guards against a lifted ban that stays, for its whole term, at an instance that was suspended and
+/// reads the leader's updates of that time at once, and that goes back to the leader from there.
+/// Ages count from when an update was sent.
+#[test]
+fn updates_that_are_read_at_once_lift_a_ban() {
+    let start = Instant::now();
+    let [mut leader, mut other] = [Quarantine::default(), Quarantine::default()];
+    leader.record_crash(1, &[SESSION], start);
+    leader.record_crash(2, &[SESSION], start);
+    let begun = leader.published_bans(start);
+    leader.record_answer(&[SESSION], start + seconds(1.0));
+    let lifted_at = start + seconds(1.1);
+    let cleared = leader.cleared(lifted_at);
+    let read_at = start + seconds(4.0);
+    other.follow_leader(&begun, &[], &[], start, read_at);
+    assert!(other.ban(&[SESSION], read_at).is_some());
+    assert!(other.follow_leader(&[], &cleared, &[], lifted_at, read_at));
+    assert!(other.ban(&[SESSION], read_at).is_none());
+    assert!(other.unpublished(read_at).is_empty());
 }
 
 /// Guards against refusing sound requests for the moment until other instances have said that they
