A renewed ban begins at its renewal

Cause: renewal moved the first end of a server that speaks against the properties, but not the beginning of the ban, and whoever received the ban took the earlier of both as the first end. Answers between beginning and renewal then refuted the renewed ban.

Change: renewal moves both, and an instance that knows the ban takes over the later beginning. "Not after began_at" holds again.

Test: a_renewed_ban_is_shared_as_renewed; failed before at that invariant.

--- a/components/process/quarantine/src/ban.rs
+++ b/components/process/quarantine/src/ban.rs
@@ -18,6 +18,7 @@
 pub struct Ban {
     /// Sorted and not empty. Several if the ends of servers do not tell them apart.
     pub properties: Box<[PropertyKey]>,
+    /// When it began or was last renewed.
     pub(crate) began_at: Instant,
     /// The first end of a server that speaks against the properties. Answers since then speak for
     /// them. Not after `began_at`.
@@ -46,7 +47,7 @@
     pub properties: Box<[PropertyKey]>,
     /// Milliseconds until [`Ban::until`]; 0 afterwards.
     pub remaining_ms: u32,
-    /// Milliseconds since the ban began.
+    /// Milliseconds since the ban began or was last renewed.
     pub age_ms: u32,
     /// Milliseconds since the first end of a server that speaks against the properties.
     pub since_first_end_ms: u32,
@@ -86,7 +87,7 @@
     /// properties.
     pub(crate) fn renew(&mut self, now: Instant) {
         self.count = self.count.saturating_add(1);
-        self.first_end_at = now;
+        (self.began_at, self.first_end_at) = (now, now);
         self.until = now + term(self.count);
         self.forgotten_at = self.until + term(self.count);
     }
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -355,6 +355,7 @@
                 Some(known) => {
                     known.until = known.until.max(ban.until);
                     known.forgotten_at = known.forgotten_at.max(known.until + term(ban.count));
+                    known.began_at = known.began_at.max(ban.began_at);
                     known.first_end_at = known.first_end_at.max(ban.first_end_at);
                     known.count = known.count.max(ban.count);
                 }
--- a/components/process/quarantine/src/tests.rs
+++ b/components/process/quarantine/src/tests.rs
@@ -337,6 +337,30 @@
     assert!(other.unpublished(read_at).is_empty());
 }
 
+/// Guards against a renewed ban that answers from before its renewal refute at other instances.
+#[test]
+fn a_renewed_ban_is_shared_as_renewed() {
+    let start = Instant::now();
+    let [mut leader, mut other] = [Quarantine::default(), Quarantine::default()];
+    leader.record_answer(&[DEADLY], start);
+    let ends = (1..=3)
+        .filter_map(|n: u64| leader.record_crash(n, &[DEADLY], start + seconds(0.6) * n as u32));
+    let first = ends.last().unwrap();
+    other.record_answer(&[DEADLY], start + seconds(5.0));
+    let renewed_at = first.until;
+    let renewed = leader.record_crash(4, &[DEADLY], renewed_at).unwrap();
+    assert!(renewed.first_end_at <= renewed.began_at);
+    let later = renewed_at + seconds(0.1);
+    other.merge(&leader.published_bans(later), later);
+    assert!(other.ban(&[DEADLY], later).is_some());
+    // An instance that knows the first ban follows the renewal as well.
+    let mut third = Quarantine::default();
+    third.merge(&[first.published(start + seconds(2.0))], start + seconds(2.0));
+    third.merge(&leader.published_bans(later), later);
+    let known = third.ban(&[DEADLY], later).unwrap();
+    assert!(known.began_at >= renewed_at && known.first_end_at <= known.began_at);
+}
+
 /// Guards against refusing sound requests for the moment until other instances have said that they
 /// answered such requests, as after a restart that lost what was answered before.
 #[test]
