Ages in messages of the quarantine do not wrap

Cause: ages in milliseconds were cut to 32 bits by a cast.

Change: millis caps them at u32::MAX, for bans, answers, cleared properties and reports of ends.

Test: an_old_answer_stays_old; failed before because the suspect was gone.

--- a/components/process/entry/src/process/crashes.rs
+++ b/components/process/entry/src/process/crashes.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use quarantine::{Ban, CrashId, Property, PropertyKey, PublishedBan, crash_id, property_keys};
+use quarantine::{
+    Ban, CrashId, Property, PropertyKey, PublishedBan, crash_id, millis, property_keys,
+};
 use serde::{Deserialize, Serialize};
 use server_directory::{Server, ServerId};
 
@@ -82,7 +84,7 @@
             self.reports.pop_front();
         }
         let report = |(at, crash, properties): &(Instant, CrashId, Box<[PropertyKey]>)| {
-            let age_ms = age(*at).as_millis() as u32;
+            let age_ms = millis(age(*at));
             CrashReport { crash: *crash, properties: properties.clone(), age_ms }
         };
         self.reports.iter().map(report).collect()
--- a/components/process/quarantine/src/ban.rs
+++ b/components/process/quarantine/src/ban.rs
@@ -57,6 +57,11 @@
     pub was_answered: bool,
 }
 
+/// Milliseconds as in messages, at most `u32::MAX`.
+pub fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 pub(crate) fn term(count: u8) -> Duration {
     FIRST_TERM * 2_u32.pow(u32::from(count.saturating_sub(1).min(MAX_DOUBLINGS)))
 }
@@ -110,10 +115,10 @@
 
     /// The ban as other instances learn of it.
     pub(crate) fn published(&self, now: Instant) -> PublishedBan {
-        let ago_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        let ago_ms = |at: Instant| millis(now.saturating_duration_since(at));
         PublishedBan {
             properties: self.properties.clone(),
-            remaining_ms: self.until.saturating_duration_since(now).as_millis() as u32,
+            remaining_ms: millis(self.until.saturating_duration_since(now)),
             age_ms: ago_ms(self.began_at),
             since_first_end_ms: ago_ms(self.first_end_at),
             count: self.count,
--- a/components/process/quarantine/src/lib.rs
+++ b/components/process/quarantine/src/lib.rs
@@ -14,6 +14,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use ban::{Ban, PublishedBan};
+pub use ban::{Ban, PublishedBan, millis};
 pub use property::{CrashId, Property, PropertyKey, crash_id, property_keys};
 pub use suspects::Quarantine;
--- a/components/process/quarantine/src/suspects.rs
+++ b/components/process/quarantine/src/suspects.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::ban::term;
+use crate::ban::{millis, term};
 use crate::property::is_prompt;
 use crate::recent_keys::RecentKeys;
 use crate::{Ban, CrashId, PropertyKey, PublishedBan};
@@ -322,7 +322,7 @@
     pub fn cleared(&self, now: Instant) -> Vec<(PropertyKey, u32)> {
         let ages = self.cleared.iter().map(|(key, at)| (*key, now.saturating_duration_since(*at)));
         let recent = ages.filter(|(_, age)| *age < CLEARED_TTL).take(MAX_WATCHED);
-        recent.map(|(key, age)| (key, age.as_millis() as u32)).collect()
+        recent.map(|(key, age)| (key, millis(age))).collect()
     }
 
     /// Takes over bans of another instance, without the properties that were cleared since they
@@ -402,7 +402,7 @@
     /// Watched properties of requests that this instance answered, with the milliseconds since the
     /// last answer.
     pub fn watched_answers(&self, now: Instant) -> Vec<(PropertyKey, u32)> {
-        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        let age_ms = |at: Instant| millis(now.saturating_duration_since(at));
         let answered = |key: &PropertyKey| Some((*key, age_ms(self.answered.last(*key)?)));
         let mut answers: Vec<_> = self.watched.iter().filter_map(answered).collect();
         answers.sort_unstable();
--- a/components/process/quarantine/src/tests.rs
+++ b/components/process/quarantine/src/tests.rs
@@ -361,6 +361,20 @@
     assert!(known.began_at >= renewed_at && known.first_end_at <= known.began_at);
 }
 
+/// Guards against an answer of 50 days ago that clears a suspect, because its age in milliseconds
+/// does not fit the message.
+#[test]
+fn an_old_answer_stays_old() {
+    let start = Instant::now();
+    let [mut leader, mut other] = [Quarantine::default(), Quarantine::default()];
+    other.record_answer(&[DEADLY], start);
+    let now = start + Duration::from_millis(u64::from(u32::MAX) + 1);
+    leader.record_crash(1, &[DEADLY], now - seconds(1.0));
+    other.follow_leader(&[], &[], &leader.watch_list(), now, now);
+    leader.record_answers_elsewhere(&other.watched_answers(now), now);
+    assert_eq!(leader.watch_list(), [DEADLY]);
+}
+
 /// Guards against refusing sound requests for the moment until other instances have said that they
 /// answered such requests, as after a restart that lost what was answered before.
 #[test]
