--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,6 +5,9 @@
 mod accounts;
 mod checks;
 mod crowd;
+mod notices;
+#[cfg(test)]
+mod notices_tests;
 mod plan;
 mod proxy;
 mod run;
