--- a/components/process/entry/src/request/trace.rs
+++ b/components/process/entry/src/request/trace.rs
@@ -50,8 +50,8 @@
     /// When this instance read the last part of a stream.
     last_part_at: Option<Instant>,
     /// Longest time between two parts of a stream as this instance reads them, which may be later
-    /// than their arrival: it stops reading while a slow caller takes nothing. `None` if there are
-    /// less than two.
+    /// than their arrival: it stops reading while a slow caller takes nothing and the memory for
+    /// answers is used up. `None` if there are less than two.
     longest_gap_ms: Option<u64>,
     steps: String,
     /// The send that has no outcome yet.
