Tests of the plan share one engine

waiting_loss_tests had a copy of the engine of plan_tests, with five models under a comment that said four. Both take engine_with.

--- a/components/process/replica_placement/src/plan_tests.rs
+++ b/components/process/replica_placement/src/plan_tests.rs
@@ -16,6 +16,11 @@
 
 /// An engine with ten models, three of which fit on a server.
 fn engine() -> Engine {
+    engine_with(10)
+}
+
+/// An engine with the models `m0`, `m1` and so on, three of which fit on a server.
+pub(crate) fn engine_with(models: u32) -> Engine {
     let model = |n: u32| Model {
         name: format!("m{n}").into(),
         weights_mb: 70.0,
@@ -30,7 +35,7 @@
         host_memory_mb: 150.0,
         max_adapters: 2,
         store_loads_per_second: 4.0,
-        models: (0..10).map(model).map(|m| (m.name.clone(), m)).collect(),
+        models: (0..models).map(model).map(|m| (m.name.clone(), m)).collect(),
     }
 }
 
--- a/components/process/replica_placement/src/waiting_loss_tests.rs
+++ b/components/process/replica_placement/src/waiting_loss_tests.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use admission::waiting::{AccountTag, WaitingGroup};
-use routes::{Engine, Model, ModelName};
+use routes::{Engine, ModelName};
 use rstest::rstest;
 use server_directory::Holdings;
 
 use crate::demand::Demands;
 use crate::plan::{Plan, PlanLimits, ServerView, plan};
+use crate::plan_tests::engine_with;
 
 /// Place for one load from the weight store at a time.
 const LIMITS: PlanLimits =
@@ -25,24 +26,9 @@
 
 const NO_BANS: BTreeSet<ModelName> = BTreeSet::new();
 
-/// An engine with four models, three of which fit on a server.
+/// An engine with five models, three of which fit on a server.
 fn engine() -> Engine {
-    let model = |n: u32| Model {
-        name: format!("m{n}").into(),
-        weights_mb: 70.0,
-        store_load_time: Duration::from_secs(6),
-        disk_load_time: Duration::from_millis(1_500),
-        memory_load_time: Duration::from_millis(600),
-        adapter_mb: 0.1,
-    };
-    Engine {
-        slots: 10,
-        accelerator_memory_mb: 230.0,
-        host_memory_mb: 150.0,
-        max_adapters: 2,
-        store_loads_per_second: 4.0,
-        models: (0..5).map(model).map(|m| (m.name.clone(), m)).collect(),
-    }
+    engine_with(5)
 }
 
 fn view<'a>(id: &'a str, holdings: &'a Holdings) -> ServerView<'a> {
